--- /dev/null
+++ b/internal/kernel/group/group_test.go
@@ -0,0 +1,45 @@
+package group
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// Guards against members that outlive the first error, and against a stop in
+// the order of the start, which would take away what later members depend on.
+func TestFirstErrorStopsAllInReverse(t *testing.T) {
+	is := is.New(t)
+	g := New(context.Background())
+	order := make(chan string, 2)
+	wait := func(name string) func(ctx context.Context) error {
+		return func(ctx context.Context) error {
+			<-ctx.Done()
+			order <- name
+			return ctx.Err()
+		}
+	}
+	g.Go("first", wait("first"))
+	g.Go("second", wait("second"))
+	g.Go("broken", func(context.Context) error { return errors.New("boom") })
+	err := g.Wait()
+	is.True(err != nil)
+	is.Equal(err.Error(), "broken: boom")
+	is.Equal(<-order, "second")
+	is.Equal(<-order, "first")
+}
+
+// Guards against a cancelled parent that is reported as a failure.
+func TestCancelIsNoError(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	g := New(ctx)
+	g.Go("member", func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	cancel()
+	is.NoErr(g.Wait())
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,4 @@
+// Command wisteriakeel routes model requests of client accounts to upstreams.
+package main
+
+func main() {}
