--- a/main.go
+++ b/main.go
@@ -1,4 +1,12 @@
 // Command wisteriakeel routes model requests of client accounts to upstreams.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"wisteriakeel.example/wisteriakeel/internal/command/terminal"
+)
+
+func main() {
+	os.Exit(terminal.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
