--- /dev/null
+++ b/internal/entry/upstream/dispatch.go
@@ -0,0 +1,253 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/propagation"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// Headers between entry, callers and upstreams.
+const (
+	HeaderRequest  = "X-Request-Id"
+	HeaderKey      = "Idempotency-Key"
+	HeaderVersion  = "Wisteriakeel-Version"
+	HeaderPriority = "Wisteriakeel-Priority"
+	HeaderResume   = "Wisteriakeel-Resume"
+	HeaderLoad     = "Wisteriakeel-Load"
+	HeaderOutcome  = "Wisteriakeel-Outcome"
+	HeaderAccount  = "Wisteriakeel-Account"
+)
+
+// FeatureResume is the announced feature of engines that continue broken streams.
+const FeatureResume = "resume"
+
+// Limits bound one call.
+type Limits struct {
+	// Dial is the longest time to open a connection.
+	Dial time.Duration
+	// Header is the longest time to the answer's header.
+	Header time.Duration
+	// Token is the longest time between two reads of a streamed answer.
+	Token time.Duration
+	// Overall is the longest time of the whole call.
+	Overall time.Duration
+	// Body is the greatest size of an answer in bytes.
+	Body int64
+}
+
+// DefaultLimits returns the limits that are used where the settings name none.
+func DefaultLimits() Limits {
+	return Limits{
+		Dial:    time.Second,
+		Header:  30 * time.Second,
+		Token:   10 * time.Second,
+		Overall: 10 * time.Minute,
+		Body:    8 << 20,
+	}
+}
+
+// Options are what a Dispatcher needs.
+type Options struct {
+	Timer  timer.Service
+	Limits Limits
+	// Load receives the load that an upstream reports with an answer.
+	Load func(name string, incarnation uint64, load *wire.Load)
+}
+
+// Dispatcher sends single calls to single upstreams and never retries them.
+type Dispatcher struct {
+	timer  timer.Service
+	limits Limits
+	load   func(name string, incarnation uint64, load *wire.Load)
+	dialer net.Dialer
+	pooled *http.Transport
+}
+
+// New returns a dispatcher. Zero limits take their default.
+func New(o Options) *Dispatcher {
+	d := &Dispatcher{timer: o.Timer, limits: o.Limits, load: o.Load}
+	base := DefaultLimits()
+	for _, l := range []struct{ have, base *time.Duration }{
+		{&d.limits.Dial, &base.Dial},
+		{&d.limits.Header, &base.Header},
+		{&d.limits.Token, &base.Token},
+		{&d.limits.Overall, &base.Overall},
+	} {
+		if *l.have == 0 {
+			*l.have = *l.base
+		}
+	}
+	if d.limits.Body == 0 {
+		d.limits.Body = base.Body
+	}
+	if d.load == nil {
+		d.load = func(string, uint64, *wire.Load) {}
+	}
+	d.pooled = transport(d.dialer.DialContext)
+	return d
+}
+
+// transport returns a plain HTTP/1.1 transport without proxy settings from the
+// environment and without compression, which would hide the content length.
+func transport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    64,
+		IdleConnTimeout:        5 * time.Second, // a silent idle connection is dropped after this time
+		MaxResponseHeaderBytes: 64 << 10,
+	}
+}
+
+// Close drops idle connections.
+func (d *Dispatcher) Close() { d.pooled.CloseIdleConnections() }
+
+// Dial opens a connection for a call that may not be repeated, so that an
+// upstream that cannot be reached is found before the claim is moved on.
+func (d *Dispatcher) Dial(ctx context.Context, u *wire.Upstream) (c net.Conn, err error) {
+	ctx, cancel := timer.WithTimeout(ctx, d.timer, d.limits.Dial)
+	defer cancel()
+	c, err = d.dialer.DialContext(ctx, "tcp", u.Address)
+	if err != nil {
+		return nil, &Failure{Outcome: NotRun, Reason: "upstream cannot be reached", Blame: true, Err: err}
+	}
+	return c, nil
+}
+
+// single hands out one connection once; a second dial fails, so that net/http
+// cannot send the call again.
+type single struct {
+	conn net.Conn
+	used atomic.Bool
+}
+
+func (s *single) dial(context.Context, string, string) (net.Conn, error) {
+	if s.used.Swap(true) {
+		return nil, errors.New("the connection of this call was already used")
+	}
+	return s.conn, nil
+}
+
+// call is one call in progress.
+type call struct {
+	owner    *Dispatcher
+	upstream *wire.Upstream
+	timer    timer.Service
+	cancel   context.CancelCauseFunc
+	// reached is true once a connection was handed to the call; bytes may be written from then on.
+	reached atomic.Bool
+
+	mu      sync.Mutex
+	stop    func()
+	overall func()
+}
+
+// begin starts the deadlines of a call.
+func (d *Dispatcher) begin(ctx context.Context, u *wire.Upstream, overall time.Duration) (context.Context, *call) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	c := &call{owner: d, upstream: u, timer: d.timer, cancel: cancel, stop: func() {}}
+	c.overall = d.timer.AfterFunc(overall, func() { cancel(ErrCallTimeout) })
+	c.expect(d.limits.Header, ErrHeaderTimeout)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.reached.Store(true) }}
+	return httptrace.WithClientTrace(ctx, trace), c
+}
+
+// expect replaces the deadline for the next sign of progress.
+func (c *call) expect(d time.Duration, cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stop()
+	c.stop = c.timer.AfterFunc(d, func() { c.cancel(cause) })
+}
+
+func (c *call) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stop()
+	c.overall()
+	c.cancel(context.Canceled)
+}
+
+// send makes the round trip up to the answer's header and checks what all answers must have.
+func (c *call) send(r *http.Request, t http.RoundTripper, id string) (*http.Response, error) {
+	propagation.TraceContext{}.Inject(r.Context(), propagation.HeaderCarrier(r.Header))
+	r.Header.Set(HeaderRequest, id)
+	r.GetBody = nil // with it, net/http sends a call with an Idempotency-Key again
+	resp, err := t.RoundTrip(r)
+	if err != nil {
+		return nil, c.broken(r.Context(), err)
+	}
+	if l, err := ParseLoad(resp.Header.Get(HeaderLoad)); err == nil && resp.Header.Get(HeaderLoad) != "" {
+		c.owner.load(c.upstream.Name, c.upstream.Incarnation, l)
+	}
+	if err := c.check(resp, r.Method, id); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// check verifies that the answer belongs to the request and that its end can be told.
+func (c *call) check(resp *http.Response, method, id string) error {
+	got := resp.Header.Get(HeaderRequest)
+	refused := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == string(NotRun)
+	if refused && (got == id || got == "") {
+		return &Failure{Outcome: NotRun, Reason: "upstream refused the call", Status: resp.StatusCode, Refused: true}
+	}
+	if got != id {
+		return &Failure{
+			Outcome: Unknown, Reason: "answer belongs to another request " + strconv.Quote(got),
+			Status: resp.StatusCode, Blame: true,
+		}
+	}
+	chunked := len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+	if resp.ContentLength < 0 && !chunked && method != http.MethodHead {
+		return &Failure{
+			Outcome: Unknown, Reason: "answer has neither a length nor chunks",
+			Status: resp.StatusCode, Blame: true,
+		}
+	}
+	return nil
+}
+
+// broken classifies a transport error: without a connection nothing was sent.
+func (c *call) broken(ctx context.Context, err error) *Failure {
+	f := &Failure{Outcome: Unknown, Reason: "connection to the upstream broke", Blame: true, Err: err}
+	if !c.reached.Load() {
+		f.Outcome, f.Reason = NotRun, "upstream cannot be reached"
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		f.Err = cause
+		f.Blame = errors.Is(cause, ErrHeaderTimeout) || errors.Is(cause, ErrTokenTimeout)
+		if f.Outcome == Unknown {
+			f.Reason = "call was ended before its answer was complete"
+		}
+	}
+	return f
+}
+
+// body reads a bounded answer to the end of its framing.
+func (c *call) body(ctx context.Context, resp *http.Response, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		f := c.broken(ctx, err)
+		f.Status = resp.StatusCode
+		return nil, f
+	}
+	if int64(len(b)) > limit {
+		return nil, &Failure{Outcome: Unknown, Reason: "answer exceeds the size limit", Status: resp.StatusCode, Blame: true}
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/entry/upstream/dispatch_test.go
@@ -0,0 +1,242 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+func at(s *httptest.Server) *wire.Upstream {
+	return &wire.Upstream{Name: "u", Incarnation: 1, Address: strings.TrimPrefix(s.URL, "http://")}
+}
+
+func failure(err error) *Failure {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return &Failure{}
+}
+
+// Guards against net/http sending a call again: with an Idempotency-Key it
+// takes any method as repeatable once a reused connection breaks.
+func TestBrokenCallIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	var seen atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+		if r.URL.Path == "/warm" {
+			return
+		}
+		seen.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	defer s.Close()
+	d := New(Options{Timer: timer.NewSystem()})
+	defer d.Close()
+	p := Plain{Method: "POST", Path: "/bookings", Body: []byte("{}"), Request: "r", Key: "k"}
+	for _, send := range []func(p Plain) error{
+		func(p Plain) error {
+			c, err := d.Dial(context.Background(), at(s))
+			is.NoErr(err)
+			_, err = d.Once(context.Background(), at(s), p, c)
+			return err
+		},
+		func(p Plain) error {
+			_, err := d.Plain(context.Background(), at(s), p)
+			return err
+		},
+	} {
+		for range 3 {
+			is.NoErr(send(Plain{Method: "GET", Path: "/warm", Request: "w"})) // leaves a reusable connection
+			seen.Store(0)
+			is.Equal(OutcomeOf(send(p)), Unknown)
+			is.Equal(seen.Load(), int32(1))
+		}
+	}
+}
+
+// Guards against redirects carrying a call to a second place.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	var seen atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	}))
+	defer s.Close()
+	d := New(Options{Timer: timer.NewSystem()})
+	c, err := d.Dial(context.Background(), at(s))
+	is.NoErr(err)
+	a, err := d.Once(context.Background(), at(s), Plain{Method: "POST", Path: "/bookings", Request: "r", Key: "k"}, c)
+	is.NoErr(err)
+	is.Equal(a.Status, http.StatusTemporaryRedirect)
+	is.Equal(seen.Load(), int32(1))
+}
+
+// Guards against outcomes that are not true.
+func TestOutcomeOfPlainCall(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	refusing := closed.Addr().String()
+	is.New(t).NoErr(closed.Close())
+	for _, c := range []struct {
+		name    string
+		serve   http.HandlerFunc
+		outcome Outcome
+		blame   bool
+	}{
+		{"connection refused", nil, NotRun, true},
+		{"refused by the upstream", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderOutcome, string(NotRun))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, NotRun, false},
+		{"answer of another request", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderRequest, "other")
+		}, Unknown, true},
+		{"refusal of another request", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderRequest, "other")
+			w.Header().Set(HeaderOutcome, string(NotRun))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, Unknown, true},
+		{"truncated answer", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+			w.Header().Set("Content-Length", "100")
+			fmt.Fprint(w, "part")
+		}, Unknown, true},
+		{"silent upstream", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, Unknown, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			u := &wire.Upstream{Name: "u", Address: refusing}
+			if c.serve != nil {
+				s := httptest.NewServer(c.serve)
+				defer s.Close()
+				u = at(s)
+			}
+			d := New(Options{Timer: timer.NewSystem(), Limits: Limits{Header: 200 * time.Millisecond}})
+			defer d.Close()
+			_, err := d.Plain(context.Background(), u, Plain{Method: "GET", Path: "/", Request: "r"})
+			is.Equal(failure(err).Outcome, c.outcome)
+			is.Equal(failure(err).Blame, c.blame)
+		})
+	}
+}
+
+// Guards against streams that are passed on as complete although they are not.
+func TestStreamIsCheckedToItsEnd(t *testing.T) {
+	const open = `data: {"choices":[{"index":0,"delta":{"content":"a"},"finish_reason":null}]}` + "\n\n"
+	const stop = `data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":2,"completion_tokens":1}}` + "\n\n"
+	const done = "data: [DONE]\n\n"
+	for _, c := range []struct {
+		name, version, body string
+		abort, complete     bool
+	}{
+		{"complete", "v1", open + stop + done, false, true},
+		{"comment lines", "v1", ": wait\n\n" + open + ": wait\n" + stop + done, false, true},
+		{"no end mark", "v1", open + stop, false, false},
+		{"no finish_reason", "v1", open + done, false, false},
+		{"one of two choices unfinished", "v1", `data: {"choices":[{"index":1,"delta":{"content":"b"}}]}` + "\n\n" + open + stop + done, false, false},
+		{"content after the finish", "v1", open + stop + open + done, false, false},
+		{"events after the end mark", "v1", open + stop + done + open, false, false},
+		{"event breaks off", "v1", open + stop + "data: [DO", false, false},
+		{"connection breaks", "v1", open, true, false},
+		{"connection breaks after the end mark", "v1", open + stop + done, true, false},
+		{"error event", "v1", open + `data: {"error":{"message":"x"}}` + "\n\n" + done, false, false},
+		{"wrong version", "v2", open + stop + done, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+				w.Header().Set(HeaderVersion, c.version)
+				w.Header().Set("Content-Type", "text/event-stream")
+				fmt.Fprint(w, c.body)
+				w.(http.Flusher).Flush()
+				if c.abort {
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer s.Close()
+			d := New(Options{Timer: timer.NewSystem()})
+			defer d.Close()
+			n := 0
+			res, err := d.Chat(context.Background(), at(s), Chat{
+				Body: []byte("{}"), Request: "r", Version: "v1", Stream: true,
+				Sink: func(*Chunk) error { n++; return nil },
+			})
+			if c.complete {
+				is.NoErr(err)
+				is.Equal(res.Usage, Usage{Input: 2, Output: 1})
+				is.Equal(n, 2)
+				return
+			}
+			is.Equal(failure(err).Outcome, Failed)
+			is.True(failure(err).Blame)
+		})
+	}
+}
+
+// Guards against a stream that goes silent holding its caller forever, and
+// against upstreams that go on working for callers who left.
+func TestSilentStreamEndsByTheTimer(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		leave bool
+		cause error
+	}{
+		{"no token in time", false, ErrTokenTimeout},
+		{"caller leaves", true, context.Canceled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan struct{})
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				w.Header().Set(HeaderRequest, "r")
+				w.Header().Set(HeaderVersion, "v1")
+				w.Header().Set("Content-Type", "text/event-stream")
+				fmt.Fprint(w, `data: {"choices":[{"index":0,"delta":{"content":"a"}}]}`+"\n\n")
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+				close(ended)
+			}))
+			defer s.Close()
+			clock := timer.NewManual()
+			d := New(Options{Timer: clock, Limits: Limits{Token: time.Second, Overall: time.Hour}})
+			defer d.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			_, err := d.Chat(ctx, at(s), Chat{
+				Body: []byte("{}"), Request: "r", Version: "v1", Stream: true,
+				Sink: func(*Chunk) error {
+					if c.leave {
+						cancel()
+						return nil
+					}
+					// The deadline is set again after this event; it passes a little later.
+					time.AfterFunc(50*time.Millisecond, func() { clock.Advance(2 * time.Second) })
+					return nil
+				},
+			})
+			is.Equal(failure(err).Outcome, Failed)
+			is.True(errors.Is(err, c.cause))
+			<-ended
+		})
+	}
+}
--- /dev/null
+++ b/internal/entry/upstream/engine.go
@@ -0,0 +1,112 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strconv"
+
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// Chat is a chat completion for an engine.
+type Chat struct {
+	Body     []byte
+	Request  string
+	Version  string
+	Priority int
+	// Resume is the number of content chunks that were received from a broken stream.
+	Resume int
+	Stream bool
+	// Sink receives each chunk of a stream; an error ends the call.
+	Sink func(c *Chunk) error
+}
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	Input  uint64 `json:"prompt_tokens"`
+	Output uint64 `json:"completion_tokens"`
+}
+
+// Result is what is known of a chat completion, also of a broken one.
+type Result struct {
+	// Body is the whole answer of a call that is not streamed.
+	Body []byte
+	// Text is the content of that answer's first choice.
+	Text  string
+	Usage Usage
+	// Counted is true if the engine reported the usage.
+	Counted bool
+	// Contents is the number of chunks with content that were received.
+	Contents int
+}
+
+// Chat sends a chat completion. The result is also set for a failed stream,
+// as far as it was received.
+func (d *Dispatcher) Chat(ctx context.Context, u *wire.Upstream, q Chat) (res Result, err error) {
+	ctx, c := d.begin(ctx, u, d.limits.Overall)
+	defer c.end()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+u.Address+"/v1/chat/completions", bytes.NewReader(q.Body))
+	if err != nil {
+		return res, &Failure{Outcome: NotRun, Reason: "call cannot be built", Err: err}
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(HeaderVersion, q.Version)
+	r.Header.Set(HeaderPriority, strconv.Itoa(q.Priority))
+	if q.Resume > 0 {
+		r.Header.Set(HeaderResume, strconv.Itoa(q.Resume))
+	}
+	resp, err := c.send(r, d.pooled, q.Request)
+	if err != nil {
+		return res, err
+	}
+	defer resp.Body.Close()
+	if err := checkEngine(resp, q); err != nil {
+		return res, err
+	}
+	if !q.Stream {
+		return c.whole(ctx, resp)
+	}
+	s := &stream{call: c, response: resp, sink: q.Sink, choices: map[int]bool{}}
+	err = s.read(ctx)
+	return s.result, err
+}
+
+func checkEngine(resp *http.Response, q Chat) error {
+	if resp.StatusCode != http.StatusOK {
+		return &Failure{
+			Outcome: Failed, Reason: "upstream answered " + strconv.Itoa(resp.StatusCode),
+			Status: resp.StatusCode, Blame: resp.StatusCode >= http.StatusInternalServerError,
+		}
+	}
+	if got := resp.Header.Get(HeaderVersion); got != q.Version {
+		return &Failure{
+			Outcome: Failed, Reason: "answer comes from version " + strconv.Quote(got),
+			Status: resp.StatusCode, Blame: true,
+		}
+	}
+	return nil
+}
+
+// whole reads an answer that is not streamed.
+func (c *call) whole(ctx context.Context, resp *http.Response) (res Result, err error) {
+	// A whole answer is generated before its body is sent, so no token deadline applies.
+	c.expect(c.owner.limits.Overall, ErrCallTimeout)
+	body, err := c.body(ctx, resp, c.owner.limits.Body)
+	if err != nil {
+		return res, err
+	}
+	k, err := parseChunk(body)
+	if err != nil {
+		return res, &Failure{Outcome: Failed, Reason: "answer is not valid JSON", Status: resp.StatusCode, Blame: true, Err: err}
+	}
+	if len(k.open) > 0 || len(k.ended) == 0 {
+		return res, &Failure{Outcome: Failed, Reason: "answer has no finish_reason", Status: resp.StatusCode, Blame: true}
+	}
+	res.Body, res.Text = body, k.Text
+	if k.Usage != nil {
+		res.Usage, res.Counted = *k.Usage, true
+	}
+	return res, nil
+}
