--- /dev/null
+++ b/internal/entry/route/chooser.go
@@ -0,0 +1,94 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/plugin"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// Option is one upstream that may be chosen.
+type Option struct {
+	Upstream *wire.Upstream
+	// Load is the last report; it may be nil.
+	Load *wire.Load
+	// Own is the number of this entry's requests that the report does not count yet.
+	Own int
+	// Near is true in the entry's own availability zone.
+	Near bool
+}
+
+// Busy returns the expected share of the upstream's slots that are in use.
+func (o Option) Busy() float64 {
+	used, slots := float64(o.Own), 1.0
+	if o.Load != nil {
+		used += float64(o.Load.Running) + float64(o.Load.Waiting)
+		slots = float64(max(o.Load.Slots, 1))
+	}
+	return used / slots
+}
+
+// Chooser selects one of several upstreams; there is always at least one.
+type Chooser interface {
+	Choose(options []Option) int
+}
+
+// Choosers holds the choosers that register themselves in init.
+var Choosers = plugin.NewRegistry[func(r *rand.Rand) Chooser]("chooser")
+
+func init() {
+	Choosers.Register("least", func(r *rand.Rand) Chooser { return &least{random: r} })
+	Choosers.Register("round", func(*rand.Rand) Chooser { return &round{} })
+}
+
+// least compares two random upstreams, of the same availability zone as long
+// as one of them has a free slot. Two choices keep entries whose reports are
+// equally old from all sending to the same upstream.
+type least struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// Choose implements Chooser.
+func (l *least) Choose(options []Option) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]int, 0, len(options))
+	for i, o := range options {
+		if o.Near && o.Busy() < 1 {
+			list = append(list, i)
+		}
+	}
+	if len(list) == 0 {
+		for i := range options {
+			list = append(list, i)
+		}
+	}
+	a := l.random.IntN(len(list))
+	if len(list) == 1 {
+		return list[a]
+	}
+	b := l.random.IntN(len(list) - 1)
+	if b >= a {
+		b++
+	}
+	if options[list[b]].Busy() < options[list[a]].Busy() {
+		return list[b]
+	}
+	return list[a]
+}
+
+// round takes the upstreams in turn.
+type round struct {
+	mu   sync.Mutex
+	next int
+}
+
+// Choose implements Chooser.
+func (r *round) Choose(options []Option) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	return (r.next - 1) % len(options)
+}
