caller: serve chat completions, plain services and lists

Cause: client accounts need the entry's HTTP side from end to end. Ruled out: claims whose owner is the entry, since two requests of one entry with the same key would then both hold the claim; the owner is unique per request. Change: pipeline with lease and permission checked again before each dispatch, cascade, resumed streams, charge before the last byte, claims, drain. Before: nothing. After: a chat request (streamed and not) and a booking with a resend pass with fakes under the race detector. Conclusion: first version; failure cases are not tested yet.

--- /dev/null
+++ b/internal/entry/caller/attempt.go
@@ -0,0 +1,209 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/document"
+	"wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/entry/route"
+	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// changeLimit bounds how often a request is placed anew because the
+// configuration changed between its placement and its dispatch.
+const changeLimit = 5
+
+// priority is the engine priority of all requests; 0 goes first.
+const priority = 5
+
+// errChanged means that the configuration changed after the placement.
+var errChanged = errors.New("the configuration changed")
+
+// placement is where an attempt goes.
+type placement struct {
+	version document.Version
+	pick    *route.Pick
+}
+
+func (h *Handler) within(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return timer.WithTimeout(ctx, h.timer, d)
+}
+
+// step gets one model's answer and retries on other upstreams.
+func (j *job) step(ctx context.Context, model document.Model, o *output) (a answered, err error) {
+	j.handler.budget.First()
+	body, err := j.chat.body(model)
+	if err != nil {
+		return a, invalid("body", "the body cannot be passed on")
+	}
+	a = answered{model: model, output: o}
+	var tried []string
+	var failure error
+	changes := 0
+	for {
+		p, err := j.place(ctx, model, a.version, o, tried)
+		if err != nil {
+			// A failed attempt says more than that there is no further upstream.
+			return a, errors.CombineErrors(failure, err)
+		}
+		err = j.clear(model, p, o)
+		if errors.Is(err, errChanged) && changes < changeLimit {
+			p.pick.Done(false)
+			changes++
+			continue
+		}
+		if err != nil {
+			p.pick.Done(false)
+			return a, errors.CombineErrors(failure, err)
+		}
+		a.version = p.version
+		a.result, failure = j.attempt(ctx, a, p, body)
+		if failure == nil {
+			return a, nil
+		}
+		if !j.again(ctx, failure) {
+			return a, failure
+		}
+		tried = append(tried, p.pick.Upstream.Name)
+		o.restart()
+		if !o.begun() {
+			a.version = ""
+		}
+	}
+}
+
+// again tells whether another upstream may get the request.
+func (j *job) again(ctx context.Context, err error) bool {
+	var f *upstream.Failure
+	if ctx.Err() != nil || !errors.As(err, &f) {
+		return false
+	}
+	if f.Outcome == upstream.Failed && f.Status >= 400 && f.Status < 500 {
+		return false // the engine found the request itself wrong
+	}
+	if !j.handler.budget.Retry() {
+		metric.Int("caller.budget").Add(1)
+		return false
+	}
+	metric.Int("caller.retries").Add(1)
+	return true
+}
+
+// place selects the version and the upstream. A begun stream stays with its
+// version and needs an upstream that resumes.
+func (j *job) place(ctx context.Context, model document.Model, begun document.Version, o *output, tried []string) (p placement, err error) {
+	h := j.handler
+	c, err := h.config()
+	if err != nil {
+		return p, err
+	}
+	plan, err := route.Resolve(c, j.account, j.chat.model)
+	if err != nil {
+		return p, err
+	}
+	j.plan = plan
+	want := route.Want{Service: plan.Document.Service, Model: model, Tried: tried}
+	var versions []document.Version
+	switch {
+	case begun != "":
+		versions = []document.Version{begun}
+		if o.contents > 0 {
+			want.Feature = upstream.FeatureResume
+		}
+	case j.session != "":
+		v, err := j.sessionVersion(ctx, c, &plan, model)
+		if err != nil {
+			return p, err
+		}
+		versions = []document.Version{v}
+	default:
+		if versions, err = plan.Versions(model, j.key()); err != nil {
+			return p, err
+		}
+	}
+	for _, v := range versions {
+		want.Version = v
+		if p.pick, err = h.pool.Pick(c, h.control.Loads(), want); err == nil {
+			p.version = v
+			o.model = string(model) + "@" + string(v)
+			return p, nil
+		}
+	}
+	return p, err
+}
+
+// clear checks the lease, the permission, the version and the upstream against
+// the configuration in force, immediately before the dispatch.
+func (j *job) clear(model document.Model, p placement, o *output) error {
+	c, err := j.handler.config()
+	if err != nil {
+		return err
+	}
+	plan, err := route.Resolve(c, j.account, j.chat.model)
+	if err != nil {
+		return err
+	}
+	if !plan.Takes(model, p.version, j.key(), j.session != "" || o.begun()) || !registered(c, p.pick.Upstream) {
+		return errChanged
+	}
+	return nil
+}
+
+// registered tells whether the upstream's incarnation is still in force.
+func registered(c *control.Config, u *wire.Upstream) bool {
+	now := c.Upstreams[u.Name]
+	return now != nil && !now.Left && now.Incarnation == u.Incarnation && now.Address == u.Address
+}
+
+// attempt sends the request to one upstream and records the cost.
+func (j *job) attempt(ctx context.Context, a answered, p placement, body []byte) (res upstream.Result, err error) {
+	u := p.pick.Upstream
+	ctx, span := j.handler.options.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("upstream", u.Name), attribute.String("version", u.Version)))
+	defer func() {
+		var f *upstream.Failure
+		p.pick.Done(errors.As(err, &f) && f.Blame)
+		if err != nil {
+			j.attempted(err)
+		}
+		end(span, err)
+	}()
+	o := a.output
+	before := o.contents
+	q := upstream.Chat{
+		Body: body, Request: j.id, Version: string(p.version), Priority: priority,
+		Stream: j.chat.stream, Sink: o.take,
+	}
+	if o.begun() {
+		q.Resume = o.contents
+	}
+	res, err = j.handler.dispatcher.Chat(ctx, u, q)
+	j.spend(a, u, &res, err, before)
+	return res, err
+}
+
+// spend adds the attempt to the costs and completes the usage.
+func (j *job) spend(a answered, u *wire.Upstream, res *upstream.Result, err error, before int) {
+	if err != nil && upstream.OutcomeOf(err) == upstream.NotRun {
+		return
+	}
+	if !res.Counted {
+		res.Usage.Input = uint64(len(j.body)) / bytesPerToken
+		res.Usage.Output = max(uint64(res.Contents), uint64(len(res.Text))/bytesPerToken)
+	}
+	j.costs = append(j.costs, &wire.Cost{
+		Model: string(a.model), Version: string(a.version), Upstream: u.Name,
+		Input: res.Usage.Input, Output: res.Usage.Output,
+	})
+	j.tokens += res.Usage.Input + res.Usage.Output
+	// An engine that resumes may count only its own part.
+	res.Usage.Output = max(res.Usage.Output, uint64(before+res.Contents))
+}
--- /dev/null
+++ b/internal/entry/caller/caller.go
@@ -0,0 +1,277 @@
+// Package caller serves client accounts: chat completions, plain services and
+// the lists of models and entries.
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/document"
+	"wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/entry/queue"
+	"wisteriakeel.example/wisteriakeel/internal/entry/route"
+	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// Control is the part of the control client that requests use.
+type Control interface {
+	control.Caller
+	Ledger(ctx context.Context, r *wire.LedgerRequest) (*wire.LedgerReply, error)
+	Config() *control.Config
+	Held() bool
+	Entries() []*wire.Instance
+	Loads() map[string]*wire.Heard
+	Tallies() []*wire.Tally
+	SetTallies(f func() []*wire.Tally)
+	SetDraining(draining bool)
+}
+
+// Credentials checks the tokens of client accounts.
+type Credentials interface {
+	Account(token string) (document.Account, bool)
+}
+
+// Rater rates an answer from 0 to 1.
+type Rater interface {
+	Rate(ctx context.Context, service document.Service, request, answer []byte) (float64, error)
+}
+
+// Options are what a Handler needs. Zero durations and limits take their default.
+type Options struct {
+	Control     Control
+	Credentials Credentials
+	// Rater may be nil; cascades then use their most capable model.
+	Rater  Rater
+	Timer  timer.Service
+	Random *rand.Rand
+	Log    *zap.Logger
+	// Tracer may be nil.
+	Tracer trace.Tracer
+	// Self is this entry as callers see it; Epoch is random per process start.
+	Self  *wire.Instance
+	Epoch uint64
+	// Chooser names a registered chooser.
+	Chooser  string
+	Upstream upstream.Limits
+	// Queue and Total bound the waiting requests per account and together.
+	Queue int
+	Total int
+	// Body bounds the body of a request in bytes.
+	Body int64
+	// Timeout is the deadline of requests that name none, Longest the greatest one.
+	Timeout time.Duration
+	Longest time.Duration
+	// Lifetime is how long callers may use a list of entries.
+	Lifetime time.Duration
+	// Spread is how long other entries may go on naming one that drains.
+	Spread time.Duration
+	// Takeover is the age from which an open claim of another owner is taken over.
+	Takeover time.Duration
+}
+
+// Defaults of the options.
+const (
+	DefaultBody     = 8 << 20
+	DefaultTimeout  = time.Minute
+	DefaultLongest  = 10 * time.Minute
+	DefaultLifetime = 5 * time.Second
+	// DefaultSpread is the bound on a change being in force everywhere.
+	DefaultSpread   = 3 * time.Second
+	DefaultTakeover = 5 * time.Second
+)
+
+func (o *Options) fill() {
+	for _, f := range []struct {
+		value *time.Duration
+		base  time.Duration
+	}{
+		{&o.Timeout, DefaultTimeout},
+		{&o.Longest, DefaultLongest},
+		{&o.Lifetime, DefaultLifetime},
+		{&o.Spread, DefaultSpread},
+		{&o.Takeover, DefaultTakeover},
+	} {
+		if *f.value == 0 {
+			*f.value = f.base
+		}
+	}
+	if o.Body == 0 {
+		o.Body = DefaultBody
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Tracer == nil {
+		o.Tracer = otel.Tracer("wisteriakeel/entry")
+	}
+	if o.Chooser == "" {
+		o.Chooser = "least"
+	}
+}
+
+// Handler serves client accounts.
+type Handler struct {
+	options    Options
+	control    Control
+	timer      timer.Service
+	log        *zap.Logger
+	pool       *route.Pool
+	budget     *route.Budget
+	dispatcher *upstream.Dispatcher
+	pins       *pins
+	drain      *drain
+
+	mu     sync.Mutex
+	random *rand.Rand
+	queues map[document.Service]*place
+}
+
+// New returns a handler and reports its fairness counts to the control client.
+func New(o Options) (h *Handler, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "caller handler")
+		}
+	}()
+	o.fill()
+	h = &Handler{
+		options: o, control: o.Control, timer: o.Timer, log: o.Log,
+		budget: route.NewBudget(), pins: newPins(), queues: map[document.Service]*place{},
+		random: rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
+		drain:  newDrain(),
+	}
+	h.pool, err = route.NewPool(route.PoolOptions{
+		Timer: o.Timer, Random: rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
+		Chooser: o.Chooser, Zone: o.Self.GetZone(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	h.dispatcher = upstream.New(upstream.Options{Timer: o.Timer, Limits: o.Upstream, Load: h.pool.Report})
+	o.Control.SetTallies(h.tallies)
+	return h, nil
+}
+
+// Register adds the handler's paths.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/chat/completions", h.serve(h.chat))
+	mux.HandleFunc("GET /v1/models", h.serve(h.models))
+	mux.HandleFunc("GET /v1/entries", h.serve(h.entries))
+	mux.HandleFunc("GET /v1/fairness", h.serve(h.fairness))
+	mux.HandleFunc("/v1/services/{service}/{path...}", h.serve(h.plain))
+}
+
+// Report takes the load of a heartbeat that this entry received.
+func (h *Handler) Report(name string, incarnation uint64, load *wire.Load) {
+	h.pool.Report(name, incarnation, load)
+}
+
+// Close drops idle connections to upstreams.
+func (h *Handler) Close() { h.dispatcher.Close() }
+
+// number returns a random number.
+func (h *Handler) number() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.random.Uint64()
+}
+
+// identity returns a random request identity.
+func (h *Handler) identity() string {
+	return strconv.FormatUint(h.number(), 36) + strconv.FormatUint(h.number(), 36)
+}
+
+// place is the queue of one service and its present capacity.
+type place struct {
+	handler *Handler
+	service document.Service
+	queue   *queue.Queue
+	// limit holds until the instant; both are guarded by the queue's lock.
+	limit int
+	until timer.Instant
+}
+
+// capacityAge is how long a computed capacity is used.
+const capacityAge = 10 * time.Millisecond
+
+// silentSlots is the number of slots of an upstream that reports none.
+const silentSlots = 64
+
+// queue returns the queue of the service.
+func (h *Handler) queue(service document.Service) *queue.Queue {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p, ok := h.queues[service]
+	if !ok {
+		p = &place{handler: h, service: service}
+		p.queue = queue.New(queue.Options{
+			Timer: h.timer, Random: rand.New(rand.NewPCG(h.random.Uint64(), h.random.Uint64())),
+			Parallel: p.parallel, Account: h.options.Queue, Total: h.options.Total,
+		})
+		h.queues[service] = p
+	}
+	return p.queue
+}
+
+// parallel returns how many of the service's requests this entry may have in
+// progress: its part of all slots, and more while others leave slots free.
+func (p *place) parallel(running int) int {
+	now := p.handler.timer.Now()
+	if p.limit > 0 && now < p.until {
+		return p.limit
+	}
+	c := p.handler.control.Config()
+	if c == nil {
+		return 1
+	}
+	free, slots := p.handler.pool.Free(c, p.handler.control.Loads(), p.service, silentSlots)
+	entries := 0
+	for _, e := range p.handler.control.Entries() {
+		if !e.Draining {
+			entries++
+		}
+	}
+	entries = max(entries, 1)
+	p.limit = max((slots+entries-1)/entries, running+free, 1)
+	p.until = now.Add(capacityAge)
+	return p.limit
+}
+
+// tallies sums the counts of all services.
+func (h *Handler) tallies() []*wire.Tally {
+	h.mu.Lock()
+	list := make([]*place, 0, len(h.queues))
+	for _, p := range h.queues {
+		list = append(list, p)
+	}
+	h.mu.Unlock()
+	sums := map[string]*wire.Tally{}
+	order := []*wire.Tally{}
+	for _, p := range list {
+		for _, t := range p.queue.Tallies() {
+			s, ok := sums[t.Account]
+			if !ok {
+				sums[t.Account] = t
+				order = append(order, t)
+				continue
+			}
+			s.Requests += t.Requests
+			s.Refusals += t.Refusals
+			for i := range t.Waits {
+				s.Waits[i] += t.Waits[i]
+			}
+		}
+	}
+	return order
+}
--- /dev/null
+++ b/internal/entry/caller/fake_test.go
@@ -0,0 +1,302 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/document"
+	"wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// fakeControl keeps claims, pins and charges in memory.
+type fakeControl struct {
+	mu      sync.Mutex
+	config  *control.Config
+	held    bool
+	entries []*wire.Instance
+	claims  map[string]*wire.ClaimReply
+	pins    map[string]string
+	charges []*wire.ChargeRequest
+	// fail makes the calls of that kind fail.
+	fail map[string]error
+	// onClaim runs before each step of a claim.
+	onClaim func(r *wire.ClaimRequest)
+	drained bool
+}
+
+func newFakeControl(docs ...*document.Document) *fakeControl {
+	f := &fakeControl{
+		held: true, claims: map[string]*wire.ClaimReply{}, pins: map[string]string{}, fail: map[string]error{},
+		config:  &control.Config{Documents: map[document.Service]*document.Document{}, Upstreams: map[string]*wire.Upstream{}},
+		entries: []*wire.Instance{{Name: "e2", Address: "127.0.0.1:2", Zone: "z2"}, {Name: "e1", Address: "127.0.0.1:1", Zone: "z1"}},
+	}
+	f.change(docs...)
+	return f
+}
+
+// change puts documents in force.
+func (f *fakeControl) change(docs ...*document.Document) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &control.Config{Revision: f.config.Revision + 1, Documents: map[document.Service]*document.Document{}, Upstreams: f.config.Upstreams}
+	for s, d := range f.config.Documents {
+		c.Documents[s] = d
+	}
+	for _, d := range docs {
+		c.Documents[d.Service] = d
+	}
+	f.config = c
+}
+
+// join registers a server as an upstream.
+func (f *fakeControl) join(name string, s *httptest.Server, u *wire.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.Name, u.Incarnation, u.Address = name, 1, strings.TrimPrefix(s.URL, "http://")
+	f.config.Upstreams[name] = u
+}
+
+func (f *fakeControl) Config() *control.Config {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config
+}
+
+func (f *fakeControl) Held() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held
+}
+
+func (f *fakeControl) hold(held bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = held
+}
+
+func (f *fakeControl) Entries() []*wire.Instance       { return f.entries }
+func (f *fakeControl) Loads() map[string]*wire.Heard   { return nil }
+func (f *fakeControl) Tallies() []*wire.Tally          { return nil }
+func (f *fakeControl) SetTallies(func() []*wire.Tally) {}
+func (f *fakeControl) SetDraining(draining bool)       { f.drained = draining }
+func (f *fakeControl) charged() (list []*wire.ChargeRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.charges
+}
+
+func (f *fakeControl) Ledger(context.Context, *wire.LedgerRequest) (*wire.LedgerReply, error) {
+	return &wire.LedgerReply{}, nil
+}
+
+func (f *fakeControl) Charge(_ context.Context, r *wire.ChargeRequest) (*wire.ChargeReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.fail["charge"]; err != nil {
+		return nil, err
+	}
+	for _, c := range f.charges {
+		if c.Account == r.Account && c.Request == r.Request && c.Digest == r.Digest {
+			return &wire.ChargeReply{Repeated: true}, nil
+		}
+	}
+	f.charges = append(f.charges, r)
+	return &wire.ChargeReply{}, nil
+}
+
+func (f *fakeControl) Pin(_ context.Context, r *wire.PinRequest) (*wire.PinReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := r.Account + "/" + r.Service + "/" + r.Session + "/" + r.Model
+	if f.pins[k] != r.From {
+		return &wire.PinReply{Version: f.pins[k]}, nil
+	}
+	f.pins[k] = r.Version
+	return &wire.PinReply{Version: r.Version, Won: true}, nil
+}
+
+func (f *fakeControl) Claim(_ context.Context, r *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	if f.onClaim != nil {
+		f.onClaim(r)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.fail["claim"+r.Step.String()]; err != nil {
+		return nil, err
+	}
+	k := r.Account + "/" + r.Key
+	c := f.claims[k]
+	if c == nil {
+		c = &wire.ClaimReply{}
+		f.claims[k] = c
+	}
+	mine := c.Owner == r.Owner && c.Epoch == r.Epoch
+	won := false
+	switch r.Step {
+	case wire.Step_STEP_OPEN:
+		if won = c.Phase == wire.Phase_PHASE_NONE || (c.Phase == wire.Phase_PHASE_OPEN && r.Takeover && r.Epoch == c.Epoch); won {
+			c.Phase, c.Owner, c.Digest = wire.Phase_PHASE_OPEN, r.Owner, r.Digest
+			c.Epoch++
+		}
+	case wire.Step_STEP_DISPATCH:
+		if won = mine && c.Phase == wire.Phase_PHASE_OPEN; won {
+			c.Phase = wire.Phase_PHASE_DISPATCHING
+		}
+	case wire.Step_STEP_FINISH:
+		if won = mine && c.Phase == wire.Phase_PHASE_DISPATCHING; won {
+			c.Phase, c.Answer = wire.Phase_PHASE_DONE, r.Answer
+		}
+	case wire.Step_STEP_ABORT:
+		if won = mine && c.Phase == wire.Phase_PHASE_OPEN; won {
+			delete(f.claims, k)
+		}
+	}
+	return &wire.ClaimReply{Phase: c.Phase, Owner: c.Owner, Epoch: c.Epoch, Digest: c.Digest, Answer: c.Answer, Age: c.Age, Won: won}, nil
+}
+
+// book holds one account per token; the token is the account's name.
+type book struct{}
+
+func (book) Account(token string) (document.Account, bool) {
+	return document.Account(token), token != "" && token != "nobody"
+}
+
+func newHandler(t *testing.T, f *fakeControl, edit func(o *Options)) (*Handler, *httptest.Server) {
+	t.Helper()
+	o := Options{
+		Control: f, Credentials: book{}, Timer: timer.NewSystem(), Random: rand.New(rand.NewPCG(1, 2)),
+		Self: &wire.Instance{Name: "e1", Address: "127.0.0.1:1", Zone: "z1"}, Epoch: 7,
+	}
+	if edit != nil {
+		edit(&o)
+	}
+	h, err := New(o)
+	is.New(t).NoErr(err)
+	mux := http.NewServeMux()
+	h.Register(mux)
+	s := httptest.NewServer(mux)
+	t.Cleanup(func() {
+		s.Close()
+		h.Close()
+	})
+	return h, s
+}
+
+// engine is a fake engine.
+type engine struct {
+	version string
+	words   []string
+	// breakAfter ends the connection after that many words; -1 never.
+	breakAfter int
+	// edit changes the answer's header or takes the request over.
+	edit func(w http.ResponseWriter, r *http.Request) bool
+
+	mu    sync.Mutex
+	calls []*http.Request
+}
+
+func (e *engine) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.calls)
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	e.calls = append(e.calls, r)
+	e.mu.Unlock()
+	var body struct {
+		Stream bool `json:"stream"`
+		Model  string
+	}
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	h := w.Header()
+	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	h.Set("Wisteriakeel-Version", e.version)
+	h.Set("Wisteriakeel-Load", "running=1 waiting=0 slots=8 tokens=9 sequence=3")
+	if e.edit != nil && e.edit(w, r) {
+		return
+	}
+	usage := fmt.Sprintf(`{"prompt_tokens":5,"completion_tokens":%d,"total_tokens":%d}`, len(e.words), len(e.words)+5)
+	if !body.Stream {
+		h.Set("Content-Type", "application/json")
+		fmt.Fprintf(w, `{"id":"c-1","object":"chat.completion","created":1,"model":%q,"choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":%s}`,
+			body.Model, strings.Join(e.words, ""), usage)
+		return
+	}
+	h.Set("Content-Type", "text/event-stream")
+	chunk := func(choices, rest string) {
+		fmt.Fprintf(w, `data: {"id":"c-%s","object":"chat.completion.chunk","created":1,"model":%q,"choices":[%s]%s}`+"\n\n",
+			e.version, body.Model, choices, rest)
+		w.(http.Flusher).Flush()
+	}
+	chunk(`{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}`, "")
+	from, _ := strconv.Atoi(r.Header.Get("Wisteriakeel-Resume"))
+	for i, word := range e.words {
+		if i < from {
+			continue
+		}
+		if e.breakAfter >= 0 && i == e.breakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		chunk(fmt.Sprintf(`{"index":0,"delta":{"content":%q},"finish_reason":null}`, word), "")
+	}
+	chunk(`{"index":0,"delta":{},"finish_reason":"stop"}`, "")
+	chunk("", `,"usage":`+usage)
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// startEngine registers a fake engine for m@version.
+func startEngine(t *testing.T, f *fakeControl, name, model string, e *engine, features ...string) *engine {
+	t.Helper()
+	s := httptest.NewServer(e)
+	t.Cleanup(s.Close)
+	f.join(name, s, &wire.Upstream{Service: "pool", Model: model, Version: e.version, Zone: "z1", Features: features})
+	return e
+}
+
+func poolDocument() *document.Document {
+	version := func(n string, s document.State) document.VersionSpec {
+		return document.VersionSpec{Name: document.Version(n), State: s}
+	}
+	return &document.Document{
+		Service: "pool", Kind: document.KindEngine,
+		Models: []document.ModelSpec{
+			{Name: "small", Price: document.PriceSpec{Input: 1, Output: 2}, Versions: []document.VersionSpec{
+				version("v1", document.StateActive), version("v0", document.StateWithdrawn),
+			}},
+			{Name: "large", Price: document.PriceSpec{Input: 10, Output: 20}, Versions: []document.VersionSpec{version("v1", document.StateActive)}},
+		},
+		Cascades: []document.CascadeSpec{{Name: "draft", Steps: []document.Model{"small", "large"}, Quality: 0.5}},
+		Accounts: []document.AccountSpec{
+			{Name: "town", Models: []string{"small", "draft"}, Weight: 1},
+			{Name: "farm", Models: []string{"large@v1"}, Weight: 1},
+		},
+	}
+}
+
+func deskDocument() *document.Document {
+	return &document.Document{
+		Service: "desk", Kind: document.KindPlain,
+		Calls: []document.CallSpec{
+			{Method: "POST", Path: "/bookings", Price: 3, Timeout: 2000},
+			{Method: "GET", Path: "/bookings/", Repeat: true},
+		},
+		Accounts: []document.AccountSpec{{Name: "town", Calls: []string{"/bookings", "/bookings/"}, Weight: 1}},
+	}
+}
--- /dev/null
+++ b/internal/entry/caller/list.go
@@ -0,0 +1,166 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/document"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+func (q *request) send(v any) error {
+	q.writer.Header().Set("Content-Type", "application/json")
+	// A caller that is gone cannot be told anything more.
+	_ = json.NewEncoder(q.writer).Encode(v)
+	return nil
+}
+
+type modelBody struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Owner   string `json:"owned_by"`
+}
+
+// models lists the models and cascades that the account may use.
+func (h *Handler) models(_ context.Context, q *request) error {
+	c, err := h.config()
+	if err != nil {
+		return err
+	}
+	list := []modelBody{}
+	for _, d := range c.Documents {
+		a, ok := d.Account(q.account)
+		if !ok || d.Kind != document.KindEngine {
+			continue
+		}
+		for _, n := range names(d) {
+			if a.Lists(n) {
+				list = append(list, modelBody{ID: string(n), Object: "model", Owner: string(d.Service)})
+			}
+		}
+	}
+	slices.SortFunc(list, func(x, y modelBody) int {
+		return strings.Compare(x.ID+"\x00"+x.Owner, y.ID+"\x00"+y.Owner)
+	})
+	return q.send(struct {
+		Object string      `json:"object"`
+		Data   []modelBody `json:"data"`
+	}{"list", list})
+}
+
+func names(d *document.Document) (list []document.Model) {
+	for _, m := range d.Models {
+		list = append(list, m.Name)
+	}
+	for _, c := range d.Cascades {
+		list = append(list, c.Name)
+	}
+	return list
+}
+
+type entryBody struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region"`
+}
+
+// entries lists the entries that a caller may connect to: those of this entry's
+// availability zone first, in an order that differs between callers.
+func (h *Handler) entries(_ context.Context, q *request) error {
+	self := h.options.Self
+	list := slices.Clone(h.control.Entries())
+	if !slices.ContainsFunc(list, func(e *wire.Instance) bool { return e.Name == self.GetName() }) && self != nil {
+		list = append(list, self)
+	}
+	issued := h.drain.issue(h.timer.Now())
+	list = slices.DeleteFunc(list, func(e *wire.Instance) bool {
+		return e.Draining || (e.Name == self.GetName() && !issued)
+	})
+	slices.SortFunc(list, func(x, y *wire.Instance) int { return strings.Compare(x.Name, y.Name) })
+	seed := xxhash.Sum64String(q.http.RemoteAddr)
+	r := rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(q.account))))
+	r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(x, y *wire.Instance) int {
+		return distance(x, self) - distance(y, self)
+	})
+	bodies := make([]entryBody, 0, len(list))
+	for _, e := range list {
+		bodies = append(bodies, entryBody{Name: e.Name, Address: e.Address, Zone: e.Zone, Region: e.Region})
+	}
+	return q.send(struct {
+		Entries  []entryBody `json:"entries"`
+		Lifetime int64       `json:"lifetime"`
+	}{bodies, h.options.Lifetime.Milliseconds()})
+}
+
+// distance is 0 within the availability zone, 1 within the region, else 2.
+func distance(e, self *wire.Instance) int {
+	switch {
+	case e.Zone == self.GetZone():
+		return 0
+	case e.Region == self.GetRegion():
+		return 1
+	}
+	return 2
+}
+
+type fairnessBody struct {
+	Account  string   `json:"account"`
+	Requests uint64   `json:"requests"`
+	Refusals uint64   `json:"refusals"`
+	Waits    []uint64 `json:"waits"`
+	// Totals come from the charges, per service.
+	Totals []totalBody `json:"totals"`
+}
+
+type totalBody struct {
+	Service  string `json:"service"`
+	Requests uint64 `json:"requests"`
+	Input    uint64 `json:"input"`
+	Output   uint64 `json:"output"`
+	Amount   uint64 `json:"amount"`
+	Cost     uint64 `json:"cost"`
+}
+
+// fairness shows every account to every account, so that small ones can see
+// that the largest are not served at their expense.
+func (h *Handler) fairness(ctx context.Context, q *request) (err error) {
+	ctx, span := h.options.Tracer.Start(ctx, "control ledger")
+	reply, err := h.control.Ledger(ctx, &wire.LedgerRequest{})
+	end(span, err)
+	if err != nil {
+		return err
+	}
+	rows := map[string]*fairnessBody{}
+	row := func(account string) *fairnessBody {
+		b, ok := rows[account]
+		if !ok {
+			b = &fairnessBody{Account: account, Waits: []uint64{}, Totals: []totalBody{}}
+			rows[account] = b
+		}
+		return b
+	}
+	for _, t := range h.control.Tallies() {
+		b := row(t.Account)
+		b.Requests, b.Refusals, b.Waits = t.Requests, t.Refusals, append(b.Waits, t.Waits...)
+	}
+	for _, t := range reply.GetTotals() {
+		b := row(t.Account)
+		b.Totals = append(b.Totals, totalBody{t.Service, t.Requests, t.Input, t.Output, t.Amount, t.Cost})
+	}
+	list := make([]*fairnessBody, 0, len(rows))
+	for _, b := range rows {
+		list = append(list, b)
+	}
+	slices.SortFunc(list, func(x, y *fairnessBody) int { return strings.Compare(x.Account, y.Account) })
+	return q.send(struct {
+		Accounts []*fairnessBody `json:"accounts"`
+	}{list})
+}
--- /dev/null
+++ b/internal/entry/caller/plain.go
@@ -0,0 +1,180 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"path"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/document"
+	"wisteriakeel.example/wisteriakeel/internal/entry/route"
+	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// plainCall is a call of a plain service on its way.
+type plainCall struct {
+	*request
+	service document.Service
+	path    string
+	call    document.CallSpec
+	// grant is what the account may use.
+	grant   document.AccountSpec
+	message upstream.Plain
+}
+
+// plain serves /v1/services/{service}/{path...}.
+func (h *Handler) plain(ctx context.Context, q *request) error {
+	if err := q.read(); err != nil {
+		return err
+	}
+	service := q.http.PathValue("service")
+	p := &plainCall{request: q, service: document.Service(service), path: "/" + q.http.PathValue("path")}
+	escaped := strings.TrimPrefix(q.http.URL.EscapedPath(), "/v1/services/"+service)
+	if clean := path.Clean(p.path); clean != strings.TrimSuffix(p.path, "/") && clean != p.path {
+		return invalid("path", "the path is not in its shortest form")
+	}
+	if !strings.HasPrefix(escaped, "/") {
+		return invalid("path", "the service's name must not be escaped")
+	}
+	if q.http.URL.RawQuery != "" {
+		escaped += "?" + q.http.URL.RawQuery
+	}
+	if err := p.permitted(); err != nil {
+		return err
+	}
+	p.message = upstream.Plain{
+		Method: q.http.Method, Path: escaped, Body: q.body, Type: q.http.Header.Get("Content-Type"),
+		Request: q.id, Key: q.http.Header.Get(upstream.HeaderKey), Account: string(q.account),
+		Timeout: time.Duration(p.call.Timeout) * time.Millisecond,
+	}
+	if p.call.Repeat {
+		return p.repeatable(ctx)
+	}
+	return p.once(ctx)
+}
+
+// permitted checks the lease, the declaration of the call and the account's
+// permission against the configuration in force.
+func (p *plainCall) permitted() error {
+	c, err := p.handler.config()
+	if err != nil {
+		return err
+	}
+	d := c.Documents[p.service]
+	if d == nil || d.Kind != document.KindPlain {
+		return &refusal{
+			status: http.StatusNotFound, kind: kindRequest, code: "service",
+			message: "no such service", outcome: upstream.NotRun,
+		}
+	}
+	call, ok := d.Call(p.http.Method, p.path)
+	account, known := d.Account(p.account)
+	if !ok || !known || !account.Reaches(p.path) {
+		return &refusal{
+			status: http.StatusForbidden, kind: kindPermission, code: "permission",
+			message: "the client account may not make this call", outcome: upstream.NotRun,
+		}
+	}
+	p.call, p.grant = call, account
+	return nil
+}
+
+// pick chooses an upstream of the service.
+func (p *plainCall) pick(tried []string) (*route.Pick, error) {
+	c, err := p.handler.config()
+	if err != nil {
+		return nil, err
+	}
+	return p.handler.pool.Pick(c, p.handler.control.Loads(), route.Want{Service: p.service, Tried: tried})
+}
+
+// clear checks everything that may have changed, immediately before the dispatch.
+func (p *plainCall) clear(u *wire.Upstream) error {
+	repeat := p.call.Repeat
+	if err := p.permitted(); err != nil {
+		return err
+	}
+	if p.call.Repeat != repeat {
+		return errors.Wrap(errChanged, "the call's declaration")
+	}
+	if !registered(p.handler.control.Config(), u) {
+		return errors.Wrap(route.ErrUpstream, "the upstream has left")
+	}
+	return nil
+}
+
+// repeatable sends the call and retries on other upstreams within the budget.
+func (p *plainCall) repeatable(ctx context.Context) error {
+	if err := p.enter(ctx, p.service, p.grant, 1); err != nil {
+		return err
+	}
+	defer p.ticket.Done(1)
+	p.handler.budget.First()
+	var tried []string
+	var failure error
+	for {
+		k, err := p.pick(tried)
+		if err != nil {
+			return errors.CombineErrors(failure, err)
+		}
+		if err := p.clear(k.Upstream); err != nil {
+			k.Done(false)
+			return errors.CombineErrors(failure, err)
+		}
+		a, err := p.attempt(ctx, k, func(ctx context.Context) (upstream.Answer, error) {
+			return p.handler.dispatcher.Plain(ctx, k.Upstream, p.message)
+		})
+		if err == nil {
+			return p.deliver(ctx, a, p.id, p.digest)
+		}
+		failure = err
+		if ctx.Err() != nil || !p.handler.budget.Retry() {
+			return failure
+		}
+		metric.Int("caller.retries").Add(1)
+		tried = append(tried, k.Upstream.Name)
+	}
+}
+
+// attempt sends the call to one upstream.
+func (p *plainCall) attempt(ctx context.Context, k *route.Pick, send func(ctx context.Context) (upstream.Answer, error)) (a upstream.Answer, err error) {
+	ctx, span := p.handler.options.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("upstream", k.Upstream.Name)))
+	defer func() {
+		var f *upstream.Failure
+		k.Done(errors.As(err, &f) && f.Blame)
+		if err != nil {
+			p.attempted(err)
+		}
+		end(span, err)
+	}()
+	return send(ctx)
+}
+
+// deliver charges the call under the identity and passes the answer on.
+// Answers with an error status and calls without a price are not charged.
+func (p *plainCall) deliver(ctx context.Context, a upstream.Answer, identity, digest string) error {
+	if p.call.Price > 0 && a.Status < http.StatusBadRequest {
+		err := p.commit(ctx, &wire.ChargeRequest{
+			Account: string(p.account), Service: string(p.service), Request: identity,
+			Digest: digest, Amount: uint64(p.call.Price),
+		})
+		if err != nil {
+			return err
+		}
+	}
+	if a.Type != "" {
+		p.writer.Header().Set("Content-Type", a.Type)
+	}
+	p.writer.WriteHeader(a.Status)
+	// A caller that is gone cannot be told anything more.
+	_, _ = p.writer.Write(a.Body)
+	return nil
+}
