upstream: test announcements and load headers

Cause: the registration handler had no tests. Ruled out: a real control client; a fake shows what reaches the log and what stays a heartbeat. Change: a table over announce, leave and events, one over load headers. Before: not tested. Conclusion: no change of the code was needed.

--- /dev/null
+++ b/internal/entry/upstream/announce_test.go
@@ -0,0 +1,143 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/entry/control"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// fakeRegistrar counts what reaches the control client.
+type fakeRegistrar struct {
+	config    *control.Config
+	announced []*wire.Upstream
+	left      []*wire.LeaveRequest
+	heard     []*wire.Heard
+	err       error
+}
+
+func (f *fakeRegistrar) Announce(_ context.Context, r *wire.AnnounceRequest) (*wire.AnnounceReply, error) {
+	f.announced = append(f.announced, r.Upstream)
+	return &wire.AnnounceReply{}, f.err
+}
+
+func (f *fakeRegistrar) Leave(_ context.Context, r *wire.LeaveRequest) (*wire.LeaveReply, error) {
+	f.left = append(f.left, r)
+	return &wire.LeaveReply{}, f.err
+}
+
+func (f *fakeRegistrar) Config() *control.Config { return f.config }
+
+func (f *fakeRegistrar) Entries() []*wire.Instance {
+	return []*wire.Instance{{Name: "e1", Address: "127.0.0.1:1"}, {Name: "e2", Draining: true}}
+}
+
+func (f *fakeRegistrar) Heard(h *wire.Heard) { f.heard = append(f.heard, h) }
+
+type tokens map[string]string
+
+func (t tokens) Upstream(token string) (string, bool) {
+	n, ok := t[token]
+	return n, ok
+}
+
+const registration = `{"name":"w1","incarnation":5,"sequence":3,"address":"127.0.0.1:9000","service":"pool","model":"m","version":"v1","zone":"z","fencing":true,"lease":4000,"features":["resume"],"load":{"running":1,"waiting":2,"slots":8,"tokens":9,"sequence":4}}`
+
+func known() *wire.Upstream {
+	return &wire.Upstream{
+		Name: "w1", Incarnation: 5, Sequence: 1, Address: "127.0.0.1:9000", Service: "pool",
+		Model: "m", Version: "v1", Zone: "z", Fencing: true, Lease: 4000, Features: []string{"resume"},
+	}
+}
+
+// Guards against registrations that are answered before they are replicated,
+// heartbeats that load the log, and bodies or credentials that are not checked.
+func TestAnnouncements(t *testing.T) {
+	for _, c := range []struct {
+		name, path, token, body string
+		known                   func(u *wire.Upstream)
+		err                     error
+		status, announced       int
+		heard, left             int
+	}{
+		{"new upstream", "announce", "one", registration, nil, nil, 200, 1, 1, 0},
+		{"heartbeat", "announce", "one", registration, func(*wire.Upstream) {}, nil, 200, 0, 1, 0},
+		{"new incarnation", "announce", "one", registration, func(u *wire.Upstream) { u.Incarnation = 4 }, nil, 200, 1, 1, 0},
+		{"changed address", "announce", "one", registration, func(u *wire.Upstream) { u.Address = "127.0.0.1:1" }, nil, 200, 1, 1, 0},
+		{"changed features", "announce", "one", registration, func(u *wire.Upstream) { u.Features = nil }, nil, 200, 1, 1, 0},
+		{"incarnation that has left", "announce", "one", registration, nil, control.ErrConflict, 409, 1, 0, 0},
+		{"no leader", "announce", "one", registration, nil, control.ErrUnavailable, 503, 1, 0, 0},
+		{"prefix credential", "announce", "all", registration, nil, nil, 200, 1, 1, 0},
+		{"foreign credential", "announce", "two", registration, nil, nil, 403, 0, 0, 0},
+		{"no credential", "announce", "", registration, nil, nil, 401, 0, 0, 0},
+		{"unknown field", "announce", "one", `{"name":"w1","colour":1}`, nil, nil, 400, 0, 0, 0},
+		{"two values", "announce", "one", registration + registration, nil, nil, 400, 0, 0, 0},
+		{"no address", "announce", "one", `{"name":"w1","incarnation":1,"service":"pool"}`, nil, nil, 400, 0, 0, 0},
+		{"version without model", "announce", "one", strings.Replace(registration, `"model":"m"`, `"model":""`, 1), nil, nil, 400, 0, 0, 0},
+		{"too large", "announce", "one", `{"name":"` + strings.Repeat("x", bodyLimit) + `"}`, nil, nil, 400, 0, 0, 0},
+		{"leave", "leave", "one", `{"name":"w1","incarnation":5,"sequence":4}`, nil, nil, 200, 0, 0, 1},
+		{"leave not confirmed", "leave", "one", `{"name":"w1","incarnation":5,"sequence":4}`, nil, control.ErrUnknown, 503, 0, 0, 1},
+		{"foreign leave", "leave", "two", `{"name":"w1","incarnation":5,"sequence":4}`, nil, nil, 403, 0, 0, 0},
+		{"events", "events", "one", `{"name":"w1","incarnation":5,"sequence":4,"events":[{"kind":"stored","prefix":"ab"}]}`, nil, nil, 200, 0, 0, 0},
+		{"unknown kind of event", "events", "one", `{"name":"w1","events":[{"kind":"lost"}]}`, nil, nil, 400, 0, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeRegistrar{config: &control.Config{Upstreams: map[string]*wire.Upstream{}}, err: c.err}
+			if c.known != nil {
+				u := known()
+				c.known(u)
+				f.config.Upstreams["w1"] = u
+			}
+			h := NewHandler(f, tokens{"one": "w1", "two": "w2", "all": "w*"})
+			var events []Event
+			h.Events = func(_ string, _, _ uint64, e []Event) { events = append(events, e...) }
+			mux := http.NewServeMux()
+			h.Register(mux)
+			r := httptest.NewRequest("POST", "/v1/upstreams/"+c.path, strings.NewReader(c.body))
+			r.Header.Set("Authorization", "Bearer "+c.token)
+			w := httptest.NewRecorder()
+			mux.ServeHTTP(w, r)
+			is.Equal(w.Code, c.status)
+			is.Equal(len(f.announced), c.announced)
+			is.Equal(len(f.heard), c.heard)
+			is.Equal(len(f.left), c.left)
+			if c.path == "announce" && c.status == 200 {
+				is.Equal(strings.TrimSpace(w.Body.String()), `{"lease":4000,"interval":1000,"entries":[{"name":"e1","address":"127.0.0.1:1","zone":"","region":""}]}`)
+				is.Equal(f.heard[0].Load.Running, uint32(1))
+			}
+			if c.path == "events" && c.status == 200 {
+				is.Equal(len(events), 1)
+			}
+		})
+	}
+}
+
+// Guards against load reports that are misread and then misdirect requests.
+func TestParseLoad(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		ok   bool
+		load *wire.Load
+	}{
+		{"running=3 waiting=1 slots=8 tokens=900 sequence=17", true, &wire.Load{Running: 3, Waiting: 1, Slots: 8, Tokens: 900, Sequence: 17}},
+		{"slots=8 colour=7", true, &wire.Load{Slots: 8}},
+		{"", true, &wire.Load{}},
+		{"running", false, nil},
+		{"running=-1", false, nil},
+		{"running=5000000000", false, nil},
+	} {
+		is := is.New(t)
+		l, err := ParseLoad(c.text)
+		is.Equal(err == nil, c.ok)
+		if c.ok {
+			is.Equal(l.String(), c.load.String())
+		}
+	}
+}
