queue: give one answer when the deadline passes in the queue

Ruled out: dropping the queue's timer, since not every context carries the deadline. Change: a context that ended by its deadline is refused like the timer; the number of waiting requests can be read.

--- a/internal/entry/queue/queue.go
+++ b/internal/entry/queue/queue.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
@@ -146,9 +148,11 @@
 	case <-w.ready:
 		return q.ticket(w), nil
 	case <-expired:
-		err = &Refusal{Code: CodeDeadline, Reason: "the deadline passed while the request waited for a place"}
+		err = errLate()
 	case <-ctx.Done():
-		err = context.Cause(ctx)
+		if err = context.Cause(ctx); errors.Is(err, context.DeadlineExceeded) {
+			err = errLate()
+		}
 	}
 	if !q.remove(w, err) {
 		// The place was granted at the same moment.
@@ -160,6 +164,10 @@
 	return nil, err
 }
 
+func errLate() error {
+	return &Refusal{Code: CodeDeadline, Reason: "the deadline passed while the request waited for a place"}
+}
+
 // add puts the request into its account's queue and starts what has a place.
 func (q *Queue) add(r Request) (w *waiter, err error) {
 	q.mu.Lock()
@@ -311,6 +319,13 @@
 	return a
 }
 
+// Waiting returns how many requests wait for a place.
+func (q *Queue) Waiting() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting
+}
+
 // Refuse counts a refusal that was decided outside of the queue.
 func (q *Queue) Refuse(name document.Account) {
 	q.mu.Lock()
--- a/internal/entry/queue/queue_test.go
+++ b/internal/entry/queue/queue_test.go
@@ -152,6 +152,10 @@
 	var f *Refusal
 	is.True(errors.As(err, &f))
 	is.Equal(f.Code, CodeDeadline)
+	late, stop := timer.WithTimeout(context.Background(), clock, 20*time.Millisecond)
+	defer stop()
+	_, err = q.Enter(late, Request{Account: "city"})
+	is.True(errors.As(err, &f)) // the same answer whichever of the two timers fires first
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
 	_, err = q.Enter(ctx, Request{Account: "city"})
