caller: test refusals, broken streams, cascades and claims

Cause: only the two good cases were tested. Ruled out: a fake that refuses every repeated move of a claim; it hid two requests of one entry passing for the same owner. Moves that the same owner sends again now succeed in the fake. Conclusion: sessions, drain, traces and golden files are still untested.

--- a/internal/entry/caller/fake_test.go
+++ b/internal/entry/caller/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -16,6 +17,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
@@ -33,6 +35,8 @@
 	fail map[string]error
 	// onClaim runs before each step of a claim.
 	onClaim func(r *wire.ClaimRequest)
+	// onPin runs after each pin.
+	onPin   func()
 	drained bool
 }
 
@@ -65,9 +69,60 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u.Name, u.Incarnation, u.Address = name, 1, strings.TrimPrefix(s.URL, "http://")
-	f.config.Upstreams[name] = u
+	f.replace(name, u)
 }
 
+// leave ends the registration.
+func (f *fakeControl) leave(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replace(name, nil)
+}
+
+// replace publishes a changed copy of the configuration; the lock is held.
+func (f *fakeControl) replace(name string, u *wire.Upstream) {
+	c := *f.config
+	c.Revision++
+	c.Upstreams = maps.Clone(c.Upstreams)
+	delete(c.Upstreams, name)
+	if u != nil {
+		c.Upstreams[name] = u
+	}
+	f.config = &c
+}
+
+// slots sets the slots that all upstreams report.
+func (f *fakeControl) slots(n uint32) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = f.entries[1:]
+	for _, u := range f.config.Upstreams {
+		u.Load = &wire.Load{Slots: n, Sequence: 9}
+	}
+}
+
+// runner runs requests at the same time.
+type runner struct {
+	group *group.Group
+	work  sync.WaitGroup
+}
+
+func newRunner(t *testing.T) *runner {
+	r := &runner{group: group.New(t.Context())}
+	return r
+}
+
+func (r *runner) start(f func()) {
+	r.work.Add(1)
+	r.group.Go("request", func(context.Context) error {
+		defer r.work.Done()
+		f()
+		return nil
+	})
+}
+
+func (r *runner) wait() { r.work.Wait() }
+
 func (f *fakeControl) Config() *control.Config {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,6 +172,9 @@
 }
 
 func (f *fakeControl) Pin(_ context.Context, r *wire.PinRequest) (*wire.PinReply, error) {
+	if f.onPin != nil {
+		defer f.onPin()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := r.Account + "/" + r.Service + "/" + r.Session + "/" + r.Model
@@ -142,16 +200,20 @@
 		c = &wire.ClaimReply{}
 		f.claims[k] = c
 	}
+	// Moves that are sent again by the same owner succeed again.
 	mine := c.Owner == r.Owner && c.Epoch == r.Epoch
 	won := false
 	switch r.Step {
 	case wire.Step_STEP_OPEN:
+		if won = c.Phase == wire.Phase_PHASE_OPEN && c.Owner == r.Owner; won {
+			break
+		}
 		if won = c.Phase == wire.Phase_PHASE_NONE || (c.Phase == wire.Phase_PHASE_OPEN && r.Takeover && r.Epoch == c.Epoch); won {
 			c.Phase, c.Owner, c.Digest = wire.Phase_PHASE_OPEN, r.Owner, r.Digest
 			c.Epoch++
 		}
 	case wire.Step_STEP_DISPATCH:
-		if won = mine && c.Phase == wire.Phase_PHASE_OPEN; won {
+		if won = mine && (c.Phase == wire.Phase_PHASE_OPEN || c.Phase == wire.Phase_PHASE_DISPATCHING); won {
 			c.Phase = wire.Phase_PHASE_DISPATCHING
 		}
 	case wire.Step_STEP_FINISH:
@@ -196,6 +258,7 @@
 
 // engine is a fake engine.
 type engine struct {
+	name    string
 	version string
 	words   []string
 	// breakAfter ends the connection after that many words; -1 never.
@@ -242,7 +305,7 @@
 	h.Set("Content-Type", "text/event-stream")
 	chunk := func(choices, rest string) {
 		fmt.Fprintf(w, `data: {"id":"c-%s","object":"chat.completion.chunk","created":1,"model":%q,"choices":[%s]%s}`+"\n\n",
-			e.version, body.Model, choices, rest)
+			e.name, body.Model, choices, rest)
 		w.(http.Flusher).Flush()
 	}
 	chunk(`{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}`, "")
@@ -264,6 +327,7 @@
 // startEngine registers a fake engine for m@version.
 func startEngine(t *testing.T, f *fakeControl, name, model string, e *engine, features ...string) *engine {
 	t.Helper()
+	e.name = name
 	s := httptest.NewServer(e)
 	t.Cleanup(s.Close)
 	f.join(name, s, &wire.Upstream{Service: "pool", Model: model, Version: e.version, Zone: "z1", Features: features})
--- /dev/null
+++ b/internal/entry/caller/retry_test.go
@@ -0,0 +1,193 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/document"
+)
+
+// words returns the content of a streamed answer.
+func words(body string) string {
+	var b strings.Builder
+	for _, part := range strings.Split(body, `"delta":{"content":"`)[1:] {
+		word, _, _ := strings.Cut(part, `"`)
+		b.WriteString(word)
+	}
+	return b.String()
+}
+
+// Guards against broken streams that are ended as if complete, lose or double
+// words, or change version on the way.
+func TestBrokenStream(t *testing.T) {
+	list := []string{"a", "b", "c", "d"}
+	for _, c := range []struct {
+		name     string
+		broken   int
+		features []string
+		other    string
+		complete bool
+	}{
+		{"resumes elsewhere", 2, []string{"resume"}, "v1", true},
+		{"no upstream resumes", 2, nil, "v1", false},
+		{"other version only", 2, []string{"resume"}, "v2", false},
+		{"breaks before the first word", 0, nil, "v1", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := poolDocument()
+			d.Models[0].Versions = append(d.Models[0].Versions, document.VersionSpec{Name: "v2", State: document.StateActive})
+			d.Accounts[0].Models = []string{"small@v1"}
+			f := newFakeControl(d)
+			first := startEngine(t, f, "w1", "small", &engine{version: "v1", words: list, breakAfter: c.broken})
+			other := &engine{version: c.other, words: list, breakAfter: -1}
+			h, s := newHandler(t, f, nil)
+			// The second upstream joins once the first was chosen.
+			first.edit = func(http.ResponseWriter, *http.Request) bool {
+				startEngine(t, f, "w2", "small", other, c.features...)
+				return false
+			}
+			_, body := send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", true))
+			is.Equal(first.count(), 1)
+			is.Equal(strings.HasSuffix(body, "data: [DONE]\n\n"), c.complete)
+			is.True(h.budget.Retry())
+			if !c.complete {
+				is.True(strings.Contains(body, `"outcome":"failed"`))
+				is.Equal(len(f.charged()), 0)
+				return
+			}
+			is.Equal(words(body), "abcd")
+			is.Equal(strings.Count(body, `"id":"c-w1"`), strings.Count(body, "data: {"))
+			is.Equal(strings.Count(body, `"role"`), 1)
+			is.Equal(len(f.charged()), 1)
+			is.Equal(len(f.charged()[0].Costs), 2)
+			is.Equal(f.charged()[0].Output, uint64(4))
+		})
+	}
+}
+
+// Guards against failures of one upstream that reach the caller, and retries
+// of requests that are themselves wrong.
+func TestRetryOnAnotherUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		fault   func(w http.ResponseWriter, r *http.Request) bool
+		status  int
+		others  int
+		outcome string
+	}{
+		{"refused", func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Wisteriakeel-Outcome", "not run")
+			w.WriteHeader(503)
+			return true
+		}, 200, 1, ""},
+		{"failed", func(w http.ResponseWriter, _ *http.Request) bool { w.WriteHeader(500); return true }, 200, 1, ""},
+		{"answer of another request", func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("X-Request-Id", "other")
+			return false
+		}, 200, 1, ""},
+		{"connection breaks", func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) }, 200, 1, ""},
+		{"request is wrong", func(w http.ResponseWriter, _ *http.Request) bool { w.WriteHeader(422); return true }, 422, 0, "failed"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeControl(poolDocument())
+			other := &engine{version: "v1", words: []string{"a"}, breakAfter: -1}
+			bad := startEngine(t, f, "w1", "small", &engine{version: "v1", breakAfter: -1})
+			bad.edit = func(w http.ResponseWriter, r *http.Request) bool {
+				startEngine(t, f, "w2", "small", other)
+				return c.fault(w, r)
+			}
+			_, s := newHandler(t, f, nil)
+			resp, _ := send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false))
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(resp.Header.Get("Wisteriakeel-Outcome"), c.outcome)
+			is.Equal(bad.count(), 1)
+			is.Equal(other.count(), c.others)
+		})
+	}
+}
+
+// Guards against "not run" being said of a request that ran on one upstream
+// and was refused by the next.
+func TestWorstOutcomeIsTold(t *testing.T) {
+	is := is.New(t)
+	f := newFakeControl(poolDocument())
+	bad := startEngine(t, f, "w1", "small", &engine{version: "v1", breakAfter: -1})
+	bad.edit = func(http.ResponseWriter, *http.Request) bool {
+		startEngine(t, f, "w2", "small", &engine{version: "v1", breakAfter: -1, edit: func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Wisteriakeel-Outcome", "not run")
+			w.WriteHeader(503)
+			return true
+		}})
+		panic(http.ErrAbortHandler)
+	}
+	_, s := newHandler(t, f, nil)
+	resp, body := send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false))
+	is.Equal(resp.Header.Get("Wisteriakeel-Outcome"), "unknown")
+	is.Equal(string(detail(t, body).Outcome), "unknown")
+}
+
+type fakeRater struct {
+	rating float64
+	err    error
+	text   string
+}
+
+func (r *fakeRater) Rate(_ context.Context, _ document.Service, _, answer []byte) (float64, error) {
+	r.text = string(answer)
+	return r.rating, r.err
+}
+
+// Guards against cheap answers given out unrated or below the account's
+// quality, and against paying for a cheap answer that cannot be rated.
+func TestCascade(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		rater        *fakeRater
+		broken       bool
+		model        string
+		cheap, costs int
+	}{
+		{"good cheap answer", &fakeRater{rating: 0.5}, false, "small@v1", 1, 1},
+		{"poor cheap answer", &fakeRater{rating: 0.49}, false, "large@v1", 1, 2},
+		{"rating fails", &fakeRater{err: errors.New("down")}, false, "large@v1", 1, 2},
+		{"no rater", nil, false, "large@v1", 0, 1},
+		{"cheap model fails", &fakeRater{rating: 1}, true, "large@v1", 1, 2},
+	} {
+		for _, stream := range []bool{false, true} {
+			t.Run(c.name, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeControl(poolDocument())
+				cheap := startEngine(t, f, "w1", "small", &engine{version: "v1", words: []string{"a", "b"}, breakAfter: -1})
+				if c.broken {
+					cheap.edit = func(w http.ResponseWriter, _ *http.Request) bool { w.WriteHeader(500); return true }
+				}
+				startEngine(t, f, "w2", "large", &engine{version: "v1", words: []string{"c"}, breakAfter: -1})
+				_, s := newHandler(t, f, func(o *Options) {
+					if c.rater != nil {
+						o.Rater = c.rater
+					}
+				})
+				resp, body := send(t, "POST", s.URL+"/v1/chat/completions", chatBody("draft", stream))
+				is.Equal(resp.StatusCode, 200)
+				is.Equal(resp.Header.Get("Wisteriakeel-Model"), c.model)
+				is.Equal(cheap.count(), c.cheap)
+				if stream {
+					is.Equal(words(body), map[string]string{"small@v1": "ab", "large@v1": "c"}[c.model])
+				}
+				if c.rater != nil && !c.broken {
+					is.Equal(c.rater.text, "ab")
+				}
+				is.Equal(len(f.charged()), 1)
+				is.Equal(len(f.charged()[0].Costs), c.costs)
+				is.Equal(f.charged()[0].Model+"@v1", c.model)
+			})
+		}
+	}
+}
