--- /dev/null
+++ b/internal/entry/caller/list_test.go
@@ -0,0 +1,158 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"go.opentelemetry.io/otel/attribute"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+)
+
+// Guards against answers that the unchanged public client does not understand.
+func TestPublicClient(t *testing.T) {
+	is := is.New(t)
+	f := newFakeControl(poolDocument())
+	startEngine(t, f, "w1", "small", &engine{version: "v1", words: []string{"a", "b", "c"}, breakAfter: -1})
+	_, s := newHandler(t, f, nil)
+	client := openai.NewClient(option.WithBaseURL(s.URL+"/v1"), option.WithAPIKey("town"), option.WithMaxRetries(0))
+	ctx := context.Background()
+	question := openai.ChatCompletionNewParams{
+		Model: "small", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hi")},
+	}
+	whole, err := client.Chat.Completions.New(ctx, question)
+	is.NoErr(err)
+	is.Equal(whole.Choices[0].Message.Content, "abc")
+	is.Equal(whole.Usage.CompletionTokens, int64(3))
+
+	question.StreamOptions.IncludeUsage = openai.Bool(true)
+	stream := client.Chat.Completions.NewStreaming(ctx, question)
+	var sum openai.ChatCompletionAccumulator
+	for stream.Next() {
+		is.True(sum.AddChunk(stream.Current()))
+	}
+	is.NoErr(stream.Err())
+	is.Equal(sum.Choices[0].Message.Content, "abc")
+	is.Equal(sum.Choices[0].FinishReason, "stop")
+	is.Equal(sum.Usage.CompletionTokens, int64(3))
+
+	models, err := client.Models.List(ctx)
+	is.NoErr(err)
+	is.Equal(len(models.Data), 2)
+	is.Equal(models.Data[0].ID, "draft")
+	is.Equal(models.Data[1].ID, "small")
+	is.Equal(models.Data[1].OwnedBy, "pool")
+
+	question.Model = "large"
+	_, err = client.Chat.Completions.New(ctx, question)
+	var refused *openai.Error
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.StatusCode, 403)
+	is.Equal(refused.Code, "permission")
+}
+
+// Guards against callers that keep going to an entry that shuts down, and
+// against a shutdown that interrupts requests or refuses too early.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	f := newFakeControl(poolDocument())
+	release, started := make(chan struct{}), make(chan struct{}, 1)
+	e := startEngine(t, f, "w1", "small", &engine{version: "v1", words: []string{"a"}, breakAfter: -1, edit: func(http.ResponseWriter, *http.Request) bool {
+		started <- struct{}{}
+		<-release
+		return false
+	}})
+	h, s := newHandler(t, f, func(o *Options) { o.Lifetime, o.Spread = 300*time.Millisecond, 50*time.Millisecond })
+	entries := func() (int, string) {
+		resp, body := send(t, "GET", s.URL+"/v1/entries", "")
+		var list struct {
+			Entries  []entryBody
+			Lifetime int64
+		}
+		is.NoErr(json.Unmarshal([]byte(body), &list))
+		names := []string{}
+		for _, e := range list.Entries {
+			names = append(names, e.Name)
+		}
+		return resp.StatusCode, strings.Join(names, " ")
+	}
+	_, names := entries()
+	is.Equal(names, "e1 e2") // the own zone first
+	r := newRunner(t)
+	var status int
+	r.start(func() {
+		resp, _ := send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", true))
+		status = resp.StatusCode
+	})
+	<-started
+	begin := time.Now()
+	done := make(chan time.Duration, 1)
+	r.start(func() {
+		if h.Drain(context.Background()) == nil {
+			done <- time.Since(begin)
+		}
+	})
+	for !h.Draining() {
+		time.Sleep(time.Millisecond)
+	}
+	code, names := entries()
+	is.Equal(code, 200) // still serves while old lists are in use
+	is.Equal(names, "e2")
+	for code != http.StatusServiceUnavailable {
+		time.Sleep(5 * time.Millisecond)
+		code, _ = entries()
+	}
+	is.True(time.Since(begin) >= 350*time.Millisecond)
+	is.Equal(len(done), 0) // a request is in progress
+	close(release)
+	r.wait()
+	is.Equal(len(done), 1)
+	is.Equal(status, 200)
+	is.Equal(e.count(), 1)
+	is.True(f.drained)
+}
+
+// Guards against traces that end at the entry or leave out a hop.
+func TestTraceSpansEveryHop(t *testing.T) {
+	is := is.New(t)
+	f := newFakeControl(poolDocument())
+	cheap := startEngine(t, f, "w1", "small", &engine{version: "v1", words: []string{"a"}, breakAfter: -1})
+	startEngine(t, f, "w2", "large", &engine{version: "v1", words: []string{"b"}, breakAfter: -1})
+	recorder := tracetest.NewSpanRecorder()
+	provider := sdk.NewTracerProvider(sdk.WithSpanProcessor(recorder))
+	_, s := newHandler(t, f, func(o *Options) {
+		o.Tracer, o.Rater = provider.Tracer("test"), &fakeRater{}
+	})
+	const id = "0af7651916cd43dd8448eb211c80319c"
+	send(t, "POST", s.URL+"/v1/chat/completions", chatBody("draft", true), "Wisteriakeel-Session", "s",
+		"traceparent", "00-"+id+"-b7ad6b7169203331-01", "X-Request-Id", "r-1")
+	count := map[string]int{}
+	for _, p := range recorder.Ended() {
+		is.Equal(p.SpanContext().TraceID().String(), id)
+		count[p.Name()]++
+		if strings.HasPrefix(p.Name(), "POST ") {
+			is.True(contains(p.Attributes(), attribute.String("request", "r-1")))
+		}
+	}
+	is.Equal(count, map[string]int{
+		"POST /v1/chat/completions": 1, "queue": 1, "control pin": 2, "upstream": 2, "rating": 1, "control charge": 1,
+	})
+	is.True(strings.Contains(cheap.calls[0].Header.Get("traceparent"), id))
+}
+
+func contains(list []attribute.KeyValue, want attribute.KeyValue) bool {
+	for _, a := range list {
+		if a == want {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -54,7 +54,7 @@
 		metric.Int("caller.requests").Add(1)
 		q := &request{handler: h, writer: w, http: r}
 		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-		ctx, span := h.options.Tracer.Start(ctx, r.Method+" "+r.Pattern, trace.WithSpanKind(trace.SpanKindServer))
+		ctx, span := h.options.Tracer.Start(ctx, r.Pattern, trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
 		if !h.drain.enter() {
 			w.Header().Set("Connection", "close")
--- a/internal/entry/queue/queue.go
+++ b/internal/entry/queue/queue.go
@@ -325,10 +325,3 @@
 	defer q.mu.Unlock()
 	return q.waiting
 }
-
-// Refuse counts a refusal that was decided outside of the queue.
-func (q *Queue) Refuse(name document.Account) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.account(name).tally.refusals++
-}
