upstream: shorten header deadlines and drop silent connections

Cause: a connection that went silent held a stream for the 30 s header deadline, and further idle connections of the same age were used next. A plain call with a longer timeout of its own was cut off by the header deadline. Ruled out: one short deadline for all; the header of a whole answer comes only after its generation. Change: 10 s for streams; whole answers and calls with a timeout have their own bound; a header or token timeout drops all idle connections; keep-alive probes. A null list of tool calls is no content; a late incarnation is refused here. Before: a chunk with "tool_calls":null counted as content. Conclusion: the deadlines are settings, not yet measured under load.

--- a/internal/entry/upstream/announce.go
+++ b/internal/entry/upstream/announce.go
@@ -181,6 +181,10 @@
 		return
 	}
 	u := a.wire()
+	if h.outdated(u) {
+		refuseFault(w, control.ErrConflict)
+		return
+	}
 	if !h.known(u) {
 		if _, err := h.registrar.Announce(r.Context(), &wire.AnnounceRequest{Upstream: u}); err != nil {
 			refuseFault(w, err)
@@ -201,6 +205,12 @@
 	answer(w, http.StatusOK, reply)
 }
 
+// outdated tells whether a later incarnation is registered already.
+func (h *Handler) outdated(u *wire.Upstream) bool {
+	c := h.registrar.Config()
+	return c != nil && c.Upstreams[u.Name].GetIncarnation() > u.Incarnation
+}
+
 // known tells whether the registry in force holds exactly this registration,
 // so that the announcement is only a heartbeat.
 func (h *Handler) known(u *wire.Upstream) bool {
--- a/internal/entry/upstream/announce_test.go
+++ b/internal/entry/upstream/announce_test.go
@@ -69,6 +69,7 @@
 		{"new upstream", "announce", "one", registration, nil, nil, 200, 1, 1, 0},
 		{"heartbeat", "announce", "one", registration, func(*wire.Upstream) {}, nil, 200, 0, 1, 0},
 		{"new incarnation", "announce", "one", registration, func(u *wire.Upstream) { u.Incarnation = 4 }, nil, 200, 1, 1, 0},
+		{"late incarnation", "announce", "one", registration, func(u *wire.Upstream) { u.Incarnation = 6 }, nil, 409, 0, 0, 0},
 		{"changed address", "announce", "one", registration, func(u *wire.Upstream) { u.Address = "127.0.0.1:1" }, nil, 200, 1, 1, 0},
 		{"changed features", "announce", "one", registration, func(u *wire.Upstream) { u.Features = nil }, nil, 200, 1, 1, 0},
 		{"incarnation that has left", "announce", "one", registration, nil, control.ErrConflict, 409, 1, 0, 0},
--- a/internal/entry/upstream/dispatch.go
+++ b/internal/entry/upstream/dispatch.go
@@ -37,7 +37,8 @@
 type Limits struct {
 	// Dial is the longest time to open a connection.
 	Dial time.Duration
-	// Header is the longest time to the answer's header.
+	// Header is the longest time to the header of a streamed answer and of a
+	// plain call without a timeout of its own.
 	Header time.Duration
 	// Token is the longest time between two reads of a streamed answer.
 	Token time.Duration
@@ -51,7 +52,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Dial:    time.Second,
-		Header:  30 * time.Second,
+		Header:  10 * time.Second,
 		Token:   10 * time.Second,
 		Overall: 10 * time.Minute,
 		Body:    8 << 20,
@@ -95,6 +96,8 @@
 	if d.load == nil {
 		d.load = func(string, uint64, *wire.Load) {}
 	}
+	// Probes find a peer that is gone while the entry waits for its answer.
+	d.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
 	d.pooled = transport(d.dialer.DialContext)
 	return d
 }
@@ -155,11 +158,11 @@
 }
 
 // begin starts the deadlines of a call.
-func (d *Dispatcher) begin(ctx context.Context, u *wire.Upstream, overall time.Duration) (context.Context, *call) {
+func (d *Dispatcher) begin(ctx context.Context, u *wire.Upstream, header, overall time.Duration) (context.Context, *call) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	c := &call{owner: d, upstream: u, timer: d.timer, cancel: cancel, stop: func() {}}
 	c.overall = d.timer.AfterFunc(overall, func() { cancel(ErrCallTimeout) })
-	c.expect(d.limits.Header, ErrHeaderTimeout)
+	c.expect(header, ErrHeaderTimeout)
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.reached.Store(true) }}
 	return httptrace.WithClientTrace(ctx, trace), c
 }
@@ -231,6 +234,10 @@
 	if cause := context.Cause(ctx); cause != nil {
 		f.Err = cause
 		f.Blame = errors.Is(cause, ErrHeaderTimeout) || errors.Is(cause, ErrTokenTimeout)
+		if f.Blame {
+			// Connections go silent together, so the idle ones are not used again either.
+			c.owner.pooled.CloseIdleConnections()
+		}
 		if f.Outcome == Unknown {
 			f.Reason = "call was ended before its answer was complete"
 		}
--- a/internal/entry/upstream/dispatch_test.go
+++ b/internal/entry/upstream/dispatch_test.go
@@ -148,7 +148,7 @@
 		abort, complete     bool
 	}{
 		{"complete", "v1", open + stop + done, false, true},
-		{"comment lines", "v1", ": wait\n\n" + open + ": wait\n" + stop + done, false, true},
+		{"comment lines", "v1", ": wait\n\n" + strings.Replace(open, `"delta":{`, `"delta":{"tool_calls":null,`, 1) + ": wait\n" + stop + done, false, true},
 		{"no end mark", "v1", open + stop, false, false},
 		{"no finish_reason", "v1", open + done, false, false},
 		{"one of two choices unfinished", "v1", `data: {"choices":[{"index":1,"delta":{"content":"b"}}]}` + "\n\n" + open + stop + done, false, false},
--- a/internal/entry/upstream/engine.go
+++ b/internal/entry/upstream/engine.go
@@ -44,7 +44,12 @@
 // Chat sends a chat completion. The result is also set for a failed stream,
 // as far as it was received.
 func (d *Dispatcher) Chat(ctx context.Context, u *wire.Upstream, q Chat) (res Result, err error) {
-	ctx, c := d.begin(ctx, u, d.limits.Overall)
+	header := d.limits.Header
+	if !q.Stream {
+		// The header of a whole answer comes only once it is generated.
+		header = d.limits.Overall
+	}
+	ctx, c := d.begin(ctx, u, header, d.limits.Overall)
 	defer c.end()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost,
 		"http://"+u.Address+"/v1/chat/completions", bytes.NewReader(q.Body))
--- a/internal/entry/upstream/plain.go
+++ b/internal/entry/upstream/plain.go
@@ -47,11 +47,12 @@
 }
 
 func (d *Dispatcher) plain(ctx context.Context, u *wire.Upstream, p Plain, t http.RoundTripper) (a Answer, err error) {
-	overall := d.limits.Overall
+	header, overall := d.limits.Header, d.limits.Overall
 	if p.Timeout > 0 {
 		overall = min(overall, p.Timeout)
+		header = overall
 	}
-	ctx, c := d.begin(ctx, u, overall)
+	ctx, c := d.begin(ctx, u, header, overall)
 	defer c.end()
 	r, err := http.NewRequestWithContext(ctx, p.Method, "http://"+u.Address+p.Path, bytes.NewReader(p.Body))
 	if err != nil {
--- a/internal/entry/upstream/stream.go
+++ b/internal/entry/upstream/stream.go
@@ -41,8 +41,8 @@
 			Index  int     `json:"index"`
 			Finish *string `json:"finish_reason"`
 			Delta  struct {
-				Content   string          `json:"content"`
-				ToolCalls json.RawMessage `json:"tool_calls"`
+				Content   string            `json:"content"`
+				ToolCalls []json.RawMessage `json:"tool_calls"`
 			} `json:"delta"`
 			Message struct {
 				Content json.RawMessage `json:"content"`
