caller: queue per model and answer before ending claims

Cause: one queue per service let requests for a full model hold up those for another, and a final refusal waited up to 5 s for the end of its claim. Ruled out: ending claims in goroutines of their own, since a shutdown would have to wait for them separately. Change: a queue per service and model, entered by each step of a cascade, but counted once; claims without an answer are ended after the caller has been told. Before: with either change undone TestFullQueueRefusesAtOnce or TestRefusalDoesNotWaitForTheClaim does not end within 20 s. Conclusion: shares hold per model; a cascade may wait once per step.

--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -39,11 +39,18 @@
 
 // step gets one model's answer and retries on other upstreams.
 func (j *job) step(ctx context.Context, model document.Model, o *output) (a answered, err error) {
-	j.handler.budget.First()
 	body, err := j.chat.body(model)
 	if err != nil {
 		return a, invalid("body", "the body cannot be passed on")
 	}
+	size := uint64(len(j.body))/bytesPerToken + j.chat.most
+	t, err := j.enter(ctx, placeKey{j.plan.Document.Service, model}, j.plan.Account, size)
+	if err != nil {
+		return a, err
+	}
+	j.tokens = 0
+	defer func() { t.Done(j.tokens) }()
+	j.handler.budget.First()
 	a = answered{model: model, output: o}
 	var tried []string
 	var failure error
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -134,7 +134,7 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
-	queues map[document.Service]*place
+	queues map[placeKey]*place
 }
 
 // New returns a handler and reports its fairness counts to the control client.
@@ -147,7 +147,7 @@
 	o.fill()
 	h = &Handler{
 		options: o, control: o.Control, timer: o.Timer, log: o.Log,
-		budget: route.NewBudget(), pins: newPins(), queues: map[document.Service]*place{},
+		budget: route.NewBudget(), pins: newPins(), queues: map[placeKey]*place{},
 		random: rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
 		drain:  newDrain(),
 	}
@@ -192,10 +192,17 @@
 	return strconv.FormatUint(h.number(), 36) + strconv.FormatUint(h.number(), 36)
 }
 
-// place is the queue of one service and its present capacity.
+// placeKey names what requests contend for: the upstreams of a service's model,
+// or of a plain service with an empty model.
+type placeKey struct {
+	service document.Service
+	model   document.Model
+}
+
+// place is the queue for one set of upstreams and its present capacity.
 type place struct {
+	placeKey
 	handler *Handler
-	service document.Service
 	queue   *queue.Queue
 	// limit holds until the instant; both are guarded by the queue's lock.
 	limit int
@@ -208,23 +215,24 @@
 // silentSlots is the number of slots of an upstream that reports none.
 const silentSlots = 64
 
-// queue returns the queue of the service.
-func (h *Handler) queue(service document.Service) *queue.Queue {
+// queue returns the queue of the service's model.
+func (h *Handler) queue(service document.Service, model document.Model) *queue.Queue {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	p, ok := h.queues[service]
+	k := placeKey{service, model}
+	p, ok := h.queues[k]
 	if !ok {
-		p = &place{handler: h, service: service}
+		p = &place{placeKey: k, handler: h}
 		p.queue = queue.New(queue.Options{
 			Timer: h.timer, Random: rand.New(rand.NewPCG(h.random.Uint64(), h.random.Uint64())),
 			Parallel: p.parallel, Account: h.options.Queue, Total: h.options.Total,
 		})
-		h.queues[service] = p
+		h.queues[k] = p
 	}
 	return p.queue
 }
 
-// parallel returns how many of the service's requests this entry may have in
+// parallel returns how many of the model's requests this entry may have in
 // progress: its part of all slots, and more while others leave slots free.
 func (p *place) parallel(running int) int {
 	now := p.handler.timer.Now()
@@ -235,7 +243,7 @@
 	if c == nil {
 		return 1
 	}
-	free, slots := p.handler.pool.Free(c, p.handler.control.Loads(), p.service, silentSlots)
+	free, slots := p.handler.pool.Free(c, p.handler.control.Loads(), p.service, p.model, silentSlots)
 	entries := 0
 	for _, e := range p.handler.control.Entries() {
 		if !e.Draining {
@@ -248,7 +256,7 @@
 	return p.limit
 }
 
-// tallies sums the counts of all services.
+// tallies sums the counts of all queues.
 func (h *Handler) tallies() []*wire.Tally {
 	h.mu.Lock()
 	list := make([]*place, 0, len(h.queues))
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -105,7 +106,7 @@
 	*request
 	chat *completion
 	plan route.Plan
-	// tokens counts what all attempts generated and read.
+	// tokens counts what the attempts of the present step read and generated.
 	tokens uint64
 }
 
@@ -133,11 +134,6 @@
 	if j.plan, err = route.Resolve(config, q.account, c.model); err != nil {
 		return err
 	}
-	size := uint64(len(q.body))/bytesPerToken + c.most
-	if err := q.enter(ctx, j.plan.Document.Service, j.plan.Account, size); err != nil {
-		return err
-	}
-	defer func() { q.ticket.Done(j.tokens) }()
 	a, err := j.cascade(ctx)
 	if err != nil {
 		return err
@@ -198,8 +194,7 @@
 		return nil
 	}
 	j.writer.Header().Set("Content-Type", "application/json")
-	// A caller that is gone cannot be told anything more.
-	_, _ = j.writer.Write(a.result.Body)
+	j.whole(http.StatusOK, a.result.Body)
 	return nil
 }
 
--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -188,13 +188,14 @@
 	sent := false
 	defer func() {
 		if !sent && err != nil && !errors.Is(err, errTaken) {
-			c.abort(ctx)
+			c.after = append(c.after, c.abort)
 		}
 	}()
-	if err = c.enter(ctx, c.service, c.grant, 1); err != nil {
+	t, err := c.enter(ctx, placeKey{service: c.service}, c.grant, 1)
+	if err != nil {
 		return nil, err
 	}
-	defer c.ticket.Done(1)
+	defer t.Done(1)
 	k, conn, err := c.connect(ctx)
 	if err != nil {
 		return nil, err
--- a/internal/entry/caller/claim_test.go
+++ b/internal/entry/caller/claim_test.go
@@ -173,6 +173,35 @@
 	}
 }
 
+// Guards against final answers that are held back until the claim is ended.
+func TestRefusalDoesNotWaitForTheClaim(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		step   wire.Step
+		fail   wire.Step
+		status int
+	}{
+		{"abort", wire.Step_STEP_ABORT, wire.Step_STEP_DISPATCH, 503},
+		{"unknown outcome", wire.Step_STEP_FINISH, wire.Step_STEP_READ, 502},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f, _, s := bookingServer(t, func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) })
+			f.fail["claim"+c.fail.String()] = control.ErrUnknown
+			release := make(chan struct{})
+			f.onClaim = func(r *wire.ClaimRequest) {
+				if r.Step == c.step {
+					<-release
+				}
+			}
+			defer close(release)
+			// A hang here means that the answer came only after the claim had ended.
+			resp, _ := send(t, "POST", s.URL+bookings, "{}", "Idempotency-Key", "k")
+			is.Equal(resp.StatusCode, c.status)
+		})
+	}
+}
+
 // Guards against an upstream that is gone burning the key of a booking.
 func TestUnreachableUpstreamIsPassedOver(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/caller/list_test.go
+++ b/internal/entry/caller/list_test.go
@@ -143,7 +143,7 @@
 		}
 	}
 	is.Equal(count, map[string]int{
-		"POST /v1/chat/completions": 1, "queue": 1, "control pin": 2, "upstream": 2, "rating": 1, "control charge": 1,
+		"POST /v1/chat/completions": 1, "queue": 2, "control pin": 2, "upstream": 2, "rating": 1, "control charge": 1,
 	})
 	is.True(strings.Contains(cheap.calls[0].Header.Get("traceparent"), id))
 }
--- a/internal/entry/caller/output.go
+++ b/internal/entry/caller/output.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
 )
@@ -116,6 +117,18 @@
 	return j.event(data)
 }
 
+// whole sends an answer that is not streamed, so that the caller has all of it
+// before the handler ends.
+func (q *request) whole(status int, body []byte) {
+	if status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified {
+		q.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	q.writer.WriteHeader(status)
+	// A caller that is gone cannot be told anything more.
+	_, _ = q.writer.Write(body)
+	_ = http.NewResponseController(q.writer).Flush()
+}
+
 // event writes one event and flushes it; the first one begins the stream.
 func (q *request) event(data []byte) error {
 	if !q.events {
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -112,10 +112,11 @@
 
 // repeatable sends the call and retries on other upstreams within the budget.
 func (p *plainCall) repeatable(ctx context.Context) error {
-	if err := p.enter(ctx, p.service, p.grant, 1); err != nil {
+	t, err := p.enter(ctx, placeKey{service: p.service}, p.grant, 1)
+	if err != nil {
 		return err
 	}
-	defer p.ticket.Done(1)
+	defer t.Done(1)
 	p.handler.budget.First()
 	var tried []string
 	var failure error
@@ -173,8 +174,6 @@
 	if a.Type != "" {
 		p.writer.Header().Set("Content-Type", a.Type)
 	}
-	p.writer.WriteHeader(a.Status)
-	// A caller that is gone cannot be told anything more.
-	_, _ = p.writer.Write(a.Body)
+	p.whole(a.Status, a.Body)
 	return nil
 }
--- a/internal/entry/caller/refusal.go
+++ b/internal/entry/caller/refusal.go
@@ -177,9 +177,9 @@
 	return b
 }
 
-// write sends the refusal as a whole answer.
-func (r *refusal) write(h *Handler, w http.ResponseWriter) {
-	header := w.Header()
+// sendRefusal sends the refusal as a whole answer.
+func (q *request) sendRefusal(r *refusal) {
+	h, header := q.handler, q.writer.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(upstream.HeaderOutcome, string(r.outcome))
 	if r.retry > 0 {
@@ -188,9 +188,7 @@
 	if r.code == "lease" || r.code == "draining" {
 		header.Set(headerEntries, h.others())
 	}
-	w.WriteHeader(r.status)
-	// A caller that is gone cannot be told anything more.
-	_, _ = w.Write(r.body())
+	q.whole(r.status, r.body())
 }
 
 // others lists the addresses of the other entries.
--- a/internal/entry/caller/refusal_test.go
+++ b/internal/entry/caller/refusal_test.go
@@ -103,7 +103,7 @@
 			is.Equal(resp.StatusCode, c.status)
 			is.Equal(string(detail(t, body).Outcome), "not run")
 			is.Equal(e.count(), 0)
-			is.Equal(h.queue("pool").Tallies()[0].Requests, uint64(1))
+			is.Equal(h.queue("pool", "small").Tallies()[0].Requests, uint64(1))
 		})
 	}
 }
@@ -119,6 +119,7 @@
 		<-release
 		return false
 	}})
+	startEngine(t, f, "w2", "large", &engine{version: "v1", breakAfter: -1})
 	f.slots(1)
 	h, s := newHandler(t, f, func(o *Options) { o.Queue = 1 })
 	unblock := sync.OnceFunc(func() { close(release) })
@@ -132,9 +133,12 @@
 	is.Equal(detail(t, body).Code, "deadline")
 	is.True(time.Since(begin) < 2*time.Second)
 	r.start(func() { send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false)) })
-	for h.queue("pool").Waiting() == 0 {
+	for h.queue("pool", "small").Waiting() == 0 {
 		time.Sleep(time.Millisecond)
 	}
+	// Another model of the service is not held up.
+	resp, _ = send(t, "POST", s.URL+"/v1/chat/completions", chatBody("large", false), "Authorization", "Bearer farm")
+	is.Equal(resp.StatusCode, 200)
 	resp, body = send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false))
 	is.Equal(resp.StatusCode, 429)
 	is.Equal(detail(t, body).Code, "account_queue_full")
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -40,12 +40,15 @@
 	body     []byte
 	digest   string
 	deadline timer.Instant
-	ticket   *queue.Ticket
-	costs    []*wire.Cost
+	// queued is true once the request was counted by a queue.
+	queued bool
+	costs  []*wire.Cost
 	// ran is the worst outcome of the attempts so far; empty before the first.
 	ran upstream.Outcome
 	// events is true once an event stream has begun.
 	events bool
+	// after is what remains to be done once the caller has its answer.
+	after []func()
 }
 
 // serve wraps what all requests have in common.
@@ -58,7 +61,7 @@
 		defer span.End()
 		if !h.drain.enter() {
 			w.Header().Set("Connection", "close")
-			h.busy(kindCapacity, "draining", "this entry is shutting down; use another one").write(h, w)
+			q.sendRefusal(h.busy(kindCapacity, "draining", "this entry is shutting down; use another one"))
 			return
 		}
 		defer h.drain.leave()
@@ -75,6 +78,9 @@
 			err = f(ctx, q)
 		}
 		q.conclude(span, err)
+		for _, f := range q.after {
+			f()
+		}
 	}
 }
 
@@ -146,7 +152,7 @@
 	case q.events:
 		q.event(r.body())
 	default:
-		r.write(q.handler, q.writer)
+		q.sendRefusal(r)
 	}
 }
 
@@ -201,15 +207,16 @@
 	return c, nil
 }
 
-// enter waits for a place in the service's queue.
-func (q *request) enter(ctx context.Context, service document.Service, a document.AccountSpec, tokens uint64) (err error) {
+// enter waits for a place in the queue of the service's model.
+func (q *request) enter(ctx context.Context, k placeKey, a document.AccountSpec, tokens uint64) (t *queue.Ticket, err error) {
 	ctx, span := q.handler.options.Tracer.Start(ctx, "queue")
 	defer func() { end(span, err) }()
-	q.ticket, err = q.handler.queue(service).Enter(ctx, queue.Request{
+	t, err = q.handler.queue(k.service, k.model).Enter(ctx, queue.Request{
 		Account: q.account, Weight: a.Weight, Tokens: tokens,
-		Limit: a.Limit, Deadline: q.deadline,
+		Limit: a.Limit, Deadline: q.deadline, Further: q.queued,
 	})
-	return err
+	q.queued = true
+	return t, err
 }
 
 // end closes a span with the error, if any.
--- a/internal/entry/caller/store.go
+++ b/internal/entry/caller/store.go
@@ -41,15 +41,16 @@
 }
 
 // abort ends the claim of a call that was not sent, so that a resend can run.
-func (c *claim) abort(ctx context.Context) {
-	ctx, cancel := c.handler.within(context.WithoutCancel(ctx), closing)
+// It follows the refusal, which does not wait for it.
+func (c *claim) abort() {
+	ctx, cancel := c.handler.within(context.WithoutCancel(c.http.Context()), closing)
 	defer cancel()
 	reply, err := c.move(ctx, &wire.ClaimRequest{Step: wire.Step_STEP_ABORT, Epoch: c.epoch})
 	if err != nil || reply.Phase != wire.Phase_PHASE_DISPATCHING || reply.Owner != c.owner {
 		return
 	}
 	// The claim moved on although the move's answer was lost.
-	c.store(ctx, c.answer(upstream.Answer{}, c.handler.busy(kindControl, "claim", "the call was not sent; use a new key")))
+	c.finish(ctx, c.answer(upstream.Answer{}, c.handler.busy(kindControl, "claim", "the call was not sent; use a new key")))
 }
 
 // answer is what is stored for the outcome of the call.
@@ -68,18 +69,29 @@
 	}
 }
 
-// store ends the claim with the answer. A failure is counted only: the caller
-// still gets the answer, and a resend is told that the outcome is unknown.
+// store ends the claim with the answer. A complete answer is stored before the
+// caller gets it, as far as the deadline allows; one without an answer is told at once.
 func (c *claim) store(ctx context.Context, a *wire.Answer) *wire.Answer {
-	ctx, cancel := c.handler.within(context.WithoutCancel(ctx), closing)
-	defer cancel()
-	_, err := c.move(ctx, &wire.ClaimRequest{Step: wire.Step_STEP_FINISH, Epoch: c.epoch, Answer: a})
-	if err != nil {
-		metric.Int("claim.unstored").Add(1)
+	if a.Type != refusalType && c.finish(ctx, a) {
+		return a
 	}
+	c.after = append(c.after, func() {
+		ctx, cancel := c.handler.within(context.WithoutCancel(ctx), closing)
+		defer cancel()
+		if !c.finish(ctx, a) {
+			// A resend is told that the outcome is unknown.
+			metric.Int("claim.unstored").Add(1)
+		}
+	})
 	return a
 }
 
+// finish stores the answer and tells whether that is confirmed.
+func (c *claim) finish(ctx context.Context, a *wire.Answer) bool {
+	_, err := c.move(ctx, &wire.ClaimRequest{Step: wire.Step_STEP_FINISH, Epoch: c.epoch, Answer: a})
+	return err == nil
+}
+
 // resent hands a stored answer to a later request with the same key.
 func (c *claim) resent(ctx context.Context, a *wire.Answer) error {
 	if _, err := c.handler.config(); err != nil {
--- a/internal/entry/queue/queue.go
+++ b/internal/entry/queue/queue.go
@@ -54,6 +54,8 @@
 	Limit document.LimitSpec
 	// Deadline is when the answer is of no more use; zero means never.
 	Deadline timer.Instant
+	// Further is true for a later step of a request that was counted before.
+	Further bool
 }
 
 // Refusal is a final refusal of a request that did not run.
@@ -173,7 +175,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	a := q.account(r.Account)
-	a.tally.requests++
+	if !r.Further {
+		a.tally.requests++
+	}
 	a.parallel = int(r.Limit.Parallel)
 	w = &waiter{owner: a, request: r, entered: q.timer.Now(), ready: make(chan struct{})}
 	w.start = max(q.virtual, a.finish)
--- a/internal/entry/route/pool.go
+++ b/internal/entry/route/pool.go
@@ -201,13 +201,13 @@
 	s.report(load)
 }
 
-// Free returns the slots of a service that seem free, and all its slots. A
-// silent upstream counts with the given number of slots.
-func (p *Pool) Free(c *control.Config, loads map[string]*wire.Heard, service document.Service, silent int) (free, slots int) {
+// Free returns the slots of a service's model that seem free, and all its
+// slots. A silent upstream counts with the given number of slots.
+func (p *Pool) Free(c *control.Config, loads map[string]*wire.Heard, service document.Service, model document.Model, silent int) (free, slots int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, u := range c.Upstreams {
-		if u.Left || u.Service != string(service) {
+		if u.Left || u.Service != string(service) || u.Model != string(model) {
 			continue
 		}
 		n, used := silent, 0
--- a/internal/entry/route/route_test.go
+++ b/internal/entry/route/route_test.go
@@ -212,7 +212,7 @@
 		count[k.Upstream.Name]++
 	}
 	is.Equal(count["w2"], 4) // the own zone is full
-	free, slots := p.Free(c, nil, "pool", 1)
+	free, slots := p.Free(c, nil, "pool", "small", 1)
 	is.Equal(slots, 12)
 	is.Equal(free, 0)
 }
@@ -330,6 +330,6 @@
 	p.Report("w0", 1, &wire.Load{Running: 3, Slots: 4, Sequence: 9})
 	p.Report("w0", 1, &wire.Load{Running: 0, Slots: 4, Sequence: 8})
 	p.Report("w0", 2, &wire.Load{Running: 0, Slots: 4, Sequence: 10})
-	free, _ := p.Free(c, map[string]*wire.Heard{"w0": {Incarnation: 1, Load: &wire.Load{Slots: 4, Sequence: 7}}}, "pool", 1)
+	free, _ := p.Free(c, map[string]*wire.Heard{"w0": {Incarnation: 1, Load: &wire.Load{Slots: 4, Sequence: 7}}}, "pool", "small", 1)
 	is.Equal(free, 1)
 }
