state: add the state machines of the control groups

Cause: nothing kept documents, registrations, claims, pins or charges. Before: no package. Conclusion: complete but for the replay test over random commands.

--- /dev/null
+++ b/internal/control/state/config_test.go
@@ -0,0 +1,178 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+func validate(_ string, text []byte) error {
+	if string(text) == "bad" {
+		return errors.New("text is bad")
+	}
+	return nil
+}
+
+func run[R proto.Message](is *is.I, apply func([]byte) []byte, c *wire.Command, r R) R {
+	b, err := proto.Marshal(c)
+	is.NoErr(err)
+	is.NoErr(proto.Unmarshal(apply(b), r))
+	return r
+}
+
+func put(is *is.I, c *Config, instant time.Duration, service string, base uint64, id, text string) *wire.ApplyReply {
+	return run(is, c.Apply, &wire.Command{Instant: instant.Milliseconds(), Body: &wire.Command_Apply{
+		Apply: &wire.ApplyRequest{Service: service, Base: base, Change: id, Text: []byte(text)},
+	}}, &wire.ApplyReply{})
+}
+
+func restored(is *is.I, c *Config) *Config {
+	s, err := c.Snapshot()
+	is.NoErr(err)
+	n := NewConfig(validate)
+	is.NoErr(n.Restore(s))
+	return n
+}
+
+// Guards against a resend that is refused or applied twice after a lost answer,
+// later changes and a restore.
+func TestResendGetsFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	c := NewConfig(validate)
+	first := put(is, c, 0, "pool", 0, "a", "one")
+	is.Equal(first.Revision, uint64(1))
+	refused := put(is, c, 0, "pool", 0, "b", "two")
+	is.Equal(refused.Fault.GetCode(), wire.Code_CODE_CONFLICT)
+	is.Equal(refused.Revision, uint64(1))
+	base := uint64(1)
+	for i := range 1000 {
+		base = put(is, c, 0, "pool", base, fmt.Sprint("c", i), fmt.Sprint("text", i)).Revision
+	}
+	is.Equal(base, uint64(1001))
+	c = restored(is, c)
+	for _, r := range []struct{ id, text string }{{"a", "one"}, {"", "one"}, {"other", "one"}} {
+		again := put(is, c, 0, "pool", 0, r.id, r.text)
+		is.Equal(again.Fault, nil)
+		is.True(again.Repeated)
+		is.Equal(again.Revision, uint64(1))
+	}
+	again := put(is, c, 0, "pool", 0, "b", "two")
+	is.Equal(again.Fault.GetCode(), wire.Code_CODE_CONFLICT)
+	is.Equal(again.Revision, uint64(1)) // the first answer, not the current revision
+	is.Equal(put(is, c, 0, "pool", 1001, "a", "three").Fault.GetCode(), wire.Code_CODE_CONFLICT)
+	is.Equal(c.Revision(), uint64(1001))
+}
+
+// Guards against two changes with the same base, a base of another document and a bad text.
+func TestChangeNeedsCurrentBase(t *testing.T) {
+	is := is.New(t)
+	c := NewConfig(validate)
+	for _, k := range []struct {
+		service  string
+		base     uint64
+		text     string
+		code     wire.Code
+		revision uint64
+	}{
+		{"pool", 0, "one", 0, 1},
+		{"desk", 1, "one", wire.Code_CODE_CONFLICT, 0},
+		{"desk", 0, "one", 0, 2},
+		{"pool", 2, "two", wire.Code_CODE_CONFLICT, 1},
+		{"pool", 1, "bad", wire.Code_CODE_INVALID, 0},
+		{"pool", 1, "two", 0, 3},
+		{"pool", 1, "three", wire.Code_CODE_CONFLICT, 3},
+		{"", 0, "one", wire.Code_CODE_INVALID, 0},
+	} {
+		r := put(is, c, 0, k.service, k.base, "", k.text)
+		is.Equal(r.Fault.GetCode(), k.code)
+		is.Equal(r.Revision, k.revision)
+	}
+	is.Equal(c.History(&wire.HistoryRequest{Service: "pool"}).Documents[0].Revision, uint64(3))
+	is.Equal(string(c.Show(&wire.ShowRequest{Service: "pool", Revision: 1}).Documents[0].Text), "one")
+}
+
+// Guards against receipts that a clock set back keeps, or that a jump drops too early.
+func TestReceiptRetention(t *testing.T) {
+	is := is.New(t)
+	c := NewConfig(validate)
+	put(is, c, 10*time.Hour, "pool", 0, "a", "one")
+	put(is, c, 33*time.Hour, "desk", 0, "b", "one")
+	is.True(put(is, c, 0, "pool", 0, "a", "one").Repeated)
+	put(is, c, 35*time.Hour, "other", 0, "c", "one")
+	is.Equal(put(is, c, 0, "pool", 0, "a", "one").Fault.GetCode(), wire.Code_CODE_CONFLICT)
+	is.True(put(is, c, 0, "desk", 0, "b", "one").Repeated)
+}
+
+func announce(is *is.I, c *Config, incarnation, sequence uint64, address string) *wire.AnnounceReply {
+	return run(is, c.Apply, &wire.Command{Body: &wire.Command_Announce{Announce: &wire.AnnounceRequest{
+		Upstream: &wire.Upstream{Name: "w1", Incarnation: incarnation, Sequence: sequence, Address: address},
+	}}}, &wire.AnnounceReply{})
+}
+
+func leave(is *is.I, c *Config, incarnation, sequence uint64, expired bool) *wire.LeaveReply {
+	return run(is, c.Apply, &wire.Command{Body: &wire.Command_Leave{Leave: &wire.LeaveRequest{
+		Name: "w1", Incarnation: incarnation, Sequence: sequence, Expired: expired,
+	}}}, &wire.LeaveReply{})
+}
+
+// Guards against late announcements that bring back an incarnation that left or was replaced.
+func TestLateAnnouncements(t *testing.T) {
+	is := is.New(t)
+	c := NewConfig(validate)
+	live := func() (address string) {
+		c = restored(is, c)
+		for _, u := range c.Upstreams() {
+			address = u.Address
+		}
+		return address
+	}
+	announce(is, c, 5, 1, "a")
+	announce(is, c, 5, 3, "c")
+	announce(is, c, 5, 2, "b")
+	is.Equal(live(), "c")
+	is.Equal(announce(is, c, 4, 9, "x").Fault.GetCode(), wire.Code_CODE_CONFLICT)
+	leave(is, c, 4, 9, false)
+	is.Equal(live(), "c")
+	leave(is, c, 5, 2, true) // expiry decided before sequence 3 arrived
+	is.Equal(live(), "c")
+	leave(is, c, 5, 3, true)
+	is.Equal(live(), "")
+	is.Equal(announce(is, c, 5, 3, "c").Fault.GetCode(), wire.Code_CODE_CONFLICT)
+	is.Equal(announce(is, c, 5, 4, "d").Fault, nil) // it was silent, not gone
+	is.Equal(live(), "d")
+	leave(is, c, 5, 4, false)
+	is.Equal(announce(is, c, 5, 9, "e").Fault.GetCode(), wire.Code_CODE_CONFLICT)
+	is.Equal(live(), "")
+	leave(is, c, 7, 1, false) // overtook its own announcement
+	is.Equal(announce(is, c, 7, 0, "f").Fault.GetCode(), wire.Code_CODE_CONFLICT)
+	is.Equal(announce(is, c, 6, 9, "f").Fault.GetCode(), wire.Code_CODE_CONFLICT)
+	announce(is, c, 8, 0, "g")
+	is.Equal(live(), "g")
+}
+
+// Guards against deltas that leave out a change or bring an upstream back.
+func TestDeltas(t *testing.T) {
+	is := is.New(t)
+	c := NewConfig(validate)
+	announce(is, c, 1, 1, "a")
+	put(is, c, 0, "pool", 0, "", "one")
+	at := c.Revision()
+	announce(is, c, 1, 2, "a")
+	is.Equal(c.Revision(), at) // a heartbeat is no change
+	leave(is, c, 1, 3, false)
+	d := c.Since(at)
+	is.True(!d.Full)
+	is.Equal(len(d.Documents), 0)
+	is.True(d.Upstreams[0].Left)
+	d = restored(is, c).Since(at)
+	is.True(d.Full)
+	is.Equal(len(d.Upstreams), 0)
+	is.Equal(len(d.Documents), 1)
+	is.Equal(d.Revision, c.Revision())
+}
--- /dev/null
+++ b/internal/control/state/pin.go
@@ -0,0 +1,53 @@
+package state
+
+import (
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+type pinKey struct {
+	account string
+	service string
+	session string
+	model   string
+}
+
+type pin struct {
+	version string
+	instant int64
+}
+
+// pin creates or moves the pin of a session. Each request for an existing pin
+// counts as use and renews its retention, so that a session in use keeps its version.
+func (d *Data) pin(r *wire.PinRequest) *wire.PinReply {
+	if r.Account == "" || r.Session == "" || r.Version == "" {
+		return &wire.PinReply{Fault: fault(wire.Code_CODE_INVALID, "pin needs account, session and version")}
+	}
+	k := pinKey{account: r.Account, service: r.Service, session: r.Session, model: r.Model}
+	p := d.pins[k]
+	won := false
+	switch {
+	case p == nil && r.From != "":
+		return &wire.PinReply{Fault: fault(wire.Code_CODE_MISSING, "the session has no pin to move")}
+	case p == nil:
+		p, won = &pin{version: r.Version}, true
+		d.pins[k] = p
+	case r.From != "" && p.version == r.From:
+		p.version, won = r.Version, true
+	}
+	if p.instant != d.instant || won {
+		p.instant = d.instant
+		d.oldPins.add(k, d.instant)
+	}
+	return &wire.PinReply{Version: p.version, Won: won}
+}
+
+// Pin returns the version that a session is pinned to, empty if it has no pin.
+func (d *Data) Pin(r *wire.PinRequest) *wire.PinReply {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	p := d.pins[pinKey{account: r.Account, service: r.Service, session: r.Session, model: r.Model}]
+	if p == nil {
+		return &wire.PinReply{}
+	}
+	return &wire.PinReply{Version: p.version}
+}
--- /dev/null
+++ b/internal/control/state/view.go
@@ -0,0 +1,144 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// Delta is what changed after a revision, or everything if Full is set.
+type Delta struct {
+	Full      bool
+	Revision  uint64
+	Documents []*wire.Document
+	Upstreams []*wire.Upstream
+}
+
+// Revision returns the revision of the last change.
+func (c *Config) Revision() uint64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.revision
+}
+
+// Groups returns the number of data groups, zero before the group was formed.
+func (c *Config) Groups() uint32 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.groups
+}
+
+// Changed returns a channel that is closed at the next change of documents,
+// upstreams or drains.
+func (c *Config) Changed() <-chan struct{} {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.changed
+}
+
+// Drained tells whether the instance is to drain.
+func (c *Config) Drained(instance string) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.drains[instance]
+}
+
+// Drains counts the changes of drains that this process has seen.
+func (c *Config) Drains() uint64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.drained
+}
+
+// Since returns what changed after the given revision.
+func (c *Config) Since(revision uint64) Delta {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if revision == 0 || revision < c.floor || revision > c.revision {
+		return c.all()
+	}
+	first := sort.Search(len(c.recent), func(i int) bool { return c.recent[i].revision > revision })
+	d := Delta{Revision: c.revision}
+	services, upstreams := map[string]bool{}, map[string]bool{}
+	for _, n := range c.recent[first:] {
+		switch {
+		case n.service != "" && !services[n.service]:
+			services[n.service] = true
+			d.Documents = append(d.Documents, c.current(n.service))
+		case n.upstream != "" && !upstreams[n.upstream]:
+			upstreams[n.upstream] = true
+			d.Upstreams = append(d.Upstreams, proto.CloneOf(c.registry[n.upstream].Upstream))
+		}
+	}
+	return d
+}
+
+func (c *Config) all() Delta {
+	d := Delta{Full: true, Revision: c.revision}
+	for _, h := range c.history {
+		d.Documents = append(d.Documents, h[len(h)-1])
+	}
+	slices.SortFunc(d.Documents, func(a, b *wire.Document) int { return cmp.Compare(a.Service, b.Service) })
+	d.Upstreams = c.live()
+	return d
+}
+
+func (c *Config) live() []*wire.Upstream {
+	var out []*wire.Upstream
+	for _, r := range c.registry {
+		if !r.Upstream.Left {
+			out = append(out, proto.CloneOf(r.Upstream))
+		}
+	}
+	slices.SortFunc(out, func(a, b *wire.Upstream) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Upstreams lists the registered upstreams.
+func (c *Config) Upstreams() []*wire.Upstream {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.live()
+}
+
+// Show returns one document at one revision (0: the current one), or the
+// current documents of all services if service is empty.
+func (c *Config) Show(r *wire.ShowRequest) *wire.ShowReply {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if r.Service == "" {
+		return &wire.ShowReply{Documents: c.all().Documents}
+	}
+	h := c.history[r.Service]
+	if len(h) == 0 {
+		return &wire.ShowReply{Fault: fault(wire.Code_CODE_MISSING, "service "+r.Service+" has no document")}
+	}
+	if r.Revision == 0 {
+		return &wire.ShowReply{Documents: h[len(h)-1:]}
+	}
+	for _, d := range h {
+		if d.Revision == r.Revision {
+			return &wire.ShowReply{Documents: []*wire.Document{d}}
+		}
+	}
+	return &wire.ShowReply{Fault: fault(wire.Code_CODE_MISSING, "service "+r.Service+" has no such revision")}
+}
+
+// History returns the kept revisions of a document, newest first.
+func (c *Config) History(r *wire.HistoryRequest) *wire.HistoryReply {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	h := slices.Clone(c.history[r.Service])
+	if len(h) == 0 {
+		return &wire.HistoryReply{Fault: fault(wire.Code_CODE_MISSING, "service "+r.Service+" has no document")}
+	}
+	slices.Reverse(h)
+	if r.Limit > 0 && len(h) > int(r.Limit) {
+		h = h[:r.Limit]
+	}
+	return &wire.HistoryReply{Documents: h}
+}
