control: serve leases, changes and data calls of the control service

Cause: entries need a lease on the configuration and calls to the groups. Ruled out: one lease time per entry, since an entry whose answers get lost would then hold back a change for as long as it keeps asking; each grant is recorded with the revision it was answered with instead. Change: Service over a small Node interface: renewals as long polls, tracking of what is in force, soft state of upstreams and counters, expiry, redirects. Before: no package. After: 8 tests pass on manual time with the race detector. Conclusion: forming and joining groups wait for the replica package.

--- /dev/null
+++ b/internal/control/entry/data.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/state"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// group returns the data group of a key.
+func (s *Service) group(account, key string) uint32 {
+	return state.GroupOf(account, key, uint32(len(s.data)))
+}
+
+// Claim makes one move of a claim, or reads it.
+func (s *Service) Claim(ctx context.Context, r *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	group := s.group(r.Account, r.Key)
+	if r.Step == wire.Step_STEP_READ {
+		return s.readClaim(ctx, group, r), nil
+	}
+	reply := &wire.ClaimReply{}
+	c := &wire.Command{Body: &wire.Command_Claim{Claim: r}}
+	if f := s.propose(ctx, group, c, reply); f != nil {
+		return &wire.ClaimReply{Fault: f}, nil
+	}
+	if !reply.Won && reply.Phase != wire.Phase_PHASE_NONE {
+		now, _ := s.data[group-1].Claim(r)
+		if now.Epoch == reply.Epoch && now.Phase == reply.Phase {
+			reply.Age = now.Age
+		}
+	}
+	return reply, nil
+}
+
+// readClaim returns a claim once it is done, or as it is when the wait is over.
+func (s *Service) readClaim(ctx context.Context, group uint32, r *wire.ClaimRequest) *wire.ClaimReply {
+	if f := s.read(ctx, group); f != nil {
+		return &wire.ClaimReply{Fault: f}
+	}
+	wait := min(time.Duration(r.Wait)*time.Millisecond, waitLimit)
+	pause, cancel := timer.WithTimeout(ctx, s.timer, wait)
+	defer cancel()
+	for {
+		reply, ended := s.data[group-1].Claim(r)
+		if reply.Fault != nil || wait <= 0 || reply.Phase == wire.Phase_PHASE_DONE || reply.Phase == wire.Phase_PHASE_NONE {
+			return reply
+		}
+		select {
+		case <-ended:
+			continue
+		case <-pause.Done():
+		}
+		// The state is read anew after the wait: it may be that of a former leader.
+		if f := s.read(ctx, group); f != nil {
+			return &wire.ClaimReply{Fault: f}
+		}
+		reply, _ = s.data[group-1].Claim(r)
+		return reply
+	}
+}
+
+// Pin creates, moves or, without a version, reads the pin of a session.
+func (s *Service) Pin(ctx context.Context, r *wire.PinRequest) (*wire.PinReply, error) {
+	group := s.group(r.Account, state.PinKey(r.Service, r.Session))
+	if r.Version == "" {
+		if f := s.read(ctx, group); f != nil {
+			return &wire.PinReply{Fault: f}, nil
+		}
+		return s.data[group-1].Pin(r), nil
+	}
+	reply := &wire.PinReply{}
+	c := &wire.Command{Body: &wire.Command_Pin{Pin: r}}
+	if f := s.propose(ctx, group, c, reply); f != nil {
+		return &wire.PinReply{Fault: f}, nil
+	}
+	return reply, nil
+}
+
+// Charge records the charge of a request once.
+func (s *Service) Charge(ctx context.Context, r *wire.ChargeRequest) (*wire.ChargeReply, error) {
+	reply := &wire.ChargeReply{}
+	c := &wire.Command{Body: &wire.Command_Charge{Charge: r}}
+	if f := s.propose(ctx, s.group(r.Account, r.Request), c, reply); f != nil {
+		return &wire.ChargeReply{Fault: f}, nil
+	}
+	return reply, nil
+}
+
+// Ledger returns the totals and latest charges of one data group.
+func (s *Service) Ledger(ctx context.Context, r *wire.LedgerRequest) (*wire.LedgerReply, error) {
+	if r.Group == 0 || int(r.Group) > len(s.data) {
+		return &wire.LedgerReply{Fault: &wire.Fault{Code: wire.Code_CODE_INVALID, Text: "no such data group"}}, nil
+	}
+	if f := s.read(ctx, r.Group); f != nil {
+		return &wire.LedgerReply{Fault: f}, nil
+	}
+	return s.data[r.Group-1].Ledger(r), nil
+}
--- /dev/null
+++ b/internal/control/entry/documents.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// Apply changes a document and, if asked to, waits for the change to be in force.
+func (s *Service) Apply(ctx context.Context, r *wire.ApplyRequest) (*wire.ApplyReply, error) {
+	reply := &wire.ApplyReply{}
+	c := &wire.Command{Body: &wire.Command_Apply{Apply: r}}
+	if f := s.propose(ctx, 0, c, reply); f != nil {
+		return &wire.ApplyReply{Fault: f}, nil
+	}
+	if reply.Fault != nil {
+		return reply, nil
+	}
+	committed := s.timer.Now()
+	wait := min(time.Duration(r.Wait)*time.Millisecond, waitLimit)
+	reply.Inforce = s.awaitInforce(ctx, reply.Revision, wait)
+	if reply.Inforce {
+		reply.Elapsed = uint32(s.timer.Now().Sub(committed).Milliseconds())
+	}
+	return reply, nil
+}
+
+// awaitInforce waits until the revision is in force everywhere. It returns false
+// if the wait ends first or this instance stops leading.
+func (s *Service) awaitInforce(ctx context.Context, revision uint64, wait time.Duration) bool {
+	deadline := s.timer.Now().Add(wait)
+	for {
+		renewed, _ := s.table.watch()
+		term, ok := s.nodes[0].Leading()
+		if !ok {
+			return false
+		}
+		s.table.lead(term)
+		reached, again := s.table.inforce(max(revision, s.config.Revision()))
+		if reached >= revision {
+			return true
+		}
+		left := deadline.Sub(s.timer.Now())
+		if left <= 0 {
+			return false
+		}
+		if again > 0 {
+			left = min(left, again)
+		}
+		pause, cancel := timer.WithTimeout(ctx, s.timer, left)
+		select {
+		case <-renewed:
+		case <-pause.Done():
+		}
+		cancel()
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
+// Show returns documents.
+func (s *Service) Show(ctx context.Context, r *wire.ShowRequest) (*wire.ShowReply, error) {
+	if f := s.read(ctx, 0); f != nil {
+		return &wire.ShowReply{Fault: f}, nil
+	}
+	return s.config.Show(r), nil
+}
+
+// History returns the former revisions of a document.
+func (s *Service) History(ctx context.Context, r *wire.HistoryRequest) (*wire.HistoryReply, error) {
+	if f := s.read(ctx, 0); f != nil {
+		return &wire.HistoryReply{Fault: f}, nil
+	}
+	return s.config.History(r), nil
+}
+
+// Status returns the state of the groups. Without a majority it carries a fault
+// and what this instance knows by itself.
+func (s *Service) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusReply, error) {
+	f := s.read(ctx, 0)
+	if f.GetCode() == wire.Code_CODE_REDIRECT {
+		return &wire.StatusReply{Fault: f}, nil
+	}
+	reply := &wire.StatusReply{Fault: f, Revision: s.config.Revision(), Upstreams: s.config.Upstreams()}
+	if f == nil {
+		reply.Inforce, _ = s.table.inforce(reply.Revision)
+		reply.Leases = s.table.leases()
+	}
+	for _, n := range s.nodes {
+		reply.Groups = append(reply.Groups, n.Status())
+	}
+	return reply, nil
+}
+
+// Drain tells an entry to finish its work and take no more.
+func (s *Service) Drain(ctx context.Context, r *wire.DrainRequest) (*wire.DrainReply, error) {
+	reply := &wire.DrainReply{}
+	c := &wire.Command{Body: &wire.Command_Drain{Drain: r}}
+	if f := s.propose(ctx, 0, c, reply); f != nil {
+		return &wire.DrainReply{Fault: f}, nil
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/control/entry/fake_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// fakeNode is a group of one replica whose leadership the test sets.
+type fakeNode struct {
+	apply func(command []byte) []byte
+
+	mu      sync.Mutex
+	term    uint64
+	leading bool
+	leader  string
+	err     error
+	reads   int
+}
+
+func (f *fakeNode) Propose(_ context.Context, command []byte) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.leading {
+		return nil, ErrNotLeader
+	}
+	if f.err != nil {
+		return nil, f.err
+	}
+	return f.apply(command), nil
+}
+
+func (f *fakeNode) Read(context.Context) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if !f.leading {
+		return ErrNotLeader
+	}
+	return f.err
+}
+
+func (f *fakeNode) Leader() (string, uint64, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader, f.term, f.leader != ""
+}
+
+func (f *fakeNode) Leading() (uint64, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.term, f.leading
+}
+
+func (f *fakeNode) Status() *wire.GroupStatus { return &wire.GroupStatus{} }
+
+func (f *fakeNode) set(leading bool, term uint64, leader string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leading, f.term, f.leader = leading, term, leader
+}
--- /dev/null
+++ b/internal/control/entry/service.go
@@ -0,0 +1,207 @@
+// Package entry serves the Control service of a control instance to entries,
+// operators' instances and joining replicas.
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/state"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+const (
+	// LeasePeriod is how long an entry may count on its configuration after a renewal.
+	LeasePeriod = 2000 * time.Millisecond
+	// PollLimit bounds how long a renewal is held back.
+	PollLimit = 500 * time.Millisecond
+	// callLimit bounds the wait for a majority. It is below the client's deadline
+	// of 1 s for one attempt, so that the client learns the reason.
+	callLimit = 800 * time.Millisecond
+	// waitLimit bounds how long a change waits to be in force and a claim to be done.
+	waitLimit = 30 * time.Second
+	// checkInterval is how often leases and registrations are checked for their end.
+	checkInterval = 100 * time.Millisecond
+)
+
+// Errors that a Node returns. Any other error of Propose counts as ErrUnknown.
+var (
+	// ErrNotLeader means that the node does not lead; nothing was done.
+	ErrNotLeader = errors.New("not the leader")
+	// ErrUnknown means that the command may or may not be committed.
+	ErrUnknown = errors.New("outcome unknown")
+	// ErrFull means that the disk is full; nothing was done.
+	ErrFull = errors.New("storage full")
+)
+
+// Node is the replica of one group as this package uses it.
+type Node interface {
+	// Propose returns the result of the applied command.
+	Propose(ctx context.Context, command []byte) (result []byte, err error)
+	// Read returns nil once a majority confirmed the leadership after the call
+	// began and the state is applied up to that point.
+	Read(ctx context.Context) error
+	// Leader returns the address of the leader last heard of.
+	Leader() (address string, term uint64, known bool)
+	// Leading tells whether the node leads with an unexpired leader lease.
+	Leading() (term uint64, ok bool)
+	Status() *wire.GroupStatus
+}
+
+// Service implements the calls of the Control service except Identify and Join.
+type Service struct {
+	timer   timer.Service
+	log     *zap.Logger
+	address string
+	config  *state.Config
+	data    []*state.Data
+	nodes   []Node
+	table   *table
+
+	mu sync.Mutex
+	// confirmed is the term in which a majority confirmed this leader of group 0.
+	confirmed uint64
+}
+
+// Parts is what a Service works with.
+type Parts struct {
+	Timer timer.Service
+	Log   *zap.Logger
+	// Address is this instance's own peer address.
+	Address string
+	Config  *state.Config
+	Data    []*state.Data
+	// Nodes holds the replica of group 0 and then those of the data groups in order.
+	Nodes []Node
+}
+
+// NewService returns the service of one control instance.
+func NewService(p Parts) *Service {
+	return &Service{
+		timer: p.Timer, log: p.Log, address: p.Address, config: p.Config, data: p.Data, nodes: p.Nodes,
+		table: newTable(p.Timer),
+	}
+}
+
+// Run ends the leases of silent entries and the registrations of silent
+// upstreams while this instance leads group 0.
+func (s *Service) Run(ctx context.Context) error {
+	ticks := s.timer.Subscribe(checkInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+			s.check(ctx)
+		}
+	}
+}
+
+func (s *Service) check(ctx context.Context) {
+	term, ok := s.nodes[0].Leading()
+	if !ok {
+		return
+	}
+	s.table.lead(term)
+	s.table.prune()
+	s.expireUpstreams(ctx)
+}
+
+// reply is the answer to a command that goes through the log.
+type reply interface {
+	proto.Message
+	GetFault() *wire.Fault
+}
+
+// propose commits a command in a group and decodes the reply. A returned fault
+// says that the group gave no reply.
+func (s *Service) propose(ctx context.Context, group uint32, c *wire.Command, r reply) *wire.Fault {
+	n := s.nodes[group]
+	if _, ok := n.Leading(); !ok {
+		return s.redirect(group)
+	}
+	c.Instant = s.timer.Wall().UnixMilli()
+	command, err := proto.Marshal(c)
+	if err != nil {
+		return &wire.Fault{Code: wire.Code_CODE_INVALID, Text: err.Error()}
+	}
+	result, err := n.Propose(ctx, command)
+	if err != nil {
+		return s.explain(group, err)
+	}
+	if err := proto.Unmarshal(result, r); err != nil {
+		return &wire.Fault{Code: wire.Code_CODE_UNKNOWN, Text: err.Error()}
+	}
+	return nil
+}
+
+// read confirms that the state of the group is current.
+func (s *Service) read(ctx context.Context, group uint32) *wire.Fault {
+	if _, ok := s.nodes[group].Leading(); !ok {
+		return s.redirect(group)
+	}
+	ctx, cancel := timer.WithTimeout(ctx, s.timer, callLimit)
+	defer cancel()
+	if err := s.nodes[group].Read(ctx); err != nil {
+		f := s.explain(group, err)
+		if f.Code == wire.Code_CODE_UNKNOWN {
+			f.Code = wire.Code_CODE_UNAVAILABLE
+		}
+		return f
+	}
+	return nil
+}
+
+func (s *Service) explain(group uint32, err error) *wire.Fault {
+	switch {
+	case errors.Is(err, ErrNotLeader):
+		return s.redirect(group)
+	case errors.Is(err, ErrFull):
+		return &wire.Fault{Code: wire.Code_CODE_FULL, Text: err.Error()}
+	}
+	return &wire.Fault{Code: wire.Code_CODE_UNKNOWN, Text: err.Error()}
+}
+
+// redirect names the leader. A node that believes to lead without a valid leader
+// lease is no leader to send anybody to.
+func (s *Service) redirect(group uint32) *wire.Fault {
+	address, _, known := s.nodes[group].Leader()
+	if _, ok := s.nodes[group].Leading(); ok || !known || address == "" || address == s.address {
+		return &wire.Fault{Code: wire.Code_CODE_UNAVAILABLE, Text: "no leader is confirmed"}
+	}
+	return &wire.Fault{Code: wire.Code_CODE_REDIRECT, Text: "not the leader", Leader: address}
+}
+
+// lead confirms that this instance leads group 0 and returns its term. The first
+// call of a term waits until a majority confirmed it, so that leases are granted
+// on the state that the former leader left.
+func (s *Service) lead(ctx context.Context) (term uint64, f *wire.Fault) {
+	term, ok := s.nodes[0].Leading()
+	if !ok {
+		return 0, s.redirect(0)
+	}
+	s.table.lead(term)
+	s.mu.Lock()
+	confirmed := s.confirmed == term
+	s.mu.Unlock()
+	if confirmed {
+		return term, nil
+	}
+	if f := s.read(ctx, 0); f != nil {
+		return 0, f
+	}
+	if now, ok := s.nodes[0].Leading(); !ok || now != term {
+		return 0, s.redirect(0)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmed = term
+	return term, nil
+}
--- /dev/null
+++ b/internal/control/entry/service_test.go
@@ -0,0 +1,243 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/state"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// bench is a service over groups of one replica each.
+type bench struct {
+	*Service
+	clock *clock
+	nodes []*fakeNode
+}
+
+// clock counts the long polls that wait.
+type clock struct {
+	*timer.Manual
+	parked atomic.Int64
+}
+
+func (c *clock) AfterFunc(d time.Duration, f func()) func() {
+	stop := c.Manual.AfterFunc(d, f)
+	if d == PollLimit {
+		c.parked.Add(1)
+	}
+	return stop
+}
+
+func newBench() *bench {
+	clock := &clock{Manual: timer.NewManual()}
+	c, d := state.NewConfig(nil), state.NewData(clock.Now)
+	b := &bench{clock: clock, nodes: []*fakeNode{
+		{apply: c.Apply, term: 1, leading: true}, {apply: d.Apply, term: 1, leading: true},
+	}}
+	b.Service = NewService(Parts{
+		Timer: clock, Log: zap.NewNop(), Address: "self", Config: c, Data: []*state.Data{d},
+		Nodes: []Node{b.nodes[0], b.nodes[1]},
+	})
+	b.check(context.Background())
+	return b
+}
+
+// settle lets the leases of a former leader expire.
+func (b *bench) settle() { b.clock.Advance(LeasePeriod) }
+
+func (b *bench) renew(is *is.I, name string, applied uint64, heard ...*wire.Heard) *wire.RenewReply {
+	r, err := b.Renew(context.Background(), &wire.RenewRequest{Instance: &wire.Instance{Name: name}, Applied: applied, Heard: heard})
+	is.NoErr(err)
+	return r
+}
+
+func (b *bench) put(is *is.I, base uint64, text string, wait time.Duration) *wire.ApplyReply {
+	r, err := b.Apply(context.Background(), &wire.ApplyRequest{
+		Service: "pool", Base: base, Text: []byte(text), Wait: uint32(wait.Milliseconds()),
+	})
+	is.NoErr(err)
+	return r
+}
+
+// Guards against a change that is called in force while an entry may still work
+// on the one before it.
+func TestInforceWaitsForLeases(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.settle()
+	is.True(b.put(is, 0, "one", 0).Inforce) // no entry at all
+	b.renew(is, "e1", 0)
+	b.renew(is, "e2", 0)
+	is.Equal(b.put(is, 1, "two", 0).Inforce, false)
+	is.Equal(b.renew(is, "e1", 1).Revision, uint64(2))
+	b.renew(is, "e1", 2)
+	b.clock.Advance(LeasePeriod - 1)
+	reached, _ := b.table.inforce(2)
+	is.Equal(reached, uint64(1)) // e2 has not renewed, but its lease holds
+	b.clock.Advance(1)
+	reached, _ = b.table.inforce(2)
+	is.Equal(reached, uint64(2))
+}
+
+// Guards against an entry whose answers get lost and that holds back a change
+// beyond the lease it had: each answer carries the change with the lease.
+func TestLostAnswersDoNotHoldBack(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.settle()
+	b.put(is, 0, "one", 0)
+	b.renew(is, "e1", 1)
+	b.put(is, 1, "two", 0)
+	for range 4 {
+		b.clock.Advance(LeasePeriod / 4)
+		b.renew(is, "e1", 1)
+	}
+	reached, _ := b.table.inforce(2)
+	is.Equal(reached, uint64(2))
+}
+
+// Guards against a new leader that does not wait for the leases of the former one.
+func TestElectionDelaysInforce(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.settle()
+	b.nodes[0].set(true, 2, "")
+	is.Equal(b.put(is, 0, "one", 0).Inforce, false)
+	b.clock.Advance(LeasePeriod - 1)
+	is.Equal(b.put(is, 0, "one", 0).Inforce, false)
+	b.clock.Advance(1)
+	r := b.put(is, 0, "one", 0)
+	is.True(r.Inforce && r.Repeated)
+}
+
+// Guards against a lease that is granted without a valid leader lease, or on a
+// state that no majority confirmed in this term.
+func TestLeaseNeedsLeadership(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.renew(is, "e1", 1)
+	is.Equal(b.nodes[0].reads, 1)
+	b.renew(is, "e1", 1)
+	is.Equal(b.nodes[0].reads, 1)
+	b.nodes[0].set(false, 1, "self")
+	is.Equal(b.renew(is, "e1", 1).Fault.GetCode(), wire.Code_CODE_UNAVAILABLE)
+	b.nodes[0].set(false, 2, "other")
+	r := b.renew(is, "e1", 1)
+	is.Equal(r.Fault.GetCode(), wire.Code_CODE_REDIRECT)
+	is.Equal(r.Fault.Leader, "other")
+	is.Equal(r.Lease, uint32(0))
+	b.nodes[0].set(true, 3, "self")
+	b.nodes[0].err = ErrUnknown
+	is.Equal(b.renew(is, "e1", 1).Fault.GetCode(), wire.Code_CODE_UNAVAILABLE)
+}
+
+// Guards against a lease granted after leadership was lost during the long poll.
+func TestLeadershipLostWhileParked(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.settle()
+	soft := b.renew(is, "e1", 0).Soft
+	p := b.park(&wire.RenewRequest{Instance: &wire.Instance{Name: "e1"}, Soft: soft})
+	b.nodes[0].set(false, 1, "other")
+	b.clock.Advance(PollLimit)
+	is.Equal((<-p.done).Fault.GetCode(), wire.Code_CODE_REDIRECT)
+}
+
+// Guards against a change that reaches entries only when their long poll ends.
+func TestChangeEndsPoll(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.settle()
+	soft := b.renew(is, "e1", 0).Soft
+	for _, act := range []func(){
+		func() { b.put(is, 0, "one", 0) },
+		func() { _, _ = b.Drain(context.Background(), &wire.DrainRequest{Instance: "e1"}) },
+	} {
+		p := b.park(&wire.RenewRequest{Instance: &wire.Instance{Name: "e1"}, Soft: soft, Applied: b.config.Revision()})
+		act()
+		r := <-p.done
+		is.Equal(r.Revision, b.config.Revision())
+		soft = r.Soft
+	}
+	is.True(b.renew(is, "e2", 1).Entries[0].Draining)
+}
+
+// poll is a renewal in progress.
+type poll struct {
+	service *Service
+	request *wire.RenewRequest
+	done    chan *wire.RenewReply
+}
+
+func (p *poll) run() {
+	r, _ := p.service.Renew(context.Background(), p.request)
+	p.done <- r
+}
+
+// park begins a renewal and returns once it is on the books and waits.
+func (b *bench) park(r *wire.RenewRequest) *poll {
+	before := b.clock.parked.Load()
+	r.Wait = uint32(PollLimit.Milliseconds())
+	p := &poll{service: b.Service, request: r, done: make(chan *wire.RenewReply, 1)}
+	go p.run()
+	for b.clock.parked.Load() == before {
+		time.Sleep(time.Millisecond)
+	}
+	return p
+}
+
+// Guards against an upstream that is kept though nobody hears it, or ended though
+// it was heard, or ended because nobody listened.
+func TestSilentUpstreams(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	ctx := context.Background()
+	for _, n := range []string{"w1", "w2"} {
+		_, err := b.Announce(ctx, &wire.AnnounceRequest{Upstream: &wire.Upstream{Name: n, Incarnation: 1, Lease: 3000}})
+		is.NoErr(err)
+	}
+	tick := func(heard ...*wire.Heard) {
+		b.clock.Advance(time.Second)
+		if heard != nil {
+			b.renew(is, "e1", 1, heard...)
+		}
+		b.check(ctx)
+	}
+	for range 10 {
+		tick()
+	}
+	is.Equal(len(b.config.Upstreams()), 2) // no entry listens
+	for range 5 {
+		tick(&wire.Heard{Name: "w1", Incarnation: 1, Load: &wire.Load{Running: 3, Sequence: 2}})
+	}
+	is.Equal(len(b.config.Upstreams()), 1)
+	is.Equal(b.config.Upstreams()[0].Name, "w1")
+	r := b.renew(is, "e2", 0)
+	is.Equal(r.Loads[0].Load.Running, uint32(3))
+}
+
+// Guards against counters that are lost with the entry that sent them.
+func TestTalliesOutliveEntries(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	ctx := context.Background()
+	for _, n := range []string{"e1", "e2"} {
+		_, err := b.Renew(ctx, &wire.RenewRequest{Instance: &wire.Instance{Name: n}, Tallies: []*wire.Tally{
+			{Account: "acme", Requests: 5, Refusals: 1, Waits: []uint64{1, 2}},
+		}})
+		is.NoErr(err)
+	}
+	b.settle()
+	b.check(ctx)
+	r := b.renew(is, "e3", 0)
+	is.Equal(len(r.Entries), 1)
+	is.Equal(r.Tallies[0].Requests, uint64(10))
+	is.Equal(r.Tallies[0].Waits, []uint64{2, 4})
+}
