--- a/internal/control/state/claim.go
+++ b/internal/control/state/claim.go
@@ -37,7 +37,7 @@
 	if c != nil && c.phase != wire.Phase_PHASE_NONE && r.Digest != "" && c.digest != r.Digest {
 		return c.reply(fault(wire.Code_CODE_CONFLICT, "the key was used with another body"), false)
 	}
-	if c != nil && r.Nonce != 0 && c.nonce == r.Nonce && c.owner == r.Owner && r.Step == c.step() {
+	if c.repeated(r) {
 		return c.reply(nil, true)
 	}
 	switch r.Step {
@@ -98,6 +98,13 @@
 	return c != nil && c.phase == phase && c.owner == r.Owner && c.epoch == r.Epoch
 }
 
+// repeated tells whether the request is another attempt of the move that led to
+// the claim as it is now.
+func (c *claim) repeated(r *wire.ClaimRequest) bool {
+	return c != nil && r.Nonce != 0 && c.nonce == r.Nonce && c.owner == r.Owner && r.Step == c.step() &&
+		(r.Step == wire.Step_STEP_OPEN || c.epoch == r.Epoch)
+}
+
 // step returns the step that led to the claim's phase.
 func (c *claim) step() wire.Step {
 	switch c.phase {
