--- /dev/null
+++ b/internal/control/entry/members.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// Replica is a Node whose group can change its members. Each change returns once
+// it is committed.
+type Replica interface {
+	Node
+	AddLearner(ctx context.Context, identity, address string) error
+	Promote(ctx context.Context, identity string) error
+	Remove(ctx context.Context, identity string) error
+}
+
+// membership repairs the groups after an instance lost its disk.
+type membership struct {
+	timer     timer.Service
+	log       *zap.Logger
+	addresses []string
+	nodes     []Replica
+}
+
+// join makes the next change for a joining replica in each group that this
+// instance leads. The joining replica calls again until all groups have it as a voter.
+func (m *membership) join(ctx context.Context, r *wire.JoinRequest) *wire.JoinReply {
+	reply := &wire.JoinReply{Groups: uint32(len(m.nodes) - 1)}
+	if r.Identity == "" || !slices.Contains(m.addresses, r.Address) {
+		reply.Fault = &wire.Fault{Code: wire.Code_CODE_INVALID, Text: "not one of the control addresses: " + r.Address}
+		return reply
+	}
+	ctx, cancel := timer.WithTimeout(ctx, m.timer, callLimit)
+	defer cancel()
+	for g, n := range m.nodes {
+		if _, ok := n.Leading(); !ok {
+			continue
+		}
+		voting, err := m.step(ctx, n, r)
+		if err != nil {
+			m.log.Warn("membership not changed", zap.Int("group", g), zap.String("address", r.Address), zap.Error(err))
+			reply.Fault = &wire.Fault{Code: wire.Code_CODE_UNAVAILABLE, Text: err.Error()}
+			continue
+		}
+		if voting {
+			reply.Voting = append(reply.Voting, uint32(g))
+		}
+	}
+	reply.Done = len(reply.Voting) == len(m.nodes)
+	return reply
+}
+
+// step makes at most one change in one group: learner first, then the end of the
+// former identity at the same address, then the vote. It returns true once the
+// replica votes and holds everything committed up to its promotion.
+func (m *membership) step(ctx context.Context, n Replica, r *wire.JoinRequest) (voting bool, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrapf(err, "join of %s", r.Address)
+		}
+	}()
+	st := n.Status()
+	var joining, former *wire.Replicator
+	for _, m := range st.GetReplicas() {
+		switch {
+		case m.Identity == r.Identity:
+			joining = m
+		case m.Address == r.Address:
+			former = m
+		}
+	}
+	switch {
+	case joining == nil:
+		return false, n.AddLearner(ctx, r.Identity, r.Address)
+	case joining.Match < st.Commit:
+		return false, nil
+	case former != nil:
+		return false, n.Remove(ctx, former.Identity)
+	case !joining.Voter:
+		return false, n.Promote(ctx, r.Identity)
+	}
+	return true, nil
+}
--- a/internal/control/entry/service.go
+++ b/internal/control/entry/service.go
@@ -99,19 +99,40 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticks.C:
-			s.check(ctx)
+			if err := s.check(ctx); err != nil {
+				return err
+			}
 		}
 	}
 }
 
-func (s *Service) check(ctx context.Context) {
+// check does what is due now. An error ends the process: the instance does not
+// fit the control group.
+func (s *Service) check(ctx context.Context) error {
+	if n := s.config.Groups(); n != 0 && n != uint32(len(s.data)) {
+		return errors.Newf("setting groups is %d, but the control group was formed with %d", len(s.data), n)
+	}
 	term, ok := s.nodes[0].Leading()
 	if !ok {
-		return
+		return nil
 	}
 	s.table.lead(term)
 	s.table.prune()
 	s.expireUpstreams(ctx)
+	if s.config.Groups() == 0 {
+		s.form(ctx)
+	}
+	return nil
+}
+
+// form fixes the number of data groups.
+func (s *Service) form(ctx context.Context) {
+	ctx, cancel := timer.WithTimeout(ctx, s.timer, callLimit)
+	defer cancel()
+	c := &wire.Command{Body: &wire.Command_Form{Form: &wire.FormCommand{Groups: uint32(len(s.data))}}}
+	if f := s.propose(ctx, 0, c, &wire.ApplyReply{}); f != nil {
+		s.log.Warn("number of groups not fixed", zap.String("cause", f.Text))
+	}
 }
 
 // reply is the answer to a command that goes through the log.
--- a/internal/control/entry/service_test.go
+++ b/internal/control/entry/service_test.go
@@ -45,7 +45,7 @@
 		Timer: clock, Log: zap.NewNop(), Address: "self", Config: c, Data: []*state.Data{d},
 		Nodes: []Node{b.nodes[0], b.nodes[1]},
 	})
-	b.check(context.Background())
+	_ = b.check(context.Background())
 	return b
 }
 
@@ -208,7 +208,7 @@
 		if heard != nil {
 			b.renew(is, "e1", 1, heard...)
 		}
-		b.check(ctx)
+		is.NoErr(b.check(ctx))
 	}
 	for range 10 {
 		tick()
@@ -235,9 +235,19 @@
 		is.NoErr(err)
 	}
 	b.settle()
-	b.check(ctx)
+	is.NoErr(b.check(ctx))
 	r := b.renew(is, "e3", 0)
 	is.Equal(len(r.Entries), 1)
 	is.Equal(r.Tallies[0].Requests, uint64(10))
 	is.Equal(r.Tallies[0].Waits, []uint64{2, 4})
 }
+
+// Guards against an instance whose number of data groups is not the one that the
+// control group was formed with: it would look for keys in the wrong group.
+func TestGroupsAreFixed(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	is.Equal(b.config.Groups(), uint32(1))
+	b.data = append(b.data, b.data[0])
+	is.True(b.check(context.Background()) != nil)
+}
