control: pass over control addresses that failed a short time ago

Cause: until followers notice that a leader is gone they name it, and each attempt at a silent one costs the whole deadline of 1 s. Ruled out: a shorter deadline, since it drops healthy connections under load. Change: an address that failed is avoided for 1 s unless it answers meanwhile; a caller that gives up does not count; a refused token counts as not sent. Before: a redirect was followed to a silent address each time. Conclusion: finding the next leader costs one deadline at most.

--- a/internal/entry/control/bench_test.go
+++ b/internal/entry/control/bench_test.go
@@ -97,6 +97,7 @@
 	servers map[string]*drpcserver.Server
 	// silent addresses accept connections and never answer.
 	silent map[string]bool
+	dials  int
 }
 
 func newBench(t *testing.T, clock timer.Service) *bench {
@@ -139,6 +140,7 @@
 func (b *bench) dial(_ context.Context, address string) (net.Conn, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.dials++
 	s := b.servers[address]
 	if s == nil {
 		return nil, errors.New("connection refused")
--- a/internal/entry/control/call.go
+++ b/internal/entry/control/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmetadata"
 
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -15,6 +16,9 @@
 // that the instances do not agree on the leader yet.
 const redirectLimit = 3
 
+// refusedToken is the drpc error code of a refused peer token.
+const refusedToken = 16
+
 // call says how one call is made.
 type call struct {
 	group uint32
@@ -40,11 +44,15 @@
 	last := errors.New("not tried")
 	for ctx.Err() == nil {
 		address := c.leaders.pick(k.group)
-		reply, sent, err := attempt(ctx, c, k, address, r, m)
+		var sent bool
+		reply, sent, err = attempt(ctx, c, k, address, r, m)
 		if err != nil {
 			maybe = maybe || sent && k.changes
 			last = errors.Wrapf(err, "control instance %s", address)
-			c.leaders.forget(k.group, address)
+			// A caller that gave up says nothing about the instance.
+			if ctx.Err() == nil {
+				c.leaders.fail(k.group, address)
+			}
 			c.pause(ctx)
 			continue
 		}
@@ -64,7 +72,7 @@
 			last = errors.Newf("control instance %s: %s", address, f.Text)
 			c.leaders.forget(k.group, address)
 		default:
-			c.leaders.learn(k.group, address)
+			c.leaders.answered(k.group, address)
 			return reply, failure(f, maybe)
 		}
 		c.pause(ctx)
@@ -89,7 +97,8 @@
 		k.pool.drop(address)
 		err = errors.Newf("no answer within %s", k.limit)
 	}
-	return reply, true, err
+	// A refused token says that the instance has not read the request.
+	return reply, drpcerr.Code(err) != refusedToken, err
 }
 
 // pause waits a short random time before the next attempt.
--- a/internal/entry/control/client.go
+++ b/internal/entry/control/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -47,7 +46,7 @@
 	}
 	return &Client{
 		options: o,
-		leaders: leaders{addresses: slices.Clone(o.Addresses), known: map[uint32]string{}, next: o.Random.IntN(len(o.Addresses))},
+		leaders: newLeaders(o),
 		polls:   newPool(o.Dial),
 		calls:   newPool(o.Dial),
 		updated: make(chan struct{}),
--- a/internal/entry/control/client_test.go
+++ b/internal/entry/control/client_test.go
@@ -184,3 +184,25 @@
 	is.True(errors.Is(err, ErrUnavailable))
 	is.Equal(errors.Is(err, ErrUnknown), false)
 }
+
+// Guards against calls that open a connection each, and against a caller that gives
+// up and makes the others look for another leader.
+func TestConnectionsAreReused(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, timer.NewSystem())
+	c := b.client(is, "e1")
+	ctx := context.Background()
+	for i := range 200 {
+		_, err := c.Charge(ctx, &wire.ChargeRequest{Account: "acme", Request: string(text(i))})
+		is.NoErr(err)
+	}
+	is.True(b.dials <= 8)
+	before := b.dials
+	gone, cancel := context.WithCancel(ctx)
+	cancel()
+	_, err := c.Show(gone, &wire.ShowRequest{})
+	is.True(errors.Is(err, ErrUnavailable))
+	_, err = c.Show(ctx, &wire.ShowRequest{})
+	is.NoErr(err)
+	is.True(b.dials <= before+1)
+}
--- a/internal/entry/control/options.go
+++ b/internal/entry/control/options.go
@@ -41,8 +41,9 @@
 	// Instance describes this entry to the others.
 	Instance *wire.Instance
 	// Epoch is random per process start.
-	Epoch  uint64
-	Timer  timer.Service
+	Epoch uint64
+	Timer timer.Service
+	// Random is used by this client alone.
 	Random *rand.Rand
 	Log    *zap.Logger
 	// Parse reads the text of a document; encoding/json by default.
--- a/internal/entry/control/renew.go
+++ b/internal/entry/control/renew.go
@@ -54,7 +54,7 @@
 		err = c.accept(reply, sent)
 	}
 	if err != nil {
-		c.leaders.forget(0, address)
+		c.leaders.fail(0, address)
 		c.restore(r.Heard)
 		return false, err
 	}
@@ -64,7 +64,7 @@
 		followed = f.Code == wire.Code_CODE_REDIRECT && c.leaders.learn(0, f.Leader)
 		return followed, errors.Newf("%s refused: %s", address, f.Text)
 	}
-	c.leaders.learn(0, address)
+	c.leaders.answered(0, address)
 	return false, nil
 }
 
