--- a/internal/control/entry/table.go
+++ b/internal/control/entry/table.go
@@ -109,6 +109,7 @@
 		t.entries[p] = e
 	}
 	moved := fresh || !proto.Equal(e.instance, r.Instance)
+	news := len(r.Heard) > 0 || !slices.EqualFunc(e.tallies, r.Tallies, sameTally)
 	e.instance, e.tallies = r.Instance, r.Tallies
 	e.applied = max(e.applied, r.Applied)
 	e.grants = slices.DeleteFunc(e.grants, func(g *grant) bool { return g.revision < r.Applied || !received.Before(g.expires) })
@@ -117,14 +118,18 @@
 	for _, h := range r.Heard {
 		t.hear(h)
 	}
-	if moved {
+	switch {
+	case moved:
 		t.reshape()
+	case news:
+		t.soft++
 	}
-	t.soft++
 	t.wake()
 	return g
 }
 
+func sameTally(a, b *wire.Tally) bool { return proto.Equal(a, b) }
+
 // end records what a renewal was answered with.
 func (t *table) end(g *grant, revision uint64) {
 	t.mu.Lock()
