replica: add replicated log and its disk store

Cause: control state needs groups that survive the loss of instances, disks and messages; only the interfaces and messages existed. Ruled out: one goroutine for loop and disk, since a slow sync would then hold back heartbeats; truncation in place, since a record in the log needs one sync. Before: no package.

--- /dev/null
+++ b/internal/control/disk/disk_test.go
@@ -0,0 +1,263 @@
+package disk_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/disk"
+	"wisteriakeel.example/wisteriakeel/internal/control/disk/faulty"
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
+)
+
+const group = "data/group-0/"
+
+func open(t *testing.T, f disk.Files) (*disk.Directory, *disk.Store) {
+	t.Helper()
+	is := is.New(t)
+	d, err := disk.Open(f, "data", 1000)
+	is.NoErr(err)
+	s, err := d.Group(0)
+	is.NoErr(err)
+	return d, s
+}
+
+func entries(from, to replica.Index, term replica.Term) (out []replica.Entry) {
+	for i := from; i <= to; i++ {
+		out = append(out, replica.Entry{Index: i, Term: term, Data: []byte(fmt.Sprint("entry ", i, " of term ", term))})
+	}
+	return out
+}
+
+// filled returns a file system with ten entries in five records.
+func filled(t *testing.T) *faulty.Files {
+	t.Helper()
+	is := is.New(t)
+	f := faulty.New(1)
+	_, s := open(t, f)
+	_, _, _, err := s.Load()
+	is.NoErr(err)
+	is.NoErr(s.SaveHard(replica.Hard{Term: 3, Vote: "x"}))
+	for i := replica.Index(1); i <= 9; i += 2 {
+		is.NoErr(s.Append(entries(i, i+1, 3)))
+	}
+	return f
+}
+
+// Guards against an identity that changes, is lost in a crash after it was disclosed,
+// or is generated beside existing data.
+func TestIdentity(t *testing.T) {
+	is := is.New(t)
+	f := faulty.New(1)
+	d, _ := open(t, f)
+	is.Equal(len(d.Identity()), 32)
+	f.Crash()
+	again, _ := open(t, f)
+	is.Equal(again.Identity(), d.Identity())
+	is.NoErr(f.Remove("data/identity"))
+	_, err := disk.Open(f, "data", 0)
+	is.True(errors.Is(err, disk.ErrCorrupt))
+	other, _ := open(t, faulty.New(1))
+	is.True(other.Identity() != d.Identity())
+}
+
+// Guards against an identity that is disclosed although its sync failed.
+func TestIdentitySync(t *testing.T) {
+	is := is.New(t)
+	for n := range 3 {
+		f := faulty.New(1)
+		f.FailSync(n)
+		_, err := disk.Open(f, "data", 0)
+		is.True(errors.Is(err, disk.ErrFatal))
+	}
+}
+
+// Guards against synced state that a crash loses.
+func TestCrashKeepsSynced(t *testing.T) {
+	is := is.New(t)
+	f := filled(t)
+	f.Crash()
+	_, s := open(t, f)
+	h, e, m, err := s.Load()
+	is.NoErr(err)
+	is.Equal(h, replica.Hard{Term: 3, Vote: "x"})
+	is.Equal(e, entries(1, 10, 3))
+	is.Equal(m.Index, replica.Index(0))
+	is.NoErr(s.Truncate(6))
+	is.NoErr(s.SaveHard(replica.Hard{Term: 4}))
+	is.NoErr(s.Append(entries(6, 7, 4)))
+	f.Crash()
+	_, s = open(t, f)
+	_, e, _, err = s.Load()
+	is.NoErr(err)
+	is.Equal(e, append(entries(1, 5, 3), entries(6, 7, 4)...))
+}
+
+// Guards against a torn tail that stops the instance, and against damage before the
+// tail that is silently cut off together with acknowledged entries.
+func TestDamage(t *testing.T) {
+	tests := []struct {
+		name string
+		file string
+		edit func(b []byte) []byte
+		kept replica.Index // 0: the load must fail
+	}{
+		{"cut in the last record", "log-0000000000000001", func(b []byte) []byte { return b[:len(b)-1] }, 8},
+		{"cut in the last head", "log-0000000000000001", func(b []byte) []byte { return append(b, 1, 2, 3) }, 10},
+		{"last checksum", "log-0000000000000001", func(b []byte) []byte { b[len(b)-1]++; return b }, 8},
+		{"zeros at the end", "log-0000000000000001", func(b []byte) []byte { return append(b, make([]byte, 99)...) }, 10},
+		{"middle", "log-0000000000000001", func(b []byte) []byte { b[len(b)/2]++; return b }, 0},
+		{"first length", "log-0000000000000001", func(b []byte) []byte { b[3]++; return b }, 0},
+		{"hard state", "hard", func(b []byte) []byte { b[len(b)-1]++; return b }, 0},
+		{"hard state cut", "hard", func(b []byte) []byte { return b[:4] }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := filled(t)
+			f.Change(group+tt.file, tt.edit)
+			_, s := open(t, f)
+			_, e, _, err := s.Load()
+			if tt.kept == 0 {
+				is.True(errors.Is(err, disk.ErrCorrupt))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(e, entries(1, tt.kept, 3))
+			is.NoErr(s.Append(entries(tt.kept+1, 20, 3)))
+			f.Crash()
+			_, s = open(t, f)
+			_, e, _, err = s.Load()
+			is.NoErr(err)
+			is.Equal(e, entries(1, 20, 3))
+		})
+	}
+}
+
+// Guards against a group that lost its files and votes again as if it were new.
+func TestLostFiles(t *testing.T) {
+	for _, names := range [][]string{{"hard"}, {"log-0000000000000001", "hard"}} {
+		is := is.New(t)
+		f := filled(t)
+		for _, n := range names {
+			is.NoErr(f.Remove(group + n))
+		}
+		_, s := open(t, f)
+		_, _, _, err := s.Load()
+		is.True(errors.Is(err, disk.ErrCorrupt))
+	}
+}
+
+// Guards against a missing segment, a snapshot that is damaged, and a log that does
+// not reach back to the snapshot.
+func TestSnapshotAndSegments(t *testing.T) {
+	is := is.New(t)
+	f := filled(t)
+	_, s := open(t, f)
+	_, _, _, err := s.Load()
+	is.NoErr(err)
+	members := []replica.Member{{Identity: "x", Address: "a", Voter: true}}
+	meta := replica.SnapshotMeta{Index: 10, Term: 3, Members: members}
+	data := make([]byte, 3<<20)
+	is.NoErr(s.SaveSnapshot(meta, data))
+	is.NoErr(s.SaveSnapshot(replica.SnapshotMeta{Index: 5, Term: 3}, nil)) // older: ignored
+	is.NoErr(s.Compact(10))
+	is.NoErr(s.Append(entries(11, 12, 3)))
+	is.Equal(f.Names(group+"log"), []string{group + "log-0000000000000002"})
+	f.Crash()
+	_, s = open(t, f)
+	_, e, m, err := s.Load()
+	is.NoErr(err)
+	is.Equal(e, entries(11, 12, 3))
+	is.Equal(m, meta)
+	_, got, err := s.ReadSnapshot()
+	is.NoErr(err)
+	is.Equal(len(got), len(data))
+	// A snapshot that overtakes the log, with a crash before the log is removed.
+	is.NoErr(s.SaveSnapshot(replica.SnapshotMeta{Index: 20, Term: 3, Members: members}, data))
+	f.Crash()
+	_, s = open(t, f)
+	_, e, _, err = s.Load()
+	is.NoErr(err)
+	is.Equal(len(e), 0)
+	is.NoErr(s.Append(entries(21, 22, 3)))
+	f.Crash()
+	_, s = open(t, f)
+	_, e, _, err = s.Load()
+	is.NoErr(err)
+	is.Equal(e, entries(21, 22, 3))
+	f.Change(group+"snapshot", func(b []byte) []byte { b[2<<20]++; return b })
+	_, s = open(t, f)
+	_, _, _, err = s.Load()
+	is.True(errors.Is(err, disk.ErrCorrupt))
+	is.NoErr(f.Remove(group + "snapshot"))
+	_, s = open(t, f)
+	_, _, _, err = s.Load()
+	is.True(errors.Is(err, disk.ErrCorrupt))
+}
+
+// Guards against a failed sync that is retried or taken for success.
+func TestFailedSync(t *testing.T) {
+	is := is.New(t)
+	f := filled(t)
+	_, s := open(t, f)
+	_, _, _, err := s.Load()
+	is.NoErr(err)
+	f.FailSync(0)
+	is.True(errors.Is(s.Append(entries(11, 11, 3)), disk.ErrFatal))
+	is.True(errors.Is(s.Append(entries(11, 11, 3)), disk.ErrFatal))
+	is.True(errors.Is(s.SaveHard(replica.Hard{Term: 9}), disk.ErrFatal))
+}
+
+// Guards against a change that is accepted although only the reserve is left.
+func TestReserve(t *testing.T) {
+	is := is.New(t)
+	f := filled(t)
+	_, s := open(t, f)
+	_, _, _, err := s.Load()
+	is.NoErr(err)
+	f.SetFree(1100)
+	is.NoErr(s.Room(100))
+	is.True(errors.Is(s.Room(101), disk.ErrFull))
+	is.True(errors.Is(s.SaveSnapshot(replica.SnapshotMeta{Index: 1, Term: 3}, make([]byte, 101)), disk.ErrFull))
+	is.NoErr(s.SaveHard(replica.Hard{Term: 4})) // terms and votes may use the reserve
+}
+
+// Guards against a corrupt directory that is used again, and against a new one with
+// the old identity.
+func TestSetAside(t *testing.T) {
+	is := is.New(t)
+	f := filled(t)
+	d, _ := open(t, f)
+	name, err := disk.SetAside(f, "data")
+	is.NoErr(err)
+	is.Equal(name, "data.corrupt-1")
+	again, s := open(t, f)
+	is.True(again.Identity() != d.Identity())
+	_, e, _, err := s.Load()
+	is.NoErr(err)
+	is.Equal(len(e), 0)
+}
+
+// Guards against an access to real files that differs from the one in memory.
+func TestSystemFiles(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir() + "/data"
+	for k := replica.Index(0); k < 3; k++ {
+		d, err := disk.Open(disk.System{}, dir, 0)
+		is.NoErr(err)
+		s, err := d.Group(7)
+		is.NoErr(err)
+		_, e, m, err := s.Load()
+		is.NoErr(err)
+		is.Equal(m.Index, 4*k)
+		is.Equal(len(e), int(4*k)) // compaction keeps the active segment
+		is.NoErr(s.SaveHard(replica.Hard{Term: 1}))
+		is.NoErr(s.Append(entries(4*k+1, 4*k+4, 1)))
+		is.NoErr(s.SaveSnapshot(replica.SnapshotMeta{Index: 4*k + 4, Term: 1}, []byte("state")))
+		is.NoErr(s.Compact(4 * k))
+		is.NoErr(s.Close())
+	}
+}
--- /dev/null
+++ b/internal/control/disk/faulty/faulty.go
@@ -0,0 +1,264 @@
+// Package faulty is a file system in memory for tests. It keeps apart what was
+// written and what was synced, and fails on demand.
+package faulty
+
+import (
+	"bytes"
+	"io/fs"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/disk"
+)
+
+// ErrInjected is the error of an injected fault.
+var ErrInjected = errors.New("injected fault")
+
+// Files is the file system. The zero value is not usable; see New.
+type Files struct {
+	mu         sync.Mutex
+	random     *rand.Rand
+	names      map[string]*inode // as seen by the running process
+	durable    map[string]*inode // as found after a crash
+	free       uint64
+	generation int
+	failSync   int
+	syncs      int
+}
+
+type inode struct {
+	data   []byte
+	synced []byte
+}
+
+type handle struct {
+	files      *Files
+	inode      *inode
+	generation int
+}
+
+var _ disk.Files = (*Files)(nil)
+
+// New returns an empty file system; the seed decides what a crash leaves behind.
+func New(seed uint64) *Files {
+	return &Files{
+		random: rand.New(rand.NewPCG(seed, 0)), names: map[string]*inode{}, durable: map[string]*inode{},
+		free: 1 << 40, failSync: -1,
+	}
+}
+
+// SetFree sets the space that is reported as free.
+func (f *Files) SetFree(bytes uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.free = bytes
+}
+
+// FailSync makes the sync after the next n ones fail.
+func (f *Files) FailSync(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failSync = n
+}
+
+// Syncs returns the number of syncs so far.
+func (f *Files) Syncs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.syncs
+}
+
+// Crash ends the access of the running process. Of what was not synced, names are lost
+// and appended data is cut at a random place.
+func (f *Files) Crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.generation++
+	f.failSync = -1
+	f.names = map[string]*inode{}
+	for _, n := range sorted(f.durable) {
+		i := f.durable[n]
+		data := slices.Clone(i.synced)
+		if extra := len(i.data) - len(i.synced); extra > 0 && bytes.HasPrefix(i.data, i.synced) {
+			data = slices.Clone(i.data[:len(i.synced)+f.random.IntN(extra+1)])
+		}
+		f.names[n] = &inode{data: data, synced: slices.Clone(data)}
+		f.durable[n] = f.names[n]
+	}
+}
+
+// Change edits the content of a file, as a defective disk would.
+func (f *Files) Change(name string, edit func(data []byte) []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := f.names[name]
+	i.data = edit(slices.Clone(i.data))
+	i.synced = slices.Clone(i.data)
+}
+
+// Names returns all files that begin with a prefix, in order.
+func (f *Files) Names(prefix string) (names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range sorted(f.names) {
+		if strings.HasPrefix(n, prefix) {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+func sorted(m map[string]*inode) (names []string) {
+	for n := range m {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// sync counts a sync and returns the injected fault when its time has come.
+func (f *Files) sync() error {
+	f.syncs++
+	if f.failSync < 0 {
+		return nil
+	}
+	f.failSync--
+	if f.failSync < 0 {
+		return errors.Wrap(ErrInjected, "sync")
+	}
+	return nil
+}
+
+// Create makes or empties a file.
+func (f *Files) Create(name string) (disk.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.names[name] = &inode{}
+	return &handle{files: f, inode: f.names[name], generation: f.generation}, nil
+}
+
+// OpenAppend opens a file for writing at its end.
+func (f *Files) OpenAppend(name string) (disk.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i, ok := f.names[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return &handle{files: f, inode: i, generation: f.generation}, nil
+}
+
+// ReadFile returns the content of a file.
+func (f *Files) ReadFile(name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i, ok := f.names[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(i.data), nil
+}
+
+// Rename replaces a file by another, or renames a directory.
+func (f *Files) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range sorted(f.names) {
+		if n == from || strings.HasPrefix(n, from+"/") {
+			f.names[to+strings.TrimPrefix(n, from)] = f.names[n]
+			delete(f.names, n)
+		}
+	}
+	return nil
+}
+
+// Remove deletes a file.
+func (f *Files) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.names, name)
+	return nil
+}
+
+// List returns the names in a directory in order.
+func (f *Files) List(dir string) (names []string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range sorted(f.names) {
+		if rest, ok := strings.CutPrefix(n, dir+"/"); ok {
+			first, _, _ := strings.Cut(rest, "/")
+			if !slices.Contains(names, first) {
+				names = append(names, first)
+			}
+		}
+	}
+	return names, nil
+}
+
+// MakeDir does nothing: a directory exists with its first file.
+func (f *Files) MakeDir(string) error { return nil }
+
+// SyncDir makes the names in a directory durable.
+func (f *Files) SyncDir(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.sync(); err != nil {
+		return err
+	}
+	within := func(n string) bool { return filepath.Dir(n) == dir || filepath.Dir(filepath.Dir(n)) == dir }
+	for _, n := range sorted(f.durable) {
+		if within(n) {
+			delete(f.durable, n)
+		}
+	}
+	for _, n := range sorted(f.names) {
+		if within(n) {
+			f.durable[n] = f.names[n]
+		}
+	}
+	return nil
+}
+
+// Free returns the space set with SetFree.
+func (f *Files) Free(string) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.free, nil
+}
+
+func (h *handle) Write(p []byte) (int, error) {
+	h.files.mu.Lock()
+	defer h.files.mu.Unlock()
+	if h.generation != h.files.generation {
+		return 0, errors.Wrap(ErrInjected, "write after crash")
+	}
+	h.inode.data = append(h.inode.data, p...)
+	return len(p), nil
+}
+
+func (h *handle) Sync() error {
+	h.files.mu.Lock()
+	defer h.files.mu.Unlock()
+	if h.generation != h.files.generation {
+		return errors.Wrap(ErrInjected, "sync after crash")
+	}
+	if err := h.files.sync(); err != nil {
+		return err
+	}
+	h.inode.synced = slices.Clone(h.inode.data)
+	return nil
+}
+
+func (h *handle) Truncate(size int64) error {
+	h.files.mu.Lock()
+	defer h.files.mu.Unlock()
+	h.inode.data = h.inode.data[:size]
+	return nil
+}
+
+func (h *handle) Close() error { return nil }
--- /dev/null
+++ b/internal/control/replica/export_test.go
@@ -0,0 +1,6 @@
+package replica
+
+// SetLimits lowers the thresholds of compaction of a node that does not run yet.
+func SetLimits(n *Node, entries int, keep Index) {
+	n.limits.entries, n.limits.keep = entries, keep
+}
--- /dev/null
+++ b/internal/control/replica/server.go
@@ -0,0 +1,97 @@
+package replica
+
+import (
+	"context"
+	"crypto/subtle"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcerr"
+	"storj.io/drpc/drpcmetadata"
+
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/replica"
+)
+
+// tokenKey is the key of the peer token in the metadata of a call.
+const tokenKey = "peer"
+
+// Codes of refused calls.
+const (
+	codeToken = 1 + iota
+	codeGroup
+	codeTarget
+)
+
+// Server serves the Replica service for all groups of a process.
+type Server struct {
+	// Token must be sent by every caller. While it is empty, every call is refused.
+	Token string
+
+	nodes map[Group]*Node
+}
+
+var _ wire.DRPCReplicaServer = (*Server)(nil)
+
+// NewServer returns a server for the nodes; its Token is yet to be set.
+func NewServer(nodes map[Group]*Node) *Server { return &Server{nodes: nodes} }
+
+// CheckToken compares the peer token of a call in constant time.
+func CheckToken(ctx context.Context, token string) error {
+	metadata, _ := drpcmetadata.Get(ctx)
+	if token == "" || subtle.ConstantTimeCompare([]byte(metadata[tokenKey]), []byte(token)) != 1 {
+		return drpcerr.WithCode(errors.New("wrong peer token"), codeToken)
+	}
+	return nil
+}
+
+// WithToken adds the peer token to the metadata of a call.
+func WithToken(ctx context.Context, token string) context.Context {
+	return drpcmetadata.Add(ctx, tokenKey, token)
+}
+
+func (s *Server) node(ctx context.Context, group uint32) (*Node, error) {
+	if err := CheckToken(ctx, s.Token); err != nil {
+		return nil, err
+	}
+	n, ok := s.nodes[Group(group)]
+	if !ok {
+		return nil, drpcerr.WithCode(errors.Newf("no group %d here", group), codeGroup)
+	}
+	return n, nil
+}
+
+// Append passes the call to the node of the group.
+func (s *Server) Append(ctx context.Context, r *wire.AppendRequest) (*wire.AppendReply, error) {
+	n, err := s.node(ctx, r.GetGroup())
+	if err != nil {
+		return nil, err
+	}
+	reply, err := n.Append(ctx, r)
+	return reply, coded(err)
+}
+
+// Vote passes the call to the node of the group.
+func (s *Server) Vote(ctx context.Context, r *wire.VoteRequest) (*wire.VoteReply, error) {
+	n, err := s.node(ctx, r.GetGroup())
+	if err != nil {
+		return nil, err
+	}
+	reply, err := n.Vote(ctx, r)
+	return reply, coded(err)
+}
+
+// Install passes the call to the node of the group.
+func (s *Server) Install(ctx context.Context, r *wire.InstallRequest) (*wire.InstallReply, error) {
+	n, err := s.node(ctx, r.GetGroup())
+	if err != nil {
+		return nil, err
+	}
+	reply, err := n.Install(ctx, r)
+	return reply, coded(err)
+}
+
+func coded(err error) error {
+	if errors.Is(err, ErrTarget) {
+		return drpcerr.WithCode(err, codeTarget)
+	}
+	return err
+}
