--- /dev/null
+++ b/internal/bench/engine/engine_test.go
@@ -0,0 +1,171 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/bench/fault"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+)
+
+func serve(t *testing.T, o Options) (*Engine, string) {
+	t.Helper()
+	o.Model, o.Version, o.Timer = "small", "1", timer.NewSystem()
+	e := New(o)
+	g := group.New(context.Background())
+	g.Go("engine", e.Run)
+	mux := http.NewServeMux()
+	e.Register(mux)
+	s := httptest.NewServer(mux)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+		_ = g.Stop()
+	})
+	return e, s.URL
+}
+
+// post sends a chat request with headers given as pairs.
+func post(ctx context.Context, t *testing.T, url string, q Request, headers ...string) *http.Response {
+	t.Helper()
+	is := is.New(t)
+	body, err := json.Marshal(q)
+	is.NoErr(err)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", bytes.NewReader(body))
+	is.NoErr(err)
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+func ask(text string, stream bool) Request {
+	return Request{Model: "small", Messages: []Message{{Role: "user", Content: text}}, Stream: stream}
+}
+
+// Guards against a resumed stream that repeats or skips words.
+func TestResume(t *testing.T) {
+	is := is.New(t)
+	_, url := serve(t, Options{})
+	q := ask("resume me", true)
+	r := post(t.Context(), t, url, q, "X-Request-Id", "r1", "Wisteriakeel-Resume", "4", "Wisteriakeel-Version", "1")
+	is.Equal(r.StatusCode, http.StatusOK)
+	is.Equal(r.Header.Get("X-Request-Id"), "r1")
+	is.Equal(r.Header.Get("Wisteriakeel-Version"), "1")
+	is.True(strings.HasPrefix(r.Header.Get("Wisteriakeel-Load"), "running="))
+	var text strings.Builder
+	lines := bufio.NewScanner(r.Body)
+	last := ""
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		last = data
+		var c Completion
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) == 1 {
+			text.WriteString(c.Choices[0].Delta.Content)
+		}
+	}
+	words, _ := Words(q.Messages, 0)
+	is.Equal(text.String(), strings.Join(words[4:], ""))
+	is.Equal(last, "[DONE]")
+}
+
+// Guards against refusals that are not marked as "not run", and against work
+// on a version that the request did not ask for.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	e, url := serve(t, Options{Slots: 1, Queue: 0, Base: 20 * time.Millisecond})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	running := post(ctx, t, url, ask("first", true), "X-Request-Id", "a")
+	is.Equal(running.StatusCode, http.StatusOK)
+	for _, c := range []struct{ version, text string }{{"1", "full"}, {"2", "engine holds small@1"}} {
+		r := post(t.Context(), t, url, ask("second", false), "Wisteriakeel-Version", c.version)
+		is.Equal(r.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(r.Header.Get("Wisteriakeel-Outcome"), "not run")
+		body, err := io.ReadAll(r.Body)
+		is.NoErr(err)
+		is.True(strings.Contains(string(body), c.text))
+	}
+	is.Equal(e.Runs.Tally().Total, 1)
+	// Closing the connection frees the slot.
+	cancel()
+	for e.Load().Running > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(post(t.Context(), t, url, ask("third", false)).StatusCode, http.StatusOK)
+	is.Equal(e.Runs.Tally().Cancelled, 1)
+}
+
+// Guards against a queue that ignores priorities, a step time that ignores the
+// batch, and a prefix cache without a limit.
+func TestBatch(t *testing.T) {
+	is := is.New(t)
+	b := newBatch(Options{Slots: 2, Queue: 8, Cache: 2, Base: 10, Each: 3, Prefill: 1})
+	add := func(priority int, blocks ...uint64) *sequence {
+		s := &sequence{ctx: t.Context(), priority: priority, prompt: 16 * len(blocks), blocks: blocks, words: []string{"a", "b"}}
+		is.True(b.submit(s))
+		return s
+	}
+	low, middle, high := add(0, 1), add(5, 2, 3), add(9, 2, 3)
+	pause, active := b.admit()
+	is.True(active)
+	// The first of the batch fills the cache that the second then hits.
+	is.Equal(pause, time.Duration(10+2*3+32))
+	is.Equal(b.running, []*sequence{high, middle})
+	is.Equal(middle.cached, 32)
+	b.emit()
+	b.emit()
+	pause, _ = b.admit()
+	is.Equal(pause, time.Duration(10+3+16))
+	is.Equal(b.running, []*sequence{low})
+	// Block 1 has displaced block 3, the longest prefix.
+	is.Equal(b.cache.use([]uint64{2, 3}), 1)
+}
+
+// Guards against an engine that follows an order of a former leader.
+func TestFencing(t *testing.T) {
+	is := is.New(t)
+	e, url := serve(t, Options{Fencing: true})
+	for _, c := range []struct {
+		order  string
+		status int
+	}{
+		{`{"kind":"load","model":"small","version":"2","token":2}`, http.StatusOK},
+		{`{"kind":"load","model":"small","version":"3","token":1}`, http.StatusConflict},
+	} {
+		r, err := http.Post(url+"/v1/orders", "application/json", strings.NewReader(c.order))
+		is.NoErr(err)
+		is.NoErr(r.Body.Close())
+		is.Equal(r.StatusCode, c.status)
+	}
+	is.Equal(e.version, "2")
+}
+
+// Guards against a crash marker that crashes other requests.
+func TestCrash(t *testing.T) {
+	is := is.New(t)
+	crashed := 0
+	e, url := serve(t, Options{Crash: func() { crashed++ }})
+	e.Faults.Replace([]fault.Fault{{Kind: fault.Crash, Marker: "poison"}})
+	is.Equal(post(t.Context(), t, url, ask("harmless", false)).StatusCode, http.StatusOK)
+	is.Equal(crashed, 0)
+	is.Equal(post(t.Context(), t, url, ask("poison", false)).StatusCode, http.StatusOK)
+	is.Equal(crashed, 1)
+}
--- /dev/null
+++ b/internal/bench/fault/runs.go
@@ -0,0 +1,61 @@
+package fault
+
+import (
+	"maps"
+	"net/http"
+	"sync"
+)
+
+// Tally is what a service counted since its start.
+type Tally struct {
+	// Total counts runs begun, Cancelled those that ended because the connection closed.
+	Total     int `json:"total"`
+	Cancelled int `json:"cancelled"`
+	Finished  int `json:"finished"`
+	// Runs counts runs begun per identity.
+	Runs map[string]int `json:"runs"`
+}
+
+// Runs counts runs per identity: the request id, or the idempotency key of a
+// call that must not be repeated.
+type Runs struct {
+	mu    sync.Mutex
+	tally Tally
+}
+
+// Begin counts one run and returns how many there are for that identity.
+func (r *Runs) Begin(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tally.Runs == nil {
+		r.tally.Runs = map[string]int{}
+	}
+	r.tally.Total++
+	r.tally.Runs[id]++
+	return r.tally.Runs[id]
+}
+
+// End counts the end of a run.
+func (r *Runs) End(cancelled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cancelled {
+		r.tally.Cancelled++
+		return
+	}
+	r.tally.Finished++
+}
+
+// Tally returns a copy of the counts.
+func (r *Runs) Tally() Tally {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tally
+	t.Runs = maps.Clone(t.Runs)
+	return t
+}
+
+// Register serves the counts on GET /runs.
+func (r *Runs) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, r.Tally()) })
+}
