bench: add the plain service and the caller

Cause: calls that must run at most once need a service that counts runs per Idempotency-Key, and a client that resends them under the same identity. Ruled out: leaving resends to net/http. It repeats a request without a body by itself if the request has an Idempotency-Key, which the history then lacks: TestOutcomeStaysUnknown saw "not run" for a call that had run once. Conclusion: the caller's history can be compared with the run counts.

--- /dev/null
+++ b/internal/bench/caller/caller.go
@@ -0,0 +1,216 @@
+// Package caller is the client of the tests and the demonstration: it finds an
+// entry, resends under the same identity and checks that each answer is whole
+// and its own.
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/bench/engine"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+)
+
+// Options configures a caller.
+type Options struct {
+	// Entries are addresses of instances that can be asked for the list of entries.
+	Entries []string
+	Token   string
+	Timer   timer.Service
+	Random  *rand.Rand
+	// Attempt is the longest time of one attempt, Deadline that of the whole request.
+	Attempt  time.Duration
+	Deadline time.Duration
+	// Attempts bounds how often a request is sent.
+	Attempts int
+}
+
+// Caller is one client account's client. It may be used concurrently.
+type Caller struct {
+	options Options
+	client  *http.Client
+	history *History
+	list    *list
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// New returns a caller.
+func New(o Options) (c *Caller, err error) {
+	if len(o.Entries) == 0 || o.Timer == nil || o.Random == nil {
+		return nil, errors.New("caller needs entries, a timer service and a source of random numbers")
+	}
+	if o.Attempt == 0 {
+		o.Attempt = 5 * time.Second
+	}
+	if o.Deadline == 0 {
+		o.Deadline = 20 * time.Second
+	}
+	if o.Attempts == 0 {
+		o.Attempts = 50
+	}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     5 * time.Second,
+	}}
+	c = &Caller{options: o, client: client, random: o.Random, history: newHistory()}
+	c.list = &list{client: client, token: o.Token, timer: o.Timer, seeds: o.Entries}
+	return c, nil
+}
+
+// History returns the record of all requests.
+func (c *Caller) History() *History { return c.history }
+
+// Close drops the idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Chat is one chat completion request.
+type Chat struct {
+	Model   string
+	Prompt  string
+	Session string
+	Stream  bool
+	Limit   int
+	// Request is the request id; empty for a new one.
+	Request string
+}
+
+// Chat sends a chat completion request until it has an answer or a final refusal.
+func (c *Caller) Chat(ctx context.Context, q Chat) Record {
+	r := Record{Kind: KindChat, Request: q.Request, Session: q.Session}
+	if r.Request == "" {
+		r.Request = c.identity()
+	}
+	body := engine.Request{Model: q.Model, Stream: q.Stream, MaxTokens: q.Limit}
+	// The request id in the prompt makes the answer differ from that of any other request.
+	body.Messages = []engine.Message{{Role: "user", Content: q.Prompt + " #" + r.Request}}
+	if q.Stream {
+		body.Options = &engine.StreamOptions{Usage: true}
+	}
+	return c.send(ctx, r, &chat{body: body})
+}
+
+// Call is one call of a plain service.
+type Call struct {
+	Service string
+	Method  string
+	// Path is the path below the service prefix, with a leading slash.
+	Path string
+	Body []byte
+	// Once marks a call that may not be repeated; it gets an Idempotency-Key.
+	Once bool
+	Key  string
+}
+
+// Call sends a call of a plain service until it has an answer or a final refusal.
+func (c *Caller) Call(ctx context.Context, q Call) Record {
+	r := Record{Kind: KindCall, Request: c.identity(), Key: q.Key}
+	if q.Once && r.Key == "" {
+		r.Key = "key-" + r.Request
+	}
+	return c.send(ctx, r, &call{Call: q})
+}
+
+// identity returns a new random request id.
+func (c *Caller) identity() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("%016x%016x", c.random.Uint64(), c.random.Uint64())
+}
+
+// exchange is one kind of request.
+type exchange interface {
+	// request builds the request to one address.
+	request(ctx context.Context, address string) (*http.Request, error)
+	// check reads the answer to its end and fills the record.
+	check(r *Record, response *http.Response, now func() timer.Instant)
+}
+
+// send runs the attempts of one request and records it.
+func (c *Caller) send(ctx context.Context, r Record, x exchange) Record {
+	r.Begin = c.options.Timer.Now()
+	ctx, cancel := timer.WithTimeout(ctx, c.options.Timer, c.options.Deadline)
+	defer cancel()
+	for r.Attempts < c.options.Attempts {
+		wait, again := c.attempt(ctx, &r, x)
+		if !again || timer.Sleep(ctx, c.options.Timer, wait) != nil {
+			break
+		}
+	}
+	r.End = c.options.Timer.Now()
+	c.history.add(r)
+	return r
+}
+
+// pause is the wait before another address is tried.
+const pause = 20 * time.Millisecond
+
+// attempt sends the request once; it tells whether and when to send it again.
+func (c *Caller) attempt(ctx context.Context, r *Record, x exchange) (wait time.Duration, again bool) {
+	address, err := c.list.address(ctx)
+	if err != nil {
+		r.note(r.worse(NotRun), 0, err.Error())
+		return 5 * pause, true
+	}
+	ctx, cancel := timer.WithTimeout(ctx, c.options.Timer, c.options.Attempt)
+	defer cancel()
+	request, err := x.request(ctx, address)
+	if err != nil {
+		r.note(Failed, 0, err.Error())
+		return 0, false
+	}
+	request.Header.Set("Authorization", "Bearer "+c.options.Token)
+	request.Header.Set("X-Request-Id", r.Request)
+	if r.Key != "" {
+		request.Header.Set("Idempotency-Key", r.Key)
+	}
+	if r.Session != "" {
+		request.Header.Set("Wisteriakeel-Session", r.Session)
+	}
+	r.Attempts++
+	r.Entry = address
+	response, err := c.client.Do(request)
+	if err != nil {
+		c.list.failed(address)
+		r.note(r.worse(lost(err)), 0, err.Error())
+		return pause, true
+	}
+	defer response.Body.Close()
+	r.retry = 0
+	r.Moved = r.Moved || response.Header.Get("Wisteriakeel-Session-Moved") != ""
+	x.check(r, response, c.options.Timer.Now)
+	return c.decide(r, address)
+}
+
+// decide tells whether the outcome of an attempt is final.
+func (c *Caller) decide(r *Record, address string) (wait time.Duration, again bool) {
+	switch {
+	case r.Outcome == Answered || r.Outcome == Wrong:
+		return 0, false
+	case r.Status/100 == 4 && r.Status != http.StatusTooManyRequests && r.Status != http.StatusRequestTimeout:
+		return 0, false
+	}
+	if r.Outcome == NotRun {
+		// Another entry may hold what this one lacks.
+		c.list.failed(address)
+	}
+	return max(pause, min(r.retry, time.Second)), true
+}
+
+// lost returns what is known of a request whose connection failed.
+func lost(err error) Outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return NotRun
+	}
+	return Unknown
+}
--- /dev/null
+++ b/internal/bench/plain/plain.go
@@ -0,0 +1,162 @@
+// Package plain simulates a plain service: bookings, seals and
+// acknowledgements, which may not be repeated, and lookups, which may.
+package plain
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriakeel.example/wisteriakeel/internal/bench/announce"
+	"wisteriakeel.example/wisteriakeel/internal/bench/fault"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+)
+
+// Options configures a plain service.
+type Options struct {
+	Service string
+	// Slots is the number of calls that run at once; more are refused.
+	Slots int
+	// Work is how long a call runs.
+	Work  time.Duration
+	Timer timer.Service
+	// Crash ends the process; tests replace it.
+	Crash func()
+}
+
+// Service is one simulated plain service.
+type Service struct {
+	Faults fault.Set
+	// Runs counts per Idempotency-Key, or per request id for calls without one.
+	Runs fault.Runs
+
+	options  Options
+	running  atomic.Int64
+	sequence atomic.Uint64
+}
+
+// Answer is the body of every answer.
+type Answer struct {
+	Kind string `json:"kind"`
+	// Number is derived from the call; see Number.
+	Number string `json:"number"`
+	Key    string `json:"key,omitempty"`
+	// Run is how many runs there were for the key, this one included.
+	Run int `json:"run"`
+}
+
+// New returns a service.
+func New(o Options) *Service {
+	if o.Slots == 0 {
+		o.Slots = 64
+	}
+	if o.Crash == nil {
+		o.Crash = func() { os.Exit(3) }
+	}
+	return &Service{options: o}
+}
+
+// Number returns the number that answers a call with that path and body, so
+// that a caller can check the answer.
+func Number(path string, body []byte) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64String(path+"\n"+string(body)))
+}
+
+// Load returns the load of the moment.
+func (s *Service) Load() announce.Load {
+	return announce.Load{Running: int(s.running.Load()), Slots: s.options.Slots}
+}
+
+// Register serves the calls, faults and run counts.
+func (s *Service) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /bookings", s.serve)
+	mux.HandleFunc("POST /seals", s.serve)
+	mux.HandleFunc("POST /acknowledgements", s.serve)
+	mux.HandleFunc("GET /lookups/{number}", s.serve)
+	s.Faults.Register(mux)
+	s.Runs.Register(mux)
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 8<<20))
+	if err != nil {
+		return
+	}
+	f := s.Faults.Match(body)
+	if s.running.Add(1) > int64(s.options.Slots) || f.Kind == fault.Refuse {
+		s.running.Add(-1)
+		s.refuse(w, r)
+		return
+	}
+	defer s.running.Add(-1)
+	key := r.Header.Get("Idempotency-Key")
+	id := key
+	if id == "" {
+		id = r.Header.Get("X-Request-Id")
+	}
+	run := s.Runs.Begin(id)
+	// A call that was begun takes effect even if its caller has gone, so it is never cancelled.
+	defer s.Runs.End(false)
+	s.work(r, f)
+	answer, _ := json.Marshal(Answer{
+		Kind: strings.Split(r.URL.Path, "/")[1], Number: Number(r.URL.Path, body), Key: key, Run: run,
+	})
+	s.answer(w, r, f, answer)
+}
+
+// work runs the call.
+func (s *Service) work(r *http.Request, f fault.Fault) {
+	switch f.Kind {
+	case fault.Crash:
+		s.options.Crash()
+	case fault.Close:
+		panic(http.ErrAbortHandler)
+	case fault.Late:
+		_ = timer.Sleep(r.Context(), s.options.Timer, f.Wait())
+	}
+	_ = timer.Sleep(r.Context(), s.options.Timer, s.options.Work)
+}
+
+func (s *Service) answer(w http.ResponseWriter, r *http.Request, f fault.Fault, body []byte) {
+	s.headers(w, r)
+	if f.Kind == fault.Identity {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id")+"-other")
+		body = []byte(`{"kind":"bookings","number":"0","key":"other","run":1}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	switch f.Kind {
+	case fault.Cut, fault.Short, fault.Stall:
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		if f.Kind == fault.Stall {
+			<-r.Context().Done()
+		}
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body)
+}
+
+func (s *Service) headers(w http.ResponseWriter, r *http.Request) {
+	l := s.Load()
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("Wisteriakeel-Load", fmt.Sprintf("running=%d waiting=0 slots=%d tokens=0 sequence=%d",
+		l.Running, l.Slots, s.sequence.Add(1)))
+}
+
+func (s *Service) refuse(w http.ResponseWriter, r *http.Request) {
+	s.headers(w, r)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Wisteriakeel-Outcome", "not run")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, `{"error":{"message":"service is full","type":"refused","code":"full",`+
+		`"outcome":"not run","retry":100}}`)
+}
