--- a/cmd/bench/command.go
+++ b/cmd/bench/command.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"wisteriakeel.example/wisteriakeel/internal/bench/announce"
+	"wisteriakeel.example/wisteriakeel/internal/bench/fault"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
@@ -77,11 +78,17 @@
 	Zone    string        `long:"zone" default:"lakes-a" description:"availability zone"`
 	Entries []string      `long:"entries" value-name:"ADDRESS,..." description:"entries to announce to" default:""`
 	Token   string        `long:"token" description:"upstream credential"`
+	Journal string        `long:"journal" description:"file that keeps the run counts across restarts"`
 	Grace   time.Duration `long:"grace" default:"3s" description:"time that new work is accepted after leaving"`
 }
 
 // serve runs one service until a signal.
-func (u *upstream) serve(h announce.Host, shape announce.Upstream, load func() announce.Load) (err error) {
+func (u *upstream) serve(h announce.Host, runs *fault.Runs, shape announce.Upstream, load func() announce.Load) (err error) {
+	if u.Journal != "" {
+		if err = runs.Open(u.Journal); err != nil {
+			return err
+		}
+	}
 	log, err := zap.NewProduction()
 	if err != nil {
 		return err
--- a/cmd/bench/engine.go
+++ b/cmd/bench/engine.go
@@ -49,7 +49,7 @@
 	mux := http.NewServeMux()
 	e.Register(mux)
 	shape := announce.Upstream{Model: c.Model, Version: c.Version, Fencing: c.Fencing, Features: engine.Features()}
-	return c.serve(announce.Host{Handler: mux, Work: e.Run, Timer: t}, shape, e.Load)
+	return c.serve(announce.Host{Handler: mux, Work: e.Run, Timer: t}, &e.Runs, shape, e.Load)
 }
 
 // split returns the addresses of a list separated by commas.
--- a/cmd/bench/plain.go
+++ b/cmd/bench/plain.go
@@ -31,5 +31,5 @@
 	s := plain.New(plain.Options{Slots: c.Slots, Work: c.Work, Timer: t})
 	mux := http.NewServeMux()
 	s.Register(mux)
-	return c.serve(announce.Host{Handler: mux, Timer: t}, announce.Upstream{}, s.Load)
+	return c.serve(announce.Host{Handler: mux, Timer: t}, &s.Runs, announce.Upstream{}, s.Load)
 }
--- a/internal/bench/announce/announce.go
+++ b/internal/bench/announce/announce.go
@@ -67,6 +67,9 @@
 	interval time.Duration
 }
 
+// transport is shared, since one process may hold hundreds of announcers.
+var transport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}
+
 // New returns an announcer with a new incarnation.
 func New(o Options) *Announcer {
 	u := o.Upstream
@@ -80,7 +83,7 @@
 	}
 	return &Announcer{
 		options: o, upstream: u, interval: time.Second,
-		client: &http.Client{Timeout: time.Second},
+		client: &http.Client{Timeout: time.Second, Transport: transport},
 	}
 }
 
--- a/internal/bench/caller/caller.go
+++ b/internal/bench/caller/caller.go
@@ -86,7 +86,7 @@
 
 // Chat sends a chat completion request until it has an answer or a final refusal.
 func (c *Caller) Chat(ctx context.Context, q Chat) Record {
-	r := Record{Kind: KindChat, Request: q.Request, Session: q.Session}
+	r := Record{Kind: KindChat, Request: q.Request, Session: q.Session, Asked: q.Model}
 	if r.Request == "" {
 		r.Request = c.identity()
 	}
@@ -113,7 +113,7 @@
 
 // Call sends a call of a plain service until it has an answer or a final refusal.
 func (c *Caller) Call(ctx context.Context, q Call) Record {
-	r := Record{Kind: KindCall, Request: c.identity(), Key: q.Key}
+	r := Record{Kind: KindCall, Request: c.identity(), Key: q.Key, Asked: q.Path}
 	if q.Once && r.Key == "" {
 		r.Key = "key-" + r.Request
 	}
--- a/internal/bench/caller/history.go
+++ b/internal/bench/caller/history.go
@@ -41,6 +41,8 @@
 	Request string
 	Key     string
 	Session string
+	// Asked is the model that the request named, or the path of a call.
+	Asked string
 	// Model is the model and version that answered, as the entry named it.
 	Model   string
 	Outcome Outcome
--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -157,6 +157,9 @@
 // Token returns the token of a client account.
 func (c *Cluster) Token(account string) string { return token("account", account) }
 
+// UpstreamToken returns the credential of all upstreams.
+func (c *Cluster) UpstreamToken() string { return token("upstream", "all") }
+
 // role returns the instances with that role.
 func (c *Cluster) role(role string) []*Instance {
 	return slices.DeleteFunc(slices.Clone(c.Instances), func(i *Instance) bool { return i.Role != role })
--- a/internal/bench/cluster/operate.go
+++ b/internal/bench/cluster/operate.go
@@ -129,21 +129,31 @@
 
 // Ledger is what the ledger command prints.
 type Ledger struct {
-	Totals []struct {
-		Account  string `json:"account"`
-		Service  string `json:"service"`
-		Requests uint64 `json:"requests"`
-		Input    uint64 `json:"input"`
-		Output   uint64 `json:"output"`
-		Amount   uint64 `json:"amount"`
-		Cost     uint64 `json:"cost"`
-	} `json:"totals"`
-	Charges []struct {
-		Account string `json:"account"`
-		Service string `json:"service"`
-		Request string `json:"request"`
-		Amount  uint64 `json:"amount"`
-	} `json:"charges"`
+	Totals  []Total  `json:"totals"`
+	Charges []Charge `json:"charges"`
+}
+
+// Total is the sum of an account's charges for one service.
+type Total struct {
+	Account  string `json:"account"`
+	Service  string `json:"service"`
+	Requests uint64 `json:"requests"`
+	Input    uint64 `json:"input"`
+	Output   uint64 `json:"output"`
+	Amount   uint64 `json:"amount"`
+	Cost     uint64 `json:"cost"`
+}
+
+// Charge is the charge for one request.
+type Charge struct {
+	Account string `json:"account"`
+	Service string `json:"service"`
+	Request string `json:"request"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Input   uint64 `json:"input"`
+	Output  uint64 `json:"output"`
+	Amount  uint64 `json:"amount"`
 }
 
 // Ledger returns the charges.
--- /dev/null
+++ b/internal/bench/fault/fault_test.go
@@ -0,0 +1,32 @@
+package fault
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against faults that concern more requests than asked for.
+func TestMatch(t *testing.T) {
+	is := is.New(t)
+	var s Set
+	s.Replace([]Fault{{Kind: Crash, Marker: "poison"}, {Kind: Late, Count: 2}})
+	got := []Kind{}
+	for _, body := range []string{"a", "poison", "b", "c"} {
+		got = append(got, s.Match([]byte(body)).Kind)
+	}
+	is.Equal(got, []Kind{Late, Crash, Late, None})
+}
+
+// Guards against run counts that a killed service loses.
+func TestJournal(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "runs")
+	for n := 1; n <= 2; n++ {
+		var r Runs
+		is.NoErr(r.Open(path))
+		is.Equal(r.Begin("key"), n)
+		is.Equal(r.Tally().Total, n)
+	}
+}
--- a/internal/bench/fault/runs.go
+++ b/internal/bench/fault/runs.go
@@ -1,9 +1,13 @@
 package fault
 
 import (
+	"bufio"
 	"maps"
 	"net/http"
+	"os"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Tally is what a service counted since its start.
@@ -19,8 +23,24 @@
 // Runs counts runs per identity: the request id, or the idempotency key of a
 // call that must not be repeated.
 type Runs struct {
-	mu    sync.Mutex
-	tally Tally
+	mu      sync.Mutex
+	tally   Tally
+	journal *os.File
+}
+
+// Open adds the runs that a file lists and appends each further one to it
+// before it begins, so that the counts outlive a crash of the process.
+func (r *Runs) Open(path string) (err error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR|os.O_APPEND, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open journal of runs")
+	}
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		r.Begin(lines.Text())
+	}
+	r.journal = file
+	return errors.Wrap(lines.Err(), "read journal of runs")
 }
 
 // Begin counts one run and returns how many there are for that identity.
@@ -30,6 +50,9 @@
 	if r.tally.Runs == nil {
 		r.tally.Runs = map[string]int{}
 	}
+	if r.journal != nil {
+		_, _ = r.journal.WriteString(id + "\n")
+	}
 	r.tally.Total++
 	r.tally.Runs[id]++
 	return r.tally.Runs[id]
