bench: add load, kills and checks to the demonstration

Cause: the demonstration has to show from outside that answers, runs and charges agree while processes are killed. Ruled out: trusting the router's own counters; the checks compare the callers' history with the upstreams' run counts and the ledger. Change: workers per account, kill and restart of entry, leader and upstreams, withdrawal of a version, monitors of the revision, and the checks. Before: the demo only started processes. Conclusion: to be run as soon as serve exists.

--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -15,6 +15,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/bench/caller"
 	"wisteriakeel.example/wisteriakeel/internal/bench/cluster"
+	"wisteriakeel.example/wisteriakeel/internal/bench/fault"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
@@ -50,10 +51,16 @@
 	mu       sync.Mutex
 	passed   int
 	failures []string
-	// applied is the revision that was accepted last.
+	// applied is the highest revision that was reported as in force.
 	applied uint64
-	// lost counts runs of upstreams that were killed, which no count shows any more.
-	killed []*cluster.Upstream
+
+	// pool is the revision of the pool's document.
+	pool     uint64
+	monitors []*monitor
+	// withdrawn is what the withdrawn version had run when the change was in force.
+	withdrawn fault.Tally
+	elapsed   time.Duration
+	changed   bool
 }
 
 // Run runs the demonstration; it returns an error if any check failed.
@@ -116,5 +123,8 @@
 	if err = d.configure(ctx); err != nil {
 		return err
 	}
-	return nil
+	if err = d.script(ctx); err != nil {
+		return err
+	}
+	return d.checks(ctx)
 }
--- /dev/null
+++ b/internal/bench/demo/script.go
@@ -0,0 +1,148 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/bench/cluster"
+	"wisteriakeel.example/wisteriakeel/internal/bench/fault"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+)
+
+// sleep waits for a step of the script.
+func (d *demo) sleep(ctx context.Context, t time.Duration) error {
+	return timer.Sleep(ctx, d.options.Timer, t)
+}
+
+// script runs the load, the kills and the operator's change.
+func (d *demo) script(ctx context.Context) (err error) {
+	monitors := group.New(ctx)
+	for _, i := range d.cluster.Instances {
+		m := &monitor{demo: d, instance: i}
+		d.monitors = append(d.monitors, m)
+		monitors.Go("monitor", m.run)
+	}
+	l, err := d.startLoad(ctx)
+	if err != nil {
+		return err
+	}
+	err = d.events(ctx)
+	err = errors.CombineErrors(err, l.end())
+	d.note("load has ended")
+	return errors.CombineErrors(err, monitors.Stop())
+}
+
+// events are what happens while the load runs.
+func (d *demo) events(ctx context.Context) error {
+	if err := d.sleep(ctx, 2*time.Second); err != nil {
+		return err
+	}
+	for _, e := range []struct {
+		kind string
+		run  func(ctx context.Context) error
+	}{
+		{"entry", d.killEntry},
+		{"control", d.killLeader},
+		{"upstream", d.killUpstreams},
+	} {
+		if !d.kills(e.kind) {
+			continue
+		}
+		if err := e.run(ctx); err != nil {
+			return errors.Wrapf(err, "kill %s", e.kind)
+		}
+	}
+	if err := d.withdraw(ctx); err != nil {
+		return errors.Wrap(err, "withdraw a version")
+	}
+	return d.sleep(ctx, 3*time.Second)
+}
+
+// killInstance kills an instance and starts it again.
+func (d *demo) killInstance(ctx context.Context, i *cluster.Instance) error {
+	i.Process().Kill()
+	<-i.Process().Done()
+	d.note("%s is killed", i.Name)
+	if err := d.sleep(ctx, 3500*time.Millisecond); err != nil {
+		return err
+	}
+	if err := d.cluster.Start(i); err != nil {
+		return err
+	}
+	d.note("%s is started again", i.Name)
+	begin := d.options.Timer.Now()
+	if err := d.cluster.Await(ctx, "answer of all instances", 8*time.Second, d.cluster.Answers); err != nil {
+		return err
+	}
+	d.note("all instances answer, %d ms after the start", d.options.Timer.Now().Sub(begin).Milliseconds())
+	return nil
+}
+
+func (d *demo) killEntry(ctx context.Context) error {
+	return d.killInstance(ctx, d.cluster.Entries()[0])
+}
+
+func (d *demo) killLeader(ctx context.Context) error {
+	i, err := d.cluster.Leader(ctx)
+	if err != nil {
+		return err
+	}
+	return d.killInstance(ctx, i)
+}
+
+// killUpstreams kills one engine and one plain service and starts them again.
+func (d *demo) killUpstreams(ctx context.Context) error {
+	dead := []*cluster.Upstream{d.large[0], d.desk[0]}
+	for _, u := range dead {
+		u.Process().Kill()
+		<-u.Process().Done()
+		d.note("%s is killed", u.Name)
+	}
+	if err := d.sleep(ctx, 2*time.Second); err != nil {
+		return err
+	}
+	for _, u := range dead {
+		if err := d.cluster.Restart(u); err != nil {
+			return err
+		}
+	}
+	return d.cluster.Await(ctx, "registration of all upstreams", 8*time.Second, d.registered)
+}
+
+// withdraw takes version 1 of the small model out of service.
+func (d *demo) withdraw(ctx context.Context) (err error) {
+	a, err := d.cluster.Apply(ctx, pool("1"), d.pool, 5*time.Second)
+	if err != nil {
+		return err
+	}
+	if !a.Inforce {
+		return errors.New("change is not in force within 5 s")
+	}
+	d.note("small@1 is withdrawn as revision %d, in force %d ms after it was accepted", a.Revision, a.Elapsed)
+	d.mu.Lock()
+	d.applied = max(d.applied, a.Revision)
+	d.mu.Unlock()
+	d.elapsed = time.Duration(a.Elapsed) * time.Millisecond
+	d.withdrawn, err = d.cluster.Runs(ctx, d.small[0])
+	d.changed = err == nil
+	return err
+}
+
+// runs returns the run counts of several upstreams as one.
+func (d *demo) runs(ctx context.Context, list ...*cluster.Upstream) (sum fault.Tally, err error) {
+	sum.Runs = map[string]int{}
+	for _, u := range list {
+		t, err := d.cluster.Runs(ctx, u)
+		if err != nil {
+			return sum, errors.Wrap(err, u.Name)
+		}
+		sum.Total += t.Total
+		for id, n := range t.Runs {
+			sum.Runs[id] += n
+		}
+	}
+	return sum, nil
+}
--- a/internal/bench/demo/start.go
+++ b/internal/bench/demo/start.go
@@ -30,14 +30,15 @@
 		{&d.large, "large-b", "large", "1"},
 	}
 	for _, e := range engines {
-		u, err := d.cluster.AddUpstream(e.name, "engine", "--service", "pool", "--model", e.model, "--version", e.version)
+		u, err := d.cluster.AddUpstream(e.name, "engine", "--service", "pool", "--model", e.model, "--version", e.version,
+			"--journal", e.name+".runs")
 		if err != nil {
 			return err
 		}
 		*e.list = append(*e.list, u)
 	}
 	for _, n := range []string{"desk-a", "desk-b"} {
-		u, err := d.cluster.AddUpstream(n, "plain", "--service", "desk")
+		u, err := d.cluster.AddUpstream(n, "plain", "--service", "desk", "--journal", n+".runs")
 		if err != nil {
 			return err
 		}
@@ -62,6 +63,10 @@
 	return nil
 }
 
+func priceOf(model string) document.PriceSpec {
+	return document.PriceSpec{Input: document.Amount(prices[model][0]), Output: document.Amount(prices[model][1])}
+}
+
 // pool is the document of the engines; withdrawn names a withdrawn version of
 // the small model.
 func pool(withdrawn document.Version) document.Document {
@@ -74,9 +79,9 @@
 	p := document.Document{
 		Service: "pool", Kind: document.KindEngine,
 		Models: []document.ModelSpec{
-			{Name: "small", Price: document.PriceSpec{Input: 1, Output: 2}, Versions: small},
+			{Name: "small", Price: priceOf("small"), Versions: small},
 			{
-				Name: "large", Price: document.PriceSpec{Input: 5, Output: 10},
+				Name: "large", Price: priceOf("large"),
 				Versions: []document.VersionSpec{{Name: "1", State: document.StateActive}},
 			},
 		},
@@ -89,13 +94,19 @@
 	return p
 }
 
+// Prices of the calls of the plain service.
+const (
+	bookingPrice = 100
+	lookupPrice  = 1
+)
+
 // desk is the document of the plain service.
 func desk() document.Document {
 	p := document.Document{
 		Service: "desk", Kind: document.KindPlain,
 		Calls: []document.CallSpec{
-			{Method: "POST", Path: "/bookings", Price: 100, Timeout: 2000},
-			{Method: "GET", Path: "/lookups/", Repeat: true, Price: 1, Timeout: 2000},
+			{Method: "POST", Path: "/bookings", Price: bookingPrice, Timeout: 2000},
+			{Method: "GET", Path: "/lookups/", Repeat: true, Price: lookupPrice, Timeout: 2000},
 		},
 	}
 	for _, a := range accounts {
@@ -114,7 +125,9 @@
 			return err
 		}
 		d.note("%s is accepted as revision %d, in force: %v after %d ms", p.Service, a.Revision, a.Inforce, a.Elapsed)
-		d.applied = max(d.applied, a.Revision)
+		if d.applied = max(d.applied, a.Revision); p.Service == "pool" {
+			d.pool = a.Revision
+		}
 		if !a.Inforce {
 			return errors.Newf("%s is not in force within 5 s", p.Service)
 		}
