bench: let the demonstration resend changes and end an engine

Cause: the demo showed neither a resent change nor an upstream that leaves. Ruled out: asking engines for run counts at the end, since the one that left has ended by then; the counts are read from the journals. Before: these guarantees were not looked at.

--- a/internal/bench/demo/check.go
+++ b/internal/bench/demo/check.go
@@ -49,21 +49,21 @@
 	d.check("every answer is whole and belongs to its request", d.checkAnswers(all))
 	d.check("every chat request and lookup is answered in the end", d.checkAnswered(all))
 	d.check("sessions keep their version unless told otherwise", d.checkSessions(all))
-	small, err := d.runs(ctx, d.small...)
+	small, err := d.runs(d.small...)
 	if err != nil {
 		return err
 	}
-	large, err := d.runs(ctx, d.large...)
+	large, err := d.runs(d.large...)
 	if err != nil {
 		return err
 	}
-	desks, err := d.runs(ctx, d.desk...)
+	desks, err := d.runs(d.desk...)
 	if err != nil {
 		return err
 	}
-	d.check("every booking ran at most once, every answered one exactly once", checkBookings(all, desks.Runs))
-	d.check("nothing that was refused as not run has run", checkNotRun(all, small.Runs, large.Runs, desks.Runs))
-	d.check("no request ran on a model that it did not ask for", checkModels(all, small.Runs, large.Runs))
+	d.check("every booking ran at most once, every answered one exactly once", checkBookings(all, desks))
+	d.check("nothing that was refused as not run has run", checkNotRun(all, small, large, desks))
+	d.check("no request ran on a model that it did not ask for", checkModels(all, small, large))
 	l, err := d.cluster.Ledger(ctx)
 	if err != nil {
 		return err
--- a/internal/bench/demo/script.go
+++ b/internal/bench/demo/script.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,7 +61,59 @@
 	if err := d.withdraw(ctx); err != nil {
 		return errors.Wrap(err, "withdraw a version")
 	}
-	return d.sleep(ctx, 3*time.Second)
+	d.resend(ctx)
+	return errors.Wrap(d.leave(ctx), "leave")
+}
+
+// resend repeats the operator's change as after a lost answer, and races it
+// with another one of the same base.
+func (d *demo) resend(ctx context.Context) {
+	a, err := d.cluster.Apply(ctx, pool("1"), d.pool, 0)
+	if err == nil && (!a.Repeated || a.Revision != d.inforce()) {
+		err = errors.Newf("answer is %+v, expected a repetition of revision %d", a, d.inforce())
+	}
+	d.check("a change that is sent again gets its first answer", err)
+	if a, err = d.cluster.Apply(ctx, pool("2"), d.pool, 0); err == nil {
+		err = errors.Newf("accepted as revision %d", a.Revision)
+	} else {
+		d.note("answer to the other change: %v", err)
+		err = nil
+	}
+	d.check("another change with the same base is refused", err)
+}
+
+// leaving is the time after which an upstream that left gets no new work.
+const leaving = 3 * time.Second
+
+// leave ends one engine gracefully and looks whether it gets new work later on.
+func (d *demo) leave(ctx context.Context) error {
+	u := d.large[1]
+	before, err := d.cluster.Runs(ctx, u)
+	if err != nil {
+		return err
+	}
+	u.Process().Signal(syscall.SIGTERM)
+	d.note("%s is told to leave", u.Name)
+	if err = d.sleep(ctx, leaving); err != nil {
+		return err
+	}
+	then, err := d.cluster.Runs(ctx, u)
+	if err != nil {
+		return err
+	}
+	if err = d.sleep(ctx, 2*time.Second); err != nil {
+		return err
+	}
+	last, err := d.cluster.Runs(ctx, u)
+	if err != nil {
+		return err
+	}
+	if last.Total > then.Total {
+		err = errors.Newf("%d runs later than %s", last.Total-then.Total, leaving)
+	}
+	d.check(fmt.Sprintf("an upstream that leaves gets no work after %s (%d runs before it)",
+		leaving, then.Total-before.Total), err)
+	return nil
 }
 
 // killInstance kills an instance and starts it again.
@@ -131,18 +186,17 @@
 	return err
 }
 
-// runs returns the run counts of several upstreams as one.
-func (d *demo) runs(ctx context.Context, list ...*cluster.Upstream) (sum fault.Tally, err error) {
-	sum.Runs = map[string]int{}
+// runs returns the run counts of several upstreams as one. They are read from
+// the journals, since some of the upstreams may have ended.
+func (d *demo) runs(list ...*cluster.Upstream) (map[string]int, error) {
+	var r fault.Runs
 	for _, u := range list {
-		t, err := d.cluster.Runs(ctx, u)
-		if err != nil {
-			return sum, errors.Wrap(err, u.Name)
-		}
-		sum.Total += t.Total
-		for id, n := range t.Runs {
-			sum.Runs[id] += n
+		if err := r.Read(filepath.Join(d.cluster.Folder, journal(u.Name))); err != nil {
+			return nil, errors.Wrap(err, u.Name)
 		}
 	}
-	return sum, nil
+	return r.Tally().Runs, nil
 }
+
+// journal names the file with the runs of an upstream.
+func journal(name string) string { return name + ".runs" }
--- a/internal/bench/demo/start.go
+++ b/internal/bench/demo/start.go
@@ -10,6 +10,9 @@
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 )
 
+// grace keeps an engine that leaves reachable for long enough to see what it still gets.
+const grace = leaving + 4*time.Second
+
 // start starts all processes and waits until they answer.
 func (d *demo) start(ctx context.Context) (err error) {
 	if err = d.cluster.StartAll(); err != nil {
@@ -31,14 +34,14 @@
 	}
 	for _, e := range engines {
 		u, err := d.cluster.AddUpstream(e.name, "engine", "--service", "pool", "--model", e.model, "--version", e.version,
-			"--journal", e.name+".runs")
+			"--journal", journal(e.name), "--grace", grace.String())
 		if err != nil {
 			return err
 		}
 		*e.list = append(*e.list, u)
 	}
 	for _, n := range []string{"desk-a", "desk-b"} {
-		u, err := d.cluster.AddUpstream(n, "plain", "--service", "desk", "--journal", n+".runs")
+		u, err := d.cluster.AddUpstream(n, "plain", "--service", "desk", "--journal", journal(n))
 		if err != nil {
 			return err
 		}
--- a/internal/bench/fault/runs.go
+++ b/internal/bench/fault/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io/fs"
 	"maps"
 	"net/http"
 	"os"
@@ -31,15 +32,24 @@
 // Open adds the runs that a file lists and appends each further one to it
 // before it begins, so that the counts outlive a crash of the process.
 func (r *Runs) Open(path string) (err error) {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR|os.O_APPEND, 0o600)
+	if err = r.Read(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	r.journal, err = os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	return errors.Wrap(err, "open journal of runs")
+}
+
+// Read adds the runs that a file lists.
+func (r *Runs) Read(path string) (err error) {
+	file, err := os.Open(path)
 	if err != nil {
-		return errors.Wrap(err, "open journal of runs")
+		return errors.Wrap(err, "read journal of runs")
 	}
+	defer file.Close()
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
 		r.Begin(lines.Text())
 	}
-	r.journal = file
 	return errors.Wrap(lines.Err(), "read journal of runs")
 }
 
