bench: drain an entry in the demonstration

Ruled out: judging by the final outcome, because a resend hides a connection that broke; records now count the attempts whose connection broke. Change: drain of one entry after all kills, a check that it ends by itself and that no later request lost a connection. Before: not looked at.

--- a/internal/bench/caller/caller.go
+++ b/internal/bench/caller/caller.go
@@ -181,7 +181,11 @@
 	response, err := c.client.Do(request)
 	if err != nil {
 		c.list.failed(address)
-		r.note(r.worse(lost(err)), 0, err.Error())
+		if refusedConnection(err) {
+			r.note(r.worse(NotRun), 0, err.Error())
+		} else {
+			r.broke(0, err)
+		}
 		return pause, true
 	}
 	defer response.Body.Close()
@@ -206,11 +210,8 @@
 	return max(pause, min(r.retry, time.Second)), true
 }
 
-// lost returns what is known of a request whose connection failed.
-func lost(err error) Outcome {
+// refusedConnection tells whether no byte of the request can have been sent.
+func refusedConnection(err error) bool {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return NotRun
-	}
-	return Unknown
+	return errors.As(err, &op) && op.Op == "dial"
 }
--- a/internal/bench/caller/check.go
+++ b/internal/bench/caller/check.go
@@ -47,7 +47,7 @@
 func entire(r *Record, response *http.Response) (body []byte, ok bool) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, 64<<20))
 	if err != nil {
-		r.note(Unknown, response.StatusCode, err.Error())
+		r.broke(response.StatusCode, err)
 		return nil, false
 	}
 	if response.StatusCode/100 != 2 {
@@ -172,7 +172,7 @@
 		}
 	}
 	if err := lines.Err(); err != nil {
-		r.note(Unknown, http.StatusOK, err.Error())
+		r.broke(http.StatusOK, err)
 		return
 	}
 	// A proper end of the body without an end mark or an error event hides a cut.
--- a/internal/bench/caller/history.go
+++ b/internal/bench/caller/history.go
@@ -51,6 +51,8 @@
 	Text     string
 	Entry    string
 	Attempts int
+	// Broken counts attempts whose connection broke after the request was sent.
+	Broken int
 	// Moved is true if an answer said that the session's version was changed.
 	Moved bool
 	Usage engine.Usage
@@ -71,6 +73,12 @@
 	r.uncertain = r.uncertain || o == Unknown || o == Failed
 }
 
+// broke sets the result of an attempt whose connection broke.
+func (r *Record) broke(status int, err error) {
+	r.Broken++
+	r.note(Unknown, status, err.Error())
+}
+
 // worse returns the outcome of the request if its latest attempt had that
 // outcome: an earlier attempt may have run even if this one did not.
 func (r *Record) worse(o Outcome) Outcome {
--- a/internal/bench/demo/check.go
+++ b/internal/bench/demo/check.go
@@ -73,6 +73,9 @@
 			checkCharges(a, d.callers[a].History().Records(), l))
 	}
 	d.check("the totals of the ledger match its charges", checkTotals(l))
+	if d.drained > 0 {
+		d.check("no request is interrupted by the drain", checkUnbroken(all, d.drained))
+	}
 	for _, m := range d.monitors {
 		polls, bad := m.result()
 		d.check(fmt.Sprintf("%s reports no older revision in %d polls", m.instance.Name, polls), bad)
@@ -217,6 +220,17 @@
 	return f.err()
 }
 
+// checkUnbroken looks for requests that began later than an instant and lost a connection.
+func checkUnbroken(all []caller.Record, since timer.Instant) error {
+	var f faults
+	for _, r := range all {
+		if r.Broken > 0 && since.Before(r.Begin) {
+			f.add("%s %s broke %d times, at last through %s: %s", r.Asked, r.Request, r.Broken, r.Entry, r.Text)
+		}
+	}
+	return f.err()
+}
+
 func checkModels(all []caller.Record, small, large map[string]int) error {
 	var f faults
 	for _, r := range all {
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -61,6 +61,8 @@
 	withdrawn fault.Tally
 	elapsed   time.Duration
 	changed   bool
+	// drained is when an entry was told to drain; nothing is killed after it.
+	drained timer.Instant
 }
 
 // Run runs the demonstration; it returns an error if any check failed.
--- a/internal/bench/demo/script.go
+++ b/internal/bench/demo/script.go
@@ -62,7 +62,10 @@
 		return errors.Wrap(err, "withdraw a version")
 	}
 	d.resend(ctx)
-	return errors.Wrap(d.leave(ctx), "leave")
+	if err := d.leave(ctx); err != nil {
+		return errors.Wrap(err, "leave")
+	}
+	return errors.Wrap(d.drain(ctx), "drain")
 }
 
 // resend repeats the operator's change as after a lost answer, and races it
@@ -186,6 +189,27 @@
 	return err
 }
 
+// drain ends one entry gracefully; it has to serve until the lists that name it
+// have expired, and to finish its requests.
+func (d *demo) drain(ctx context.Context) (err error) {
+	i := d.cluster.Entries()[1]
+	d.drained = d.options.Timer.Now()
+	if _, err = d.cluster.Operate(ctx, "drain", i.Name); err != nil {
+		return err
+	}
+	d.note("%s is told to drain", i.Name)
+	ctx, cancel := timer.WithTimeout(ctx, d.options.Timer, 12*time.Second)
+	defer cancel()
+	select {
+	case <-i.Process().Done():
+		d.note("%s has ended", i.Name)
+	case <-ctx.Done():
+		err = errors.New("still runs after 12 s")
+	}
+	d.check("an entry that drains ends by itself", err)
+	return nil
+}
+
 // runs returns the run counts of several upstreams as one. They are read from
 // the journals, since some of the upstreams may have ended.
 func (d *demo) runs(list ...*cluster.Upstream) (map[string]int, error) {
