role: add the serve command, settings and secrets

Cause: the parts had no process to run in and no settings to read. Ruled out: encoding/json with DisallowUnknownFields, which stops at the first fault and accepts repeated names and names in another case; one goroutine per role without an order, which could stop the control role under a request. Before: serve did not exist. After: go test -race ./... passes, including the order of a shutdown with a request in progress and a level changed by PUT. Conclusion: roles can be assembled against role.Env.

--- /dev/null
+++ b/internal/command/terminal/serve_test.go
@@ -0,0 +1,170 @@
+package terminal
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/secret"
+	"wisteriakeel.example/wisteriakeel/internal/config/settings"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/plugin"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/role"
+	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
+)
+
+const operatorToken = "operator-token-0001"
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func book(t *testing.T) *secret.Book {
+	t.Helper()
+	b, err := secret.Parse("secrets.json", []byte(`{"operators":[{"name":"team","token":"`+operatorToken+
+		`","services":["pool"]}],"peer":"peer-token-00000001"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// start runs a process with the given entry role and returns its address.
+func start(ctx context.Context, t *testing.T, runner role.Runner) (address string, ended chan error) {
+	t.Helper()
+	address = free(t)
+	s, err := settings.Parse("settings.json", fmt.Appendf(nil, `{"instance":"e1","zone":"lakes-a","region":"great-lakes",
+		"roles":["entry"],"listen":{"http":%q},"control":["127.0.0.1:9080"],"secrets":"secrets.json"}`, address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, level, err := journal.New(io.Discard, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newProcess(ctx, s, book(t), log, level)
+	p.registry = plugin.NewRegistry[role.Runner]("role")
+	p.registry.Register("entry", runner)
+	ended = make(chan error, 1)
+	go func() { ended <- p.run() }()
+	for range 100 {
+		if c, err := net.Dial("tcp", address); err == nil {
+			c.Close()
+			return address, ended
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the listener did not open")
+	return "", nil
+}
+
+// Guards against a shutdown that interrupts a request, closes the listener
+// before the roles have drained, or stops a role while requests need it (G9).
+func TestShutdownOrder(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var mu sync.Mutex
+	var order []string
+	note := func(s string) {
+		mu.Lock()
+		defer mu.Unlock()
+		order = append(order, s)
+	}
+	entered, release, draining, drained := make(chan bool), make(chan bool), make(chan bool), make(chan bool)
+	address, ended := start(ctx, t, func(_ context.Context, e role.Env) error {
+		e.Mux.HandleFunc("/slow", func(w http.ResponseWriter, _ *http.Request) {
+			close(entered)
+			<-release
+			note("answered")
+			_, _ = io.WriteString(w, "complete")
+		})
+		e.Mux.HandleFunc("/quick", func(http.ResponseWriter, *http.Request) {})
+		e.Drain(func(context.Context) error {
+			close(draining)
+			<-drained
+			note("drained")
+			return nil
+		})
+		e.Group.Go("member", func(ctx context.Context) error {
+			<-ctx.Done()
+			note("role stopped")
+			return nil
+		})
+		return nil
+	})
+	body := make(chan string, 1)
+	go func() {
+		r, err := http.Get("http://" + address + "/slow")
+		if err != nil {
+			body <- err.Error()
+			return
+		}
+		defer r.Body.Close()
+		text, _ := io.ReadAll(r.Body)
+		body <- string(text)
+	}()
+	<-entered
+	cancel()
+	<-draining
+	r, err := http.Get("http://" + address + "/quick")
+	is.NoErr(err) // the instance still serves while it drains
+	r.Body.Close()
+	close(drained)
+	time.Sleep(20 * time.Millisecond)
+	close(release)
+	is.Equal(<-body, "complete")
+	is.NoErr(<-ended)
+	is.Equal(order, []string{"drained", "answered", "role stopped"})
+}
+
+// Guards against debug pages that are open to everyone and a level that cannot
+// be changed while the instance runs.
+func TestLevel(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	address, ended := start(ctx, t, func(context.Context, role.Env) error { return nil })
+	put := func(token string) (int, string) {
+		r, err := http.NewRequest(http.MethodPut, "http://"+address+"/debug/level", strings.NewReader(`{"level":"debug"}`))
+		is.NoErr(err)
+		r.Header.Set("Authorization", "Bearer "+token)
+		a, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		defer a.Body.Close()
+		text, _ := io.ReadAll(a.Body)
+		return a.StatusCode, string(text)
+	}
+	code, text := put("someone-elses-token")
+	is.Equal(code, http.StatusUnauthorized)
+	is.True(strings.Contains(text, `"outcome":"not run"`))
+	code, text = put(operatorToken)
+	is.Equal(code, http.StatusOK)
+	is.True(strings.Contains(text, `"debug"`))
+	cancel()
+	is.NoErr(<-ended)
+}
+
+// Guards against a bad settings file that passes for a failure at run time.
+func TestServeBadSettings(t *testing.T) {
+	is := is.New(t)
+	path := t.TempDir() + "/settings.json"
+	write(t, path, `{"instance":"e1","rolls":[]}`)
+	var out, errout bytes.Buffer
+	is.Equal(Main([]string{"serve", "-c", path}, &out, &errout), ExitUsage)
+	is.True(strings.Contains(errout.String(), path+": rolls: expected one of instance, "))
+	is.True(strings.Contains(errout.String(), path+": listen.http: expected an IP address and port"))
+}
--- a/internal/command/terminal/terminal.go
+++ b/internal/command/terminal/terminal.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/problem"
 )
 
 // Exit codes of every command.
@@ -17,8 +19,29 @@
 	ExitFailed = 1
 	// ExitUsage means that the arguments, settings or document are wrong.
 	ExitUsage = 2
+	// ExitConflict means that another change was first.
+	ExitConflict = 3
+	// ExitUnavailable means that no instance could carry out the command.
+	ExitUnavailable = 4
 )
 
+// exitError carries the exit code of a failed command.
+type exitError struct {
+	error
+	code int
+}
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.error }
+
+// exit gives an error its exit code.
+func exit(code int, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &exitError{error: err, code: code}
+}
+
 // command is one registered command.
 type command struct {
 	name    string
@@ -54,6 +77,20 @@
 		fmt.Fprintln(errout, "wisteriakeel:", usage.Message)
 		return ExitUsage
 	}
+	return report(errout, err)
+}
+
+// report prints the error and returns the exit code that belongs to it.
+func report(errout io.Writer, err error) int {
+	var faults *problem.Error
+	if errors.As(err, &faults) {
+		fmt.Fprintln(errout, faults)
+		return ExitUsage
+	}
 	fmt.Fprintln(errout, "wisteriakeel:", err)
+	var e *exitError
+	if errors.As(err, &e) {
+		return e.code
+	}
 	return ExitFailed
 }
--- /dev/null
+++ b/internal/command/terminal/terminal_test.go
@@ -0,0 +1,13 @@
+package terminal
+
+import (
+	"os"
+	"testing"
+)
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/config/settings/settings_test.go
@@ -0,0 +1,94 @@
+package settings
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const valid = `{"instance":"lakes-a-1","zone":"lakes-a","region":"great-lakes","roles":["entry","control"],
+"folder":"data","listen":{"http":"127.0.0.1:8080","peer":"127.0.0.1:9080"},
+"control":["127.0.0.1:9080","127.0.0.1:9081","127.0.0.1:9082"],"secrets":"secrets.json"}`
+
+// Guards against defaults that differ from the documented ones and against
+// paths that depend on the working directory.
+func TestDefaults(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("/etc/wisteriakeel/settings.json", []byte(valid))
+	is.NoErr(err)
+	is.Equal(s.Secrets, "/etc/wisteriakeel/secrets.json")
+	is.Equal(s.Folder, "/etc/wisteriakeel/data")
+	is.Equal(s.Limits, Limits{Body: 8 << 20, Header: 64 << 10, Parallel: 256, Queue: 1024, Total: 8192, Connections: 256})
+	is.Equal(s.Timeouts.Header.Duration(), 5*time.Second)
+	is.Equal(s.Groups, uint32(4))
+	is.True(s.Has(RoleControl))
+}
+
+// Guards against faults that pass, are reported one at a time or without their place.
+func TestProblems(t *testing.T) {
+	cases := []struct {
+		text   string
+		fields []string
+	}{
+		{"", []string{""}},
+		{"{", []string{""}},
+		{valid + "x", []string{""}},
+		{"[]", []string{"", "instance", "zone", "region", "roles", "listen.http", "control", "secrets"}},
+		{`{"instance":1,"zone":"z","region":"r","roles":["entry"],"listen":{"http":"localhost:80","port":1},"control":["127.0.0.1:1"],"secrets":"s"}`, []string{"instance", "listen.port", "listen.http"}},
+		{`{"instance":"i","instance":"j","zone":"z","region":"r","roles":["entry","entry","cook"],"folder":"f","listen":{"http":"0.0.0.0:80"},"control":["127.0.0.1:1","127.0.0.1:1"],"secrets":"s"}`, []string{"instance", "roles[1]", "roles[2]", "folder", "listen.http", "control[1]"}},
+		{`{"instance":"i","zone":"z","region":"r","roles":["control"],"listen":{"http":"127.0.0.1:80","peer":"127.0.0.1:81"},"control":["127.0.0.1:82"],"secrets":"s","groups":0,"log":{"level":"loud"},"trace":{"exporter":"otlp"},"rating":"http://rating:1","limits":{"body":-1,"queue":0},"timeouts":{"idle":99}}`, []string{"limits.body", "folder", "listen.peer", "groups", "log.level", "trace.target", "rating", "limits.queue", "timeouts.idle"}},
+	}
+	for _, c := range cases {
+		t.Run(c.text, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse("settings.json", []byte(c.text))
+			var e *Error
+			is.True(errors.As(err, &e))
+			var fields []string
+			for _, p := range e.Problems {
+				is.Equal(p.File, "settings.json")
+				is.True(p.Expected != "" && p.Found != "")
+				fields = append(fields, p.Field)
+			}
+			is.Equal(fields, c.fields)
+		})
+	}
+}
+
+// Guards against a parser that panics, and against settings that no longer
+// parse or change when they are printed and parsed again.
+func check(t interface{ Fatalf(string, ...any) }, text []byte) {
+	s, err := Parse("/settings.json", text)
+	if err != nil {
+		return
+	}
+	first, _ := json.Marshal(s)
+	again, err := Parse("/settings.json", first)
+	if err != nil {
+		t.Fatalf("printed settings refused: %v", err)
+	}
+	if second, _ := json.Marshal(again); string(second) != string(first) {
+		t.Fatalf("not stable: %s became %s", first, second)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte(`{"limits":{"body":1e3},"roles":[[{}]]}`))
+	f.Fuzz(func(t *testing.T, text []byte) { check(t, text) })
+}
+
+func TestParseProperty(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		text := []byte(valid)
+		for range rapid.IntRange(0, 4).Draw(r, "edits") {
+			at := rapid.IntRange(0, len(text)-1).Draw(r, "at")
+			text[at] = rapid.SampledFrom([]byte(`{}[]",:0123456789ae.- `)).Draw(r, "byte")
+		}
+		check(r, text)
+	})
+}
