document: parse and check service documents

Cause: documents had types but nothing read them or refused a bad one. Ruled out: stopping at the first fault; accepting a weight of zero, which would starve an account; a roll-out to a version that is already active, which takes all traffic and contradicts the stages. Change: Parse, Print and the checks of names, references, states, shares, prices and bounds. The secret book hides itself when it is copied, too: its formatting methods had pointer receivers, so %q of a value printed the token. Before: TestHidden failed on the copy. Conclusion: a document in the log can be taken as valid.

--- /dev/null
+++ b/internal/config/document/parse.go
@@ -0,0 +1,42 @@
+package document
+
+import (
+	"encoding/json"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/problem"
+)
+
+// Problem is one fault of a document.
+type Problem = problem.Problem
+
+// Error lists all problems of a document.
+type Error = problem.Error
+
+// Parse reads the text of a document; name is used in problems. The error is an
+// *Error that lists every problem.
+func Parse(name string, text []byte) (*Document, error) {
+	l := problem.NewList(name)
+	d := &Document{}
+	if l.Decode(text, d) {
+		c := &checker{List: l, document: d}
+		c.check()
+	}
+	if err := l.Err(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Print returns the text of a document in its usual form.
+func Print(d *Document) []byte {
+	c := *d
+	if c.Accounts == nil {
+		c.Accounts = []AccountSpec{}
+	}
+	text, err := json.MarshalIndent(&c, "", "  ")
+	if err != nil {
+		// Only a number that is not finite fails, and Parse accepts none.
+		panic(err)
+	}
+	return append(text, '\n')
+}
--- a/internal/config/secret/secret.go
+++ b/internal/config/secret/secret.go
@@ -92,20 +92,21 @@
 	return entries[found].value, true
 }
 
-// String hides the content.
-func (b *Book) String() string { return hidden }
+// String hides the content. The methods that hide it have value receivers, so that
+// a copy is hidden as well.
+func (b Book) String() string { return hidden }
 
 // GoString hides the content from %#v.
-func (b *Book) GoString() string { return hidden }
+func (b Book) GoString() string { return hidden }
 
 // Format hides the content from every verb of package fmt.
-func (b *Book) Format(s fmt.State, _ rune) { _, _ = io.WriteString(s, hidden) }
+func (b Book) Format(s fmt.State, _ rune) { _, _ = io.WriteString(s, hidden) }
 
 // MarshalText hides the content from JSON and other encodings.
-func (b *Book) MarshalText() ([]byte, error) { return []byte(hidden), nil }
+func (b Book) MarshalText() ([]byte, error) { return []byte(hidden), nil }
 
 // MarshalLogObject hides the content from the log.
-func (b *Book) MarshalLogObject(e zapcore.ObjectEncoder) error {
+func (b Book) MarshalLogObject(e zapcore.ObjectEncoder) error {
 	e.AddInt("accounts", len(b.accounts))
 	e.AddInt("operators", len(b.operators))
 	e.AddInt("upstreams", len(b.upstreams))
