operator: serve documents, status, ledger, drain and watch

Cause: operators had no way to change a document or to see what is in force. Ruled out: protojson as it is, which sends 64-bit integers as strings; a show answer that wraps the text, since the text of a PUT must come back unchanged; a ledger with the charges of services that the credential does not list. Before: no operator endpoint. Conclusion: the commands can be written against these endpoints.

--- /dev/null
+++ b/internal/entry/operator/operator_test.go
@@ -0,0 +1,206 @@
+package operator
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/secret"
+	"wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+const (
+	text  = `{"service":"desk","kind":"plain","calls":[{"method":"GET","path":"/a","repeat":true}],"accounts":[]}`
+	token = "desk-team-token-01"
+)
+
+// fake is a control service that holds one document.
+type fake struct {
+	mu   sync.Mutex
+	last *wire.Document
+	err  error
+}
+
+func (f *fake) Apply(_ context.Context, r *wire.ApplyRequest) (*wire.ApplyReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.err != nil:
+		return nil, f.err
+	case f.last.GetChange() == r.Change:
+		return &wire.ApplyReply{Revision: f.last.Revision, Repeated: true}, nil
+	case f.last.GetRevision() != r.Base:
+		return nil, errors.Wrap(control.ErrConflict, "apply")
+	}
+	f.last = &wire.Document{Service: r.Service, Revision: r.Base + 7, Text: r.Text, Change: r.Change, Operator: r.Operator}
+	return &wire.ApplyReply{Revision: f.last.Revision, Inforce: r.Wait > 0, Elapsed: 12}, nil
+}
+
+func (f *fake) Show(context.Context, *wire.ShowRequest) (*wire.ShowReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.last == nil {
+		return nil, control.ErrMissing
+	}
+	return &wire.ShowReply{Documents: []*wire.Document{f.last}}, f.err
+}
+
+func (f *fake) History(context.Context, *wire.HistoryRequest) (*wire.HistoryReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &wire.HistoryReply{Documents: []*wire.Document{f.last}}, f.err
+}
+
+func (f *fake) Status(context.Context, *wire.StatusRequest) (*wire.StatusReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &wire.StatusReply{
+		Fault: &wire.Fault{}, Revision: f.last.GetRevision(),
+		Groups: []*wire.GroupStatus{{Term: 1 << 60, Replicas: []*wire.Replicator{{Match: 9}}}},
+	}, f.err
+}
+
+func (f *fake) Ledger(context.Context, *wire.LedgerRequest) (*wire.LedgerReply, error) {
+	return &wire.LedgerReply{Totals: []*wire.Total{{Service: "desk", Amount: 1 << 60}, {Service: "pool"}}}, f.err
+}
+
+func (f *fake) Drain(context.Context, *wire.DrainRequest) (*wire.DrainReply, error) {
+	return &wire.DrainReply{}, f.err
+}
+
+func setUp(t *testing.T) (*fake, *Server, *httptest.Server) {
+	t.Helper()
+	book, err := secret.Parse("s", []byte(`{"accounts":[{"name":"hill","token":"hill-account-token"}],
+		"operators":[{"name":"desk-team","token":"`+token+`","services":["desk"]}],"peer":"peer-token-000001"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fake{}
+	s := New(Options{Control: f, Secrets: book, Timer: timer.NewSystem(), Log: zap.NewNop(), Random: rand.New(rand.NewPCG(1, 2))})
+	mux := http.NewServeMux()
+	s.Register(mux)
+	h := httptest.NewServer(mux)
+	t.Cleanup(h.Close)
+	return f, s, h
+}
+
+type step struct {
+	name    string
+	request string // method and path
+	headers string // lines of NAME: VALUE in place of the usual ones
+	body    string
+	err     error // what the control service answers
+	status  int
+	outcome string
+	has     string // a part of the answer
+}
+
+func (s step) do(t *testing.T, h *httptest.Server) (*http.Response, string) {
+	t.Helper()
+	method, path, _ := strings.Cut(s.request, " ")
+	r, err := http.NewRequest(method, h.URL+path, strings.NewReader(s.body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	for line := range strings.Lines(s.headers) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		r.Header.Set(name, value)
+	}
+	a, err := h.Client().Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a, string(b)
+}
+
+// Guards against a refusal with the wrong status or outcome, a second revision
+// for a resent change, and 64-bit numbers sent as strings.
+func TestRequests(t *testing.T) {
+	const put, usual = "PUT /v1/operator/documents/desk", "If-Match: \"0\"\nWisteriakeel-Change: c1\nWisteriakeel-Wait: 500"
+	f, _, h := setUp(t)
+	steps := []step{
+		{"no credential", put, "Authorization: none", text, nil, 401, "not run", `"code":"unauthorized"`},
+		{"account credential", put, "Authorization: Bearer hill-account-token", text, nil, 401, "not run", ""},
+		{"other service", "PUT /v1/operator/documents/pool", usual, text, nil, 403, "not run", `"code":"forbidden"`},
+		{"no base", put, "Wisteriakeel-Change: c1", text, nil, 428, "not run", "If-Match"},
+		{"no change id", put, "If-Match: 0", text, nil, 400, "not run", "Wisteriakeel-Change"},
+		{"long wait", put, usual + "00", text, nil, 400, "not run", "Wisteriakeel-Wait"},
+		{"bad document", put, usual, `{"service":"desk","kind":"plane","color":1}`, nil, 422, "not run", `"found":"an unknown field"},{"file":"desk","field":"kind","expected":"engine or plain","found":"\"plane\""}]`},
+		{"wrong document", put, usual, strings.Replace(text, "desk", "pool", 1), nil, 422, "not run", `"field":"service","expected":"desk"`},
+		{"large document", put, usual, strings.Repeat(" ", 1<<20+1), nil, 413, "not run", ""},
+		{"missing", "GET /v1/operator/documents/desk", "", "", nil, 404, "not run", ""},
+		{"no leader", put, usual, text, control.ErrUnavailable, 503, "not run", `"retry":`},
+		{"lost answer", put, usual, text, control.ErrUnknown, 504, "unknown", `"retry":`},
+		{"full", put, usual, text, control.ErrFull, 507, "not run", `"code":"full"`},
+		{"accepted", put, usual, text, nil, 200, "", `{"service":"desk","revision":7,"repeated":false,"inforce":true,"elapsed":12}`},
+		{"resent", put, usual, text, nil, 200, "", `"revision":7,"repeated":true`},
+		{"conflict", put, "If-Match: \"3\"\nWisteriakeel-Change: c2", text, nil, 409, "not run", `"revision":7`},
+		{"show", "GET /v1/operator/documents/desk", "", "", nil, 200, "", text},
+		{"show, no leader", "GET /v1/operator/documents/desk", "", "", control.ErrUnknown, 503, "not run", ""},
+		{"history", "GET /v1/operator/documents/desk/history?limit=5", "", "", nil, 200, "", `"operator":"desk-team","change":"c1","instant":0,"document":{"service":"desk"`},
+		{"history limit", "GET /v1/operator/documents/desk/history?limit=many", "", "", nil, 400, "not run", ""},
+		{"status", "GET /v1/operator/status", "", "", nil, 200, "", `"term":1152921504606846976`},
+		{"ledger", "GET /v1/operator/ledger", "", "", nil, 200, "", `{"charges":[],"totals":[{"account":"","amount":1152921504606846976,"cost":0,"input":0,"output":0,"requests":0,"service":"desk"}]}`},
+		{"drain", "POST /v1/operator/drain/e1", "", "", nil, 200, "", `{"draining":true,"instance":"e1"}`},
+		{"drain off", "POST /v1/operator/drain/e1?off=true", "", "", nil, 200, "", `"draining":false`},
+	}
+	for _, c := range steps {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f.err = c.err
+			r, body := c.do(t, h)
+			is.Equal(r.StatusCode, c.status)
+			is.Equal(r.Header.Get("Wisteriakeel-Outcome"), c.outcome)
+			is.True(strings.Contains(body, c.has)) // the body holds c.has
+			is.True(!strings.Contains(body, `"fault"`))
+			is.Equal(r.Header.Get("Retry-After") != "", strings.Contains(body, `"retry"`))
+			is.True(json.Valid([]byte(body)))
+		})
+	}
+}
+
+// Guards against a watch that misses a change or keeps the process from ending.
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	f, s, h := setUp(t)
+	r, err := http.NewRequest(http.MethodGet, h.URL+"/v1/operator/watch", nil)
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+token)
+	a, err := h.Client().Do(r)
+	is.NoErr(err)
+	defer a.Body.Close()
+	lines := bufio.NewScanner(a.Body)
+	event := func() string {
+		for lines.Scan() {
+			if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+				return data
+			}
+		}
+		return "end"
+	}
+	is.Equal(event(), `{"revision":0,"inforce":0}`)
+	_, err = f.Apply(context.Background(), &wire.ApplyRequest{Base: 0, Change: "c"})
+	is.NoErr(err)
+	is.Equal(event(), `{"revision":7,"inforce":0}`)
+	is.NoErr(s.Drain(context.Background()))
+	is.Equal(event(), "end")
+}
