terminal: add the operator commands

Cause: operators had HTTP endpoints and no commands. Ruled out: a second change id after a lost answer, which could make a change twice where the first answer is no longer kept; following redirects and connection reuse, which let net/http send a request again by itself. Change: apply, show, history, status, fairness, ledger, drain, check, watch and completion over a client that tries the addresses in turn, resends with the same change id and says when the outcome is unknown; exit codes 3 and 4. Before: serve and version only.

--- /dev/null
+++ b/internal/command/terminal/fairness.go
@@ -0,0 +1,70 @@
+package terminal
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func init() {
+	register(command{
+		name:  "fairness",
+		short: "Print how client accounts are served",
+		long:  "Prints requests, refusals, waits and charges of every client account. The credential is that of a client account.",
+		factory: func(out io.Writer) flags.Commander {
+			return &fairnessCommand{remote: remote{out: out}}
+		},
+	})
+}
+
+type fairnessCommand struct {
+	remote
+}
+
+// fairness is the answer: counts since the start of the entries and totals of charges.
+type fairness struct {
+	Accounts []struct {
+		Account  string   `json:"account"`
+		Requests uint64   `json:"requests"`
+		Refusals uint64   `json:"refusals"`
+		Waits    []uint64 `json:"waits"`
+		Totals   []struct {
+			Amount uint64 `json:"amount"`
+		} `json:"totals"`
+	} `json:"accounts"`
+}
+
+// Execute prints the table.
+func (c *fairnessCommand) Execute([]string) error { return c.get("/v1/fairness", c.show) }
+
+func (c *fairnessCommand) show(body []byte) error {
+	var f fairness
+	if err := read(body, &f); err != nil {
+		return err
+	}
+	t := newTable(c.out, "ACCOUNT", "REQUESTS", "REFUSALS", "WAIT OF HALF", "WAIT OF 95%", "CHARGED")
+	for _, a := range f.Accounts {
+		var amount uint64
+		for _, x := range a.Totals {
+			amount += x.Amount
+		}
+		t.row(a.Account, a.Requests, a.Refusals, quantile(a.Waits, 50), quantile(a.Waits, 95), amount)
+	}
+	return t.end()
+}
+
+// quantile returns the upper bound of the bucket that holds the given per cent
+// of the waits; bucket i counts waits below 2^i milliseconds.
+func quantile(buckets []uint64, percent uint64) string {
+	var total, sum uint64
+	for _, n := range buckets {
+		total += n
+	}
+	for i, n := range buckets {
+		if sum += n; total > 0 && sum*100 >= total*percent {
+			return fmt.Sprintf("< %d ms", uint64(1)<<min(i, 63))
+		}
+	}
+	return "-"
+}
--- a/internal/entry/operator/state.go
+++ b/internal/entry/operator/state.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	usualCharges = 100
-	maxCharges   = 1000
+	usualCharges = 1000
+	maxCharges   = 10_000
 	// pollInterval is the time between two readings of the status for a watch.
 	pollInterval = 250 * time.Millisecond
 	// statusTimeout is less than an election may take, so that a watch tells of it.
