operator: name errors as the caller's side does

Cause: two parts of one instance named the same refusals differently. Ruled out: types of their own for operators, since one client library reads both kinds of answers. Change: types authentication_error, permission_error, invalid_request_error and control_error; codes credential and permission; retry is always present, 0 where a later attempt does not help; /debug answers 401 as JSON. Before: "unauthorized" and "invalid_request". After: go test -race of the operator and terminal packages passes. Conclusion: one error body for all endpoints of the page.

--- a/internal/command/terminal/serve.go
+++ b/internal/command/terminal/serve.go
@@ -177,7 +177,9 @@
 		if _, ok := p.secrets.Operator(token); !ok {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			w.Header().Set("Wisteriakeel-Outcome", "not run")
-			http.Error(w, `{"error":{"message":"an operator credential is needed","type":"authentication","code":"unauthorized","outcome":"not run"}}`, http.StatusUnauthorized)
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusUnauthorized)
+			_, _ = io.WriteString(w, `{"error":{"message":"an operator credential is needed","type":"authentication_error","code":"credential","outcome":"not run","retry":0}}`)
 			return
 		}
 		h.ServeHTTP(w, r)
--- a/internal/entry/operator/fault.go
+++ b/internal/entry/operator/fault.go
@@ -18,10 +18,12 @@
 	outcomeUnknown = "unknown"
 )
 
-// The types of an error.
+// The types of an error, as callers get them, too.
 const (
-	typeRequest     = "invalid_request"
-	typeUnavailable = "unavailable"
+	typeRequest     = "invalid_request_error"
+	typeCredential  = "authentication_error"
+	typePermission  = "permission_error"
+	typeUnavailable = "control_error"
 )
 
 // fault is the error of a request in the form that is sent.
@@ -32,8 +34,9 @@
 	Type    string `json:"type"`
 	Code    string `json:"code"`
 	Outcome string `json:"outcome"`
-	// Retry is the time in milliseconds after which the request may succeed.
-	Retry uint32 `json:"retry,omitempty"`
+	// Retry is the time in milliseconds after which the request may succeed; 0
+	// means that it will not succeed as it is.
+	Retry uint32 `json:"retry"`
 	// Revision is the current revision after a conflict.
 	Revision uint64 `json:"revision,omitempty"`
 	// Problems lists what is wrong with a document.
@@ -45,7 +48,14 @@
 
 // refusal is the error of a request that was not carried out and cannot succeed as it is.
 func refusal(status int, code, message string) *fault {
-	return &fault{status: status, Message: message, Type: typeRequest, Code: code, Outcome: outcomeNotRun}
+	f := &fault{status: status, Message: message, Type: typeRequest, Code: code, Outcome: outcomeNotRun}
+	switch status {
+	case http.StatusUnauthorized:
+		f.Type = typeCredential
+	case http.StatusForbidden:
+		f.Type = typePermission
+	}
+	return f
 }
 
 // asFault maps the errors of the control client.
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -129,7 +129,7 @@
 	o, ok := s.Secrets.Operator(token)
 	if !ok || !bearer {
 		w.Header().Set("WWW-Authenticate", "Bearer")
-		return refusal(http.StatusUnauthorized, "unauthorized", "an operator credential is needed")
+		return refusal(http.StatusUnauthorized, "credential", "an operator credential is needed")
 	}
 	return h(ctx, w, call{Request: r, operator: o})
 }
@@ -174,7 +174,7 @@
 func (c call) allowed() (document.Service, error) {
 	name := document.Service(c.PathValue("service"))
 	if !c.operator.Allows(name) {
-		return "", refusal(http.StatusForbidden, "forbidden", "the credential does not list this service")
+		return "", refusal(http.StatusForbidden, "permission", "the credential does not list this service")
 	}
 	return name, nil
 }
--- a/internal/entry/operator/operator_test.go
+++ b/internal/entry/operator/operator_test.go
@@ -138,9 +138,9 @@
 	const put, usual = "PUT /v1/operator/documents/desk", "If-Match: \"0\"\nWisteriakeel-Change: c1\nWisteriakeel-Wait: 500"
 	f, _, h := setUp(t)
 	steps := []step{
-		{"no credential", put, "Authorization: none", text, nil, 401, "not run", `"code":"unauthorized"`},
+		{"no credential", put, "Authorization: none", text, nil, 401, "not run", `"type":"authentication_error","code":"credential"`},
 		{"account credential", put, "Authorization: Bearer hill-account-token", text, nil, 401, "not run", ""},
-		{"other service", "PUT /v1/operator/documents/pool", usual, text, nil, 403, "not run", `"code":"forbidden"`},
+		{"other service", "PUT /v1/operator/documents/pool", usual, text, nil, 403, "not run", `"type":"permission_error","code":"permission"`},
 		{"no base", put, "Wisteriakeel-Change: c1", text, nil, 428, "not run", "If-Match"},
 		{"no change id", put, "If-Match: 0", text, nil, 400, "not run", "Wisteriakeel-Change"},
 		{"long wait", put, usual + "00", text, nil, 400, "not run", "Wisteriakeel-Wait"},
@@ -172,7 +172,8 @@
 			is.Equal(r.Header.Get("Wisteriakeel-Outcome"), c.outcome)
 			is.True(strings.Contains(body, c.has)) // the body holds c.has
 			is.True(!strings.Contains(body, `"fault"`))
-			is.Equal(r.Header.Get("Retry-After") != "", strings.Contains(body, `"retry"`))
+			is.Equal(r.Header.Get("Retry-After") != "", strings.Contains(body, `"type":"control_error"`))
+			is.Equal(r.Header.Get("Retry-After") == "", c.status == 200 || strings.Contains(body, `"retry":0`))
 			is.True(json.Valid([]byte(body)))
 		})
 	}
