role: assemble the control and entry roles

Cause: serve had no roles to run. Ruled out: assembling the parts inside the serve command, which would then depend on every part. Change: two role packages that register themselves, a client of the rating service, the list of entries on control instances. Before: serve ended with an unknown role. Conclusion: settings alone decide what a process runs.

--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -42,9 +42,9 @@
 	Account(token string) (document.Account, bool)
 }
 
-// Rater rates an answer from 0 to 1.
+// Rater rates a model's answer from 0 to 1.
 type Rater interface {
-	Rate(ctx context.Context, service document.Service, request, answer []byte) (float64, error)
+	Rate(ctx context.Context, service document.Service, model document.Model, request, answer []byte) (float64, error)
 }
 
 // Options are what a Handler needs. Zero durations and limits take their default.
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -182,7 +182,7 @@
 	if j.chat.stream {
 		text = a.output.text
 	}
-	rating, err = j.handler.options.Rater.Rate(ctx, j.plan.Document.Service, j.body, text)
+	rating, err = j.handler.options.Rater.Rate(ctx, j.plan.Document.Service, a.model, j.body, text)
 	span.SetAttributes(attribute.Float64("rating", rating))
 	return rating, err
 }
--- a/internal/entry/caller/list.go
+++ b/internal/entry/caller/list.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -83,9 +84,20 @@
 	list = slices.DeleteFunc(list, func(e *wire.Instance) bool {
 		return e.Draining || (e.Name == self.GetName() && !issued)
 	})
+	return q.send(newEntriesBody(list, self, q.http.RemoteAddr+" "+string(q.account), h.options.Lifetime))
+}
+
+type entriesBody struct {
+	Entries []entryBody `json:"entries"`
+	// Lifetime is how long in milliseconds the caller may use the list.
+	Lifetime int64 `json:"lifetime"`
+}
+
+// newEntriesBody orders the entries by distance from self. Equally near ones come
+// in an order that the seed decides, so that callers spread over them.
+func newEntriesBody(list []*wire.Instance, self *wire.Instance, seed string, lifetime time.Duration) entriesBody {
 	slices.SortFunc(list, func(x, y *wire.Instance) int { return strings.Compare(x.Name, y.Name) })
-	seed := xxhash.Sum64String(q.http.RemoteAddr)
-	r := rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(q.account))))
+	r := rand.New(rand.NewPCG(xxhash.Sum64String(seed), 0))
 	r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	slices.SortStableFunc(list, func(x, y *wire.Instance) int {
 		return distance(x, self) - distance(y, self)
@@ -94,10 +106,7 @@
 	for _, e := range list {
 		bodies = append(bodies, entryBody{Name: e.Name, Address: e.Address, Zone: e.Zone, Region: e.Region})
 	}
-	return q.send(struct {
-		Entries  []entryBody `json:"entries"`
-		Lifetime int64       `json:"lifetime"`
-	}{bodies, h.options.Lifetime.Milliseconds()})
+	return entriesBody{Entries: bodies, Lifetime: lifetime.Milliseconds()}
 }
 
 // distance is 0 within the availability zone, 1 within the region, else 2.
--- a/internal/entry/caller/refusal.go
+++ b/internal/entry/caller/refusal.go
@@ -177,17 +177,22 @@
 	return b
 }
 
-// write sends the refusal as a whole answer.
+// write sends the refusal as a whole answer and names other entries where that helps.
 func (r *refusal) write(h *Handler, w http.ResponseWriter) {
+	if r.code == "lease" || r.code == "draining" {
+		w.Header().Set(headerEntries, h.others())
+	}
+	r.send(w)
+}
+
+// send sends the refusal as a whole answer.
+func (r *refusal) send(w http.ResponseWriter) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(upstream.HeaderOutcome, string(r.outcome))
 	if r.retry > 0 {
 		header.Set("Retry-After", strconv.FormatInt(int64((r.retry+time.Second-1)/time.Second), 10))
 	}
-	if r.code == "lease" || r.code == "draining" {
-		header.Set(headerEntries, h.others())
-	}
 	w.WriteHeader(r.status)
 	// A caller that is gone cannot be told anything more.
 	_, _ = w.Write(r.body())
--- /dev/null
+++ b/internal/role/control/control.go
@@ -0,0 +1,78 @@
+// Package control registers the role of a control instance: it holds replicas of
+// the control state and serves operators.
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/settings"
+	server "wisteriakeel.example/wisteriakeel/internal/control/entry"
+	"wisteriakeel.example/wisteriakeel/internal/entry/caller"
+	client "wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/entry/operator"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/role"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+func init() {
+	role.Registry.Register(string(settings.RoleControl), run)
+}
+
+// NewRandom returns a source seeded by the system.
+func NewRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// Instance describes the instance of these settings to others.
+func Instance(s *settings.Settings) *wire.Instance {
+	return &wire.Instance{Name: s.Instance, Address: s.Listen.HTTP, Zone: s.Zone, Region: s.Region}
+}
+
+// NewClient returns a client of the control instances for the process.
+func NewClient(e role.Env, epoch uint64) (*client.Client, error) {
+	return client.New(client.Options{
+		Addresses: e.Settings.Control, Peer: e.Secrets.Peer(), Groups: e.Settings.Groups,
+		Instance: Instance(e.Settings), Epoch: epoch, Timer: e.Timer, Random: NewRandom(),
+		Log: e.Log.Named("control"),
+	})
+}
+
+// AddOperator serves operators at the process's HTTP address.
+func AddOperator(e role.Env, c *client.Client) {
+	o := operator.New(operator.Options{
+		Control: c, Secrets: e.Secrets, Timer: e.Timer, Log: e.Log.Named("operator"), Random: NewRandom(),
+	})
+	o.Register(e.Mux)
+	e.Drain(o.Drain)
+}
+
+// run sets up the role. An instance that is an entry too leaves operators and
+// callers to that role.
+func run(_ context.Context, e role.Env) (err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "control role")
+		}
+	}()
+	s := e.Settings
+	control, err := server.New(server.Options{
+		Instance: s.Instance, Folder: s.Folder, Address: s.Listen.Peer, Control: s.Control,
+		Groups: s.Groups, Peer: e.Secrets.Peer(), Timer: e.Timer, Random: NewRandom(),
+		Log: e.Log.Named("replica"),
+	})
+	if err != nil {
+		return err
+	}
+	e.Group.Go("control", control.Run)
+	if s.Has(settings.RoleEntry) {
+		return nil
+	}
+	c, err := NewClient(e, rand.Uint64())
+	if err != nil {
+		return err
+	}
+	AddOperator(e, c)
+	caller.NewDirectory(c, e.Secrets, Instance(s), s.Timeouts.Lifetime.Duration()).Register(e.Mux)
+	return nil
+}
--- /dev/null
+++ b/internal/role/entry/entry.go
@@ -0,0 +1,65 @@
+// Package entry registers the role of an entry: it serves callers, upstreams and
+// operators under a configuration lease.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/settings"
+	"wisteriakeel.example/wisteriakeel/internal/entry/caller"
+	"wisteriakeel.example/wisteriakeel/internal/entry/rating"
+	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/role"
+	"wisteriakeel.example/wisteriakeel/internal/role/control"
+)
+
+func init() {
+	role.Registry.Register(string(settings.RoleEntry), run)
+}
+
+func run(_ context.Context, e role.Env) (err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "entry role")
+		}
+	}()
+	epoch := rand.Uint64()
+	c, err := control.NewClient(e, epoch)
+	if err != nil {
+		return err
+	}
+	o := options(e, epoch)
+	o.Control = c
+	h, err := caller.New(o)
+	if err != nil {
+		return err
+	}
+	h.Register(e.Mux)
+	upstream.NewHandler(c, e.Secrets).Register(e.Mux)
+	control.AddOperator(e, c)
+	e.Drain(h.Drain)
+	e.Group.Go("lease", c.Run)
+	return nil
+}
+
+// options translates the settings for the callers' handler.
+func options(e role.Env, epoch uint64) caller.Options {
+	s := e.Settings
+	limits := upstream.DefaultLimits()
+	limits.Token = s.Timeouts.Token.Duration()
+	limits.Overall = s.Timeouts.Call.Duration()
+	limits.Body = int64(s.Limits.Body)
+	o := caller.Options{
+		Credentials: e.Secrets, Timer: e.Timer, Random: control.NewRandom(), Log: e.Log.Named("caller"),
+		Self: control.Instance(s), Epoch: epoch, Upstream: limits,
+		Queue: int(s.Limits.Queue), Total: int(s.Limits.Total), Body: int64(s.Limits.Body),
+		Longest: s.Timeouts.Call.Duration(), Lifetime: s.Timeouts.Lifetime.Duration(),
+	}
+	if s.Rating != "" {
+		o.Rater = rating.New(s.Rating)
+	}
+	return o
+}
--- a/main.go
+++ b/main.go
@@ -5,6 +5,10 @@
 	"os"
 
 	"wisteriakeel.example/wisteriakeel/internal/command/terminal"
+
+	// The roles register themselves.
+	_ "wisteriakeel.example/wisteriakeel/internal/role/control"
+	_ "wisteriakeel.example/wisteriakeel/internal/role/entry"
 )
 
 func main() {
