control: assemble control instances from disks, replicas and services

Ruled out: waiting for the progress of a learner in replica.Status, which does not hold it; the joining instance reports what it has applied instead, and Promote confirms that it holds its promotion. Change: entry.New and Run, adapters, one listener for both services behind the peer token, corrupt directories set aside, documents checked by package document. Before: no control instance could run.

--- /dev/null
+++ b/internal/control/entry/adapter.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// adapter gives a replica node the shape of Replica.
+type adapter struct{ *replica.Node }
+
+var _ Replica = adapter{}
+
+// Leader returns the address of the leader last heard of.
+func (a adapter) Leader() (address string, term uint64, known bool) {
+	m, t, known := a.Node.Leader()
+	return string(m.Address), uint64(t), known
+}
+
+// Leading tells whether the node leads with an unexpired leader lease.
+func (a adapter) Leading() (term uint64, ok bool) {
+	t, ok := a.Node.Leading()
+	return uint64(t), ok
+}
+
+// Status returns what the node knows. The progress of others is not known here.
+func (a adapter) Status() *wire.GroupStatus {
+	s := a.Node.Status()
+	out := &wire.GroupStatus{
+		Group: uint32(s.Group), Term: uint64(s.Term), Leader: string(s.Leader.Address),
+		Commit: uint64(s.Commit), Applied: uint64(s.Applied), First: uint64(s.First),
+	}
+	for _, m := range s.Members {
+		r := &wire.Replicator{
+			Identity: string(m.Identity), Address: string(m.Address), Voter: m.Voter,
+			Leader: m.Identity == s.Leader.Identity,
+		}
+		if m.Identity == s.Self.Identity {
+			r.Match = uint64(s.Last)
+		}
+		out.Replicas = append(out.Replicas, r)
+	}
+	return out
+}
+
+// AddLearner adds a member without a vote.
+func (a adapter) AddLearner(ctx context.Context, identity, address string) error {
+	return a.Node.AddLearner(ctx, replica.Member{Identity: replica.Identity(identity), Address: replica.Address(address)})
+}
+
+// Promote gives a member that has caught up a vote.
+func (a adapter) Promote(ctx context.Context, identity string) error {
+	return a.Node.Promote(ctx, replica.Identity(identity))
+}
+
+// Remove removes a member.
+func (a adapter) Remove(ctx context.Context, identity string) error {
+	return a.Node.Remove(ctx, replica.Identity(identity))
+}
--- a/internal/control/entry/form.go
+++ b/internal/control/entry/form.go
@@ -33,6 +33,8 @@
 	join      func(ctx context.Context, address string, r *wire.JoinRequest) (*wire.JoinReply, error)
 	// found records the first members and bootstraps all groups with them.
 	found func(members []*wire.Founder) error
+	// applied returns the last applied index of each group.
+	applied func() []uint64
 	// joined records that all groups hold this instance as a voter.
 	joined func() error
 
@@ -126,7 +128,7 @@
 // that it leads.
 func (f *former) enter(ctx context.Context, formed []string) (done bool, err error) {
 	for _, a := range formed {
-		r, err := f.join(ctx, a, &wire.JoinRequest{Identity: f.identity, Address: f.address})
+		r, err := f.join(ctx, a, &wire.JoinRequest{Identity: f.identity, Address: f.address, Applied: f.applied()})
 		if err != nil {
 			f.log.Debug("join not answered", zap.String("address", a), zap.Error(err))
 			continue
--- a/internal/control/entry/members.go
+++ b/internal/control/entry/members.go
@@ -11,11 +11,16 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
+// maxLag is how many entries a joining replica may be behind when its former
+// identity is removed. Under load it never holds exactly what is committed.
+const maxLag = 256
+
 // Replica is a Node whose group can change its members. Each change returns once
 // it is committed.
 type Replica interface {
 	Node
 	AddLearner(ctx context.Context, identity, address string) error
+	// Promote also returns nil for a voter, once it is known to hold its promotion.
 	Promote(ctx context.Context, identity string) error
 	Remove(ctx context.Context, identity string) error
 }
@@ -42,7 +47,7 @@
 		if _, ok := n.Leading(); !ok {
 			continue
 		}
-		voting, err := m.step(ctx, n, r)
+		voting, err := m.step(ctx, g, r)
 		if err != nil {
 			m.log.Warn("membership not changed", zap.Int("group", g), zap.String("address", r.Address), zap.Error(err))
 			reply.Fault = &wire.Fault{Code: wire.Code_CODE_UNAVAILABLE, Text: err.Error()}
@@ -59,12 +64,13 @@
 // step makes at most one change in one group: learner first, then the end of the
 // former identity at the same address, then the vote. It returns true once the
 // replica votes and holds everything committed up to its promotion.
-func (m *membership) step(ctx context.Context, n Replica, r *wire.JoinRequest) (voting bool, err error) {
+func (m *membership) step(ctx context.Context, group int, r *wire.JoinRequest) (voting bool, err error) {
 	defer func() {
 		if err != nil {
 			err = errors.Wrapf(err, "join of %s", r.Address)
 		}
 	}()
+	n := m.nodes[group]
 	st := n.Status()
 	var joining, former *wire.Replicator
 	for _, m := range st.GetReplicas() {
@@ -78,12 +84,11 @@
 	switch {
 	case joining == nil:
 		return false, n.AddLearner(ctx, r.Identity, r.Address)
-	case joining.Match < st.Commit:
+	case group >= len(r.Applied) || r.Applied[group]+maxLag < st.Commit:
 		return false, nil
 	case former != nil:
 		return false, n.Remove(ctx, former.Identity)
-	case !joining.Voter:
-		return false, n.Promote(ctx, r.Identity)
 	}
-	return true, nil
+	err = n.Promote(ctx, r.Identity)
+	return err == nil, err
 }
--- /dev/null
+++ b/internal/control/entry/server.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"wisteriakeel.example/wisteriakeel/internal/config/document"
+	"wisteriakeel.example/wisteriakeel/internal/control/disk"
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
+	"wisteriakeel.example/wisteriakeel/internal/control/state"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+	replicawire "wisteriakeel.example/wisteriakeel/internal/wire/replica"
+)
+
+const (
+	// peerLimit bounds a call of a forming instance; a join may take callLimit.
+	peerLimit = time.Second
+	// messageLimit bounds a message; a stored answer may be as large as a body, 8 MiB.
+	messageLimit = 16 << 20
+)
+
+// Options is what a control instance is made of.
+type Options struct {
+	// Instance is the name of this instance.
+	Instance string
+	// Folder is the data directory.
+	Folder string
+	// Address is this instance's own peer address, on which it listens.
+	Address string
+	// Control lists the peer addresses of all control instances.
+	Control []string
+	// Groups is the number of data groups.
+	Groups uint32
+	// Peer is the token that instances show each other.
+	Peer string
+	// Validate checks documents; by default those of package document.
+	Validate state.Validator
+	Timer    timer.Service
+	// Random is used by this server alone.
+	Random *rand.Rand
+	Log    *zap.Logger
+	// Reserve is the disk space kept free; disk.DefaultReserve if zero.
+	Reserve uint64
+}
+
+func (o *Options) complete() error {
+	switch {
+	case o.Folder == "":
+		return errors.New("no data directory")
+	case o.Peer == "":
+		return errors.New("no peer token")
+	case o.Groups == 0:
+		return errors.New("number of data groups is zero")
+	case o.Timer == nil || o.Random == nil:
+		return errors.New("timer and random are needed")
+	}
+	found := false
+	for _, a := range o.Control {
+		found = found || a == o.Address
+	}
+	if !found {
+		return errors.Newf("own peer address %s is not among the control addresses", o.Address)
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Validate == nil {
+		o.Validate = validate
+	}
+	if o.Reserve == 0 {
+		o.Reserve = disk.DefaultReserve
+	}
+	return nil
+}
+
+func validate(service string, text []byte) error {
+	d, err := document.Parse(service, text)
+	if err != nil {
+		return err
+	}
+	if string(d.Service) != service {
+		return errors.Newf("field service: %q, expected %q", d.Service, service)
+	}
+	return nil
+}
+
+// Server is one control instance: its replicas and the services on its peer address.
+type Server struct {
+	options    Options
+	identity   string
+	listener   net.Listener
+	transport  *replica.DRPCTransport
+	nodes      []*replica.Node
+	stores     []*disk.Store
+	service    *Service
+	membership *membership
+	standing   *standing
+	server     *drpcserver.Server
+}
+
+// New opens the data directory and the peer address. A directory that is corrupt
+// before the tail of a log is set aside, and the instance goes on with an empty one.
+func New(o Options) (s *Server, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "control")
+		}
+	}()
+	if err := o.complete(); err != nil {
+		return nil, err
+	}
+	s, err = open(o)
+	if errors.Is(err, disk.ErrCorrupt) {
+		aside, failure := disk.SetAside(disk.System{}, o.Folder)
+		if failure != nil {
+			return nil, errors.CombineErrors(failure, err)
+		}
+		o.Log.Error("data directory is corrupt and was set aside; joining with a new identity",
+			zap.String("aside", aside), zap.Error(err))
+		s, err = open(o)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if s.listener, err = net.Listen("tcp", o.Address); err != nil {
+		return nil, errors.CombineErrors(err, s.close())
+	}
+	return s, nil
+}
+
+// open loads everything that the data directory holds.
+func open(o Options) (s *Server, err error) {
+	s = &Server{
+		options: o, standing: &standing{directory: o.Folder},
+		transport: replica.NewTransport(replica.TransportOptions{Timer: o.Timer, Token: o.Peer}),
+	}
+	defer func() {
+		if err != nil {
+			err = errors.CombineErrors(err, s.close())
+		}
+	}()
+	directory, err := disk.Open(disk.System{}, o.Folder, o.Reserve)
+	if err != nil {
+		return nil, err
+	}
+	s.identity = string(directory.Identity())
+	if s.standing.record, err = loadRecord(o.Folder); err != nil {
+		return nil, errors.Mark(err, disk.ErrCorrupt)
+	}
+	config := state.NewConfig(o.Validate)
+	machines := []replica.Machine{config}
+	var data []*state.Data
+	for range o.Groups {
+		d := state.NewData(o.Timer.Now)
+		data, machines = append(data, d), append(machines, d)
+	}
+	for g, m := range machines {
+		if err := s.openGroup(directory, replica.Group(g), m); err != nil {
+			return nil, err
+		}
+	}
+	if r := s.standing.record; r != nil {
+		if r.Groups != o.Groups {
+			return nil, errors.Newf("setting groups is %d, but the data directory holds %d", o.Groups, r.Groups)
+		}
+		if err := s.bootstrap(r.Members); err != nil {
+			return nil, err
+		}
+	}
+	return s, s.assemble(config, data)
+}
+
+func (s *Server) openGroup(d *disk.Directory, g replica.Group, m replica.Machine) error {
+	o := s.options
+	store, err := d.Group(g)
+	if err != nil {
+		return err
+	}
+	s.stores = append(s.stores, store)
+	n, err := replica.New(replica.Options{
+		Group: g, Self: replica.Member{Identity: d.Identity(), Address: replica.Address(o.Address), Voter: true},
+		Machine: m, Store: store, Transport: s.transport, Timer: o.Timer, Log: o.Log,
+		Random: rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
+	})
+	if err != nil {
+		return err
+	}
+	s.nodes = append(s.nodes, n)
+	return nil
+}
+
+// assemble joins nodes and services.
+func (s *Server) assemble(config *state.Config, data []*state.Data) error {
+	o := s.options
+	byGroup := map[replica.Group]*replica.Node{}
+	var nodes []Node
+	var members []Replica
+	for g, n := range s.nodes {
+		byGroup[replica.Group(g)] = n
+		nodes, members = append(nodes, adapter{n}), append(members, adapter{n})
+	}
+	s.service = NewService(Parts{Timer: o.Timer, Log: o.Log, Address: o.Address, Config: config, Data: data, Nodes: nodes})
+	s.membership = &membership{timer: o.Timer, log: o.Log, addresses: o.Control, nodes: members}
+	replicas := replica.NewServer(byGroup)
+	replicas.Token = o.Peer
+	mux := drpcmux.New()
+	if err := replicawire.DRPCRegisterReplica(mux, replicas); err != nil {
+		return err
+	}
+	if err := wire.DRPCRegisterControl(mux, &calls{Service: s.service, server: s}); err != nil {
+		return err
+	}
+	s.server = drpcserver.NewWithOptions(&guard{handler: mux, token: []byte(o.Peer)}, drpcserver.Options{
+		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: messageLimit}},
+		Log:     s.note,
+	})
+	return nil
+}
+
+// note logs errors of single connections, most of which are connections that ended.
+func (s *Server) note(err error) { s.options.Log.Debug("peer connection", zap.Error(err)) }
+
+// Run serves until the context is done. An error means that the process must end.
+func (s *Server) Run(ctx context.Context) (err error) {
+	g := group.New(ctx)
+	for _, n := range s.nodes {
+		g.Go("replica", n.Run)
+	}
+	g.Go("service", s.service.Run)
+	g.Go("peers", s.loop)
+	if s.standing.get() == nil {
+		g.Go("forming", s.former().run)
+	}
+	s.options.Log.Info("control instance runs", zap.String("identity", s.identity), zap.String("address", s.options.Address))
+	return errors.CombineErrors(g.Wait(), s.close())
+}
+
+// loop serves connections.
+func (s *Server) loop(ctx context.Context) error { return s.server.Serve(ctx, s.listener) }
+
+// close releases the files and connections.
+func (s *Server) close() (err error) {
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	err = s.transport.Close()
+	for _, f := range s.stores {
+		err = errors.CombineErrors(err, f.Close())
+	}
+	return err
+}
--- a/internal/control/entry/service.go
+++ b/internal/control/entry/service.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	"wisteriakeel.example/wisteriakeel/internal/control/state"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
@@ -30,17 +31,8 @@
 	checkInterval = 100 * time.Millisecond
 )
 
-// Errors that a Node returns. Any other error of Propose counts as ErrUnknown.
-var (
-	// ErrNotLeader means that the node does not lead; nothing was done.
-	ErrNotLeader = errors.New("not the leader")
-	// ErrUnknown means that the command may or may not be committed.
-	ErrUnknown = errors.New("outcome unknown")
-	// ErrFull means that the disk is full; nothing was done.
-	ErrFull = errors.New("storage full")
-)
-
-// Node is the replica of one group as this package uses it.
+// Node is the replica of one group as this package uses it. Its errors are those
+// of package replica; any other error of Propose leaves the outcome unknown.
 type Node interface {
 	// Propose returns the result of the applied command.
 	Propose(ctx context.Context, command []byte) (result []byte, err error)
@@ -182,9 +174,11 @@
 
 func (s *Service) explain(group uint32, err error) *wire.Fault {
 	switch {
-	case errors.Is(err, ErrNotLeader):
+	case errors.Is(err, replica.ErrNotLeader):
 		return s.redirect(group)
-	case errors.Is(err, ErrFull):
+	case errors.Is(err, replica.ErrBusy):
+		return &wire.Fault{Code: wire.Code_CODE_UNAVAILABLE, Text: err.Error()}
+	case errors.Is(err, replica.ErrFull):
 		return &wire.Fault{Code: wire.Code_CODE_FULL, Text: err.Error()}
 	}
 	return &wire.Fault{Code: wire.Code_CODE_UNKNOWN, Text: err.Error()}
--- a/internal/control/state/config.go
+++ b/internal/control/state/config.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
@@ -87,7 +88,7 @@
 }
 
 // Apply carries out one command and returns the marshalled reply.
-func (c *Config) Apply(command []byte) []byte {
+func (c *Config) Apply(_ replica.Index, command []byte) []byte {
 	var m wire.Command
 	if err := proto.Unmarshal(command, &m); err != nil {
 		return malformed("command cannot be decoded")
--- a/internal/control/state/data.go
+++ b/internal/control/state/data.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
@@ -54,7 +55,7 @@
 }
 
 // Apply carries out one command and returns the marshalled reply.
-func (d *Data) Apply(command []byte) []byte {
+func (d *Data) Apply(_ replica.Index, command []byte) []byte {
 	var m wire.Command
 	if err := proto.Unmarshal(command, &m); err != nil {
 		return malformed("command cannot be decoded")
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
@@ -15,6 +16,11 @@
 // instants in the log and never by a local clock, so that all replicas agree.
 const Retention = 24 * time.Hour
 
+var (
+	_ replica.Machine = (*Config)(nil)
+	_ replica.Machine = (*Data)(nil)
+)
+
 // fault returns a fault for a reply; code OK is represented by nil.
 func fault(code wire.Code, text string) *wire.Fault {
 	return &wire.Fault{Code: code, Text: text}
--- a/internal/entry/control/options.go
+++ b/internal/entry/control/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -46,7 +45,7 @@
 	// Random is used by this client alone.
 	Random *rand.Rand
 	Log    *zap.Logger
-	// Parse reads the text of a document; encoding/json by default.
+	// Parse reads the text of a document; document.Parse by default.
 	Parse func(text []byte) (*document.Document, error)
 	// Dial opens a connection; TCP by default.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -76,10 +75,7 @@
 	return nil
 }
 
-func parse(text []byte) (d *document.Document, err error) {
-	d = &document.Document{}
-	return d, errors.Wrap(json.Unmarshal(text, d), "document")
-}
+func parse(text []byte) (*document.Document, error) { return document.Parse("document", text) }
 
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
--- /dev/null
+++ b/internal/entry/control/server_test.go
@@ -0,0 +1,180 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/entry"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// instances is a control group with real disks on loopback addresses.
+type instances struct {
+	t         *testing.T
+	folder    string
+	addresses []string
+	running   map[string]*group.Group
+}
+
+func newInstances(t *testing.T) *instances {
+	i := &instances{t: t, folder: t.TempDir(), running: map[string]*group.Group{}}
+	for range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		i.addresses = append(i.addresses, l.Addr().String())
+		defer l.Close()
+	}
+	t.Cleanup(func() {
+		for _, a := range i.addresses {
+			i.stop(a)
+		}
+	})
+	return i
+}
+
+func (i *instances) path(address string) string { return filepath.Join(i.folder, address) }
+
+func (i *instances) start(addresses ...string) {
+	i.t.Helper()
+	for _, a := range addresses {
+		s, err := entry.New(entry.Options{
+			Instance: a, Folder: i.path(a), Address: a, Control: i.addresses, Groups: 2, Peer: "secret",
+			Timer: timer.NewSystem(), Random: rand.New(rand.NewPCG(uint64(len(a)), rand.Uint64())), Reserve: 1,
+		})
+		if err != nil {
+			i.t.Fatal(err)
+		}
+		i.running[a] = group.New(context.Background())
+		i.running[a].Go("server", s.Run)
+	}
+}
+
+func (i *instances) stop(address string) {
+	if g := i.running[address]; g != nil {
+		delete(i.running, address)
+		if err := g.Stop(); err != nil {
+			i.t.Error(err)
+		}
+	}
+}
+
+func (i *instances) client(is *is.I, token string) *Client {
+	c, err := New(Options{
+		Addresses: i.addresses, Peer: token, Groups: 2, Instance: &wire.Instance{Name: "e1"}, Epoch: rand.Uint64(),
+		Timer: timer.NewSystem(), Random: rand.New(rand.NewPCG(1, 2)),
+	})
+	is.NoErr(err)
+	return c
+}
+
+// voters waits until each group of the leader has exactly these voters.
+func (i *instances) voters(is *is.I, c *Client, n int, without string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for {
+		r, err := c.Status(ctx, &wire.StatusRequest{})
+		is.NoErr(err)
+		full := len(r.Groups) == 3
+		for _, g := range r.Groups {
+			voters := 0
+			for _, m := range g.Replicas {
+				full = full && m.Identity != without
+				if m.Voter {
+					voters++
+				}
+			}
+			full = full && voters == n
+		}
+		if full {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (i *instances) identity(is *is.I, c *Client, address string) string {
+	r, err := c.Status(context.Background(), &wire.StatusRequest{})
+	is.NoErr(err)
+	for _, m := range r.Groups[0].Replicas {
+		if m.Address == address {
+			return m.Identity
+		}
+	}
+	return ""
+}
+
+// Guards against a control group that loses a change, a receipt or a charge when
+// its instances restart, when a disk is lost, or when another instance is lost
+// right after that repair.
+func TestGroupOutlivesDisks(t *testing.T) {
+	is := is.New(t)
+	i := newInstances(t)
+	i.start(i.addresses...)
+	c := i.client(is, "secret")
+	run := group.New(context.Background())
+	run.Go("client", c.Run)
+	defer func() { is.NoErr(run.Stop()) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	change := &wire.ApplyRequest{Service: "pool", Change: "first", Text: text(0), Wait: 5000}
+	r, err := c.Apply(ctx, change)
+	is.NoErr(err)
+	is.True(r.Inforce)
+	_, err = c.Charge(ctx, &wire.ChargeRequest{Account: "acme", Service: "pool", Request: "r", Amount: 7})
+	is.NoErr(err)
+
+	for _, a := range i.addresses { // restart all, one after the other
+		i.stop(a)
+		i.start(a)
+		service := strings.ReplaceAll(a, ":", "-")
+		_, err = c.Apply(ctx, &wire.ApplyRequest{Service: service, Text: named(service)})
+		is.NoErr(err)
+	}
+	i.voters(is, c, 3, "")
+	lost := i.identity(is, c, i.addresses[0])
+	i.stop(i.addresses[0])
+	is.NoErr(os.RemoveAll(i.path(i.addresses[0])))
+	i.start(i.addresses[0])
+	i.voters(is, c, 3, lost)
+	i.stop(i.addresses[1]) // the majority now needs the repaired instance
+	change.Wait = 0
+	r, err = c.Apply(ctx, change)
+	is.NoErr(err)
+	is.True(r.Repeated)
+	is.Equal(r.Revision, uint64(1))
+	charge, err := c.Charge(ctx, &wire.ChargeRequest{Account: "acme", Service: "pool", Request: "r", Amount: 7})
+	is.NoErr(err)
+	is.True(charge.Repeated)
+	l, err := c.Ledger(ctx, &wire.LedgerRequest{})
+	is.NoErr(err)
+	is.Equal(l.Totals[0].Amount, uint64(7))
+}
+
+// Guards against calls that are served without the peer token, and against a
+// refused token that counts as an unknown outcome.
+func TestWrongToken(t *testing.T) {
+	is := is.New(t)
+	i := newInstances(t)
+	i.start(i.addresses...)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := i.client(is, "secret").Charge(ctx, &wire.ChargeRequest{Account: "acme", Request: "r"})
+	is.NoErr(err)
+	short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	_, err = i.client(is, "wrong").Charge(short, &wire.ChargeRequest{Account: "acme", Request: "q"})
+	is.True(errors.Is(err, ErrUnavailable))
+}
