bench: follow the formats of settings, secrets and ledger

Cause: the demo wrote a peer address for entries and a "*" service for the operator, which the settings and secrets files do not permit. Ruled out: asking for charges while the load runs. The ledger shows 4,000 charges one by one, and a double charge seen in two readings looks like one. Before: settings refused.

--- a/cmd/bench/command.go
+++ b/cmd/bench/command.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"wisteriakeel.example/wisteriakeel/internal/bench/announce"
+	"wisteriakeel.example/wisteriakeel/internal/bench/demo"
 	"wisteriakeel.example/wisteriakeel/internal/bench/fault"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
@@ -52,6 +53,10 @@
 	if err == nil {
 		return exitOK
 	}
+	if errors.Is(err, demo.ErrFailed) {
+		// The line of totals stays the last one.
+		return exitFailed
+	}
 	var usage *flags.Error
 	if errors.As(err, &usage) {
 		if usage.Type == flags.ErrHelp {
--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -99,7 +99,7 @@
 	for _, a := range c.options.Accounts {
 		s.Accounts = append(s.Accounts, credential{Name: a, Token: token("account", a)})
 	}
-	s.Operators = []credential{{Name: "operator", Token: token("operator", "all"), Services: []string{"*"}}}
+	s.Operators = []credential{{Name: "operator", Token: token("operator", "all"), Services: []string{"pool", "desk"}}}
 	s.Upstreams = []credential{{Name: "*", Token: token("upstream", "all")}}
 	file, err := writeFile(c.Folder, "secrets.json", s)
 	if err != nil {
@@ -125,8 +125,10 @@
 		if i.HTTP, err = c.ports.take(); err != nil {
 			return err
 		}
-		if i.Peer, err = c.ports.take(); err != nil {
-			return err
+		if i.Role == "control" {
+			if i.Peer, err = c.ports.take(); err != nil {
+				return err
+			}
 		}
 		c.Instances = append(c.Instances, i)
 	}
@@ -141,11 +143,12 @@
 	for n, i := range c.Instances {
 		s := settings{
 			Instance: i.Name, Zone: zones[n%len(zones)], Region: "great-lakes", Roles: []string{i.Role},
-			Listen: listen{HTTP: i.HTTP, Peer: i.Peer}, Control: control, Groups: 4, Secrets: secrets,
+			Listen: listen{HTTP: i.HTTP}, Control: control, Groups: 4, Secrets: secrets,
 			Log: level{Level: "info"}, Trace: exporter{Exporter: "off"}, Rating: c.options.Rating,
 		}
 		if i.Role == "control" {
 			s.Folder = filepath.Join(c.Folder, i.Name)
+			s.Listen.Peer = i.Peer
 		}
 		if i.file, err = writeFile(c.Folder, i.Name+".json", s); err != nil {
 			return err
--- a/internal/bench/cluster/operate.go
+++ b/internal/bench/cluster/operate.go
@@ -158,7 +158,7 @@
 
 // Ledger returns the charges.
 func (c *Cluster) Ledger(ctx context.Context) (l Ledger, err error) {
-	out, err := c.Operate(ctx, "ledger")
+	out, err := c.Operate(ctx, "ledger", "--limit", "10000")
 	if err != nil {
 		return l, err
 	}
