--- a/internal/command/terminal/apply.go
+++ b/internal/command/terminal/apply.go
@@ -66,7 +66,7 @@
 		},
 	})
 	if err != nil {
-		return errors.Wrapf(err, "change %s", c.Change)
+		return errors.Wrapf(err, "change %s on base %d", c.Change, base)
 	}
 	return c.show(a.body)
 }
--- a/internal/command/terminal/remote_test.go
+++ b/internal/command/terminal/remote_test.go
@@ -92,7 +92,7 @@
 		{"bad document", []string{"apply", file, "--base", "3"}, answer{422, "not run", refusal("bad", `,"problems":[{"file":"desk","field":"kind","expected":"a","found":"b"}]`)}, ExitUsage, "desk: kind: expected a, found b\n"},
 		{"forbidden", []string{"show", "desk"}, answer{403, "not run", refusal("no", "")}, ExitFailed, "no (not run)"},
 		{"unavailable", []string{"status", "--timeout", "300"}, answer{503, "not run", refusal("no leader", "")}, ExitUnavailable, "no leader (not run)"},
-		{"unknown", []string{"apply", file, "--base", "3", "--timeout", "300", "--change", "c9"}, answer{504, "unknown", refusal("late", "")}, ExitUnavailable, "change c9: the outcome is unknown"},
+		{"unknown", []string{"apply", file, "--base", "3", "--timeout", "300", "--change", "c9"}, answer{504, "unknown", refusal("late", "")}, ExitUnavailable, "change c9 on base 3: the outcome is unknown"},
 		{"not served", []string{"fairness"}, answer{404, "", "404 page not found"}, ExitFailed, "status 404"},
 		{"show", []string{"show", "desk"}, answer{200, "", deskText}, ExitOK, deskText + "\n"},
 		{"show json", []string{"show", "desk", "--json"}, answer{200, "", "{}"}, ExitOK, `{"service":"desk","revision":7,"digest":"","operator":"","change":"","instant":0,"document":{}}`},
