operator: end requests whose connection stalls

Cause: the deadline of a request did not reach the read of its body; a connection that stalled within a document held its handler for ever, and with it a graceful stop. Ruled out: a ReadTimeout of the whole server, which would end long uploads and streams of callers as well. Change: read and write deadlines per request, the latter one second later for the answer; net/http clears both between requests. A conflict keeps the control service's text, since it may also be a change id used twice. Before: TestStalledBody got no answer within 10 s. After: 400, "not run", and go test -race -count=2 of the package passes.

--- a/internal/entry/operator/document.go
+++ b/internal/entry/operator/document.go
@@ -114,7 +114,6 @@
 		return err
 	}
 	f := asFault(err)
-	f.Message = "the document has changed since the base revision"
 	if f.Revision = a.GetFault().GetRevision(); f.Revision == 0 {
 		if r, err := s.Control.Show(ctx, &wire.ShowRequest{Service: string(service)}); err == nil && len(r.Documents) > 0 {
 			f.Revision = r.Documents[0].Revision
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -43,6 +43,8 @@
 	// maxWait bounds how long a change waits to be in force; the bound of a change
 	// that can come into force is 3 s.
 	maxWait = 30 * time.Second
+	// answerTime is left after the deadline of a request for telling its outcome.
+	answerTime = time.Second
 	// maxWatches bounds the open watches, since each polls the status.
 	maxWatches = 16
 )
@@ -151,10 +153,19 @@
 		}
 		ctx, cancel := timer.WithTimeout(ctx, s.Timer, limit)
 		defer cancel()
+		s.deadlines(w, limit)
 		return h(ctx, w, c)
 	}
 }
 
+// deadlines ends reads and writes of a connection that stalls, which the context
+// does not reach. A writer without deadlines ends with its connection.
+func (s *Server) deadlines(w http.ResponseWriter, limit time.Duration) {
+	c, end := http.NewResponseController(w), s.Timer.Wall().Add(limit)
+	_ = c.SetReadDeadline(end)
+	_ = c.SetWriteDeadline(end.Add(answerTime))
+}
+
 // milliseconds reads a header; without it the result is zero.
 func (c call) milliseconds(header string, most time.Duration) (time.Duration, error) {
 	text := c.Header.Get(header)
--- a/internal/entry/operator/operator_test.go
+++ b/internal/entry/operator/operator_test.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -205,3 +207,22 @@
 	is.NoErr(s.Drain(context.Background()))
 	is.Equal(event(), "end")
 }
+
+// Guards against a connection that stalls within a document and holds its
+// handler, and with it a shutdown, for ever.
+func TestStalledBody(t *testing.T) {
+	is := is.New(t)
+	_, _, h := setUp(t)
+	c, err := net.Dial("tcp", h.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+	_, err = io.WriteString(c, "PUT /v1/operator/documents/desk HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+token+
+		"\r\nIf-Match: 0\r\nWisteriakeel-Change: c\r\nWisteriakeel-Timeout: 50\r\nContent-Length: 100\r\n\r\n{")
+	is.NoErr(err)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	defer r.Body.Close()
+	is.Equal(r.StatusCode, http.StatusBadRequest)
+	is.Equal(r.Header.Get("Wisteriakeel-Outcome"), "not run")
+}
