document: add Validate for the control instances

Cause: the control state takes a validator of a service and a text; the check that both fit stood in the operator package only. Ruled out: a copy of the check in the state package. Change: document.Validate, used by the operator endpoints. Before: one user of the check. After: go test -race of operator and config passes; TestRequests covers a document of another service. Conclusion: control instances can refuse what operators' HTTP refuses.

--- a/internal/config/document/parse.go
+++ b/internal/config/document/parse.go
@@ -27,6 +27,20 @@
 	return d, nil
 }
 
+// Validate checks that the text is a document of that service. The error is an
+// *Error that lists every problem.
+func Validate(service string, text []byte) error {
+	d, err := Parse(service, text)
+	if err != nil {
+		return err
+	}
+	l := problem.NewList(service)
+	if string(d.Service) != service {
+		l.Add("service", service, problem.Quote(string(d.Service)))
+	}
+	return l.Err()
+}
+
 // Print returns the text of a document in its usual form.
 func Print(d *Document) []byte {
 	c := *d
--- a/internal/entry/operator/document.go
+++ b/internal/entry/operator/document.go
@@ -91,12 +91,7 @@
 
 // check refuses a document with problems or of another service.
 func check(service document.Service, text []byte) error {
-	d, err := document.Parse(string(service), text)
-	if err == nil && d.Service != service {
-		l := problem.NewList(string(service))
-		l.Add("service", string(service), problem.Quote(string(d.Service)))
-		err = l.Err()
-	}
+	err := document.Validate(string(service), text)
 	if err == nil {
 		return nil
 	}
