--- a/internal/entry/operator/document.go
+++ b/internal/entry/operator/document.go
@@ -91,12 +91,7 @@
 
 // check refuses a document with problems or of another service.
 func check(service document.Service, text []byte) error {
-	d, err := document.Parse(string(service), text)
-	if err == nil && d.Service != service {
-		l := problem.NewList(string(service))
-		l.Add("service", string(service), problem.Quote(string(d.Service)))
-		err = l.Err()
-	}
+	err := document.Validate(string(service), text)
 	if err == nil {
 		return nil
 	}
@@ -114,7 +109,6 @@
 		return err
 	}
 	f := asFault(err)
-	f.Message = "the document has changed since the base revision"
 	if f.Revision = a.GetFault().GetRevision(); f.Revision == 0 {
 		if r, err := s.Control.Show(ctx, &wire.ShowRequest{Service: string(service)}); err == nil && len(r.Documents) > 0 {
 			f.Revision = r.Documents[0].Revision
