control: show drained instances as draining in the status

Cause: lists of entries made from the status named an instance that an operator drains until the instance itself said so. Ruled out: leaving it to each reader of the status, since the drains are known to the leader only. Change: the leases in the status carry the drain as the list of entries does. Before: draining was false until the instance's own next renewal. Conclusion: both lists agree.

--- a/internal/control/entry/documents.go
+++ b/internal/control/entry/documents.go
@@ -87,7 +87,7 @@
 	reply := &wire.StatusReply{Fault: f, Revision: s.config.Revision(), Upstreams: s.config.Upstreams()}
 	if f == nil {
 		reply.Inforce, _ = s.table.inforce(reply.Revision)
-		reply.Leases = s.table.leases()
+		reply.Leases = s.table.leases(s.config)
 	}
 	for _, n := range s.nodes {
 		reply.Groups = append(reply.Groups, n.Status())
--- a/internal/control/entry/service_test.go
+++ b/internal/control/entry/service_test.go
@@ -168,6 +168,9 @@
 		soft = r.Soft
 	}
 	is.True(b.renew(is, "e2", 1).Entries[0].Draining)
+	st, err := b.Status(context.Background(), &wire.StatusRequest{})
+	is.NoErr(err)
+	is.True(st.Leases[0].Instance.Draining)
 }
 
 // poll is a renewal in progress.
--- a/internal/control/entry/soft.go
+++ b/internal/control/entry/soft.go
@@ -34,15 +34,20 @@
 		}
 	}
 	out := make([]*wire.Instance, 0, len(latest))
-	for n, e := range latest {
-		i := proto.CloneOf(e.instance)
-		i.Draining = i.Draining || c.Drained(n)
-		out = append(out, i)
+	for _, e := range latest {
+		out = append(out, e.shown(c))
 	}
 	slices.SortFunc(out, func(a, b *wire.Instance) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
+// shown returns the instance as others are to see it.
+func (e *lease) shown(c *state.Config) *wire.Instance {
+	i := proto.CloneOf(e.instance)
+	i.Draining = i.Draining || c.Drained(i.Name)
+	return i
+}
+
 func (e *lease) newest() int64 {
 	var newest int64
 	for _, g := range e.grants {
--- a/internal/control/entry/table.go
+++ b/internal/control/entry/table.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/state"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
@@ -233,14 +234,16 @@
 	return soft == 0 || soft < t.shape && t.settled(t.timer.Now())
 }
 
-func (t *table) leases() []*wire.Lease {
+// leases lists the processes with a valid lease. An instance that is to drain
+// shows as draining before it says so itself.
+func (t *table) leases(c *state.Config) []*wire.Lease {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.timer.Now()
 	var out []*wire.Lease
 	for _, e := range t.entries {
 		if left := e.left(now); left > 0 {
-			out = append(out, &wire.Lease{Instance: e.instance, Applied: e.applied, Left: left.Milliseconds()})
+			out = append(out, &wire.Lease{Instance: e.shown(c), Applied: e.applied, Left: left.Milliseconds()})
 		}
 	}
 	slices.SortFunc(out, func(a, b *wire.Lease) int { return cmp.Compare(a.Instance.Name, b.Instance.Name) })
