control: report the revision that an entry may still act on

Cause: status showed for an entry the revision of its last renewal, while the rule for changes in force counts the revision sent with the last answer, so the demonstration saw a lease at revision 8 while 9 was in force. Ruled out: a lease that outlived the change: the grants at revision 8 had ended; only the figure shown was old. Change: status shows the least revision of all unexpired grants; the fake rating service of the tests takes the model, too. Conclusion: shown state and in-force rule use the same grants.

--- a/internal/control/entry/table.go
+++ b/internal/control/entry/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -182,6 +183,17 @@
 	}
 }
 
+// least returns the oldest revision that the entry may still act on under a lease.
+func (e *lease) least(now timer.Instant) uint64 {
+	least := uint64(math.MaxUint64)
+	for _, g := range e.grants {
+		if now.Before(g.expires) {
+			least = min(least, g.revision)
+		}
+	}
+	return least
+}
+
 // left returns how long the longest lease of the process lasts.
 func (e *lease) left(now timer.Instant) time.Duration {
 	var left time.Duration
@@ -243,7 +255,7 @@
 	var out []*wire.Lease
 	for _, e := range t.entries {
 		if left := e.left(now); left > 0 {
-			out = append(out, &wire.Lease{Instance: e.shown(c), Applied: e.applied, Left: left.Milliseconds()})
+			out = append(out, &wire.Lease{Instance: e.shown(c), Applied: e.least(now), Left: left.Milliseconds()})
 		}
 	}
 	slices.SortFunc(out, func(a, b *wire.Lease) int { return cmp.Compare(a.Instance.Name, b.Instance.Name) })
--- a/internal/entry/caller/retry_test.go
+++ b/internal/entry/caller/retry_test.go
@@ -139,7 +139,7 @@
 	text   string
 }
 
-func (r *fakeRater) Rate(_ context.Context, _ document.Service, _, answer []byte) (float64, error) {
+func (r *fakeRater) Rate(_ context.Context, _ document.Service, _ document.Model, _, answer []byte) (float64, error) {
 	r.text = string(answer)
 	return r.rating, r.err
 }
