--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -178,7 +178,7 @@
 	if j.chat.stream {
 		text = a.output.text
 	}
-	rating, err = j.handler.options.Rater.Rate(ctx, j.plan.Document.Service, j.body, text)
+	rating, err = j.handler.options.Rater.Rate(ctx, j.plan.Document.Service, a.model, j.body, text)
 	span.SetAttributes(attribute.Float64("rating", rating))
 	return rating, err
 }
@@ -194,7 +194,7 @@
 		return nil
 	}
 	j.writer.Header().Set("Content-Type", "application/json")
-	j.whole(http.StatusOK, a.result.Body)
+	whole(j.writer, http.StatusOK, a.result.Body)
 	return nil
 }
 
--- a/internal/entry/caller/output.go
+++ b/internal/entry/caller/output.go
@@ -119,14 +119,14 @@
 
 // whole sends an answer that is not streamed, so that the caller has all of it
 // before the handler ends.
-func (q *request) whole(status int, body []byte) {
+func whole(w http.ResponseWriter, status int, body []byte) {
 	if status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified {
-		q.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	q.writer.WriteHeader(status)
+	w.WriteHeader(status)
 	// A caller that is gone cannot be told anything more.
-	_, _ = q.writer.Write(body)
-	_ = http.NewResponseController(q.writer).Flush()
+	_, _ = w.Write(body)
+	_ = http.NewResponseController(w).Flush()
 }
 
 // event writes one event and flushes it; the first one begins the stream.
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -174,6 +174,6 @@
 	if a.Type != "" {
 		p.writer.Header().Set("Content-Type", a.Type)
 	}
-	p.whole(a.Status, a.Body)
+	whole(p.writer, a.Status, a.Body)
 	return nil
 }
--- a/internal/entry/caller/refusal.go
+++ b/internal/entry/caller/refusal.go
@@ -177,18 +177,23 @@
 	return b
 }
 
-// sendRefusal sends the refusal as a whole answer.
+// sendRefusal sends the refusal and names other entries where that helps.
 func (q *request) sendRefusal(r *refusal) {
-	h, header := q.handler, q.writer.Header()
+	if r.code == "lease" || r.code == "draining" {
+		q.writer.Header().Set(headerEntries, q.handler.others())
+	}
+	r.send(q.writer)
+}
+
+// send sends the refusal as a whole answer.
+func (r *refusal) send(w http.ResponseWriter) {
+	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(upstream.HeaderOutcome, string(r.outcome))
 	if r.retry > 0 {
 		header.Set("Retry-After", strconv.FormatInt(int64((r.retry+time.Second-1)/time.Second), 10))
 	}
-	if r.code == "lease" || r.code == "draining" {
-		header.Set(headerEntries, h.others())
-	}
-	q.whole(r.status, r.body())
+	whole(w, r.status, r.body())
 }
 
 // others lists the addresses of the other entries.
