caller: read pins and aborted claims as the control service keeps them

Cause: a pin without a wanted version was sent as a move from a reserved name, which the state machine refuses as invalid because it names no version. An aborted claim keeps its old digest, which says nothing about a new call. Ruled out: a change of the control service, which already reads a pin that names no version. Change: such a pin is sent without a version; digests are compared only for claims in a phase. The fake keeps aborted claims and reads pins the same way. Before: the fake accepted the reserved name. After: the package's tests pass under the race detector. Conclusion: pins follow the state machine's code; the digest rule is a precaution.

--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -108,7 +108,7 @@
 		if err != nil {
 			return nil, c.unopened(ctx, err)
 		}
-		if reply.Digest != "" && reply.Digest != c.digest {
+		if reply.Phase != wire.Phase_PHASE_NONE && reply.Digest != c.digest {
 			return nil, &refusal{
 				status: http.StatusUnprocessableEntity, kind: kindRequest, code: "idempotency_key",
 				message: "the key was used for another call", outcome: upstream.NotRun,
--- a/internal/entry/caller/claim_test.go
+++ b/internal/entry/caller/claim_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
@@ -93,6 +94,10 @@
 // Guards against claims of dead entries that block their key for good, and
 // against takeovers of calls that may have been sent.
 func TestClaimsOfAnotherOwner(t *testing.T) {
+	digest := (&plainCall{
+		request: &request{body: []byte("{}")}, service: "desk",
+		message: upstream.Plain{Method: "POST", Path: "/bookings"},
+	}).callDigest()
 	for _, c := range []struct {
 		name    string
 		phase   wire.Phase
@@ -101,6 +106,7 @@
 		outcome string
 		runs    int
 	}{
+		{"aborted claim", wire.Phase_PHASE_NONE, 10, 201, "", 1},
 		{"old open claim", wire.Phase_PHASE_OPEN, 6000, 201, "", 1},
 		{"young open claim", wire.Phase_PHASE_OPEN, 1000, 504, "unknown", 0},
 		{"old call in progress", wire.Phase_PHASE_DISPATCHING, 60000, 502, "unknown", 0},
@@ -109,7 +115,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			f, d, s := bookingServer(t, nil)
-			f.claims["town/k"] = &wire.ClaimReply{Phase: c.phase, Owner: "e9:1:x", Epoch: 4, Age: c.age}
+			f.claims["town/k"] = &wire.ClaimReply{Phase: c.phase, Owner: "e9:1:x", Epoch: 4, Age: c.age, Digest: digest}
+			if c.phase == wire.Phase_PHASE_NONE {
+				f.claims["town/k"].Digest = "of another body"
+			}
 			resp, _ := send(t, "POST", s.URL+bookings, "{}", "Idempotency-Key", "k", "Wisteriakeel-Timeout", "200")
 			is.Equal(resp.StatusCode, c.status)
 			is.Equal(resp.Header.Get("Wisteriakeel-Outcome"), c.outcome)
--- a/internal/entry/caller/fake_test.go
+++ b/internal/entry/caller/fake_test.go
@@ -178,7 +178,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := r.Account + "/" + r.Service + "/" + r.Session + "/" + r.Model
-	if f.pins[k] != r.From {
+	if r.Version == "" || f.pins[k] != r.From {
 		return &wire.PinReply{Version: f.pins[k]}, nil
 	}
 	f.pins[k] = r.Version
@@ -222,7 +222,7 @@
 		}
 	case wire.Step_STEP_ABORT:
 		if won = mine && c.Phase == wire.Phase_PHASE_OPEN; won {
-			delete(f.claims, k)
+			c.Phase = wire.Phase_PHASE_NONE
 		}
 	}
 	return &wire.ClaimReply{Phase: c.Phase, Owner: c.Owner, Epoch: c.Epoch, Digest: c.Digest, Answer: c.Answer, Age: c.Age, Won: won}, nil
--- a/internal/entry/caller/pin.go
+++ b/internal/entry/caller/pin.go
@@ -114,19 +114,14 @@
 	return q.id
 }
 
-// unpinned cannot be the name of a version, so that a move from it only reads the pin.
-const unpinned = "@"
-
 // pinMoves bounds how often a pin is followed that others move at the same time.
 const pinMoves = 3
 
-// pin writes or reads the session's pin and moves it off a version that no longer takes work.
+// pin writes the session's pin and moves it off a version that no longer takes
+// work. Without a wanted version it only reads the pin, since a session that is
+// pinned already can go on, for example on a retiring version.
 func (q *request) pin(ctx context.Context, p *route.Plan, step document.Model, want document.Version) (document.Version, error) {
 	from := ""
-	if want == "" {
-		// Only a session that is pinned already can go on, for example on a retiring version.
-		from = unpinned
-	}
 	for range pinMoves {
 		got, err := q.sendPin(ctx, p, step, want, from)
 		if err != nil {
@@ -136,7 +131,7 @@
 			return "", errors.Wrapf(route.ErrVersion, "%q", string(step))
 		}
 		if p.Takes(step, got, q.session, true) {
-			if from != "" && from != unpinned {
+			if from != "" {
 				q.writer.Header().Set(headerMoved, from)
 			}
 			return got, nil
