caller: bound open requests per account and show queues

Ruled out: counting idle connections, since their account is only known by the next request. Change: Options.Connections (429, "not run") and Options.Parallel; the expvar value caller.queues lists what runs and waits per service and model. Before: no bound. After: the third open request of an account bounded to two is refused; all tests of the entry packages pass under the race detector. Conclusion: the entry role still has to set both options.

--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -21,6 +21,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/entry/route"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
@@ -64,9 +65,14 @@
 	// Chooser names a registered chooser.
 	Chooser  string
 	Upstream upstream.Limits
+	// Parallel bounds the requests in progress of an account whose document
+	// sets no limit; zero means none.
+	Parallel int
 	// Queue and Total bound the waiting requests per account and together.
 	Queue int
 	Total int
+	// Connections bounds the open requests per account.
+	Connections int
 	// Body bounds the body of a request in bytes.
 	Body int64
 	// Timeout is the deadline of requests that name none, Longest the greatest one.
@@ -82,10 +88,11 @@
 
 // Defaults of the options.
 const (
-	DefaultBody     = 8 << 20
-	DefaultTimeout  = time.Minute
-	DefaultLongest  = 10 * time.Minute
-	DefaultLifetime = 5 * time.Second
+	DefaultBody        = 8 << 20
+	DefaultConnections = 256
+	DefaultTimeout     = time.Minute
+	DefaultLongest     = 10 * time.Minute
+	DefaultLifetime    = 5 * time.Second
 	// DefaultSpread is the bound on a change being in force everywhere.
 	DefaultSpread   = 3 * time.Second
 	DefaultTakeover = 5 * time.Second
@@ -109,6 +116,9 @@
 	if o.Body == 0 {
 		o.Body = DefaultBody
 	}
+	if o.Connections == 0 {
+		o.Connections = DefaultConnections
+	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
@@ -131,6 +141,7 @@
 	dispatcher *upstream.Dispatcher
 	pins       *pins
 	drain      *drain
+	open       *connections
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -149,7 +160,7 @@
 		options: o, control: o.Control, timer: o.Timer, log: o.Log,
 		budget: route.NewBudget(), pins: newPins(), queues: map[placeKey]*place{},
 		random: rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
-		drain:  newDrain(),
+		drain:  newDrain(), open: newConnections(o.Connections),
 	}
 	h.pool, err = route.NewPool(route.PoolOptions{
 		Timer: o.Timer, Random: rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
@@ -160,6 +171,7 @@
 	}
 	h.dispatcher = upstream.New(upstream.Options{Timer: o.Timer, Limits: o.Upstream, Load: h.pool.Report})
 	o.Control.SetTallies(h.tallies)
+	metric.Func("caller.queues", h.gauges)
 	return h, nil
 }
 
@@ -258,15 +270,9 @@
 
 // tallies sums the counts of all queues.
 func (h *Handler) tallies() []*wire.Tally {
-	h.mu.Lock()
-	list := make([]*place, 0, len(h.queues))
-	for _, p := range h.queues {
-		list = append(list, p)
-	}
-	h.mu.Unlock()
 	sums := map[string]*wire.Tally{}
 	order := []*wire.Tally{}
-	for _, p := range list {
+	for _, p := range h.places() {
 		for _, t := range p.queue.Tallies() {
 			s, ok := sums[t.Account]
 			if !ok {
--- a/internal/entry/caller/claim_test.go
+++ b/internal/entry/caller/claim_test.go
@@ -74,18 +74,18 @@
 		_, s := newHandler(t, f, func(o *Options) { o.Epoch = i })
 		urls = append(urls, s.URL)
 	}
-	r := newRunner(t)
+	var r sync.WaitGroup
 	var mu sync.Mutex
 	got := map[string]int{}
 	for i := range 30 {
-		r.start(func() {
+		r.Go(func() {
 			resp, body := send(t, "POST", urls[i%3]+bookings, "{}", "Idempotency-Key", "k", "X-Request-Id", fmt.Sprint(i))
 			mu.Lock()
 			defer mu.Unlock()
 			got[fmt.Sprint(resp.StatusCode, " ", body)]++
 		})
 	}
-	r.wait()
+	r.Wait()
 	is.Equal(got, map[string]int{`201 {"booking":1}`: 30})
 	is.Equal(d.count(), 1)
 	is.Equal(len(f.charged()), 1)
--- a/internal/entry/caller/fake_test.go
+++ b/internal/entry/caller/fake_test.go
@@ -17,7 +17,6 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
-	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
@@ -54,14 +53,13 @@
 func (f *fakeControl) change(docs ...*document.Document) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c := &control.Config{Revision: f.config.Revision + 1, Documents: map[document.Service]*document.Document{}, Upstreams: f.config.Upstreams}
-	for s, d := range f.config.Documents {
-		c.Documents[s] = d
-	}
+	c := *f.config
+	c.Revision++
+	c.Documents = maps.Clone(c.Documents)
 	for _, d := range docs {
 		c.Documents[d.Service] = d
 	}
-	f.config = c
+	f.config = &c
 }
 
 // join registers a server as an upstream.
@@ -101,28 +99,6 @@
 	}
 }
 
-// runner runs requests at the same time.
-type runner struct {
-	group *group.Group
-	work  sync.WaitGroup
-}
-
-func newRunner(t *testing.T) *runner {
-	r := &runner{group: group.New(t.Context())}
-	return r
-}
-
-func (r *runner) start(f func()) {
-	r.work.Add(1)
-	r.group.Go("request", func(context.Context) error {
-		defer r.work.Done()
-		f()
-		return nil
-	})
-}
-
-func (r *runner) wait() { r.work.Wait() }
-
 func (f *fakeControl) Config() *control.Config {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/caller/list_test.go
+++ b/internal/entry/caller/list_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,16 +88,16 @@
 	}
 	_, names := entries()
 	is.Equal(names, "e1 e2") // the own zone first
-	r := newRunner(t)
+	var r sync.WaitGroup
 	var status int
-	r.start(func() {
+	r.Go(func() {
 		resp, _ := send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", true))
 		status = resp.StatusCode
 	})
 	<-started
 	begin := time.Now()
 	done := make(chan time.Duration, 1)
-	r.start(func() {
+	r.Go(func() {
 		if h.Drain(context.Background()) == nil {
 			done <- time.Since(begin)
 		}
@@ -113,7 +115,7 @@
 	is.True(time.Since(begin) >= 350*time.Millisecond)
 	is.Equal(len(done), 0) // a request is in progress
 	close(release)
-	r.wait()
+	r.Wait()
 	is.Equal(len(done), 1)
 	is.Equal(status, 200)
 	is.Equal(e.count(), 1)
@@ -139,7 +141,7 @@
 		is.Equal(p.SpanContext().TraceID().String(), id)
 		count[p.Name()]++
 		if strings.HasPrefix(p.Name(), "POST ") {
-			is.True(contains(p.Attributes(), attribute.String("request", "r-1")))
+			is.True(slices.Contains(p.Attributes(), attribute.String("request", "r-1")))
 		}
 	}
 	is.Equal(count, map[string]int{
@@ -147,12 +149,3 @@
 	})
 	is.True(strings.Contains(cheap.calls[0].Header.Get("traceparent"), id))
 }
-
-func contains(list []attribute.KeyValue, want attribute.KeyValue) bool {
-	for _, a := range list {
-		if a == want {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/entry/caller/refusal_test.go
+++ b/internal/entry/caller/refusal_test.go
@@ -124,17 +124,17 @@
 	h, s := newHandler(t, f, func(o *Options) { o.Queue = 1 })
 	unblock := sync.OnceFunc(func() { close(release) })
 	t.Cleanup(unblock) // also when the test fails, since the server waits for its requests
-	r := newRunner(t)
-	r.start(func() { send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false)) })
+	var r sync.WaitGroup
+	r.Go(func() { send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false)) })
 	<-started
 	begin := time.Now()
 	resp, body := send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false), "Wisteriakeel-Timeout", "100")
 	is.Equal(resp.StatusCode, 503)
 	is.Equal(detail(t, body).Code, "deadline")
 	is.True(time.Since(begin) < 2*time.Second)
-	r.start(func() { send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false)) })
-	for h.queue("pool", "small").Waiting() == 0 {
-		time.Sleep(time.Millisecond)
+	r.Go(func() { send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false)) })
+	for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
+		_, waiting = h.queue("pool", "small").Size()
 	}
 	// Another model of the service is not held up.
 	resp, _ = send(t, "POST", s.URL+"/v1/chat/completions", chatBody("large", false), "Authorization", "Bearer farm")
@@ -143,8 +143,13 @@
 	is.Equal(resp.StatusCode, 429)
 	is.Equal(detail(t, body).Code, "account_queue_full")
 	is.True(detail(t, body).Retry > 0)
+	// So many requests are open that the next is refused whatever it asks for.
+	h.open.most = 2
+	resp, body = send(t, "GET", s.URL+"/v1/models", "")
+	is.Equal(resp.StatusCode, 429)
+	is.Equal(detail(t, body).Code, "connections")
 	unblock()
-	r.wait()
+	r.Wait()
 	is.Equal(e.count(), 2)
 }
 
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -69,7 +69,10 @@
 			w.Header().Set("Connection", "close")
 		}
 		err := q.begin()
-		if err == nil {
+		if err == nil && !h.open.enter(q.account) {
+			err = h.crowded()
+		} else if err == nil {
+			defer h.open.leave(q.account)
 			var cancel context.CancelFunc
 			ctx, cancel = timer.WithTimeout(ctx, h.timer, q.deadline.Sub(h.timer.Now()))
 			defer cancel()
@@ -211,6 +214,9 @@
 func (q *request) enter(ctx context.Context, k placeKey, a document.AccountSpec, tokens uint64) (t *queue.Ticket, err error) {
 	ctx, span := q.handler.options.Tracer.Start(ctx, "queue")
 	defer func() { end(span, err) }()
+	if a.Limit.Parallel == 0 {
+		a.Limit.Parallel = uint32(q.handler.options.Parallel)
+	}
 	t, err = q.handler.queue(k.service, k.model).Enter(ctx, queue.Request{
 		Account: q.account, Weight: a.Weight, Tokens: tokens,
 		Limit: a.Limit, Deadline: q.deadline, Further: q.queued,
--- a/internal/entry/queue/queue.go
+++ b/internal/entry/queue/queue.go
@@ -323,9 +323,9 @@
 	return a
 }
 
-// Waiting returns how many requests wait for a place.
-func (q *Queue) Waiting() int {
+// Size returns how many requests hold a place and how many wait for one.
+func (q *Queue) Size() (running, waiting int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.waiting
+	return q.running, q.waiting
 }
--- a/internal/entry/route/route_test.go
+++ b/internal/entry/route/route_test.go
@@ -184,6 +184,14 @@
 
 var want = Want{Service: "pool", Model: "small", Version: "v1"}
 
+// pick takes one upstream and returns its name.
+func pick(t *testing.T, p *Pool, c *control.Config) string {
+	t.Helper()
+	k, err := p.Pick(c, nil, want)
+	is.New(t).NoErr(err)
+	return k.Upstream.Name
+}
+
 // Guards against an unknown chooser in the settings being noticed at the first request only.
 func TestChooserNames(t *testing.T) {
 	is := is.New(t)
@@ -200,16 +208,12 @@
 	c := workers("z1", "z1", "z2")
 	count := map[string]int{}
 	for range 8 {
-		k, err := p.Pick(c, nil, want)
-		is.NoErr(err)
-		count[k.Upstream.Name]++
+		count[pick(t, p, c)]++
 	}
 	is.Equal(count["w2"], 0)
 	is.Equal(count["w0"], 4) // no report came since, only own requests tell
 	for range 4 {
-		k, err := p.Pick(c, nil, want)
-		is.NoErr(err)
-		count[k.Upstream.Name]++
+		count[pick(t, p, c)]++
 	}
 	is.Equal(count["w2"], 4) // the own zone is full
 	free, slots := p.Free(c, nil, "pool", "small", 1)
@@ -224,9 +228,7 @@
 	c := workers("z1", "z2", "z3")
 	count := map[string]int{}
 	for range 9 {
-		k, err := p.Pick(c, nil, want)
-		is.NoErr(err)
-		count[k.Upstream.Name]++
+		count[pick(t, p, c)]++
 	}
 	is.Equal(count, map[string]int{"w0": 3, "w1": 3, "w2": 3})
 }
@@ -239,9 +241,7 @@
 	c.Upstreams["w0"].Left = true
 	c.Upstreams["w1"].Version = "v2"
 	for range 20 {
-		k, err := p.Pick(c, nil, want)
-		is.NoErr(err)
-		is.Equal(k.Upstream.Name, "w2")
+		is.Equal(pick(t, p, c), "w2")
 	}
 	w := want
 	w.Tried = []string{"w2"}
@@ -261,9 +261,7 @@
 	c := workers("z1", "z1")
 	share := func() (n int) {
 		for range 200 {
-			k, err := p.Pick(c, nil, want)
-			is.NoErr(err)
-			if k.Upstream.Name == "w0" {
+			if pick(t, p, c) == "w0" {
 				n++
 			}
 		}
@@ -297,13 +295,11 @@
 	// With all ejected the requests still go somewhere.
 	c = workers("z1")
 	c.Upstreams["w0"].Incarnation = 3
-	_, err := p.Pick(c, nil, want)
-	is.NoErr(err)
+	pick(t, p, c)
 	for range ejectAfter {
 		fail()
 	}
-	_, err = p.Pick(c, nil, want)
-	is.NoErr(err)
+	pick(t, p, c)
 }
 
 // Guards against retries that multiply the traffic of an overloaded service.
@@ -325,8 +321,7 @@
 	is := is.New(t)
 	p, _ := newPool(t, "least")
 	c := workers("z1")
-	_, err := p.Pick(c, nil, want)
-	is.NoErr(err)
+	pick(t, p, c)
 	p.Report("w0", 1, &wire.Load{Running: 3, Slots: 4, Sequence: 9})
 	p.Report("w0", 1, &wire.Load{Running: 0, Slots: 4, Sequence: 8})
 	p.Report("w0", 2, &wire.Load{Running: 0, Slots: 4, Sequence: 10})
