caller: test the fairness list and shorten the fakes

Cause: the fairness list had no test, and documents in tests were written in another form than the operators use. Ruled out: a fake ledger that returns fixed rows. Change: a test over two accounts; test documents are JSON; the fake control client sums its charges. Before: fairness untested. Conclusion: no change of the code was needed.

--- a/internal/entry/caller/fake_test.go
+++ b/internal/entry/caller/fake_test.go
@@ -37,6 +37,7 @@
 	// onPin runs after each pin.
 	onPin   func()
 	drained bool
+	tallies func() []*wire.Tally
 }
 
 func newFakeControl(docs ...*document.Document) *fakeControl {
@@ -64,17 +65,8 @@
 
 // join registers a server as an upstream.
 func (f *fakeControl) join(name string, s *httptest.Server, u *wire.Upstream) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	u.Name, u.Incarnation, u.Address = name, 1, strings.TrimPrefix(s.URL, "http://")
-	f.replace(name, u)
-}
-
-// leave ends the registration.
-func (f *fakeControl) leave(name string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.replace(name, nil)
+	f.do(func() { f.replace(name, u) })
 }
 
 // replace publishes a changed copy of the configuration; the lock is held.
@@ -99,37 +91,34 @@
 	}
 }
 
-func (f *fakeControl) Config() *control.Config {
+// do runs f while nothing else changes the fake.
+func (f *fakeControl) do(g func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.config
+	g()
 }
 
-func (f *fakeControl) Held() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.held
-}
-
-func (f *fakeControl) hold(held bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.held = held
-}
-
-func (f *fakeControl) Entries() []*wire.Instance       { return f.entries }
-func (f *fakeControl) Loads() map[string]*wire.Heard   { return nil }
-func (f *fakeControl) Tallies() []*wire.Tally          { return nil }
-func (f *fakeControl) SetTallies(func() []*wire.Tally) {}
-func (f *fakeControl) SetDraining(draining bool)       { f.drained = draining }
+func (f *fakeControl) Config() (c *control.Config)       { f.do(func() { c = f.config }); return c }
+func (f *fakeControl) Held() (held bool)                 { f.do(func() { held = f.held }); return held }
+func (f *fakeControl) hold(held bool)                    { f.do(func() { f.held = held }) }
+func (f *fakeControl) leave(name string)                 { f.do(func() { f.replace(name, nil) }) }
+func (f *fakeControl) Entries() []*wire.Instance         { return f.entries }
+func (f *fakeControl) Loads() map[string]*wire.Heard     { return nil }
+func (f *fakeControl) Tallies() []*wire.Tally            { return f.tallies() }
+func (f *fakeControl) SetTallies(g func() []*wire.Tally) { f.tallies = g }
+func (f *fakeControl) SetDraining(draining bool)         { f.drained = draining }
 func (f *fakeControl) charged() (list []*wire.ChargeRequest) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.charges
+	f.do(func() { list = f.charges })
+	return list
 }
 
+// Ledger counts the charges of each account.
 func (f *fakeControl) Ledger(context.Context, *wire.LedgerRequest) (*wire.LedgerReply, error) {
-	return &wire.LedgerReply{}, nil
+	r := &wire.LedgerReply{}
+	for _, c := range f.charged() {
+		r.Totals = append(r.Totals, &wire.Total{Account: c.Account, Service: c.Service, Requests: 1, Amount: c.Amount})
+	}
+	return r, nil
 }
 
 func (f *fakeControl) Charge(_ context.Context, r *wire.ChargeRequest) (*wire.ChargeReply, error) {
@@ -310,33 +299,25 @@
 	return e
 }
 
-func poolDocument() *document.Document {
-	version := func(n string, s document.State) document.VersionSpec {
-		return document.VersionSpec{Name: document.Version(n), State: s}
-	}
-	return &document.Document{
-		Service: "pool", Kind: document.KindEngine,
-		Models: []document.ModelSpec{
-			{Name: "small", Price: document.PriceSpec{Input: 1, Output: 2}, Versions: []document.VersionSpec{
-				version("v1", document.StateActive), version("v0", document.StateWithdrawn),
-			}},
-			{Name: "large", Price: document.PriceSpec{Input: 10, Output: 20}, Versions: []document.VersionSpec{version("v1", document.StateActive)}},
-		},
-		Cascades: []document.CascadeSpec{{Name: "draft", Steps: []document.Model{"small", "large"}, Quality: 0.5}},
-		Accounts: []document.AccountSpec{
-			{Name: "town", Models: []string{"small", "draft"}, Weight: 1},
-			{Name: "farm", Models: []string{"large@v1"}, Weight: 1},
-		},
+// parse reads a document in the form in which operators write it.
+func parse(text string) *document.Document {
+	d := &document.Document{}
+	if err := json.Unmarshal([]byte(text), d); err != nil {
+		panic(err)
 	}
+	return d
+}
+
+func poolDocument() *document.Document {
+	return parse(`{"service":"pool","kind":"engine","models":[
+		{"name":"small","price":{"input":1,"output":2},"versions":[{"name":"v1","state":"active"},{"name":"v0","state":"withdrawn"}]},
+		{"name":"large","price":{"input":10,"output":20},"versions":[{"name":"v1","state":"active"}]}],
+		"cascades":[{"name":"draft","steps":["small","large"],"quality":0.5}],
+		"accounts":[{"name":"town","models":["small","draft"],"weight":1},{"name":"farm","models":["large@v1"],"weight":1}]}`)
 }
 
 func deskDocument() *document.Document {
-	return &document.Document{
-		Service: "desk", Kind: document.KindPlain,
-		Calls: []document.CallSpec{
-			{Method: "POST", Path: "/bookings", Price: 3, Timeout: 2000},
-			{Method: "GET", Path: "/bookings/", Repeat: true},
-		},
-		Accounts: []document.AccountSpec{{Name: "town", Calls: []string{"/bookings", "/bookings/"}, Weight: 1}},
-	}
+	return parse(`{"service":"desk","kind":"plain","calls":[
+		{"method":"POST","path":"/bookings","price":3,"timeout":2000},{"method":"GET","path":"/bookings/","repeat":true}],
+		"accounts":[{"name":"town","calls":["/bookings","/bookings/"],"weight":1}]}`)
 }
--- a/internal/entry/caller/list_test.go
+++ b/internal/entry/caller/list_test.go
@@ -122,6 +122,24 @@
 	is.True(f.drained)
 }
 
+// Guards against small accounts that cannot see what the others get.
+func TestFairnessShowsAllAccounts(t *testing.T) {
+	is := is.New(t)
+	f := newFakeControl(poolDocument())
+	startEngine(t, f, "w1", "small", &engine{version: "v1", words: []string{"a"}, breakAfter: -1})
+	startEngine(t, f, "w2", "large", &engine{version: "v1", words: []string{"a"}, breakAfter: -1})
+	_, s := newHandler(t, f, nil)
+	send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false))
+	send(t, "POST", s.URL+"/v1/chat/completions", chatBody("large", false), "Authorization", "Bearer farm")
+	_, body := send(t, "GET", s.URL+"/v1/fairness", "")
+	var list struct{ Accounts []fairnessBody }
+	is.NoErr(json.Unmarshal([]byte(body), &list))
+	is.Equal(len(list.Accounts), 2)
+	is.Equal(list.Accounts[0].Account, "farm")
+	is.Equal(list.Accounts[0].Requests, uint64(1))
+	is.Equal(list.Accounts[0].Totals, []totalBody{{Service: "pool", Requests: 1, Amount: 70}})
+}
+
 // Guards against traces that end at the entry or leave out a hop.
 func TestTraceSpansEveryHop(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/route/route_test.go
+++ b/internal/entry/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -16,37 +17,30 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
-func pool() *document.Document {
-	return &document.Document{
-		Service: "pool", Kind: document.KindEngine,
-		Models: []document.ModelSpec{
-			{Name: "small", Versions: []document.VersionSpec{
-				{Name: "v1", State: document.StateActive},
-				{Name: "v2", State: document.StateCandidate},
-				{Name: "v0", State: document.StateRetiring},
-				{Name: "bad", State: document.StateWithdrawn},
-			}},
-			{Name: "large", Versions: []document.VersionSpec{{Name: "v1", State: document.StateActive}}},
-		},
-		Cascades: []document.CascadeSpec{{Name: "draft", Steps: []document.Model{"small", "large"}, Quality: 0.7}},
-		Rollouts: []document.RolloutSpec{{Model: "small", From: "v1", To: "v2", Stages: []document.StageSpec{{Share: 20}, {Share: 100}}}},
-		Accounts: []document.AccountSpec{
-			{Name: "town", Models: []string{"small", "draft"}, Quality: 0.9},
-			{Name: "farm", Models: []string{"small@v1"}},
-		},
+func parse(text string) *document.Document {
+	d := &document.Document{}
+	if err := json.Unmarshal([]byte(text), d); err != nil {
+		panic(err)
 	}
+	return d
+}
+
+func pool() *document.Document {
+	return parse(`{"service":"pool","kind":"engine","models":[
+		{"name":"small","versions":[{"name":"v1","state":"active"},{"name":"v2","state":"candidate"},
+			{"name":"v0","state":"retiring"},{"name":"bad","state":"withdrawn"}]},
+		{"name":"large","versions":[{"name":"v1","state":"active"}]}],
+		"cascades":[{"name":"draft","steps":["small","large"],"quality":0.7}],
+		"rollouts":[{"model":"small","from":"v1","to":"v2","stages":[{"share":20},{"share":100}]}],
+		"accounts":[{"name":"town","models":["small","draft"],"quality":0.9},{"name":"farm","models":["small@v1"]},
+			{"name":"both","models":["small"]}]}`)
 }
 
 func config() *control.Config {
-	other := &document.Document{
-		Service: "press", Kind: document.KindEngine,
-		Models:   []document.ModelSpec{{Name: "small", Versions: []document.VersionSpec{{Name: "v1", State: document.StateActive}}}},
-		Accounts: []document.AccountSpec{{Name: "both", Models: []string{"small"}}},
-	}
-	d := pool()
-	d.Accounts = append(d.Accounts, document.AccountSpec{Name: "both", Models: []string{"small"}})
+	press := parse(`{"service":"press","kind":"engine","models":[{"name":"small","versions":[{"name":"v1","state":"active"}]}],
+		"accounts":[{"name":"both","models":["small"]}]}`)
 	return &control.Config{
-		Documents: map[document.Service]*document.Document{"pool": d, "press": other, "desk": {Service: "desk", Kind: document.KindPlain}},
+		Documents: map[document.Service]*document.Document{"pool": pool(), "press": press, "desk": {Service: "desk", Kind: document.KindPlain}},
 		Upstreams: map[string]*wire.Upstream{},
 	}
 }
--- a/internal/entry/upstream/announce_test.go
+++ b/internal/entry/upstream/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -49,13 +50,6 @@
 
 const registration = `{"name":"w1","incarnation":5,"sequence":3,"address":"127.0.0.1:9000","service":"pool","model":"m","version":"v1","zone":"z","fencing":true,"lease":4000,"features":["resume"],"load":{"running":1,"waiting":2,"slots":8,"tokens":9,"sequence":4}}`
 
-func known() *wire.Upstream {
-	return &wire.Upstream{
-		Name: "w1", Incarnation: 5, Sequence: 1, Address: "127.0.0.1:9000", Service: "pool",
-		Model: "m", Version: "v1", Zone: "z", Fencing: true, Lease: 4000, Features: []string{"resume"},
-	}
-}
-
 // Guards against registrations that are answered before they are replicated,
 // heartbeats that load the log, and bodies or credentials that are not checked.
 func TestAnnouncements(t *testing.T) {
@@ -92,9 +86,10 @@
 			is := is.New(t)
 			f := &fakeRegistrar{config: &control.Config{Upstreams: map[string]*wire.Upstream{}}, err: c.err}
 			if c.known != nil {
-				u := known()
-				c.known(u)
-				f.config.Upstreams["w1"] = u
+				var a announcement
+				is.NoErr(json.Unmarshal([]byte(registration), &a))
+				f.config.Upstreams["w1"] = a.wire()
+				c.known(f.config.Upstreams["w1"])
 			}
 			h := NewHandler(f, tokens{"one": "w1", "two": "w2", "all": "w*"})
 			var events []Event
