caller: record the price of each attempt

Cause: the ledger sums the amount of each attempt's cost, which charges did not carry, and plain calls recorded no attempt at all; the registrations of upstreams had no spans. Ruled out: pricing in the control group, which may hold another document by then. Change: costs carry their price; plain calls record their attempts; spans for announcements and leaves that reach the control group. Before: TestCascade reads a cost of 0 where 9 or 70 is charged. After: the last attempt's cost equals the charge; the entry packages' tests pass under the race detector. Conclusion: resolved.

--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -208,7 +208,7 @@
 	}
 	j.costs = append(j.costs, &wire.Cost{
 		Model: string(a.model), Version: string(a.version), Upstream: u.Name,
-		Input: res.Usage.Input, Output: res.Usage.Output,
+		Input: res.Usage.Input, Output: res.Usage.Output, Amount: j.price(a.model, res.Usage),
 	})
 	j.tokens += res.Usage.Input + res.Usage.Output
 	// An engine that resumes may count only its own part.
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -200,17 +200,22 @@
 
 // charge commits the charge of the answer.
 func (j *job) charge(ctx context.Context, a answered) error {
-	m, _ := j.plan.Document.Model(a.model)
 	u := a.result.Usage
 	return j.commit(ctx, &wire.ChargeRequest{
 		Account: string(j.account), Service: string(j.plan.Document.Service),
 		Request: j.id, Digest: j.digest, Model: string(a.model), Version: string(a.version),
 		Input: u.Input, Output: u.Output,
-		Amount: u.Input*uint64(m.Price.Input) + u.Output*uint64(m.Price.Output),
+		Amount: j.price(a.model, u),
 		Costs:  j.costs,
 	})
 }
 
+// price returns what the usage of the model costs by the document in force.
+func (j *job) price(model document.Model, u upstream.Usage) uint64 {
+	m, _ := j.plan.Document.Model(model)
+	return u.Input*uint64(m.Price.Input) + u.Output*uint64(m.Price.Output)
+}
+
 // commit records a charge. Without it the caller gets no complete answer.
 func (q *request) commit(ctx context.Context, r *wire.ChargeRequest) (err error) {
 	ctx, span := q.handler.options.Tracer.Start(ctx, "control charge")
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -154,6 +154,9 @@
 		if err != nil {
 			p.attempted(err)
 		}
+		if err == nil || upstream.OutcomeOf(err) != upstream.NotRun {
+			p.costs = append(p.costs, &wire.Cost{Upstream: k.Upstream.Name, Amount: uint64(p.call.Price)})
+		}
 		end(span, err)
 	}()
 	return send(ctx)
@@ -165,7 +168,7 @@
 	if p.call.Price > 0 && a.Status < http.StatusBadRequest {
 		err := p.commit(ctx, &wire.ChargeRequest{
 			Account: string(p.account), Service: string(p.service), Request: identity,
-			Digest: digest, Amount: uint64(p.call.Price),
+			Digest: digest, Amount: uint64(p.call.Price), Costs: p.costs,
 		})
 		if err != nil {
 			return err
--- a/internal/entry/caller/retry_test.go
+++ b/internal/entry/caller/retry_test.go
@@ -187,6 +187,8 @@
 				is.Equal(len(f.charged()), 1)
 				is.Equal(len(f.charged()[0].Costs), c.costs)
 				is.Equal(f.charged()[0].Model+"@v1", c.model)
+				last := f.charged()[0].Costs[c.costs-1]
+				is.Equal(last.Amount, f.charged()[0].Amount) // all attempts have a price
 			})
 		}
 	}
--- a/internal/entry/upstream/announce.go
+++ b/internal/entry/upstream/announce.go
@@ -9,6 +9,11 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
@@ -52,6 +57,8 @@
 type Handler struct {
 	registrar   Registrar
 	credentials Credentials
+	// Tracer may be replaced before the first request.
+	Tracer trace.Tracer
 	// Load receives the load of each heartbeat; it may be nil.
 	Load func(name string, incarnation uint64, load *wire.Load)
 	// Events receives cache events, which may come late and with gaps; it may be nil.
@@ -60,7 +67,7 @@
 
 // NewHandler returns a handler.
 func NewHandler(r Registrar, c Credentials) *Handler {
-	return &Handler{registrar: r, credentials: c}
+	return &Handler{registrar: r, credentials: c, Tracer: otel.Tracer("wisteriakeel/upstream")}
 }
 
 // Register adds the handler's paths.
@@ -186,11 +193,10 @@
 		return
 	}
 	if !h.known(u) {
-		if _, err := h.registrar.Announce(r.Context(), &wire.AnnounceRequest{Upstream: u}); err != nil {
+		if err := h.register(r, u); err != nil {
 			refuseFault(w, err)
 			return
 		}
-		metric.Int("upstream.announced").Add(1)
 	}
 	h.registrar.Heard(&wire.Heard{Name: u.Name, Incarnation: u.Incarnation, Load: u.Load})
 	if h.Load != nil && u.Load != nil {
@@ -205,6 +211,30 @@
 	answer(w, http.StatusOK, reply)
 }
 
+// register puts the registration into the log of the control group.
+func (h *Handler) register(r *http.Request, u *wire.Upstream) (err error) {
+	ctx, span := h.span(r, "control announce", u.Name)
+	defer func() { finish(span, err) }()
+	_, err = h.registrar.Announce(ctx, &wire.AnnounceRequest{Upstream: u})
+	if err == nil {
+		metric.Int("upstream.announced").Add(1)
+	}
+	return err
+}
+
+// span begins the span of a control call; heartbeats have none.
+func (h *Handler) span(r *http.Request, name, upstream string) (context.Context, trace.Span) {
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	return h.Tracer.Start(ctx, name, trace.WithAttributes(attribute.String("upstream", upstream)))
+}
+
+func finish(span trace.Span, err error) {
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.End()
+}
+
 // outdated tells whether a later incarnation is registered already.
 func (h *Handler) outdated(u *wire.Upstream) bool {
 	c := h.registrar.Config()
@@ -230,17 +260,26 @@
 	if !h.read(w, r, &d, func() string { return d.Name }) {
 		return
 	}
-	_, err := h.registrar.Leave(r.Context(), &wire.LeaveRequest{
-		Name: d.Name, Incarnation: d.Incarnation, Sequence: d.Sequence,
-	})
-	if err != nil {
+	if err := h.unregister(r, &d); err != nil {
 		refuseFault(w, err)
 		return
 	}
-	metric.Int("upstream.left").Add(1)
 	answer(w, http.StatusOK, struct{}{})
 }
 
+// unregister ends the registration in the log of the control group.
+func (h *Handler) unregister(r *http.Request, d *departure) (err error) {
+	ctx, span := h.span(r, "control leave", d.Name)
+	defer func() { finish(span, err) }()
+	_, err = h.registrar.Leave(ctx, &wire.LeaveRequest{
+		Name: d.Name, Incarnation: d.Incarnation, Sequence: d.Sequence,
+	})
+	if err == nil {
+		metric.Int("upstream.left").Add(1)
+	}
+	return err
+}
+
 func (h *Handler) events(w http.ResponseWriter, r *http.Request) {
 	var e eventsBody
 	if !h.read(w, r, &e, func() string { return e.Name }) {
--- a/internal/entry/upstream/dispatch_test.go
+++ b/internal/entry/upstream/dispatch_test.go
@@ -23,6 +23,15 @@
 	return &wire.Upstream{Name: "u", Incarnation: 1, Address: strings.TrimPrefix(s.URL, "http://")}
 }
 
+// sendEvents sends a part of a stream for request r.
+func sendEvents(w http.ResponseWriter, version, body string) {
+	w.Header().Set(HeaderRequest, "r")
+	w.Header().Set(HeaderVersion, version)
+	w.Header().Set("Content-Type", "text/event-stream")
+	fmt.Fprint(w, body)
+	w.(http.Flusher).Flush()
+}
+
 func failure(err error) *Failure {
 	var f *Failure
 	if errors.As(err, &f) {
@@ -162,12 +171,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
-				w.Header().Set(HeaderVersion, c.version)
-				w.Header().Set("Content-Type", "text/event-stream")
-				fmt.Fprint(w, c.body)
-				w.(http.Flusher).Flush()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				sendEvents(w, c.version, c.body)
 				if c.abort {
 					panic(http.ErrAbortHandler)
 				}
@@ -208,11 +213,7 @@
 			ended := make(chan struct{})
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.ReadAll(r.Body)
-				w.Header().Set(HeaderRequest, "r")
-				w.Header().Set(HeaderVersion, "v1")
-				w.Header().Set("Content-Type", "text/event-stream")
-				fmt.Fprint(w, `data: {"choices":[{"index":0,"delta":{"content":"a"}}]}`+"\n\n")
-				w.(http.Flusher).Flush()
+				sendEvents(w, "v1", `data: {"choices":[{"index":0,"delta":{"content":"a"}}]}`+"\n\n")
 				<-r.Context().Done()
 				close(ended)
 			}))
