--- a/internal/control/disk/disk_test.go
+++ b/internal/control/disk/disk_test.go
@@ -211,6 +211,27 @@
 	is.True(errors.Is(s.SaveHard(replica.Hard{Term: 9}), disk.ErrFatal))
 }
 
+// Guards against an entry that was written but not synced before a restart, counts as
+// durable afterwards, and is lost in a later crash.
+func TestLoadSyncs(t *testing.T) {
+	is := is.New(t)
+	f := filled(t)
+	_, s := open(t, f)
+	_, _, _, err := s.Load()
+	is.NoErr(err)
+	f.FailSync(0)
+	is.True(s.Append(entries(11, 11, 3)) != nil)
+	_, s = open(t, f)
+	_, e, _, err := s.Load()
+	is.NoErr(err)
+	is.Equal(e, entries(1, 11, 3))
+	f.Crash()
+	_, s = open(t, f)
+	_, e, _, err = s.Load()
+	is.NoErr(err)
+	is.Equal(e, entries(1, 11, 3))
+}
+
 // Guards against a change that is accepted although only the reserve is left.
 func TestReserve(t *testing.T) {
 	is := is.New(t)
--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -25,6 +25,32 @@
 	mu    sync.Mutex
 	held  bool
 	queue []func()
+	ended chan struct{}
+}
+
+// Subscribe passes ticks on while they are not held back.
+func (h *held) Subscribe(d time.Duration) *timer.Subscription {
+	s := h.System.Subscribe(d)
+	from, to := s.C, make(chan timer.Instant, 1)
+	s.C = to
+	go func() {
+		for {
+			select {
+			case <-h.ended:
+				return
+			case t := <-from:
+				h.mu.Lock()
+				if !h.held {
+					select {
+					case to <- t:
+					default:
+					}
+				}
+				h.mu.Unlock()
+			}
+		}
+	}()
+	return s
 }
 
 func (h *held) AfterFunc(d time.Duration, f func()) (stop func()) {
@@ -202,7 +228,7 @@
 		return err
 	}
 	i.self = replica.Member{Identity: d.Identity(), Address: replica.Address(i.name), Voter: true}
-	i.timer = &held{System: timer.NewSystem()}
+	i.timer = &held{System: timer.NewSystem(), ended: make(chan struct{})}
 	i.machine = &machine{history: c.history}
 	i.node, err = replica.New(replica.Options{
 		Self: i.self, Machine: i.machine, Store: store, Transport: &port{c, i}, Timer: i.timer,
@@ -237,6 +263,7 @@
 	}
 	i.cancel()
 	<-i.done
+	close(i.timer.ended)
 }
 
 func (c *cluster) running() (out []*instance) {
--- a/internal/control/replica/election_test.go
+++ b/internal/control/replica/election_test.go
@@ -115,6 +115,7 @@
 		i := c.all[0]
 		c.isolate(i, true)
 		c.sleep(time.Second)
+		i.files.SetDelay(50 * time.Millisecond) // a reply before the sync would be seen
 		behind := ballot(i, "x", 99, false)
 		behind.Lastindex, behind.Lastterm = 1, 1
 		r, err := i.node.Vote(t.Context(), behind)
--- a/internal/control/replica/member_test.go
+++ b/internal/control/replica/member_test.go
@@ -55,7 +55,12 @@
 		lost.files = faulty.New(99)
 		c.start(lost)
 		is.True(lost.self.Identity != former)
+		lost.files.SetDelay(50 * time.Millisecond)
 		c.repair(lost, former)
+		last := c.leader().node.Status().Last
+		c.stop(lost, true)
+		c.start(lost)
+		is.True(lost.node.Status().Last >= last) // all of it was durable there
 		second := c.others(lost)[0]
 		c.stop(second, true)
 		c.converge()
@@ -139,6 +144,28 @@
 	})
 }
 
+// Guards against a group that stays without a leader because the only replica that holds
+// the newest membership is not part of it.
+func TestRemovalNotReplicated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 7, 2).form()
+		l := c.leader()
+		o := c.others(l)[0]
+		c.sleep(time.Second)
+		c.block(l, o, true)
+		err := l.node.Remove(t.Context(), l.self.Identity)
+		is.True(errors.Is(err, replica.ErrUnknown))
+		c.stop(l, true)
+		c.start(l)
+		c.block(l, o, false)
+		c.until("the other leads alone", func() bool {
+			_, ok := o.node.Leading()
+			return ok && len(o.node.Status().Members) == 1
+		})
+	})
+}
+
 // Guards against two membership changes at a time, whose majorities may be disjoint.
 func TestOneChangeAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/control/replica/rules_test.go
@@ -0,0 +1,218 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/replica"
+)
+
+// stub is a store that keeps nothing and a machine that does nothing.
+type stub struct {
+	hard    Hard
+	entries []Entry
+	meta    SnapshotMeta
+}
+
+func (s *stub) Load() (Hard, []Entry, SnapshotMeta, error)  { return s.hard, s.entries, s.meta, nil }
+func (s *stub) ReadSnapshot() (SnapshotMeta, []byte, error) { return s.meta, nil, nil }
+func (*stub) Room(int) error                                { return nil }
+func (*stub) SaveHard(Hard) error                           { return nil }
+func (*stub) Append([]Entry) error                          { return nil }
+func (*stub) Truncate(Index) error                          { return nil }
+func (*stub) SaveSnapshot(SnapshotMeta, []byte) error       { return nil }
+func (*stub) Compact(Index) error                           { return nil }
+func (*stub) Apply(Index, []byte) []byte                    { return nil }
+func (*stub) Snapshot() ([]byte, error)                     { return nil, nil }
+func (*stub) Restore([]byte) error                          { return nil }
+
+// leadingNode returns a node that does not run. It leads term 4 of a, b and c, and its
+// log holds entries of terms 1, 2 and 4, the last being its no-op.
+func leadingNode(t *testing.T) (*Node, *timer.Manual) {
+	t.Helper()
+	is := is.New(t)
+	members := []Member{{"a", "1", true}, {"b", "2", true}, {"c", "3", true}}
+	data, err := encodeMembers(members)
+	is.NoErr(err)
+	s := &stub{hard: Hard{Term: 4}, entries: []Entry{
+		{Index: 1, Term: 1, Kind: wire.Kind_KIND_MEMBERS, Data: data},
+		{Index: 2, Term: 2},
+		{Index: 3, Term: 4, Kind: wire.Kind_KIND_NOOP},
+	}}
+	clock := timer.NewManual()
+	clock.Advance(time.Minute)
+	n, err := New(Options{
+		Self: members[0], Machine: s, Store: s, Timer: clock, Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	is.NoErr(err)
+	n.role, n.noop, n.sequence, n.leader, n.elected = leader, 3, 9, members[0], clock.Now()
+	for _, m := range members[1:] {
+		p := &peer{node: n, member: m, out: make(chan *message, 1)}
+		p.reset(4)
+		n.peers[m.Identity] = p
+	}
+	n.configured = members
+	return n, clock
+}
+
+func (n *Node) receiveAck(from, as Identity, m *message, match Index) {
+	m.request = &wire.AppendRequest{Previndex: uint64(match)}
+	n.replied(n.peers[from], m, &wire.AppendReply{
+		Term: uint64(n.term), Success: true, Match: uint64(match), Identity: string(as),
+	})
+}
+
+// Guards against a commit of an entry of an earlier term by counting its copies: a
+// later leader may still replace it.
+func TestCommitOnlyOwnTerm(t *testing.T) {
+	is := is.New(t)
+	n, clock := leadingNode(t)
+	n.receiveAck("b", "b", &message{term: 4, sent: clock.Now(), sequence: 1}, 2)
+	is.Equal(n.commit, Index(0))
+	n.receiveAck("b", "b", &message{term: 4, sent: clock.Now(), sequence: 2}, 3)
+	is.Equal(n.commit, Index(3))
+}
+
+// Guards against replies of another identity at the address of a member, of an earlier
+// term, and to an earlier leadership.
+func TestForeignReplies(t *testing.T) {
+	tests := []struct {
+		name string
+		as   Identity
+		term Term
+	}{
+		{"identity", "x", 4},
+		{"other member", "c", 4},
+		{"term", "b", 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			n, clock := leadingNode(t)
+			n.receiveAck("b", tt.as, &message{term: tt.term, sent: clock.Now(), sequence: 1}, 3)
+			is.Equal(n.commit, Index(0))
+			n.publish()
+			_, ok := n.Leading()
+			is.True(!ok)
+		})
+	}
+	is := is.New(t)
+	n, _ := leadingNode(t)
+	n.role, n.round, n.granted = candidate, 7, map[Identity]bool{"a": true}
+	n.voted(n.peers["b"], &ballot{round: 7}, &wire.VoteReply{Term: 4, Granted: true, Identity: "x"})
+	is.Equal(n.role, candidate)
+	n.voted(n.peers["b"], &ballot{round: 6}, &wire.VoteReply{Term: 4, Granted: true, Identity: "b"})
+	is.Equal(n.role, candidate)
+	n.voted(n.peers["b"], &ballot{round: 7}, &wire.VoteReply{Term: 4, Granted: true, Identity: "b"})
+	is.Equal(n.role, leader)
+}
+
+// Guards against a lease that is counted from the receipt of a late reply.
+func TestLeaseFromSending(t *testing.T) {
+	is := is.New(t)
+	n, clock := leadingNode(t)
+	sent := clock.Now()
+	clock.Advance(300 * time.Millisecond)
+	n.receiveAck("b", "b", &message{term: 4, sent: sent, sequence: 1}, 3)
+	n.publish()
+	clock.Advance(199 * time.Millisecond)
+	term, ok := n.Leading()
+	is.True(ok)
+	is.Equal(term, Term(4))
+	clock.Advance(time.Millisecond)
+	_, ok = n.Leading()
+	is.True(!ok)
+	is.True(!n.leading())
+}
+
+// Guards against reads, leases and membership changes of a leader that has not
+// committed an entry of its own term, and against reads before their entry is applied.
+func TestNoopFirst(t *testing.T) {
+	is := is.New(t)
+	n, clock := leadingNode(t)
+	n.receiveAck("b", "b", &message{term: 4, sent: clock.Now(), sequence: 2}, 2)
+	n.commit = 1
+	n.publish()
+	_, ok := n.Leading()
+	is.True(!ok)
+	p := &proposal{result: make(chan outcome, 1)}
+	_, err := n.beginChange(p, func(m []Member) ([]Member, error) { return m[:2], nil })
+	is.True(errors.Is(err, ErrPending))
+	r := &read{sequence: 1, done: make(chan error, 1)}
+	n.reads = []*read{r}
+	n.answerReads()
+	n.applied.Store(2)
+	n.answerReads()
+	is.Equal(len(r.done), 0)
+	n.receiveAck("b", "b", &message{term: 4, sent: clock.Now(), sequence: 3}, 3)
+	n.answerReads()
+	is.Equal(len(r.done), 0) // entry 3 is committed, but not applied
+	n.applied.Store(3)
+	n.answerReads()
+	is.Equal(len(r.done), 1)
+	is.NoErr(<-r.done)
+}
+
+// Guards against messages that are handled although they are meant for the former
+// identity at this address.
+func TestTarget(t *testing.T) {
+	is := is.New(t)
+	n, _ := leadingNode(t)
+	_, err := n.Append(context.Background(), &wire.AppendRequest{Target: "b"})
+	is.True(errors.Is(err, ErrTarget))
+	_, err = n.Vote(context.Background(), &wire.VoteRequest{Target: "b"})
+	is.True(errors.Is(err, ErrTarget))
+	_, err = n.Install(context.Background(), &wire.InstallRequest{Target: "b"})
+	is.True(errors.Is(err, ErrTarget))
+}
+
+// Guards against appends that are accepted although the log before them differs, and
+// against hints that do not lead back to where both logs agree.
+func TestAccept(t *testing.T) {
+	tests := []struct {
+		name     string
+		previous Index
+		term     Term
+		entries  []Entry
+		success  bool
+		match    Index
+		last     Index
+	}{
+		{"beyond the end", 5, 4, nil, false, 3, 3},
+		{"other term", 3, 5, nil, false, 2, 3},
+		{"known entries", 1, 1, []Entry{{Index: 2, Term: 2}}, true, 2, 3},
+		{"conflict", 1, 1, []Entry{{Index: 2, Term: 5}}, true, 2, 2},
+		{"new entries", 3, 4, []Entry{{Index: 4, Term: 5}, {Index: 5, Term: 5}}, true, 5, 5},
+		{"gap", 3, 4, []Entry{{Index: 5, Term: 5}}, false, 3, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			n, _ := leadingNode(t)
+			n.follow(5, Member{})
+			success, match := n.accept(&wire.AppendRequest{
+				Term: 5, Previndex: uint64(tt.previous), Prevterm: uint64(tt.term),
+				Entries: EntriesToWire(tt.entries), Commit: 9,
+			})
+			is.Equal(success, tt.success)
+			is.Equal(match, tt.match)
+			is.Equal(n.journal.last(), tt.last)
+			is.NoErr(n.fault)
+			if success {
+				is.Equal(n.commit, match)
+			}
+		})
+	}
+	is := is.New(t)
+	n, _ := leadingNode(t)
+	n.follow(5, Member{})
+	n.commit = 3
+	_, _ = n.accept(&wire.AppendRequest{Previndex: 1, Prevterm: 1, Entries: EntriesToWire([]Entry{{Index: 2, Term: 5}})})
+	is.True(n.fault != nil) // a committed entry is never replaced
+}
