control: check the history of racing claims against a model

Cause: no test looked at concurrent claims across changes of the leader. Ruled out: takeovers in the model, since a repeated attempt after one shows the later state, which is right but not one step. Change: six claimants race on three instances with real disks while each of them is stopped and started; porcupine checks every call, unknown ones included. Conclusion: no claim is won twice or lost across changes of the leader.

--- /dev/null
+++ b/internal/entry/control/history_test.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// claimModel is one claim without takeovers.
+var claimModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, o := range history {
+			k := o.Input.(*wire.ClaimRequest).Key
+			byKey[k] = append(byKey[k], o)
+		}
+		var out [][]porcupine.Operation
+		for _, h := range byKey {
+			out = append(out, h)
+		}
+		return out
+	},
+	Init: func() any { return claimState{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, r := state.(claimState), input.(*wire.ClaimRequest)
+		next, won := s.move(r)
+		reply := output.(*wire.ClaimReply)
+		// A call whose outcome is unknown may take effect at any later time.
+		return reply == nil || reply.Won == won && reply.Phase == next.phase && reply.Owner == next.owner, next
+	},
+}
+
+type claimState struct {
+	phase wire.Phase
+	owner string
+}
+
+func (s claimState) move(r *wire.ClaimRequest) (next claimState, won bool) {
+	switch {
+	case r.Step == wire.Step_STEP_OPEN && s.phase == wire.Phase_PHASE_NONE:
+		return claimState{wire.Phase_PHASE_OPEN, r.Owner}, true
+	case r.Step == wire.Step_STEP_DISPATCH && s == claimState{wire.Phase_PHASE_OPEN, r.Owner}:
+		return claimState{wire.Phase_PHASE_DISPATCHING, r.Owner}, true
+	case r.Step == wire.Step_STEP_FINISH && s == claimState{wire.Phase_PHASE_DISPATCHING, r.Owner}:
+		return claimState{wire.Phase_PHASE_DONE, r.Owner}, true
+	}
+	return s, false
+}
+
+// claimant makes calls and records what came of them.
+type claimant struct {
+	client  *Client
+	clock   timer.Service
+	id      int
+	history []porcupine.Operation
+	until   timer.Instant
+}
+
+// run races with the other claimants for one key after the other.
+func (c *claimant) run() {
+	for n := 0; c.clock.Now().Before(c.until); n++ {
+		key := fmt.Sprint("k", int64(c.clock.Now())/int64(20*time.Millisecond))
+		owner := fmt.Sprint("o", c.id, "-", n)
+		for _, s := range []wire.Step{wire.Step_STEP_OPEN, wire.Step_STEP_DISPATCH, wire.Step_STEP_READ, wire.Step_STEP_FINISH, wire.Step_STEP_DISPATCH} {
+			c.call(&wire.ClaimRequest{Account: "acme", Key: key, Owner: owner, Epoch: 1, Step: s})
+		}
+	}
+}
+
+func (c *claimant) call(r *wire.ClaimRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	began := int64(c.clock.Now())
+	reply, err := c.client.Claim(ctx, r)
+	ended := int64(c.clock.Now())
+	switch {
+	case errors.Is(err, ErrUnavailable):
+		return // nothing was done
+	case errors.Is(err, ErrUnknown):
+		reply, ended = nil, math.MaxInt64
+	}
+	c.history = append(c.history, porcupine.Operation{ClientId: c.id, Input: r, Output: reply, Call: began, Return: ended})
+}
+
+// Guards against a claim that two requests win, that is lost, or that an old leader
+// shows, while instances stop and restart.
+func TestClaimHistory(t *testing.T) {
+	is := is.New(t)
+	i := newInstances(t)
+	i.start(i.addresses...)
+	clock := timer.NewSystem()
+	var claimants []*claimant
+	var g sync.WaitGroup
+	for id := range 6 {
+		c := &claimant{client: i.client(is, "secret"), clock: clock, id: id, until: timer.Instant(6 * time.Second)}
+		claimants = append(claimants, c)
+		g.Go(c.run)
+	}
+	for _, a := range i.addresses {
+		time.Sleep(1200 * time.Millisecond)
+		i.stop(a)
+		time.Sleep(200 * time.Millisecond)
+		i.start(a)
+	}
+	g.Wait()
+	var history []porcupine.Operation
+	for _, c := range claimants {
+		history = append(history, c.history...)
+	}
+	t.Log(len(history), "calls")
+	is.True(len(history) > 100)
+	is.Equal(porcupine.CheckOperationsTimeout(claimModel, history, 30*time.Second), porcupine.Ok)
+}
