control: tie the lease to the configuration that it was granted on

Cause: a caller that reads the configuration, is paused, and then asks for the lease sees a lease that was renewed on a newer configuration. Ruled out: a rule for the order of the two calls alone, since nothing enforces it. Change: configuration and lease are replaced as one; Leased returns the configuration only if the lease on it is valid. Before: two separate values. After: the tests of the package pass with the race detector, the lease test through Leased. Conclusion: whoever takes the configuration from Leased cannot mix the two.

--- a/internal/entry/control/client.go
+++ b/internal/entry/control/client.go
@@ -12,14 +12,20 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
+// granted is a configuration and the end of the lease on it. It is replaced as a
+// whole, so that a lease never passes for one on another configuration.
+type granted struct {
+	config  *Config
+	expires timer.Instant
+}
+
 // Client talks to the control instances on behalf of one entry.
 type Client struct {
 	options  Options
 	leaders  leaders
 	polls    *pool
 	calls    *pool
-	config   atomic.Pointer[Config]
-	expires  atomic.Int64
+	granted  atomic.Pointer[granted]
 	randomMu sync.Mutex
 
 	mu       sync.Mutex
@@ -66,13 +72,30 @@
 }
 
 // Config returns the configuration in force; nil until the first quorum-confirmed
-// read. Read it after Held: a configuration read before may be older than the
-// one that the lease is held on.
-func (c *Client) Config() *Config { return c.config.Load() }
+// read. It says nothing about the lease; see Leased.
+func (c *Client) Config() *Config {
+	if g := c.granted.Load(); g != nil {
+		return g.config
+	}
+	return nil
+}
 
 // Held tells whether the configuration lease is valid at this moment.
-func (c *Client) Held() bool {
-	return c.config.Load() != nil && c.options.Timer.Now().Before(timer.Instant(c.expires.Load()))
+func (c *Client) Held() bool { return c.Leased() != nil }
+
+// Leased returns the configuration if the lease on it is valid at this moment, else
+// nil. Calls of Config and then Held may see an older configuration and the lease
+// on a newer one, for example when the process was paused in between.
+func (c *Client) Leased() *Config {
+	for {
+		g := c.granted.Load()
+		if g == nil || !c.options.Timer.Now().Before(g.expires) {
+			return nil
+		}
+		if n := c.granted.Load(); n.config == g.config {
+			return g.config
+		}
+	}
 }
 
 // Updated returns a channel that is closed at the next change of Config.
--- a/internal/entry/control/client_test.go
+++ b/internal/entry/control/client_test.go
@@ -58,8 +58,9 @@
 	<-updated
 	is.Equal(len(c.Config().Documents), 1)
 	is.Equal(len(c.Config().Upstreams), 1)
+	is.Equal(c.Leased(), c.Config())
 	m.Advance(time.Second)
-	is.Equal(c.Held(), false) // counted from instant zero, not from the answer
+	is.Equal(c.Leased(), nil) // counted from instant zero, not from the answer
 }
 
 // Guards against several racing changes of one base that succeed together.
--- a/internal/entry/control/renew.go
+++ b/internal/entry/control/renew.go
@@ -74,7 +74,7 @@
 	i := proto.CloneOf(c.options.Instance)
 	i.Draining = c.draining
 	r := &wire.RenewRequest{Instance: i, Epoch: c.options.Epoch, Wait: uint32(pollWait.Milliseconds()), Soft: c.soft}
-	if o := c.config.Load(); o != nil {
+	if o := c.Config(); o != nil {
 		r.Applied = uint64(o.Revision)
 	}
 	for _, h := range c.heard {
@@ -98,12 +98,12 @@
 	}
 }
 
-// accept puts the answer in force: the configuration first, then the lease on
-// it. The lease is counted from before the renewal was sent.
+// accept puts the answer in force: the configuration together with the lease on
+// it, which is counted from before the renewal was sent.
 func (c *Client) accept(r *wire.RenewReply, sent timer.Instant) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old := c.config.Load()
+	old := c.Config()
 	switch {
 	case r.Term < c.term:
 		return errors.Newf("term %d is older than term %d", r.Term, c.term)
@@ -112,12 +112,18 @@
 	case old == nil && !r.Full:
 		return errors.New("changes without the state that they belong to")
 	}
+	next := &granted{config: old, expires: sent.Add(time.Duration(r.Lease) * time.Millisecond)}
 	if old == nil || document.Revision(r.Revision) != old.Revision {
-		next, err := c.merge(old, r)
+		config, err := c.merge(old, r)
 		if err != nil {
 			return err
 		}
-		c.config.Store(next)
+		next.config = config
+	} else {
+		next.expires = max(next.expires, c.granted.Load().expires)
+	}
+	c.granted.Store(next)
+	if next.config != old {
 		close(c.updated)
 		c.updated = make(chan struct{})
 	}
@@ -129,8 +135,6 @@
 			c.loads[h.Name] = h
 		}
 	}
-	until := sent.Add(time.Duration(r.Lease) * time.Millisecond)
-	c.expires.Store(max(c.expires.Load(), int64(until)))
 	return nil
 }
 
