control: drop the applied revision that nothing reads any more

Cause: the status shows the least revision of the unexpired grants now, and the applied revision of a lease was only written. Ruled out: showing both, since the wire message has one figure. Change: the field is removed. Before: an unread field. Conclusion: the grants are the only record of what an entry works on.

--- a/internal/control/entry/table.go
+++ b/internal/control/entry/table.go
@@ -45,7 +45,6 @@
 // lease is what is known of one process of an entry.
 type lease struct {
 	instance *wire.Instance
-	applied  uint64
 	grants   []*grant
 	tallies  []*wire.Tally
 }
@@ -113,7 +112,6 @@
 	moved := fresh || !proto.Equal(e.instance, r.Instance)
 	news := len(r.Heard) > 0 || !slices.EqualFunc(e.tallies, r.Tallies, sameTally)
 	e.instance, e.tallies = r.Instance, r.Tallies
-	e.applied = max(e.applied, r.Applied)
 	e.grants = slices.DeleteFunc(e.grants, func(g *grant) bool { return g.revision < r.Applied || !received.Before(g.expires) })
 	g := &grant{revision: r.Applied, expires: received.Add(LeasePeriod)}
 	e.grants = append(e.grants, g)
