--- a/internal/entry/caller/refusal.go
+++ b/internal/entry/caller/refusal.go
@@ -177,12 +177,12 @@
 	return b
 }
 
-// write sends the refusal as a whole answer and names other entries where that helps.
-func (r *refusal) write(h *Handler, w http.ResponseWriter) {
+// sendRefusal sends the refusal and names other entries where that helps.
+func (q *request) sendRefusal(r *refusal) {
 	if r.code == "lease" || r.code == "draining" {
-		w.Header().Set(headerEntries, h.others())
+		q.writer.Header().Set(headerEntries, q.handler.others())
 	}
-	r.send(w)
+	r.send(q.writer)
 }
 
 // send sends the refusal as a whole answer.
@@ -193,9 +193,7 @@
 	if r.retry > 0 {
 		header.Set("Retry-After", strconv.FormatInt(int64((r.retry+time.Second-1)/time.Second), 10))
 	}
-	w.WriteHeader(r.status)
-	// A caller that is gone cannot be told anything more.
-	_, _ = w.Write(r.body())
+	whole(w, r.status, r.body())
 }
 
 // others lists the addresses of the other entries.
