slopes: measure processor time per thread and memory per unit kept

Cause: /proc/PID/stat counts in steps of 10 ms, which made idle instances 0.00 % or 0.17 % at random, and memory was fitted against rates. Ruled out: longer windows alone; the measurement has to end within 3 minutes. Change: time from the threads' schedstat, memory against the number of changes and requests kept, a line per idle renewal, all entries together for requests, which pass through one entry each.

--- a/internal/bench/demo/script.go
+++ b/internal/bench/demo/script.go
@@ -154,6 +154,10 @@
 // killUpstreams kills one engine and one plain service and starts them again.
 func (d *demo) killUpstreams(ctx context.Context) error {
 	dead := []*cluster.Upstream{d.large[0], d.desk[0]}
+	before, err := d.incarnations(ctx)
+	if err != nil {
+		return err
+	}
 	for _, u := range dead {
 		u.Process().Kill()
 		<-u.Process().Done()
@@ -167,7 +171,31 @@
 			return err
 		}
 	}
-	return d.cluster.Await(ctx, "registration of all upstreams", 8*time.Second, d.registered)
+	return d.cluster.Await(ctx, "registration after the restart", 8*time.Second, func(ctx context.Context) error {
+		now, err := d.incarnations(ctx)
+		if err != nil {
+			return err
+		}
+		for _, u := range dead {
+			if now[u.Name] <= before[u.Name] {
+				return errors.Newf("%s has incarnation %d after %d", u.Name, now[u.Name], before[u.Name])
+			}
+		}
+		return nil
+	})
+}
+
+// incarnations returns the registered incarnation of each upstream.
+func (d *demo) incarnations(ctx context.Context) (all map[string]uint64, err error) {
+	s, err := d.cluster.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	all = map[string]uint64{}
+	for _, u := range s.Upstreams {
+		all[u.Name] = u.Incarnation
+	}
+	return all, nil
 }
 
 // withdraw takes version 1 of the small model out of service.
--- a/internal/bench/slopes/sample.go
+++ b/internal/bench/slopes/sample.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,10 +16,6 @@
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
-// tick is the unit of the times in /proc/PID/stat: USER_HZ is 100 on all
-// architectures that Go supports on Linux.
-const tick = 10 * time.Millisecond
-
 // sample is what one process has used since its start.
 type sample struct {
 	cpu time.Duration
@@ -34,11 +33,7 @@
 			err = errors.Wrapf(err, "process %d", pid)
 		}
 	}()
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return s, err
-	}
-	if s.cpu, err = cpu(string(stat)); err != nil {
+	if s.cpu, err = cpu(pid); err != nil {
 		return s, err
 	}
 	memory, err := fields(fmt.Sprintf("/proc/%d/status", pid), "VmRSS")
@@ -50,19 +45,33 @@
 	return s, err
 }
 
-// cpu returns the user and system time of a line of /proc/PID/stat.
-func cpu(stat string) (time.Duration, error) {
-	// The command name may contain blanks; it ends with the last parenthesis.
-	list := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
-	if len(list) < 13 {
-		return 0, errors.Newf("stat has %d fields", len(list))
-	}
-	user, err := strconv.ParseInt(list[11], 10, 64)
+// cpu returns the time that all threads of a process have run. The times of
+// /proc/PID/stat are too coarse for it, as they count in steps of 10 ms.
+func cpu(pid int) (sum time.Duration, err error) {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	if err != nil {
 		return 0, err
 	}
-	system, err := strconv.ParseInt(list[12], 10, 64)
-	return time.Duration(user+system) * tick, err
+	for _, t := range threads {
+		text, err := os.ReadFile(t)
+		if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ESRCH) {
+			// The thread has ended meanwhile; the Go runtime ends hardly any.
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		first, _, _ := strings.Cut(string(text), " ")
+		n, err := strconv.ParseInt(first, 10, 64)
+		if err != nil {
+			return 0, errors.Wrap(err, t)
+		}
+		sum += time.Duration(n)
+	}
+	if sum == 0 {
+		return 0, errors.New("no thread has run")
+	}
+	return sum, nil
 }
 
 // fields returns the sum of named fields of a file with one "name: value" per line.
--- a/internal/bench/slopes/slopes.go
+++ b/internal/bench/slopes/slopes.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,6 +52,9 @@
 	}
 )
 
+// leases is the factor that the number of entries stands for.
+const leases = "entry lease"
+
 // roles in the order of the table.
 var roles = []string{"entry", "leader", "follower"}
 
@@ -64,6 +68,9 @@
 	table   *table
 	base    uint64
 	turn    uint32
+	// changes and requests count what was accepted and answered so far.
+	changes  int
+	requests int
 }
 
 // Run measures and prints the table.
@@ -117,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	m.table.add("entry lease", float64(entries), idle)
+	m.table.add(leases, float64(entries), float64(entries), idle)
 	if !all {
 		return nil
 	}
@@ -126,15 +133,16 @@
 
 // factors varies the changes, the upstreams and the requests, one at a time.
 func (m *measurement) factors(ctx context.Context, idle row) (err error) {
-	m.table.add("change/s", 0, idle)
-	m.table.add("upstream", 0, idle)
+	m.table.add("change/s", 0, 0, idle)
 	for _, n := range m.plan.changes {
-		r, err := m.withChanges(ctx, n)
-		if err != nil {
+		if err = m.withChanges(ctx, n); err != nil {
 			return err
 		}
-		m.table.add("change/s", float64(n), r)
 	}
+	if idle, err = m.window(ctx, "no upstreams"); err != nil {
+		return err
+	}
+	m.table.add("upstream", 0, 0, idle)
 	if m.fleet, err = newFleet(ctx, m.options.Timer, m.cluster); err != nil {
 		return err
 	}
@@ -147,10 +155,10 @@
 		if err != nil {
 			return err
 		}
-		m.table.add("upstream", float64(n), r)
+		m.table.add("upstream", float64(n), float64(n), r)
 		if i == len(m.plan.upstreams)-1 {
 			// The requests are measured with all upstreams announced.
-			m.table.add("request/s", 0, r)
+			m.table.add("request/s", 0, 0, m.together(r))
 		}
 	}
 	for _, n := range m.plan.requests {
@@ -188,12 +196,21 @@
 	}
 	// The requests still running at the end of the window are not answered.
 	fmt.Fprintf(m.options.Out, "  %d requests answered, %d not\n", answered, other)
-	// Each entry gets its share of the requests.
-	share := float64(rate) / float64(len(m.cluster.Entries()))
-	m.table.add("request/s", share, r)
+	m.requests += answered
+	m.table.add("request/s", float64(rate), float64(m.requests), m.together(r))
 	return nil
 }
 
+// together returns the row with the use of all entries instead of the mean, as
+// each request goes through one of them only.
+func (m *measurement) together(r row) row {
+	n := float64(len(m.cluster.Entries()))
+	e := r["entry"]
+	r = maps.Clone(r)
+	r["entry"] = usage{cpu: n * e.cpu, memory: n * e.memory, bytes: n * e.bytes}
+	return r
+}
+
 // change applies the document with another weight.
 func (m *measurement) change(ctx context.Context) error {
 	m.turn++
--- a/internal/bench/slopes/slopes_test.go
+++ b/internal/bench/slopes/slopes_test.go
@@ -9,16 +9,31 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a process name that shifts the fields of /proc/PID/stat.
-func TestCPU(t *testing.T) {
+// Guards against counters that are not read, or read in another unit.
+func TestTake(t *testing.T) {
 	is := is.New(t)
-	d, err := cpu("7 (a b) c) S 1 7 7 0 -1 4194304 10 0 0 0 12 30 0 0 20 0 1 0 5 6 7")
+	before, err := take(os.Getpid())
 	is.NoErr(err)
-	is.Equal(d, 420*time.Millisecond)
-	s, err := take(os.Getpid())
+	is.True(before.memory > 1e6)
+	is.True(before.bytes > 0)
+	for begin := time.Now(); time.Since(begin) < 100*time.Millisecond; {
+		continue
+	}
+	after, err := take(os.Getpid())
 	is.NoErr(err)
-	is.True(s.memory > 1e6)
-	is.True(s.bytes > 0)
+	is.True(after.cpu-before.cpu > 20*time.Millisecond)
+	is.True(after.cpu-before.cpu < 5*time.Second)
+}
+
+// Guards against a memory slope over a rate instead of over what is kept.
+func TestTable(t *testing.T) {
+	is := is.New(t)
+	var m table
+	for i := range 3 {
+		x := float64(i)
+		m.add("change/s", x, 100*x, row{"leader": usage{cpu: 2 * x, memory: 500 * x, bytes: 3 * x}})
+	}
+	is.Equal(m.slopes("change/s", "leader"), usage{cpu: 2, memory: 5, bytes: 3})
 }
 
 // Guards against a slope that depends on the offset of the values.
--- a/internal/bench/slopes/window.go
+++ b/internal/bench/slopes/window.go
@@ -8,6 +8,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"wisteriakeel.example/wisteriakeel/internal/bench/cluster"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -103,16 +105,18 @@
 	}
 }
 
-func (m *measurement) withChanges(ctx context.Context, rate int) (r row, err error) {
+func (m *measurement) withChanges(ctx context.Context, rate int) (err error) {
 	c := &changer{measurement: m, rate: rate}
 	g := group.New(ctx)
 	g.Go("changer", c.run)
-	r, err = m.window(ctx, fmt.Sprintf("%d changes/s", rate))
-	if stop := g.Stop(); stop != nil {
-		return nil, stop
+	r, err := m.window(ctx, fmt.Sprintf("%d changes/s", rate))
+	if err = errors.CombineErrors(err, g.Stop()); err != nil {
+		return err
 	}
+	m.changes += c.count
 	fmt.Fprintf(m.options.Out, "  %d changes accepted\n", c.count)
-	return r, err
+	m.table.add("change/s", float64(rate), float64(m.changes), r)
+	return nil
 }
 
 // table collects the points of each factor.
@@ -121,29 +125,40 @@
 	rows  map[string][]setting
 }
 
+// setting is the use at one setting of a factor.
 type setting struct {
-	x float64
-	r row
+	// x is the factor, kept how much of it the processes hold by then.
+	x, kept float64
+	r       row
 }
 
-func (t *table) add(factor string, x float64, r row) {
+func (t *table) add(factor string, x, kept float64, r row) {
 	if t.rows == nil {
 		t.rows = map[string][]setting{}
 	}
 	if t.rows[factor] == nil {
 		t.order = append(t.order, factor)
 	}
-	t.rows[factor] = append(t.rows[factor], setting{x, r})
+	t.rows[factor] = append(t.rows[factor], setting{x, kept, r})
 }
 
-// points returns one figure of one role at each setting of a factor.
-func (t *table) points(factor, role string, figure func(usage) float64) (list []point) {
+// slopes returns how the use in one role grows with a factor: processor time
+// and bytes with the factor itself, memory with what is kept of it.
+func (t *table) slopes(factor, role string) usage {
+	var cpu, memory, bytes []point
 	for _, s := range t.rows[factor] {
-		list = append(list, point{s.x, figure(s.r[role])})
+		u := s.r[role]
+		cpu = append(cpu, point{s.x, u.cpu})
+		memory = append(memory, point{s.kept, u.memory})
+		bytes = append(bytes, point{s.x, u.bytes})
 	}
-	return list
+	return usage{cpu: slope(cpu), memory: slope(memory), bytes: slope(bytes)}
 }
 
+// renewals is the number of renewals per second of an idle entry: the leader
+// holds each of them back for 500 ms.
+const renewals = 2
+
 // print writes one line per factor and role. Factors that are rates give
 // figures per event, the others give figures per unit and second.
 func (t *table) print(out io.Writer) {
@@ -155,12 +170,15 @@
 			per = ""
 		}
 		for _, r := range roles {
-			cpu := slope(t.points(f, r, func(u usage) float64 { return u.cpu }))
-			memory := slope(t.points(f, r, func(u usage) float64 { return u.memory }))
-			bytes := slope(t.points(f, r, func(u usage) float64 { return u.bytes }))
-			fmt.Fprintf(w, "%s\t%s\t%.1f us%s\t%.1f KB\t%.0f B%s\t\n",
-				strings.TrimSuffix(f, "/s"), r, cpu*1e6, per, memory/1e3, bytes, per)
+			u := t.slopes(f, r)
+			fmt.Fprintf(w, "%s\t%s\t%.1f us%s\t%.2f KB\t%.0f B%s\t\n",
+				strings.TrimSuffix(f, "/s"), r, u.cpu*1e6, per, u.memory/1e3, u.bytes, per)
 		}
 	}
+	// An idle entry does nothing but renew; at the leader the slope per lease is what renewals use.
+	idle := t.rows[leases][0].r["entry"]
+	leader := t.slopes(leases, "leader")
+	fmt.Fprintf(w, "idle renewal\tentry\t%.1f us\t\t%.0f B\t\n", idle.cpu*1e6/renewals, idle.bytes/renewals)
+	fmt.Fprintf(w, "idle renewal\tleader\t%.1f us\t\t%.0f B\t\n", leader.cpu*1e6/renewals, leader.bytes/renewals)
 	_ = w.Flush()
 }
