serve: bound the time of a stop

Cause: in a walk through the README a request hung within the entry, and the stop then waited for the entry's drain without an end. Ruled out: a fixed bound, since a call may last as long as timeouts.call says. Change: drains and the wait for requests share one limit, the longest call plus the lifetime of lists, the spread of a drain and the flush; after that the connections are closed. Before: the process had not ended after 60 s. After: TestStopIsBounded passes.

--- a/internal/command/terminal/serve.go
+++ b/internal/command/terminal/serve.go
@@ -29,8 +29,12 @@
 	"wisteriakeel.example/wisteriakeel/internal/observe/trace"
 )
 
-// flushTimeout bounds the export of the last spans at the end of the process.
-const flushTimeout = 2 * time.Second
+const (
+	// flushTimeout bounds the export of the last spans at the end of the process.
+	flushTimeout = 2 * time.Second
+	// spreadTimeout is the bound on a drain being known to every entry.
+	spreadTimeout = 3 * time.Second
+)
 
 func init() {
 	register(command{
@@ -99,6 +103,10 @@
 	registry *plugin.Registry[role.Runner]
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// limit bounds the time from the stop to the end of the last request. No
+	// request may outlast the longest call after the last list of entries that
+	// names this instance has run out.
+	limit time.Duration
 
 	mu     sync.Mutex
 	drains []func(ctx context.Context) error
@@ -106,6 +114,7 @@
 
 func newProcess(ctx context.Context, s *settings.Settings, book *secret.Book, log *zap.Logger, level zap.AtomicLevel) *process {
 	p := &process{settings: s, secrets: book, log: log, mux: http.NewServeMux(), registry: role.Registry}
+	p.limit = s.Timeouts.Call.Duration() + s.Timeouts.Lifetime.Duration() + spreadTimeout + flushTimeout
 	p.ctx, p.cancel = context.WithCancel(ctx)
 	p.group = group.New(p.ctx)
 	p.mux.Handle("/debug/vars", p.guard(expvar.Handler()))
@@ -204,13 +213,14 @@
 // run waits for the stop, lets the roles drain and waits for the requests in progress.
 func (w *web) run(ctx context.Context) error {
 	<-ctx.Done()
-	ctx = context.WithoutCancel(ctx)
 	w.log.Info("stopping")
-	w.drain(ctx)
-	// No request may outlast the longest call by more than the time to finish its answer.
-	limit, cancel := context.WithTimeout(ctx, w.settings.Timeouts.Call.Duration()+flushTimeout)
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), w.limit)
 	defer cancel()
-	return errors.Wrap(w.server.Shutdown(limit), "wait for requests in progress")
+	w.drain(limit)
+	if err := w.server.Shutdown(limit); err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "wait for requests in progress"), w.server.Close())
+	}
+	return nil
 }
 
 func (w *web) drain(ctx context.Context) {
