--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -111,7 +111,7 @@
 	Header Milliseconds `json:"header"`
 	// Token is the longest silence within the stream of an upstream.
 	Token Milliseconds `json:"token"`
-	// Call is the longest time of a call whose caller names no timeout.
+	// Call is the longest time of a call, whatever timeout its caller names.
 	Call Milliseconds `json:"call"`
 	// Lifetime is how long callers may use a list of entries.
 	Lifetime Milliseconds `json:"lifetime"`
