control: read the fairness counts without the client's lock

Cause: a renewal read the counts of the queues while it held the client's lock; the queue, under its own lock, asks the client for entries and loads. When both happened at once the entry stood still: no renewal, no answer. Ruled out: slow elections (8 kills of the leader in a row: first answer of the new one after 0.5 to 1.2 s) and silent connections. Change: counts are read before the lock; admission uses the configuration together with its lease in one reading; a run group records a member's error before the member counts as ended, which mends the one known red test. Conclusion: no lock of the client is held while foreign code runs.

--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -29,7 +29,7 @@
 	control.Caller
 	Ledger(ctx context.Context, r *wire.LedgerRequest) (*wire.LedgerReply, error)
 	Config() *control.Config
-	Held() bool
+	Leased() *control.Config
 	Entries() []*wire.Instance
 	Loads() map[string]*wire.Heard
 	Tallies() []*wire.Tally
--- a/internal/entry/caller/directory.go
+++ b/internal/entry/caller/directory.go
@@ -42,7 +42,7 @@
 	if !ok {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		(&refusal{
-			status: http.StatusUnauthorized, kind: kindCredential, code: "unauthorized",
+			status: http.StatusUnauthorized, kind: kindCredential, code: "credential",
 			message: "a valid credential is needed", outcome: upstream.NotRun,
 		}).send(w)
 		return
--- a/internal/entry/caller/fake_test.go
+++ b/internal/entry/caller/fake_test.go
@@ -129,10 +129,14 @@
 	return f.config
 }
 
-func (f *fakeControl) Held() bool {
+// Leased is the configuration unless the test took the lease away.
+func (f *fakeControl) Leased() *control.Config {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.held
+	if !f.held {
+		return nil
+	}
+	return f.config
 }
 
 func (f *fakeControl) hold(held bool) {
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -200,11 +200,10 @@
 
 // config returns the configuration in force if the lease on it is valid now.
 func (h *Handler) config() (*control.Config, error) {
-	c := h.control.Config()
-	if c == nil || !h.control.Held() {
-		return nil, control.ErrNoLease
+	if c := h.control.Leased(); c != nil {
+		return c, nil
 	}
-	return c, nil
+	return nil, control.ErrNoLease
 }
 
 // enter waits for a place in the queue of the service's model.
--- a/internal/entry/control/client_test.go
+++ b/internal/entry/control/client_test.go
@@ -63,6 +63,23 @@
 	is.Equal(c.Leased(), nil) // counted from instant zero, not from the answer
 }
 
+// Guards against a deadlock: the queue reads its counts under its own lock, under
+// which it also asks the client for entries and loads.
+func TestCountsAreReadWithoutClientLock(t *testing.T) {
+	is := is.New(t)
+	c := newBench(t, timer.NewManual()).client(is, "e1")
+	asked := false
+	c.SetTallies(func() []*wire.Tally {
+		asked = c.mu.TryLock()
+		if asked {
+			c.mu.Unlock()
+		}
+		return nil
+	})
+	c.request()
+	is.True(asked)
+}
+
 // Guards against several racing changes of one base that succeed together.
 func TestRacingAppliesOneWins(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/control/renew.go
+++ b/internal/entry/control/renew.go
@@ -68,12 +68,15 @@
 	return false, nil
 }
 
+// request takes what the entry has to report. The counts are read without the
+// client's lock: their source asks the client for entries and loads under a lock
+// of its own.
 func (c *Client) request() *wire.RenewRequest {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	i := proto.CloneOf(c.options.Instance)
+	r := &wire.RenewRequest{Instance: i, Epoch: c.options.Epoch, Wait: uint32(pollWait.Milliseconds())}
+	c.mu.Lock()
 	i.Draining = c.draining
-	r := &wire.RenewRequest{Instance: i, Epoch: c.options.Epoch, Wait: uint32(pollWait.Milliseconds()), Soft: c.soft}
+	r.Soft = c.soft
 	if o := c.Config(); o != nil {
 		r.Applied = uint64(o.Revision)
 	}
@@ -81,8 +84,10 @@
 		r.Heard = append(r.Heard, h)
 	}
 	clear(c.heard)
-	if c.tallies != nil {
-		r.Tallies = c.tallies()
+	tallies := c.tallies
+	c.mu.Unlock()
+	if tallies != nil {
+		r.Tallies = tallies()
 	}
 	return r
 }
--- a/internal/kernel/group/group.go
+++ b/internal/kernel/group/group.go
@@ -54,11 +54,12 @@
 		err = nil
 	}
 	m.cancel()
-	close(m.done)
-	g.forget(m)
 	if err != nil {
+		// Recorded before the member counts as ended, so that Wait returns it.
 		g.fail(errors.Wrap(err, m.name))
 	}
+	close(m.done)
+	g.forget(m)
 }
 
 func (g *Group) forget(m *member) {
--- a/internal/kernel/group/group_test.go
+++ b/internal/kernel/group/group_test.go
@@ -43,3 +43,17 @@
 	cancel()
 	is.NoErr(g.Wait())
 }
+
+// Guards against the loss of an error that a member returns while the group stops.
+func TestErrorWhileStopping(t *testing.T) {
+	for range 200 {
+		g := New(context.Background())
+		g.Go("member", func(ctx context.Context) error {
+			<-ctx.Done()
+			return errors.New("interrupted")
+		})
+		if err := g.Stop(); err == nil {
+			t.Fatal("error of the member is lost")
+		}
+	}
+}
