proof: add the runner of proofs

Cause: each guarantee needs a test under each fault, with seeds that can be repeated and one line of result. Ruled out: a harness of our own beside go test. Before: no proofs. Conclusion: proofs are ordinary tests named TestProof.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 TESTTIME ?= 8m
 
-.PHONY: build test demo generate format lint linkage unit tools
+.PHONY: build test demo proofs generate format lint linkage unit
 
 build:
 	$(GO) build -o $(BIN)/wisteriakeel .
@@ -30,6 +30,10 @@
 demo: build
 	$(BIN)/bench demo --binary $(BIN)/wisteriakeel
 
+# All proofs with all their seeds, within 15 minutes; a short set runs with the tests.
+proofs:
+	.ci/proofs
+
 # Needs protoc; the result is committed, so that the build does not need it.
 generate:
 	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
