--- a/internal/entry/caller/fake_test.go
+++ b/internal/entry/caller/fake_test.go
@@ -91,6 +91,16 @@
 	}
 }
 
+// Leased is the configuration unless the test took the lease away.
+func (f *fakeControl) Leased() (c *control.Config) {
+	f.do(func() {
+		if f.held {
+			c = f.config
+		}
+	})
+	return c
+}
+
 // do runs f while nothing else changes the fake.
 func (f *fakeControl) do(g func()) {
 	f.mu.Lock()
@@ -99,7 +109,6 @@
 }
 
 func (f *fakeControl) Config() (c *control.Config)       { f.do(func() { c = f.config }); return c }
-func (f *fakeControl) Held() (held bool)                 { f.do(func() { held = f.held }); return held }
 func (f *fakeControl) hold(held bool)                    { f.do(func() { f.held = held }) }
 func (f *fakeControl) leave(name string)                 { f.do(func() { f.replace(name, nil) }) }
 func (f *fakeControl) Entries() []*wire.Instance         { return f.entries }
--- a/internal/entry/control/client_test.go
+++ b/internal/entry/control/client_test.go
@@ -58,8 +58,26 @@
 	<-updated
 	is.Equal(len(c.Config().Documents), 1)
 	is.Equal(len(c.Config().Upstreams), 1)
+	is.Equal(c.Leased(), c.Config())
 	m.Advance(time.Second)
-	is.Equal(c.Held(), false) // counted from instant zero, not from the answer
+	is.Equal(c.Leased(), nil) // counted from instant zero, not from the answer
+}
+
+// Guards against a deadlock: the queue reads its counts under its own lock, under
+// which it also asks the client for entries and loads.
+func TestCountsAreReadWithoutClientLock(t *testing.T) {
+	is := is.New(t)
+	c := newBench(t, timer.NewManual()).client(is, "e1")
+	asked := false
+	c.SetTallies(func() []*wire.Tally {
+		asked = c.mu.TryLock()
+		if asked {
+			c.mu.Unlock()
+		}
+		return nil
+	})
+	c.request()
+	is.True(asked)
 }
 
 // Guards against several racing changes of one base that succeed together.
--- a/internal/entry/control/renew.go
+++ b/internal/entry/control/renew.go
@@ -68,21 +68,26 @@
 	return false, nil
 }
 
+// request takes what the entry has to report. The counts are read without the
+// client's lock: their source asks the client for entries and loads under a lock
+// of its own.
 func (c *Client) request() *wire.RenewRequest {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	i := proto.CloneOf(c.options.Instance)
+	r := &wire.RenewRequest{Instance: i, Epoch: c.options.Epoch, Wait: uint32(pollWait.Milliseconds())}
+	c.mu.Lock()
 	i.Draining = c.draining
-	r := &wire.RenewRequest{Instance: i, Epoch: c.options.Epoch, Wait: uint32(pollWait.Milliseconds()), Soft: c.soft}
-	if o := c.config.Load(); o != nil {
+	r.Soft = c.soft
+	if o := c.Config(); o != nil {
 		r.Applied = uint64(o.Revision)
 	}
 	for _, h := range c.heard {
 		r.Heard = append(r.Heard, h)
 	}
 	clear(c.heard)
-	if c.tallies != nil {
-		r.Tallies = c.tallies()
+	tallies := c.tallies
+	c.mu.Unlock()
+	if tallies != nil {
+		r.Tallies = tallies()
 	}
 	return r
 }
@@ -98,12 +103,12 @@
 	}
 }
 
-// accept puts the answer in force: the configuration first, then the lease on
-// it. The lease is counted from before the renewal was sent.
+// accept puts the answer in force: the configuration together with the lease on
+// it, which is counted from before the renewal was sent.
 func (c *Client) accept(r *wire.RenewReply, sent timer.Instant) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old := c.config.Load()
+	old := c.Config()
 	switch {
 	case r.Term < c.term:
 		return errors.Newf("term %d is older than term %d", r.Term, c.term)
@@ -112,12 +117,18 @@
 	case old == nil && !r.Full:
 		return errors.New("changes without the state that they belong to")
 	}
+	next := &granted{config: old, expires: sent.Add(time.Duration(r.Lease) * time.Millisecond)}
 	if old == nil || document.Revision(r.Revision) != old.Revision {
-		next, err := c.merge(old, r)
+		config, err := c.merge(old, r)
 		if err != nil {
 			return err
 		}
-		c.config.Store(next)
+		next.config = config
+	} else {
+		next.expires = max(next.expires, c.granted.Load().expires)
+	}
+	c.granted.Store(next)
+	if next.config != old {
 		close(c.updated)
 		c.updated = make(chan struct{})
 	}
@@ -129,8 +140,6 @@
 			c.loads[h.Name] = h
 		}
 	}
-	until := sent.Add(time.Duration(r.Lease) * time.Millisecond)
-	c.expires.Store(max(c.expires.Load(), int64(until)))
 	return nil
 }
 
