caller: check the upstream against the same configuration as the lease

Cause: the last check of a plain call took the lease and the permission from one reading of the configuration and the upstream from another. Ruled out: reading the newest configuration for both, since only the one that the lease was granted on may be acted on. Change: permitted returns the configuration that it checked. Before: two readings.

--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
+	"wisteriakeel.example/wisteriakeel/internal/entry/control"
 	"wisteriakeel.example/wisteriakeel/internal/entry/route"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
@@ -46,7 +47,7 @@
 	if q.http.URL.RawQuery != "" {
 		escaped += "?" + q.http.URL.RawQuery
 	}
-	if err := p.permitted(); err != nil {
+	if _, err := p.permitted(); err != nil {
 		return err
 	}
 	p.message = upstream.Plain{
@@ -62,14 +63,14 @@
 
 // permitted checks the lease, the declaration of the call and the account's
 // permission against the configuration in force.
-func (p *plainCall) permitted() error {
-	c, err := p.handler.config()
+func (p *plainCall) permitted() (c *control.Config, err error) {
+	c, err = p.handler.config()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	d := c.Documents[p.service]
 	if d == nil || d.Kind != document.KindPlain {
-		return &refusal{
+		return nil, &refusal{
 			status: http.StatusNotFound, kind: kindRequest, code: "service",
 			message: "no such service", outcome: upstream.NotRun,
 		}
@@ -77,13 +78,13 @@
 	call, ok := d.Call(p.http.Method, p.path)
 	account, known := d.Account(p.account)
 	if !ok || !known || !account.Reaches(p.path) {
-		return &refusal{
+		return nil, &refusal{
 			status: http.StatusForbidden, kind: kindPermission, code: "permission",
 			message: "the client account may not make this call", outcome: upstream.NotRun,
 		}
 	}
 	p.call, p.grant = call, account
-	return nil
+	return c, nil
 }
 
 // pick chooses an upstream of the service.
@@ -98,13 +99,14 @@
 // clear checks everything that may have changed, immediately before the dispatch.
 func (p *plainCall) clear(u *wire.Upstream) error {
 	repeat := p.call.Repeat
-	if err := p.permitted(); err != nil {
+	c, err := p.permitted()
+	if err != nil {
 		return err
 	}
 	if p.call.Repeat != repeat {
 		return errors.Wrap(errChanged, "the call's declaration")
 	}
-	if !registered(p.handler.control.Config(), u) {
+	if !registered(c, u) {
 		return errors.Wrap(route.ErrUpstream, "the upstream has left")
 	}
 	return nil
