route: free the slots of requests that ended since the last report

Cause: a load report counts this entry's own requests; when they ended, their slots stayed in use until the next report, up to a heartbeat of one second. Ruled out: asking upstreams for load more often. Change: the own count since a report goes below zero for requests that the report counts and that have ended. Before: TestEndedRequestsFreeTheirSlots found 0 free slots where 1 to 3 were free.

--- a/internal/entry/route/chooser.go
+++ b/internal/entry/route/chooser.go
@@ -13,7 +13,7 @@
 	Upstream *wire.Upstream
 	// Load is the last report; it may be nil.
 	Load *wire.Load
-	// Own is the number of this entry's requests that the report does not count yet.
+	// Own is how many more of this entry's requests are in flight than the report counts.
 	Own int
 	// Near is true in the entry's own availability zone.
 	Near bool
@@ -26,7 +26,7 @@
 		used += float64(o.Load.Running) + float64(o.Load.Waiting)
 		slots = float64(max(o.Load.Slots, 1))
 	}
-	return used / slots
+	return max(used, 0) / slots
 }
 
 // Chooser selects one of several upstreams; there is always at least one.
--- a/internal/entry/route/pool.go
+++ b/internal/entry/route/pool.go
@@ -51,9 +51,9 @@
 	incarnation uint64
 	load        *wire.Load
 	flight      int
-	// since counts the requests sent after the last load report.
+	// since is how many more of this entry's requests are in flight than at the
+	// last load report; it is negative if some that the report counts have ended.
 	since    int
-	reports  uint64
 	failures int
 	rounds   int
 	ejected  timer.Instant
@@ -96,7 +96,6 @@
 type Pick struct {
 	Upstream *wire.Upstream
 	pool     *Pool
-	reports  uint64
 	once     sync.Once
 }
 
@@ -136,7 +135,7 @@
 	s := p.standing(u)
 	s.flight++
 	s.since++
-	return &Pick{Upstream: u, pool: p, reports: s.reports}, nil
+	return &Pick{Upstream: u, pool: p}, nil
 }
 
 // takes tells whether the upstream gets work: not while ejected, and after
@@ -168,9 +167,7 @@
 		return
 	}
 	s.flight--
-	if s.reports == k.reports {
-		s.since--
-	}
+	s.since--
 	if !blame {
 		s.failures = 0
 		return
@@ -217,7 +214,7 @@
 			n, used = int(l.Slots), int(l.Running+l.Waiting)
 		}
 		slots += n
-		free += max(n-used-s.since, 0)
+		free += max(n-max(used+s.since, 0), 0)
 	}
 	return free, slots
 }
@@ -257,5 +254,4 @@
 
 func (s *standing) report(l *wire.Load) {
 	s.load, s.since = l, 0
-	s.reports++
 }
--- a/internal/entry/route/route_test.go
+++ b/internal/entry/route/route_test.go
@@ -310,6 +310,25 @@
 	is.True(n >= 100 && n <= 100+budgetReserve)
 }
 
+// Guards against slots that stay unused after requests ended, until the next report.
+func TestEndedRequestsFreeTheirSlots(t *testing.T) {
+	is := is.New(t)
+	p, _ := newPool(t, "least")
+	c := workers("z1")
+	var picks []*Pick
+	for range 3 {
+		k, err := p.Pick(c, nil, want)
+		is.NoErr(err)
+		picks = append(picks, k)
+	}
+	p.Report("w0", 1, &wire.Load{Running: 4, Slots: 4, Sequence: 9}) // three are this entry's
+	for i, k := range picks {
+		k.Done(false)
+		free, _ := p.Free(c, nil, "pool", "small", 1)
+		is.Equal(free, i+1)
+	}
+}
+
 // Guards against late load reports that replace newer ones.
 func TestLateReportIsIgnored(t *testing.T) {
 	is := is.New(t)
