upstream: check a call once its connection is open

Cause: lease, permission and version were checked before the connection was opened, and pooled connections were opened without a limit of their own, so a slow connect could carry a call past the end of its lease. Change: connections run a check before the first byte of a call; connects are bounded; a withdrawn call is told its own reason. Streams have no size limit, what is held back of them has; answers above 256 KiB are not stored with a claim. Before: the check preceded the connect.

--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -61,21 +61,19 @@
 			// A failed attempt says more than that there is no further upstream.
 			return a, errors.CombineErrors(failure, err)
 		}
-		err = j.clear(model, p, o)
+		before := a.version
+		a.version = p.version
+		a.result, err = j.attempt(ctx, a, p, body)
+		if err == nil {
+			return a, nil
+		}
 		if errors.Is(err, errChanged) && changes < changeLimit {
-			p.pick.Done(false)
+			// Nothing was sent, so this is no retry.
 			changes++
+			a.version = before
 			continue
 		}
-		if err != nil {
-			p.pick.Done(false)
-			return a, errors.CombineErrors(failure, err)
-		}
-		a.version = p.version
-		a.result, failure = j.attempt(ctx, a, p, body)
-		if failure == nil {
-			return a, nil
-		}
+		failure = err
 		if !j.again(ctx, failure) {
 			return a, failure
 		}
@@ -88,15 +86,15 @@
 }
 
 // again tells whether another upstream may get the request.
-func (j *job) again(ctx context.Context, err error) bool {
+func (q *request) again(ctx context.Context, err error) bool {
 	var f *upstream.Failure
-	if ctx.Err() != nil || !errors.As(err, &f) {
+	if ctx.Err() != nil || !errors.As(err, &f) || f.Withdrawn {
 		return false
 	}
 	if f.Outcome == upstream.Failed && f.Status >= 400 && f.Status < 500 {
 		return false // the engine found the request itself wrong
 	}
-	if !j.handler.budget.Retry() {
+	if !q.handler.budget.Retry() {
 		metric.Int("caller.budget").Add(1)
 		return false
 	}
@@ -149,7 +147,7 @@
 
 // clear checks the lease, the permission, the version and the upstream against
 // the configuration in force, immediately before the dispatch.
-func (j *job) clear(model document.Model, p placement, o *output) error {
+func (j *job) clear(model document.Model, p placement, pinned bool) error {
 	c, err := j.handler.config()
 	if err != nil {
 		return err
@@ -158,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	if !plan.Takes(model, p.version, j.key(), j.session != "" || o.begun()) || !registered(c, p.pick.Upstream) {
+	if !plan.Takes(model, p.version, j.key(), pinned) || !registered(c, p.pick.Upstream) {
 		return errChanged
 	}
 	return nil
@@ -189,6 +187,8 @@
 		Body: body, Request: j.id, Version: string(p.version), Priority: priority,
 		Stream: j.chat.stream, Sink: o.take,
 	}
+	pinned := j.session != "" || o.begun()
+	q.Check = func() error { return j.clear(a.model, p, pinned) }
 	if o.begun() {
 		q.Resume = o.contents
 	}
--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -213,12 +213,11 @@
 		return nil, errTaken
 	}
 	sent = true
-	// The claim may have taken long, so everything is checked once more.
-	if err = c.clear(k.Upstream); err != nil {
-		return c.store(ctx, c.answer(upstream.Answer{}, err)), nil
-	}
 	answer, err := c.attempt(ctx, k, func(ctx context.Context) (upstream.Answer, error) {
-		return c.handler.dispatcher.Once(ctx, k.Upstream, c.message, conn)
+		m := c.message
+		// The claim may have taken long, so everything is checked once more.
+		m.Check = func() error { return c.clear(k.Upstream) }
+		return c.handler.dispatcher.Once(ctx, k.Upstream, m, conn)
 	})
 	return c.store(ctx, c.answer(answer, err)), nil
 }
--- a/internal/entry/caller/output.go
+++ b/internal/entry/caller/output.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
 )
 
@@ -17,6 +19,7 @@
 	// held are events that the caller gets after the charge: all of a buffered
 	// answer, else those from the first finish_reason on.
 	held [][]byte
+	size int
 	// ending is true from the first finish_reason on.
 	ending bool
 	// contents counts the content events before the ending.
@@ -57,24 +60,32 @@
 	}
 	o.text = append(o.text, k.Text...)
 	if o.ending || k.Bare() {
-		o.held = append(o.held, data)
-		return nil
+		return o.hold(data)
 	}
 	if k.Content {
 		o.contents++
 	}
 	if !o.direct {
-		o.held = append(o.held, data)
-		return nil
+		return o.hold(data)
 	}
 	return o.job.pass(o.model, data)
 }
 
+// hold keeps an event until the charge is committed.
+func (o *output) hold(data []byte) error {
+	o.size += len(data)
+	if int64(o.size) > o.job.handler.options.Body {
+		return errors.New("the held part of the answer exceeds the size limit")
+	}
+	o.held = append(o.held, data)
+	return nil
+}
+
 // restart prepares for another upstream: a stream that the caller sees goes
 // on from its position, any other begins anew.
 func (o *output) restart() {
 	if o.begun() {
-		o.resumed, o.ending, o.held = true, false, nil
+		o.resumed, o.ending, o.held, o.size = true, false, nil, 0
 		return
 	}
 	*o = output{job: o.job, direct: o.direct}
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -15,7 +15,6 @@
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
 	"wisteriakeel.example/wisteriakeel/internal/entry/route"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
-	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
@@ -47,7 +46,8 @@
 	if q.http.URL.RawQuery != "" {
 		escaped += "?" + q.http.URL.RawQuery
 	}
-	if _, err := p.permitted(); err != nil {
+	var err error
+	if _, p.call, p.grant, err = p.permitted(); err != nil {
 		return err
 	}
 	p.message = upstream.Plain{
@@ -63,28 +63,27 @@
 
 // permitted checks the lease, the declaration of the call and the account's
 // permission against the configuration in force.
-func (p *plainCall) permitted() (c *control.Config, err error) {
+func (p *plainCall) permitted() (c *control.Config, call document.CallSpec, grant document.AccountSpec, err error) {
 	c, err = p.handler.config()
 	if err != nil {
-		return nil, err
+		return nil, call, grant, err
 	}
 	d := c.Documents[p.service]
 	if d == nil || d.Kind != document.KindPlain {
-		return nil, &refusal{
+		return nil, call, grant, &refusal{
 			status: http.StatusNotFound, kind: kindRequest, code: "service",
 			message: "no such service", outcome: upstream.NotRun,
 		}
 	}
 	call, ok := d.Call(p.http.Method, p.path)
-	account, known := d.Account(p.account)
-	if !ok || !known || !account.Reaches(p.path) {
-		return nil, &refusal{
+	grant, known := d.Account(p.account)
+	if !ok || !known || !grant.Reaches(p.path) {
+		return nil, call, grant, &refusal{
 			status: http.StatusForbidden, kind: kindPermission, code: "permission",
 			message: "the client account may not make this call", outcome: upstream.NotRun,
 		}
 	}
-	p.call, p.grant = call, account
-	return c, nil
+	return c, call, grant, nil
 }
 
 // pick chooses an upstream of the service.
@@ -96,14 +95,14 @@
 	return p.handler.pool.Pick(c, p.handler.control.Loads(), route.Want{Service: p.service, Tried: tried})
 }
 
-// clear checks everything that may have changed, immediately before the dispatch.
+// clear checks everything that may have changed, immediately before the
+// dispatch. It changes nothing, since the connection's own goroutine calls it.
 func (p *plainCall) clear(u *wire.Upstream) error {
-	repeat := p.call.Repeat
-	c, err := p.permitted()
+	c, call, _, err := p.permitted()
 	if err != nil {
 		return err
 	}
-	if p.call.Repeat != repeat {
+	if call.Repeat != p.call.Repeat {
 		return errors.Wrap(errChanged, "the call's declaration")
 	}
 	if !registered(c, u) {
@@ -127,21 +126,18 @@
 		if err != nil {
 			return errors.CombineErrors(failure, err)
 		}
-		if err := p.clear(k.Upstream); err != nil {
-			k.Done(false)
-			return errors.CombineErrors(failure, err)
-		}
 		a, err := p.attempt(ctx, k, func(ctx context.Context) (upstream.Answer, error) {
-			return p.handler.dispatcher.Plain(ctx, k.Upstream, p.message)
+			m := p.message
+			m.Check = func() error { return p.clear(k.Upstream) }
+			return p.handler.dispatcher.Plain(ctx, k.Upstream, m)
 		})
 		if err == nil {
 			return p.deliver(ctx, a, p.id, p.digest)
 		}
 		failure = err
-		if ctx.Err() != nil || !p.handler.budget.Retry() {
+		if !p.again(ctx, failure) {
 			return failure
 		}
-		metric.Int("caller.retries").Add(1)
 		tried = append(tried, k.Upstream.Name)
 	}
 }
--- a/internal/entry/caller/refusal.go
+++ b/internal/entry/caller/refusal.go
@@ -100,6 +100,8 @@
 			r.status = http.StatusTooManyRequests
 		}
 		return r
+	case errors.As(err, &failure) && failure.Withdrawn:
+		return h.refuse(failure.Err)
 	case errors.As(err, &failure):
 		return h.refuseFailure(failure)
 	case errors.Is(err, context.DeadlineExceeded):
--- a/internal/entry/caller/store.go
+++ b/internal/entry/caller/store.go
@@ -86,8 +86,14 @@
 	return a
 }
 
+// storeLimit bounds a stored answer, since it is replicated and kept for a day.
+const storeLimit = 256 << 10
+
 // finish stores the answer and tells whether that is confirmed.
 func (c *claim) finish(ctx context.Context, a *wire.Answer) bool {
+	if len(a.Body) > storeLimit {
+		a = &wire.Answer{Unknown: true}
+	}
 	_, err := c.move(ctx, &wire.ClaimRequest{Step: wire.Step_STEP_FINISH, Epoch: c.epoch, Answer: a})
 	return err == nil
 }
--- a/internal/entry/upstream/dispatch.go
+++ b/internal/entry/upstream/dispatch.go
@@ -98,10 +98,21 @@
 	}
 	// Probes find a peer that is gone while the entry waits for its answer.
 	d.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
-	d.pooled = transport(d.dialer.DialContext)
+	d.pooled = transport(d.dial)
 	return d
 }
 
+// dial opens a connection within the dial limit.
+func (d *Dispatcher) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := timer.WithTimeout(ctx, d.timer, d.limits.Dial)
+	defer cancel()
+	c, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &guarded{Conn: c}, nil
+}
+
 // transport returns a plain HTTP/1.1 transport without proxy settings from the
 // environment and without compression, which would hide the content length.
 func transport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
@@ -120,9 +131,7 @@
 // Dial opens a connection for a call that may not be repeated, so that an
 // upstream that cannot be reached is found before the claim is moved on.
 func (d *Dispatcher) Dial(ctx context.Context, u *wire.Upstream) (c net.Conn, err error) {
-	ctx, cancel := timer.WithTimeout(ctx, d.timer, d.limits.Dial)
-	defer cancel()
-	c, err = d.dialer.DialContext(ctx, "tcp", u.Address)
+	c, err = d.dial(ctx, "tcp", u.Address)
 	if err != nil {
 		return nil, &Failure{Outcome: NotRun, Reason: "upstream cannot be reached", Blame: true, Err: err}
 	}
@@ -158,12 +167,17 @@
 }
 
 // begin starts the deadlines of a call.
-func (d *Dispatcher) begin(ctx context.Context, u *wire.Upstream, header, overall time.Duration) (context.Context, *call) {
+func (d *Dispatcher) begin(ctx context.Context, u *wire.Upstream, check func() error, header, overall time.Duration) (context.Context, *call) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	c := &call{owner: d, upstream: u, timer: d.timer, cancel: cancel, stop: func() {}}
 	c.overall = d.timer.AfterFunc(overall, func() { cancel(ErrCallTimeout) })
 	c.expect(header, ErrHeaderTimeout)
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.reached.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		c.reached.Store(true)
+		if g, ok := i.Conn.(*guarded); ok {
+			g.arm(check)
+		}
+	}}
 	return httptrace.WithClientTrace(ctx, trace), c
 }
 
@@ -227,6 +241,10 @@
 
 // broken classifies a transport error: without a connection nothing was sent.
 func (c *call) broken(ctx context.Context, err error) *Failure {
+	var withdrawn *Failure
+	if errors.As(err, &withdrawn) {
+		return withdrawn
+	}
 	f := &Failure{Outcome: Unknown, Reason: "connection to the upstream broke", Blame: true, Err: err}
 	if !c.reached.Load() {
 		f.Outcome, f.Reason = NotRun, "upstream cannot be reached"
--- a/internal/entry/upstream/dispatch_test.go
+++ b/internal/entry/upstream/dispatch_test.go
@@ -79,6 +79,33 @@
 	}
 }
 
+// Guards against calls that are sent after their permission or lease ended
+// while the connection was opened.
+func TestCheckStopsTheCallUnsent(t *testing.T) {
+	is := is.New(t)
+	var seen atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+	}))
+	defer s.Close()
+	d := New(Options{Timer: timer.NewSystem()})
+	defer d.Close()
+	ctx, withdrawn := context.Background(), errors.New("withdrawn")
+	for _, check := range []func() error{nil, func() error { return withdrawn }} {
+		for _, body := range []string{"", "{}"} {
+			for range 2 { // over a fresh and a reused connection
+				seen.Store(0)
+				_, err := d.Plain(ctx, at(s), Plain{Method: "POST", Path: "/", Body: []byte(body), Request: "r", Check: check})
+				is.Equal(err == nil, check == nil)
+				is.Equal(failure(err).Withdrawn, check != nil)
+				is.Equal(errors.Is(err, withdrawn), check != nil)
+				is.Equal(seen.Load() == 1, check == nil)
+			}
+		}
+	}
+}
+
 // Guards against redirects carrying a call to a second place.
 func TestRedirectIsNotFollowed(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/upstream/engine.go
+++ b/internal/entry/upstream/engine.go
@@ -18,6 +18,9 @@
 	// Resume is the number of content chunks that were received from a broken stream.
 	Resume int
 	Stream bool
+	// Check is called once a connection is open, before the first byte is
+	// written; an error ends the call unsent. It may be nil.
+	Check func() error
 	// Sink receives each chunk of a stream; an error ends the call.
 	Sink func(c *Chunk) error
 }
@@ -49,7 +52,7 @@
 		// The header of a whole answer comes only once it is generated.
 		header = d.limits.Overall
 	}
-	ctx, c := d.begin(ctx, u, header, d.limits.Overall)
+	ctx, c := d.begin(ctx, u, q.Check, header, d.limits.Overall)
 	defer c.end()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost,
 		"http://"+u.Address+"/v1/chat/completions", bytes.NewReader(q.Body))
--- a/internal/entry/upstream/outcome.go
+++ b/internal/entry/upstream/outcome.go
@@ -29,6 +29,8 @@
 	Status int
 	// Refused is true if the upstream answered that it did not start the call.
 	Refused bool
+	// Withdrawn is true if the check before the first byte ended the call; Err is its error.
+	Withdrawn bool
 	// Blame is true if the failure speaks against the upstream.
 	Blame bool
 	Err   error
--- a/internal/entry/upstream/plain.go
+++ b/internal/entry/upstream/plain.go
@@ -20,6 +20,9 @@
 	Request string
 	Key     string
 	Account string
+	// Check is called once a connection is open, before the first byte is
+	// written; an error ends the call unsent. It may be nil.
+	Check func() error
 	// Timeout bounds the call; zero takes the overall limit.
 	Timeout time.Duration
 }
@@ -52,7 +55,7 @@
 		overall = min(overall, p.Timeout)
 		header = overall
 	}
-	ctx, c := d.begin(ctx, u, header, overall)
+	ctx, c := d.begin(ctx, u, p.Check, header, overall)
 	defer c.end()
 	r, err := http.NewRequestWithContext(ctx, p.Method, "http://"+u.Address+p.Path, bytes.NewReader(p.Body))
 	if err != nil {
--- a/internal/entry/upstream/stream.go
+++ b/internal/entry/upstream/stream.go
@@ -91,13 +91,14 @@
 }
 
 // read passes chunks on until the stream is complete: finish_reason, [DONE]
-// and the end of the framing, in this order.
+// and the end of the framing, in this order. Lines are bounded, the whole is
+// not, since chunks are not kept here.
 func (s *stream) read(ctx context.Context) error {
 	kind, _, _ := mime.ParseMediaType(s.response.Header.Get("Content-Type"))
 	if kind != "text/event-stream" {
 		return s.fail("answer is no event stream", nil)
 	}
-	lines := bufio.NewReaderSize(io.LimitReader(s.response.Body, s.call.owner.limits.Body+1), 4<<10)
+	lines := bufio.NewReaderSize(s.response.Body, 4<<10)
 	for {
 		s.call.expect(s.call.owner.limits.Token, ErrTokenTimeout)
 		data, err := event(lines)
