slopes: add up the control instances and tell why requests fail

Ruled out: fixing the leaders, which the system does not offer. Change: a role "control" with the sum of all control instances, which the renewals are fitted to; the reasons of missing answers are printed.

--- a/internal/bench/slopes/fleet.go
+++ b/internal/bench/slopes/fleet.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"wisteriakeel.example/wisteriakeel/internal/bench/announce"
@@ -73,6 +75,8 @@
 	callers []*caller.Caller
 	group   *group.Group
 	rate    int
+	// running counts the requests in progress.
+	running atomic.Int64
 }
 
 func newSenders(ctx context.Context, t timer.Service, c *cluster.Cluster, rate int) (s *senders, err error) {
@@ -104,7 +108,7 @@
 		case now := <-ticks.C:
 			// Ticks that were missed are made up for.
 			for due := int(now.Sub(begin).Seconds() * float64(s.rate)); sent < due; sent++ {
-				r := &sender{caller: s.callers[sent%len(s.callers)]}
+				r := &sender{senders: s, caller: s.callers[sent%len(s.callers)]}
 				s.group.Go("sender", r.run)
 			}
 		}
@@ -112,25 +116,39 @@
 }
 
 // sender sends one request.
-type sender struct{ caller *caller.Caller }
+type sender struct {
+	senders *senders
+	caller  *caller.Caller
+}
 
 func (s *sender) run(ctx context.Context) error {
+	s.senders.running.Add(1)
+	defer s.senders.running.Add(-1)
 	s.caller.Chat(ctx, caller.Chat{Model: "small", Prompt: "measure", Limit: 16, Stream: true})
 	return nil
 }
 
-// close ends the requests and returns how many were answered and how many not.
-func (s *senders) close() (answered, other int, err error) {
+// close ends the requests and returns how many were answered, and how many
+// were not for which reason. Those still in progress are left out.
+func (s *senders) close() (answered int, other map[string]int, err error) {
+	running := s.running.Load()
 	err = s.group.Stop()
+	other = map[string]int{}
 	for _, c := range s.callers {
 		for _, r := range c.History().Records() {
-			if r.Outcome == caller.Answered {
+			switch {
+			case r.Outcome == caller.Answered:
 				answered++
-			} else {
-				other++
+			case strings.Contains(r.Text, context.Canceled.Error()):
+				running--
+			default:
+				other[fmt.Sprintf("%s, status %d: %s", r.Outcome, r.Status, r.Text)]++
 			}
 		}
 		c.Close()
 	}
+	if running < 0 {
+		other["cancelled before the end"] = int(-running)
+	}
 	return answered, other, err
 }
--- a/internal/bench/slopes/slopes.go
+++ b/internal/bench/slopes/slopes.go
@@ -55,8 +55,10 @@
 // leases is the factor that the number of entries stands for.
 const leases = "entry lease"
 
-// roles in the order of the table.
-var roles = []string{"entry", "leader", "follower"}
+// roles in the order of the table. The leader is that of group 0; which control
+// instance leads the data groups differs between clusters, so "control" adds up
+// all control instances.
+var roles = []string{"entry", "leader", "follower", "control"}
 
 // measurement is one run.
 type measurement struct {
@@ -194,8 +196,7 @@
 	if err = errors.CombineErrors(err, stop); err != nil {
 		return err
 	}
-	// The requests still running at the end of the window are not answered.
-	fmt.Fprintf(m.options.Out, "  %d requests answered, %d not\n", answered, other)
+	fmt.Fprintf(m.options.Out, "  %d requests answered, not answered: %v\n", answered, other)
 	m.requests += answered
 	m.table.add("request/s", float64(rate), float64(m.requests), m.together(r))
 	return nil
--- a/internal/bench/slopes/window.go
+++ b/internal/bench/slopes/window.go
@@ -68,6 +68,10 @@
 	for role, list := range uses {
 		r[role] = mean(list)
 	}
+	for _, u := range append(uses["leader"], uses["follower"]...) {
+		c := r["control"]
+		r["control"] = usage{cpu: c.cpu + u.cpu, memory: c.memory + u.memory, bytes: c.bytes + u.bytes}
+	}
 	return r
 }
 
@@ -175,10 +179,10 @@
 				strings.TrimSuffix(f, "/s"), r, u.cpu*1e6, per, u.memory/1e3, u.bytes, per)
 		}
 	}
-	// An idle entry does nothing but renew; at the leader the slope per lease is what renewals use.
+	// An idle entry does nothing but renew; in control the slope per lease is what renewals use.
 	idle := t.rows[leases][0].r["entry"]
-	leader := t.slopes(leases, "leader")
+	control := t.slopes(leases, "control")
 	fmt.Fprintf(w, "idle renewal\tentry\t%.1f us\t\t%.0f B\t\n", idle.cpu*1e6/renewals, idle.bytes/renewals)
-	fmt.Fprintf(w, "idle renewal\tleader\t%.1f us\t\t%.0f B\t\n", leader.cpu*1e6/renewals, leader.bytes/renewals)
+	fmt.Fprintf(w, "idle renewal\tcontrol\t%.1f us\t\t%.0f B\t\n", control.cpu*1e6/renewals, control.bytes/renewals)
 	_ = w.Flush()
 }
