--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -108,7 +108,7 @@
 		if err != nil {
 			return nil, c.unopened(ctx, err)
 		}
-		if reply.Digest != "" && reply.Digest != c.digest {
+		if reply.Phase != wire.Phase_PHASE_NONE && reply.Digest != c.digest {
 			return nil, &refusal{
 				status: http.StatusUnprocessableEntity, kind: kindRequest, code: "idempotency_key",
 				message: "the key was used for another call", outcome: upstream.NotRun,
@@ -188,13 +188,14 @@
 	sent := false
 	defer func() {
 		if !sent && err != nil && !errors.Is(err, errTaken) {
-			c.abort(ctx)
+			c.after = append(c.after, c.abort)
 		}
 	}()
-	if err = c.enter(ctx, c.service, c.grant, 1); err != nil {
+	t, err := c.enter(ctx, placeKey{service: c.service}, c.grant, 1)
+	if err != nil {
 		return nil, err
 	}
-	defer c.ticket.Done(1)
+	defer t.Done(1)
 	k, conn, err := c.connect(ctx)
 	if err != nil {
 		return nil, err
