replica: measure failover and refuse proposals at once without leadership

Cause: with a full queue of unapplied entries a follower let proposals wait until their deadline instead of refusing them; a tick of 50 ms made split votes more likely than the network does. Ruled out: a callback per election timeout, since ticks are needed anyway. Change: only a leader lets proposals wait; the tick is 20 ms; tests of failover on simulated time, of the largest command over TCP, and of directories that were not synced before a restart.

--- a/internal/control/disk/disk_test.go
+++ b/internal/control/disk/disk_test.go
@@ -211,6 +211,33 @@
 	is.True(errors.Is(s.SaveHard(replica.Hard{Term: 9}), disk.ErrFatal))
 }
 
+// Guards against a vote or an identity that a process found, although the directory was
+// not synced after the rename, and that is gone after a later crash.
+func TestLoadSyncsDirectory(t *testing.T) {
+	is := is.New(t)
+	f := faulty.New(1)
+	_, s := open(t, f)
+	f.FailSync(1) // the one of the directory
+	is.True(errors.Is(s.SaveHard(replica.Hard{Term: 5, Vote: "x"}), disk.ErrFatal))
+	for range 2 {
+		_, s = open(t, f)
+		h, _, _, err := s.Load()
+		is.NoErr(err)
+		is.Equal(h, replica.Hard{Term: 5, Vote: "x"})
+		f.Crash()
+	}
+	f = faulty.New(1)
+	f.FailSync(2)
+	_, err := disk.Open(f.Process(), "data", 0)
+	is.True(errors.Is(err, disk.ErrFatal))
+	d, err := disk.Open(f.Process(), "data", 0)
+	is.NoErr(err)
+	f.Crash()
+	again, err := disk.Open(f.Process(), "data", 0)
+	is.NoErr(err)
+	is.Equal(again.Identity(), d.Identity())
+}
+
 // Guards against an entry that was written but not synced before a restart, counts as
 // durable afterwards, and is lost in a later crash.
 func TestLoadSyncs(t *testing.T) {
--- a/internal/control/replica/election_test.go
+++ b/internal/control/replica/election_test.go
@@ -228,3 +228,29 @@
 		c.converge()
 	})
 }
+
+// Guards against elections that split again and again: a leader that is lost must be
+// replaced. The bound allows for two split votes in a row; time is simulated.
+func TestFailover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 10, 3)
+		c.delay = time.Millisecond
+		c.form()
+		var longest, total time.Duration
+		const rounds = 40
+		for range rounds {
+			l := c.leader()
+			c.sleep(2 * time.Second)
+			begin := time.Now()
+			c.stop(l, true)
+			c.leader()
+			took := time.Since(begin)
+			longest, total = max(longest, took), total+took
+			c.start(l)
+		}
+		t.Logf("new leader after %v on average, %v at most", total/rounds, longest)
+		if longest > 4*replica.ElectionMaximum {
+			t.Errorf("no leader for %v", longest)
+		}
+	})
+}
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -193,7 +193,8 @@
 		if n.pending >= ringSize {
 			events, proposals = nil, nil
 		}
-		if n.journal.last() > Index(n.applied.Load())+maxUncommitted {
+		// A follower refuses at once, so only a leader lets proposals wait.
+		if n.role == leader && n.journal.last() > Index(n.applied.Load())+maxUncommitted {
 			proposals = nil
 		}
 		select {
--- a/internal/control/replica/transport_test.go
+++ b/internal/control/replica/transport_test.go
@@ -99,6 +99,14 @@
 // Guards against a node that works only with simulated files, connections and clocks.
 func TestRealCluster(t *testing.T) {
 	nodes := startReal(t, 3)
+	_, err := nodes[0].Propose(t.Context(), make([]byte, replica.MaxCommand+1))
+	is.New(t).True(errors.Is(err, replica.ErrTooLarge))
+	for stored := false; !stored; time.Sleep(10 * time.Millisecond) {
+		for _, n := range nodes { // the largest command fits one message
+			_, err := n.Propose(t.Context(), make([]byte, replica.MaxCommand))
+			stored = stored || err == nil
+		}
+	}
 	for committed := 0; committed < 20; time.Sleep(10 * time.Millisecond) {
 		for _, n := range nodes {
 			_, err := n.Propose(t.Context(), []byte(fmt.Sprint(committed)))
--- a/internal/control/replica/types.go
+++ b/internal/control/replica/types.go
@@ -55,13 +55,14 @@
 
 // Timing of elections and leases. A follower denies votes for the minimum
 // election timeout, which is a fifth longer than the lease, so that clocks may
-// differ in rate by that much.
+// differ in rate by that much. Two replicas whose timeouts end within one tick may
+// split the votes.
 const (
 	Heartbeat       = 100 * time.Millisecond
 	ElectionMinimum = 600 * time.Millisecond
 	ElectionMaximum = 1200 * time.Millisecond
 	Lease           = 500 * time.Millisecond
-	tick            = 50 * time.Millisecond
+	tick            = 20 * time.Millisecond
 )
 
 // Deadlines of calls to peers.
