replica: update the address of a member that has moved

Cause: a process learns its address from its settings; after a change of them the other members could not reach its identity any more. Ruled out: addresses in vote and append messages, since a change of where a member is reached has to be agreed on like any other membership change. Change: AddLearner with a known identity and another address updates the address and keeps the vote. Before: the call did nothing.

--- a/internal/control/replica/member.go
+++ b/internal/control/replica/member.go
@@ -16,14 +16,20 @@
 // errLagging says that the learner has not caught up yet.
 var errLagging = errors.New("learner has not caught up")
 
-// AddLearner adds a member without a vote and returns once that is committed.
+// AddLearner adds a member without a vote and returns once that is committed. If the
+// identity is a member already, it keeps its vote and only its address is updated.
 func (n *Node) AddLearner(ctx context.Context, m Member) (err error) {
 	m.Voter = false
 	_, err = n.change(ctx, func(members []Member) ([]Member, error) {
-		if _, ok := find(members, m.Identity); ok {
+		at := slices.IndexFunc(members, func(o Member) bool { return o.Identity == m.Identity })
+		switch {
+		case at < 0:
+			return append(members, m), nil
+		case members[at].Address == m.Address:
 			return nil, nil
 		}
-		return append(members, m), nil
+		members[at].Address = m.Address
+		return members, nil
 	})
 	return errors.Wrapf(err, "add %s", m.Identity)
 }
--- a/internal/control/replica/member_test.go
+++ b/internal/control/replica/member_test.go
@@ -227,3 +227,21 @@
 		c.converge()
 	})
 }
+
+// Guards against a member that cannot be reached any more after its address has changed.
+func TestAddressChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 8, 3).form()
+		i := c.others(c.leader())[0]
+		c.stop(i, true)
+		i.name = "moved"
+		c.start(i)
+		c.must(c.leader().node.AddLearner(t.Context(), i.self))
+		c.converge()
+		for _, m := range c.leader().node.Status().Members {
+			is.True(m.Voter)
+			is.Equal(m.Identity == i.self.Identity, m.Address == "moved")
+		}
+	})
+}
