--- a/internal/entry/caller/fake_test.go
+++ b/internal/entry/caller/fake_test.go
@@ -91,13 +91,6 @@
 	}
 }
 
-// do runs f while nothing else changes the fake.
-func (f *fakeControl) do(g func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	g()
-}
-
 // Leased is the configuration unless the test took the lease away.
 func (f *fakeControl) Leased() (c *control.Config) {
 	f.do(func() {
@@ -108,6 +101,13 @@
 	return c
 }
 
+// do runs f while nothing else changes the fake.
+func (f *fakeControl) do(g func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g()
+}
+
 func (f *fakeControl) Config() (c *control.Config)       { f.do(func() { c = f.config }); return c }
 func (f *fakeControl) hold(held bool)                    { f.do(func() { f.held = held }) }
 func (f *fakeControl) leave(name string)                 { f.do(func() { f.replace(name, nil) }) }
