control: validate documents before the proposal

Cause: the state machine of group 0 called the validator, so replicas of two versions with different rules for documents would have diverged on one log. Ruled out: to validate first and refuse at once, since a resend of an accepted change must get its first answer. Change: the service of internal/control/entry validates before it proposes. If the text is not valid it confirms a read, which brings the receipts of former leaders, and refuses only a change that has no receipt. state.NewConfig takes no validator any more; the default is document.Validate. Before: the answer to a resend did not depend on the validator, since the state machine looked at receipts first. Conclusion: the result of a command depends on the log alone.

--- a/internal/control/entry/documents.go
+++ b/internal/control/entry/documents.go
@@ -10,6 +10,9 @@
 
 // Apply changes a document and, if asked to, waits for the change to be in force.
 func (s *Service) Apply(ctx context.Context, r *wire.ApplyRequest) (*wire.ApplyReply, error) {
+	if reply := s.refuse(ctx, r); reply != nil {
+		return reply, nil
+	}
 	reply := &wire.ApplyReply{}
 	c := &wire.Command{Body: &wire.Command_Apply{Apply: r}}
 	if f := s.propose(ctx, 0, c, reply); f != nil {
@@ -27,6 +30,27 @@
 	return reply, nil
 }
 
+// refuse returns the answer to a change whose text is not valid, nil to any other. A
+// change that was answered before gets that answer, also if the rules for documents have
+// become stricter since.
+func (s *Service) refuse(ctx context.Context, r *wire.ApplyRequest) *wire.ApplyReply {
+	if s.validate == nil {
+		return nil
+	}
+	cause := s.validate(r.Service, r.Text)
+	if cause == nil {
+		return nil
+	}
+	// A new leader has all receipts of former ones only after a confirmed read.
+	if f := s.read(ctx, 0); f != nil {
+		return &wire.ApplyReply{Fault: f}
+	}
+	if s.config.Answered(r) != nil {
+		return nil // the state machine repeats the answer
+	}
+	return &wire.ApplyReply{Fault: &wire.Fault{Code: wire.Code_CODE_INVALID, Text: cause.Error()}}
+}
+
 // awaitInforce waits until the revision is in force everywhere. It returns false
 // if the wait ends first or this instance stops leading.
 func (s *Service) awaitInforce(ctx context.Context, revision uint64, wait time.Duration) bool {
--- a/internal/control/entry/server.go
+++ b/internal/control/entry/server.go
@@ -44,8 +44,8 @@
 	Groups uint32
 	// Peer is the token that instances show each other.
 	Peer string
-	// Validate checks documents; by default those of package document.
-	Validate state.Validator
+	// Validate checks documents; by default document.Validate.
+	Validate Validator
 	Timer    timer.Service
 	// Random is used by this server alone.
 	Random *rand.Rand
@@ -76,7 +76,7 @@
 		o.Log = zap.NewNop()
 	}
 	if o.Validate == nil {
-		o.Validate = validate
+		o.Validate = document.Validate
 	}
 	if o.Reserve == 0 {
 		o.Reserve = disk.DefaultReserve
@@ -84,17 +84,6 @@
 	return nil
 }
 
-func validate(service string, text []byte) error {
-	d, err := document.Parse(service, text)
-	if err != nil {
-		return err
-	}
-	if string(d.Service) != service {
-		return errors.Newf("field service: %q, expected %q", d.Service, service)
-	}
-	return nil
-}
-
 // Server is one control instance: its replicas and the services on its peer address.
 type Server struct {
 	options    Options
@@ -158,7 +147,7 @@
 	if s.standing.record, err = loadRecord(o.Folder); err != nil {
 		return nil, errors.Mark(err, disk.ErrCorrupt)
 	}
-	config := state.NewConfig(o.Validate)
+	config := state.NewConfig()
 	machines := []replica.Machine{config}
 	var data []*state.Data
 	for range o.Groups {
@@ -210,7 +199,9 @@
 		byGroup[replica.Group(g)] = n
 		nodes, members = append(nodes, adapter{n}), append(members, adapter{n})
 	}
-	s.service = NewService(Parts{Timer: o.Timer, Log: o.Log, Address: o.Address, Config: config, Data: data, Nodes: nodes})
+	s.service = NewService(Parts{
+		Timer: o.Timer, Log: o.Log, Address: o.Address, Validate: o.Validate, Config: config, Data: data, Nodes: nodes,
+	})
 	s.membership = &membership{timer: o.Timer, log: o.Log, addresses: o.Control, nodes: members}
 	replicas := replica.NewServer(byGroup)
 	replicas.Token = o.Peer
--- a/internal/control/entry/service.go
+++ b/internal/control/entry/service.go
@@ -46,15 +46,20 @@
 	Status() *wire.GroupStatus
 }
 
+// Validator checks the text of a document of a service.
+type Validator func(service string, text []byte) error
+
 // Service implements the calls of the Control service except Identify and Join.
 type Service struct {
 	timer   timer.Service
 	log     *zap.Logger
 	address string
-	config  *state.Config
-	data    []*state.Data
-	nodes   []Node
-	table   *table
+	// validate may be nil.
+	validate Validator
+	config   *state.Config
+	data     []*state.Data
+	nodes    []Node
+	table    *table
 
 	mu sync.Mutex
 	// confirmed is the term in which a majority confirmed this leader of group 0.
@@ -67,8 +72,10 @@
 	Log   *zap.Logger
 	// Address is this instance's own peer address.
 	Address string
-	Config  *state.Config
-	Data    []*state.Data
+	// Validate checks documents before they are proposed; nil accepts all.
+	Validate Validator
+	Config   *state.Config
+	Data     []*state.Data
 	// Nodes holds the replica of group 0 and then those of the data groups in order.
 	Nodes []Node
 }
@@ -76,8 +83,8 @@
 // NewService returns the service of one control instance.
 func NewService(p Parts) *Service {
 	return &Service{
-		timer: p.Timer, log: p.Log, address: p.Address, config: p.Config, data: p.Data, nodes: p.Nodes,
-		table: newTable(p.Timer),
+		timer: p.Timer, log: p.Log, address: p.Address, validate: p.Validate, config: p.Config,
+		data: p.Data, nodes: p.Nodes, table: newTable(p.Timer),
 	}
 }
 
--- a/internal/control/state/config.go
+++ b/internal/control/state/config.go
@@ -23,14 +23,9 @@
 	keptChanges = 4096
 )
 
-// Validator checks the text of a document. It must give the same result on all replicas.
-type Validator func(service string, text []byte) error
-
 // Config is the state machine of group 0. Apply, Snapshot and Restore are called
 // from one goroutine; the other methods may be called from any.
 type Config struct {
-	validate Validator
-
 	mu       sync.RWMutex
 	revision uint64
 	instant  int64
@@ -64,8 +59,8 @@
 }
 
 // NewConfig returns an empty group 0.
-func NewConfig(validate Validator) *Config {
-	c := &Config{validate: validate, changed: make(chan struct{})}
+func NewConfig() *Config {
+	c := &Config{changed: make(chan struct{})}
 	c.reset()
 	return c
 }
@@ -113,6 +108,8 @@
 }
 
 // apply accepts a change of a document or refuses it. A resend gets the first answer.
+// The text is checked before the proposal and not here: replicas of two versions that
+// judged a text differently would diverge.
 func (c *Config) apply(r *wire.ApplyRequest, instant int64) *wire.ApplyReply {
 	digest := Digest(r.Text)
 	if reply := c.answered(r, digest); reply != nil {
@@ -121,11 +118,6 @@
 	if r.Service == "" {
 		return &wire.ApplyReply{Fault: fault(wire.Code_CODE_INVALID, "service is empty")}
 	}
-	if c.validate != nil {
-		if err := c.validate(r.Service, r.Text); err != nil {
-			return &wire.ApplyReply{Fault: fault(wire.Code_CODE_INVALID, err.Error())}
-		}
-	}
 	current := c.current(r.Service).GetRevision()
 	if r.Base != current {
 		f := fault(wire.Code_CODE_CONFLICT, fmt.Sprintf("document %s is at revision %d, not %d", r.Service, current, r.Base))
@@ -146,6 +138,13 @@
 	return reply
 }
 
+// Answered returns the first answer to a change that was seen before, nil to a new one.
+func (c *Config) Answered(r *wire.ApplyRequest) *wire.ApplyReply {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.answered(r, Digest(r.Text))
+}
+
 // answered returns the first answer to a change that was seen before. A change
 // id that was accepted names one change only; one that was refused may be used
 // again with another base or text.
