control: let tests give a control instance its disk and network

Cause: the proofs need kills, torn files, full disks and cut paths at a whole control instance, whose disk, listener and dial function were fixed. Ruled out: a second copy of the code that joins replicas and services, since a proof of a copy shows nothing about the server. Change: entry.Options has Files, Dial, Listen and Compaction, by default the machine's disk and TCP and the constants of package replica, whose Options has Compaction too. The record of the formation goes through Files as well. The timer package exports Ticks for other implementations of Service. Conclusion: faults can be injected at the disk, the transport and the timer.

--- a/internal/control/entry/peers.go
+++ b/internal/control/entry/peers.go
@@ -7,6 +7,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/disk"
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
@@ -17,6 +18,7 @@
 type peers struct {
 	timer timer.Service
 	token string
+	dial  func(ctx context.Context, address string) (net.Conn, error)
 }
 
 func (p *peers) identify(ctx context.Context, address string) (r *wire.IdentifyReply, err error) {
@@ -38,8 +40,7 @@
 func (p *peers) call(ctx context.Context, address string, f func(context.Context, wire.DRPCControlClient) error) error {
 	ctx, cancel := timer.WithTimeout(ctx, p.timer, peerLimit)
 	defer cancel()
-	var d net.Dialer
-	n, err := d.DialContext(ctx, "tcp", address)
+	n, err := p.dial(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -50,6 +51,7 @@
 
 // standing is how this instance stands to the control group.
 type standing struct {
+	files     disk.Files
 	directory string
 
 	mu     sync.Mutex
@@ -65,7 +67,7 @@
 
 // set makes the record durable before others see it.
 func (s *standing) set(r *record) error {
-	if err := r.save(s.directory); err != nil {
+	if err := r.save(s.files, s.directory); err != nil {
 		return err
 	}
 	s.mu.Lock()
--- a/internal/control/entry/record.go
+++ b/internal/control/entry/record.go
@@ -2,11 +2,12 @@
 
 import (
 	"encoding/json"
-	"os"
+	"io/fs"
 	"path/filepath"
 
 	"github.com/cockroachdb/errors"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/disk"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
@@ -21,15 +22,15 @@
 }
 
 // loadRecord returns nil if the instance belongs to no group yet.
-func loadRecord(directory string) (r *record, err error) {
+func loadRecord(f disk.Files, directory string) (r *record, err error) {
 	path := filepath.Join(directory, recordName)
 	defer func() {
 		if err != nil {
 			err = errors.Wrap(err, path)
 		}
 	}()
-	text, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
+	text, err := f.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
@@ -43,7 +44,7 @@
 }
 
 // save writes the record and syncs it before it takes effect.
-func (r *record) save(directory string) (err error) {
+func (r *record) save(f disk.Files, directory string) (err error) {
 	path := filepath.Join(directory, recordName)
 	defer func() {
 		if err != nil {
@@ -54,32 +55,23 @@
 	if err != nil {
 		return err
 	}
-	if err := writeSynced(path+".tmp", text); err != nil {
+	if err := writeSynced(f, path+".tmp", text); err != nil {
 		return err
 	}
-	if err := os.Rename(path+".tmp", path); err != nil {
+	if err := f.Rename(path+".tmp", path); err != nil {
 		return err
 	}
-	return syncDirectory(directory)
+	return f.SyncDir(directory)
 }
 
-func writeSynced(path string, text []byte) (err error) {
-	f, err := os.Create(path)
+func writeSynced(f disk.Files, path string, text []byte) (err error) {
+	file, err := f.Create(path)
 	if err != nil {
 		return err
 	}
-	defer func() { err = errors.CombineErrors(err, f.Close()) }()
-	if _, err := f.Write(text); err != nil {
+	defer func() { err = errors.CombineErrors(err, file.Close()) }()
+	if _, err := file.Write(text); err != nil {
 		return err
 	}
-	return f.Sync()
-}
-
-func syncDirectory(path string) (err error) {
-	d, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.CombineErrors(err, d.Close()) }()
-	return d.Sync()
+	return file.Sync()
 }
--- a/internal/control/entry/server.go
+++ b/internal/control/entry/server.go
@@ -52,6 +52,14 @@
 	Log    *zap.Logger
 	// Reserve is the disk space kept free; disk.DefaultReserve if zero.
 	Reserve uint64
+	// Files is the file system of the data directory; disk.System by default.
+	Files disk.Files
+	// Dial opens a connection to another control instance; TCP by default.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Listen opens the peer address; TCP by default.
+	Listen func(address string) (net.Listener, error)
+	// Compaction is when logs are compacted; the defaults of package replica if zero.
+	Compaction replica.Compaction
 }
 
 func (o *Options) complete() error {
@@ -81,9 +89,30 @@
 	if o.Reserve == 0 {
 		o.Reserve = disk.DefaultReserve
 	}
+	o.connect()
 	return nil
 }
 
+// connect fills in the machine's own disk and network.
+func (o *Options) connect() {
+	if o.Files == nil {
+		o.Files = disk.System{}
+	}
+	if o.Dial == nil {
+		o.Dial = dial
+	}
+	if o.Listen == nil {
+		o.Listen = listen
+	}
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 // Server is one control instance: its replicas and the services on its peer address.
 type Server struct {
 	options    Options
@@ -111,7 +140,7 @@
 	}
 	s, err = open(o)
 	if errors.Is(err, disk.ErrCorrupt) {
-		aside, failure := disk.SetAside(disk.System{}, o.Folder)
+		aside, failure := disk.SetAside(o.Files, o.Folder)
 		if failure != nil {
 			return nil, errors.CombineErrors(failure, err)
 		}
@@ -122,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.listener, err = net.Listen("tcp", o.Address); err != nil {
+	if s.listener, err = o.Listen(o.Address); err != nil {
 		return nil, errors.CombineErrors(err, s.close())
 	}
 	return s, nil
@@ -131,20 +160,23 @@
 // open loads everything that the data directory holds.
 func open(o Options) (s *Server, err error) {
 	s = &Server{
-		options: o, standing: &standing{directory: o.Folder},
-		transport: replica.NewTransport(replica.TransportOptions{Timer: o.Timer, Token: o.Peer}),
+		options: o, standing: &standing{files: o.Files, directory: o.Folder},
+		transport: replica.NewTransport(replica.TransportOptions{
+			Timer: o.Timer, Token: o.Peer,
+			Dial: func(ctx context.Context, to replica.Address) (net.Conn, error) { return o.Dial(ctx, string(to)) },
+		}),
 	}
 	defer func() {
 		if err != nil {
 			err = errors.CombineErrors(err, s.close())
 		}
 	}()
-	directory, err := disk.Open(disk.System{}, o.Folder, o.Reserve)
+	directory, err := disk.Open(o.Files, o.Folder, o.Reserve)
 	if err != nil {
 		return nil, err
 	}
 	s.identity = string(directory.Identity())
-	if s.standing.record, err = loadRecord(o.Folder); err != nil {
+	if s.standing.record, err = loadRecord(o.Files, o.Folder); err != nil {
 		return nil, errors.Mark(err, disk.ErrCorrupt)
 	}
 	config := state.NewConfig()
@@ -179,7 +211,7 @@
 	s.stores = append(s.stores, store)
 	n, err := replica.New(replica.Options{
 		Group: g, Self: replica.Member{Identity: d.Identity(), Address: replica.Address(o.Address), Voter: true},
-		Machine: m, Store: store, Transport: s.transport, Timer: o.Timer, Log: o.Log,
+		Machine: m, Store: store, Transport: s.transport, Timer: o.Timer, Log: o.Log, Compaction: o.Compaction,
 		Random: rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
 	})
 	if err != nil {
--- a/internal/control/replica/apply.go
+++ b/internal/control/replica/apply.go
@@ -113,7 +113,7 @@
 			p.finish(result, nil)
 		}
 	}
-	if int(a.index-a.saved) < n.limits.entries && a.bytes < n.limits.bytes {
+	if int(a.index-a.saved) < n.limits.Entries && a.bytes < n.limits.Bytes {
 		return nil
 	}
 	return a.save()
@@ -172,10 +172,10 @@
 
 func (n *Node) compacted(m SnapshotMeta) {
 	n.snapshot = max(n.snapshot, m.Index)
-	if m.Index <= n.limits.keep {
+	if m.Index <= n.limits.Keep {
 		return
 	}
-	upTo := m.Index - n.limits.keep
+	upTo := m.Index - n.limits.Keep
 	n.journal.compact(upTo)
 	n.submit(&write{compact: upTo})
 }
--- a/internal/control/replica/export_test.go
+++ b/internal/control/replica/export_test.go
@@ -2,5 +2,5 @@
 
 // SetLimits lowers the thresholds of compaction of a node that does not run yet.
 func SetLimits(n *Node, entries int, keep Index) {
-	n.limits.entries, n.limits.keep = entries, keep
+	n.limits.Entries, n.limits.Keep = entries, keep
 }
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -84,18 +84,11 @@
 	sequence uint64
 	reads    []*read
 
-	limits limits
+	limits Compaction
 	state  state // read by other goroutines under state.mu
 	apply  *applier
 }
 
-// limits are the thresholds of compaction. Tests lower them.
-type limits struct {
-	entries int
-	bytes   int
-	keep    Index
-}
-
 // state is what other goroutines see of a node.
 type state struct {
 	mu     sync.Mutex
@@ -132,7 +125,7 @@
 		work: ring.New[*work](workSize), progress: make(chan struct{}, 1), stopped: make(chan struct{}),
 		journal: j, term: hard.Term, vote: hard.Vote, peers: map[Identity]*peer{}, contact: never,
 		commit: meta.Index, handed: meta.Index, stable: j.last(), snapshot: meta.Index,
-		waiting: map[Index]*proposal{}, limits: limits{entries: 4096, bytes: 16 << 20, keep: 512},
+		waiting: map[Index]*proposal{}, limits: o.Compaction.complete(),
 	}
 	n.applied.Store(uint64(meta.Index))
 	n.apply = &applier{
--- a/internal/control/replica/types.go
+++ b/internal/control/replica/types.go
@@ -150,6 +150,31 @@
 	Timer     timer.Service
 	Random    *rand.Rand
 	Log       *zap.Logger
+	// Compaction is when the log is compacted; each field that is zero has its default.
+	Compaction Compaction
+}
+
+// Compaction tells when a snapshot replaces the log.
+type Compaction struct {
+	// Entries and Bytes of log are applied before the next snapshot.
+	Entries int
+	Bytes   int
+	// Keep is how many entries before the snapshot stay in the log.
+	Keep Index
+}
+
+// complete fills in the defaults.
+func (c Compaction) complete() Compaction {
+	if c.Entries == 0 {
+		c.Entries = 4096
+	}
+	if c.Bytes == 0 {
+		c.Bytes = 16 << 20
+	}
+	if c.Keep == 0 {
+		c.Keep = 512
+	}
+	return c
 }
 
 // Status describes a node at one moment.
--- a/internal/kernel/timer/manual.go
+++ b/internal/kernel/timer/manual.go
@@ -47,7 +47,7 @@
 }
 
 // Subscribe delivers a tick every d.
-func (m *Manual) Subscribe(d time.Duration) *Subscription { return subscribe(m, d) }
+func (m *Manual) Subscribe(d time.Duration) *Subscription { return Ticks(m, d) }
 
 // Advance moves the time on by d and makes all calls that fall due, in order.
 func (m *Manual) Advance(d time.Duration) {
