proof: run the whole path in one process for proofs

The proofs of calls, billing and answers need entries, control instances and upstreams that can be killed, cut off or frozen at a chosen step of a request. Real processes and signals cannot stop at a step, and fakes of the control service, as the tests of internal/entry/caller have them, do not show faults of the replicated log; both were ruled out. internal/proof/system assembles the real parts behind gates on connections, timers and control calls. For that the control server takes Listen and Dial, the caller handler and the dispatcher take Dial, and package timer builds the subscriptions of other services. All default to what they did before. Before: no test ran an entry against real control instances. Conclusion: proofs can be written as short scripts over this package.

--- a/internal/control/entry/entering.go
+++ b/internal/control/entry/entering.go
@@ -38,7 +38,7 @@
 // former returns what brings this instance into the control group.
 func (s *Server) former() *former {
 	o := s.options
-	p := &peers{timer: o.Timer, token: o.Peer}
+	p := &peers{timer: o.Timer, token: o.Peer, dial: o.Dial}
 	return &former{
 		timer: o.Timer, random: o.Random, log: o.Log, identity: s.identity, address: o.Address,
 		addresses: o.Control, groups: o.Groups, identify: p.identify, join: p.join,
--- a/internal/control/entry/peers.go
+++ b/internal/control/entry/peers.go
@@ -17,6 +17,7 @@
 type peers struct {
 	timer timer.Service
 	token string
+	dial  func(ctx context.Context, address string) (net.Conn, error)
 }
 
 func (p *peers) identify(ctx context.Context, address string) (r *wire.IdentifyReply, err error) {
@@ -38,8 +39,7 @@
 func (p *peers) call(ctx context.Context, address string, f func(context.Context, wire.DRPCControlClient) error) error {
 	ctx, cancel := timer.WithTimeout(ctx, p.timer, peerLimit)
 	defer cancel()
-	var d net.Dialer
-	n, err := d.DialContext(ctx, "tcp", address)
+	n, err := p.dial(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/internal/control/entry/server.go
+++ b/internal/control/entry/server.go
@@ -52,6 +52,9 @@
 	Log    *zap.Logger
 	// Reserve is the disk space kept free; disk.DefaultReserve if zero.
 	Reserve uint64
+	// Listen opens the peer address and Dial connects to another one; TCP by default.
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
 }
 
 func (o *Options) complete() error {
@@ -81,9 +84,22 @@
 	if o.Reserve == 0 {
 		o.Reserve = disk.DefaultReserve
 	}
+	if o.Listen == nil {
+		o.Listen = listen
+	}
+	if o.Dial == nil {
+		o.Dial = dial
+	}
 	return nil
 }
 
+func listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 func validate(service string, text []byte) error {
 	d, err := document.Parse(service, text)
 	if err != nil {
@@ -133,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.listener, err = net.Listen("tcp", o.Address); err != nil {
+	if s.listener, err = o.Listen(o.Address); err != nil {
 		return nil, errors.CombineErrors(err, s.close())
 	}
 	return s, nil
@@ -143,7 +159,10 @@
 func open(o Options) (s *Server, err error) {
 	s = &Server{
 		options: o, standing: &standing{directory: o.Folder},
-		transport: replica.NewTransport(replica.TransportOptions{Timer: o.Timer, Token: o.Peer}),
+		transport: replica.NewTransport(replica.TransportOptions{
+			Timer: o.Timer, Token: o.Peer,
+			Dial: func(ctx context.Context, to replica.Address) (net.Conn, error) { return o.Dial(ctx, string(to)) },
+		}),
 	}
 	defer func() {
 		if err != nil {
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -78,6 +79,8 @@
 	Spread time.Duration
 	// Takeover is the age from which an open claim of another owner is taken over.
 	Takeover time.Duration
+	// Dial opens connections to upstreams; TCP by default.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Defaults of the options.
@@ -158,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h.dispatcher = upstream.New(upstream.Options{Timer: o.Timer, Limits: o.Upstream, Load: h.pool.Report})
+	h.dispatcher = upstream.New(upstream.Options{Timer: o.Timer, Limits: o.Upstream, Load: h.pool.Report, Dial: o.Dial})
 	o.Control.SetTallies(h.tallies)
 	return h, nil
 }
--- a/internal/entry/upstream/dispatch.go
+++ b/internal/entry/upstream/dispatch.go
@@ -65,6 +65,8 @@
 	Limits Limits
 	// Load receives the load that an upstream reports with an answer.
 	Load func(name string, incarnation uint64, load *wire.Load)
+	// Dial opens a connection; TCP with keep-alive probes by default.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Dispatcher sends single calls to single upstreams and never retries them.
@@ -72,13 +74,13 @@
 	timer  timer.Service
 	limits Limits
 	load   func(name string, incarnation uint64, load *wire.Load)
-	dialer net.Dialer
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	pooled *http.Transport
 }
 
 // New returns a dispatcher. Zero limits take their default.
 func New(o Options) *Dispatcher {
-	d := &Dispatcher{timer: o.Timer, limits: o.Limits, load: o.Load}
+	d := &Dispatcher{timer: o.Timer, limits: o.Limits, load: o.Load, dial: o.Dial}
 	base := DefaultLimits()
 	for _, l := range []struct{ have, base *time.Duration }{
 		{&d.limits.Dial, &base.Dial},
@@ -96,9 +98,14 @@
 	if d.load == nil {
 		d.load = func(string, uint64, *wire.Load) {}
 	}
-	// Probes find a peer that is gone while the entry waits for its answer.
-	d.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
-	d.pooled = transport(d.dialer.DialContext)
+	if d.dial == nil {
+		// Probes find a peer that is gone while the entry waits for its answer.
+		dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3,
+		}}
+		d.dial = dialer.DialContext
+	}
+	d.pooled = transport(d.dial)
 	return d
 }
 
@@ -122,7 +129,7 @@
 func (d *Dispatcher) Dial(ctx context.Context, u *wire.Upstream) (c net.Conn, err error) {
 	ctx, cancel := timer.WithTimeout(ctx, d.timer, d.limits.Dial)
 	defer cancel()
-	c, err = d.dialer.DialContext(ctx, "tcp", u.Address)
+	c, err = d.dial(ctx, "tcp", u.Address)
 	if err != nil {
 		return nil, &Failure{Outcome: NotRun, Reason: "upstream cannot be reached", Blame: true, Err: err}
 	}
--- a/internal/kernel/timer/timer.go
+++ b/internal/kernel/timer/timer.go
@@ -65,6 +65,9 @@
 	}
 }
 
+// NewSubscription builds the periodic ticks of a service from its AfterFunc.
+func NewSubscription(s Service, d time.Duration) *Subscription { return subscribe(s, d) }
+
 // subscribe builds periodic ticks from AfterFunc.
 func subscribe(s Service, d time.Duration) *Subscription {
 	c := make(chan Instant, 1)
--- /dev/null
+++ b/internal/proof/system/control.go
@@ -0,0 +1,67 @@
+package system
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+
+	server "wisteriakeel.example/wisteriakeel/internal/control/entry"
+)
+
+// Control is one control instance.
+type Control struct {
+	*Gate
+	Name    string
+	Address string
+
+	system *System
+	number int
+	folder string
+	server *server.Server
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (s *System) startControl(i int) *Control {
+	s.test.Helper()
+	c := &Control{Name: fmt.Sprint("control-", i+1), Address: s.peers[i], system: s, number: i, folder: s.test.TempDir()}
+	c.start()
+	return c
+}
+
+func (c *Control) start() {
+	s := c.system
+	s.test.Helper()
+	c.Gate = newGate(s.ended)
+	var err error
+	c.server, err = server.New(server.Options{
+		Instance: c.Name, Folder: c.folder, Address: c.Address, Control: s.peers, Groups: 1,
+		Peer: s.secrets.Peer(), Timer: newClock(c.Gate), Log: s.options.Log.Named(c.Name),
+		Random: rand.New(rand.NewPCG(s.options.Seed, uint64(c.number))),
+		Listen: c.listen, Dial: c.dialTCP,
+	})
+	s.must(err)
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.done = make(chan struct{})
+	s.group.Go(c.Name, c.run)
+}
+
+// run ends with the instance's own context, so that it can be killed alone.
+func (c *Control) run(context.Context) error {
+	defer close(c.done)
+	return c.server.Run(c.ctx)
+}
+
+// Kill ends the instance with all its connections. Its directory stays.
+func (c *Control) Kill() {
+	c.kill()
+	c.cancel()
+}
+
+// Restart starts a killed instance on its directory.
+func (c *Control) Restart() {
+	c.system.test.Helper()
+	<-c.done
+	c.start()
+}
--- /dev/null
+++ b/internal/proof/system/entry.go
@@ -0,0 +1,147 @@
+package system
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"wisteriakeel.example/wisteriakeel/internal/entry/caller"
+	client "wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// Entry is one entry. Killed, it does not come back.
+type Entry struct {
+	*Gate
+	Name    string
+	Address string
+	// Client is the entry's client of the control instances. It does not pass the
+	// hook; don't use it while the entry is frozen.
+	Client *client.Client
+
+	system   *System
+	listener net.Listener
+	server   *http.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+func (s *System) startEntry(i int) *Entry {
+	s.test.Helper()
+	o := s.options
+	e := &Entry{Gate: newGate(s.ended), Name: fmt.Sprint("entry-", i+1), system: s}
+	var err error
+	e.listener, err = e.listen("127.0.0.1:0")
+	s.must(err)
+	e.Address = e.listener.Addr().String()
+	random := rand.New(rand.NewPCG(o.Seed, uint64(100+i)))
+	self := &wire.Instance{Name: e.Name, Address: e.Address, Zone: "concord", Region: "new-england"}
+	epoch := random.Uint64()
+	service := newClock(e.Gate)
+	e.Client, err = client.New(client.Options{
+		Addresses: s.peers, Peer: s.secrets.Peer(), Groups: 1, Instance: self, Epoch: epoch, Timer: service,
+		Random: rand.New(rand.NewPCG(o.Seed, uint64(200+i))), Log: o.Log.Named(e.Name), Dial: e.dialTCP,
+	})
+	s.must(err)
+	limits := upstream.DefaultLimits()
+	limits.Overall = o.Longest
+	p := caller.Options{
+		Control: &hooked{Client: e.Client, entry: e}, Credentials: s.secrets, Timer: service, Random: random,
+		Log: o.Log.Named(e.Name), Self: self, Epoch: epoch, Upstream: limits, Longest: o.Longest, Timeout: o.Longest,
+		Takeover: o.Takeover, Dial: e.dialUpstream,
+	}
+	if r := s.rater(); r != nil {
+		p.Rater = r
+	}
+	h, err := caller.New(p)
+	s.must(err)
+	mux := http.NewServeMux()
+	h.Register(mux)
+	upstream.NewHandler(e.Client, s.secrets).Register(mux)
+	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	s.group.Go(e.Name, e.run)
+	s.group.Go(e.Name+" http", e.loop)
+	return e
+}
+
+// run ends with the entry's own context, so that it can be killed alone.
+func (e *Entry) run(context.Context) error { return e.Client.Run(e.ctx) }
+
+// loop serves HTTP until the server is closed.
+func (e *Entry) loop(context.Context) error {
+	_ = e.server.Serve(e.listener)
+	return nil
+}
+
+// Kill ends the entry with all its connections at once. Requests in progress go
+// no further.
+func (e *Entry) Kill() {
+	e.kill()
+	e.cancel()
+	_ = e.server.Close()
+}
+
+// dialUpstream opens a connection whose first byte passes the hook.
+func (e *Entry) dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
+	n, err := e.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := n.(*conn)
+	c.send = func() { e.system.options.Hook(Point{Instance: e.Name, Step: Send}) }
+	return c, nil
+}
+
+// hooked is the control client of an entry's requests.
+type hooked struct {
+	*client.Client
+	entry *Entry
+}
+
+var steps = map[wire.Step]Step{
+	wire.Step_STEP_OPEN: Open, wire.Step_STEP_DISPATCH: Dispatch, wire.Step_STEP_FINISH: Finish,
+	wire.Step_STEP_ABORT: Abort, wire.Step_STEP_READ: Read,
+}
+
+// step makes one call with the hook on both sides.
+func (h *hooked) step(p Point, f func() *wire.ClaimReply) {
+	p.Instance = h.entry.Name
+	h.entry.system.options.Hook(p)
+	h.entry.pass()
+	p.Claim, p.After = f(), true
+	h.entry.pass()
+	h.entry.system.options.Hook(p)
+	h.entry.pass()
+}
+
+// Claim passes the hook.
+func (h *hooked) Claim(ctx context.Context, r *wire.ClaimRequest) (reply *wire.ClaimReply, err error) {
+	h.step(Point{Step: steps[r.Step], Key: r.Key}, func() *wire.ClaimReply {
+		reply, err = h.Client.Claim(ctx, r)
+		return reply
+	})
+	return reply, err
+}
+
+// Pin passes the hook.
+func (h *hooked) Pin(ctx context.Context, r *wire.PinRequest) (reply *wire.PinReply, err error) {
+	h.step(Point{Step: Pin, Key: r.Session}, func() *wire.ClaimReply {
+		reply, err = h.Client.Pin(ctx, r)
+		return nil
+	})
+	return reply, err
+}
+
+// Charge passes the hook.
+func (h *hooked) Charge(ctx context.Context, r *wire.ChargeRequest) (reply *wire.ChargeReply, err error) {
+	h.step(Point{Step: Charge, Key: r.Request}, func() *wire.ClaimReply {
+		reply, err = h.Client.Charge(ctx, r)
+		return nil
+	})
+	return reply, err
+}
