--- a/internal/control/replica/member_test.go
+++ b/internal/control/replica/member_test.go
@@ -26,15 +26,25 @@
 	return out
 }
 
-// repair replaces the member that was lost at the address of i by its new identity.
-func (c *cluster) repair(i *instance, former replica.Identity) {
+// tryRepair replaces the member that was lost at the address of i by its new identity.
+// It can be repeated after an error.
+func (c *cluster) tryRepair(i *instance, former replica.Identity) (err error) {
 	c.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	l := c.leader()
-	c.must(l.node.AddLearner(ctx, i.self))
-	c.must(l.node.Remove(ctx, former))
-	c.must(l.node.Promote(ctx, i.self.Identity))
+	n := c.leader().node
+	if err := n.AddLearner(ctx, i.self); err != nil {
+		return err
+	}
+	if err := n.Remove(ctx, former); err != nil {
+		return err
+	}
+	return n.Promote(ctx, i.self.Identity)
+}
+
+func (c *cluster) repair(i *instance, former replica.Identity) {
+	c.t.Helper()
+	c.must(c.tryRepair(i, former))
 }
 
 // Guards against entries that are lost when a disk is lost, replaced, and another
@@ -86,7 +96,7 @@
 		c.stop(i, true)
 		i.files.Change("data/group-0/log-0000000000000001", func(b []byte) []byte { b[len(b)/2]++; return b })
 		is.True(errors.Is(c.tryStart(i), disk.ErrCorrupt))
-		_, err := disk.SetAside(i.files, "data")
+		_, err := disk.SetAside(i.files.Process(), "data")
 		is.NoErr(err)
 		c.start(i)
 		c.repair(i, former)
@@ -217,3 +227,21 @@
 		c.converge()
 	})
 }
+
+// Guards against a member that cannot be reached any more after its address has changed.
+func TestAddressChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 8, 3).form()
+		i := c.others(c.leader())[0]
+		c.stop(i, true)
+		i.name = "moved"
+		c.start(i)
+		c.must(c.leader().node.AddLearner(t.Context(), i.self))
+		c.converge()
+		for _, m := range c.leader().node.Status().Members {
+			is.True(m.Voter)
+			is.Equal(m.Identity == i.self.Identity, m.Address == "moved")
+		}
+	})
+}
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -84,16 +84,9 @@
 	sequence uint64
 	reads    []*read
 
-	limits limits
+	limits Compaction
 	state  state // read by other goroutines under state.mu
-	apply  applier
-}
-
-// limits are the thresholds of compaction. Tests lower them.
-type limits struct {
-	entries int
-	bytes   int
-	keep    Index
+	apply  *applier
 }
 
 // state is what other goroutines see of a node.
@@ -132,10 +125,13 @@
 		work: ring.New[*work](workSize), progress: make(chan struct{}, 1), stopped: make(chan struct{}),
 		journal: j, term: hard.Term, vote: hard.Vote, peers: map[Identity]*peer{}, contact: never,
 		commit: meta.Index, handed: meta.Index, stable: j.last(), snapshot: meta.Index,
-		waiting: map[Index]*proposal{}, limits: limits{entries: 4096, bytes: 16 << 20, keep: 512},
+		waiting: map[Index]*proposal{}, limits: o.Compaction.complete(),
 	}
 	n.applied.Store(uint64(meta.Index))
-	n.apply = applier{node: n, index: meta.Index, term: meta.Term, members: meta.Members, saved: meta.Index}
+	n.apply = &applier{
+		node: n, index: meta.Index, term: meta.Term, members: meta.Members, saved: meta.Index,
+		saves: make(chan stored, 1),
+	}
 	n.start = n.timer.Now()
 	n.deferElection()
 	if err := n.restoreStored(meta); err != nil {
@@ -174,6 +170,7 @@
 	n.begin.Unlock()
 	defer close(n.stopped)
 	n.members.Go("disk", n.runDisk)
+	n.members.Go("save", n.apply.runSave)
 	n.members.Go("apply", n.apply.run)
 	n.members.Go("loop", n.loop)
 	return n.members.Wait()
@@ -189,7 +186,8 @@
 		if n.pending >= ringSize {
 			events, proposals = nil, nil
 		}
-		if n.journal.last() > Index(n.applied.Load())+maxUncommitted {
+		// A follower refuses at once, so only a leader lets proposals wait.
+		if n.role == leader && n.journal.last() > Index(n.applied.Load())+maxUncommitted {
 			proposals = nil
 		}
 		select {
