call: prove that calls run at most once and that "not run" is true

One fault was found: a call that was given up between dispatching and its send stored "this entry has no valid configuration lease; use another one", which the other entries then repeated for the key. The stored refusal now says that the call was not sent and needs a new key.

--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -215,6 +215,7 @@
 	sent = true
 	// The claim may have taken long, so everything is checked once more.
 	if err = c.clear(k.Upstream); err != nil {
+		err = errors.CombineErrors(c.handler.busy(kindControl, "claim", "the call was not sent"), err)
 		return c.store(ctx, c.answer(upstream.Answer{}, err)), nil
 	}
 	answer, err := c.attempt(ctx, k, func(ctx context.Context) (upstream.Answer, error) {
--- a/internal/entry/caller/store.go
+++ b/internal/entry/caller/store.go
@@ -50,7 +50,7 @@
 		return
 	}
 	// The claim moved on although the move's answer was lost.
-	c.finish(ctx, c.answer(upstream.Answer{}, c.handler.busy(kindControl, "claim", "the call was not sent; use a new key")))
+	c.finish(ctx, c.answer(upstream.Answer{}, c.handler.busy(kindControl, "claim", "the call was not sent")))
 }
 
 // answer is what is stored for the outcome of the call.
@@ -63,6 +63,10 @@
 		return &wire.Answer{Status: uint32(a.Status), Type: kind, Body: a.Body}
 	}
 	r := c.outcome(err)
+	if r.outcome == upstream.NotRun {
+		// There is no second dispatch with the key, so a resend gets this refusal again.
+		r.message += "; send it with a new key"
+	}
 	return &wire.Answer{
 		Status: uint32(r.status), Type: refusalType, Body: r.body(),
 		Unknown: r.outcome == upstream.Unknown,
--- a/internal/proof/system/control.go
+++ b/internal/proof/system/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 
 	server "wisteriakeel.example/wisteriakeel/internal/control/entry"
 )
@@ -18,28 +19,36 @@
 	number int
 	folder string
 	server *server.Server
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   chan struct{}
+	// listener is opened before the server starts.
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
-func (s *System) startControl(i int) *Control {
+// addControl opens the address of an instance, since all must know all addresses
+// before the first starts.
+func (s *System) addControl(i int) *Control {
 	s.test.Helper()
-	c := &Control{Name: fmt.Sprint("control-", i+1), Address: s.peers[i], system: s, number: i, folder: s.test.TempDir()}
-	c.start()
+	c := &Control{Gate: newGate(s.ended), Name: fmt.Sprint("control-", i+1), system: s, number: i, folder: s.test.TempDir(), cancel: func() {}}
+	l, err := c.listen("127.0.0.1:0")
+	s.must(err)
+	c.listener, c.Address = l, l.Addr().String()
 	return c
 }
 
+// reserved returns the listener of the instance.
+func (c *Control) reserved(string) (net.Listener, error) { return c.listener, nil }
+
 func (c *Control) start() {
 	s := c.system
 	s.test.Helper()
-	c.Gate = newGate(s.ended)
 	var err error
 	c.server, err = server.New(server.Options{
 		Instance: c.Name, Folder: c.folder, Address: c.Address, Control: s.peers, Groups: 1,
 		Peer: s.secrets.Peer(), Timer: newClock(c.Gate), Log: s.options.Log.Named(c.Name),
 		Random: rand.New(rand.NewPCG(s.options.Seed, uint64(c.number))),
-		Listen: c.listen, Dial: c.dialTCP,
+		Listen: c.reserved, Dial: c.dialTCP,
 	})
 	s.must(err)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -63,5 +72,11 @@
 func (c *Control) Restart() {
 	c.system.test.Helper()
 	<-c.done
+	c.Gate = newGate(c.system.ended)
+	c.system.Until("address "+c.Address, func() bool {
+		var err error
+		c.listener, err = c.listen(c.Address)
+		return err == nil
+	})
 	c.start()
 }
--- a/internal/proof/system/system.go
+++ b/internal/proof/system/system.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -163,11 +162,12 @@
 	s.secrets, err = secret.Parse("secrets", []byte(secrets))
 	s.must(err)
 	t.Cleanup(s.stop)
-	for range 3 {
-		s.peers = append(s.peers, s.free())
-	}
 	for i := range 3 {
-		s.Controls = append(s.Controls, s.startControl(i))
+		s.Controls = append(s.Controls, s.addControl(i))
+		s.peers = append(s.peers, s.Controls[i].Address)
+	}
+	for _, c := range s.Controls {
+		c.start()
 	}
 	for i := range o.Entries {
 		s.Entries = append(s.Entries, s.startEntry(i))
@@ -267,14 +267,6 @@
 	}
 }
 
-// free returns a loopback address that nothing listens on.
-func (s *System) free() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	s.must(err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (s *System) stop() {
 	close(s.ended)
 	for _, e := range s.Entries {
