--- a/internal/control/replica/types.go
+++ b/internal/control/replica/types.go
@@ -55,13 +55,14 @@
 
 // Timing of elections and leases. A follower denies votes for the minimum
 // election timeout, which is a fifth longer than the lease, so that clocks may
-// differ in rate by that much.
+// differ in rate by that much. Two replicas whose timeouts end within one tick may
+// split the votes.
 const (
 	Heartbeat       = 100 * time.Millisecond
 	ElectionMinimum = 600 * time.Millisecond
 	ElectionMaximum = 1200 * time.Millisecond
 	Lease           = 500 * time.Millisecond
-	tick            = 50 * time.Millisecond
+	tick            = 20 * time.Millisecond
 )
 
 // Deadlines of calls to peers.
@@ -150,6 +151,31 @@
 	Timer     timer.Service
 	Random    *rand.Rand
 	Log       *zap.Logger
+	// Compaction is when the log is compacted; each field that is zero has its default.
+	Compaction Compaction
+}
+
+// Compaction tells when a snapshot replaces the log.
+type Compaction struct {
+	// Entries and Bytes of log are applied before the next snapshot.
+	Entries int
+	Bytes   int
+	// Keep is how many entries before the snapshot stay in the log.
+	Keep Index
+}
+
+// complete fills in the defaults.
+func (c Compaction) complete() Compaction {
+	if c.Entries == 0 {
+		c.Entries = 4096
+	}
+	if c.Bytes == 0 {
+		c.Bytes = 16 << 20
+	}
+	if c.Keep == 0 {
+		c.Keep = 512
+	}
+	return c
 }
 
 // Status describes a node at one moment.
--- a/internal/entry/caller/list_test.go
+++ b/internal/entry/caller/list_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,16 +88,16 @@
 	}
 	_, names := entries()
 	is.Equal(names, "e1 e2") // the own zone first
-	r := newRunner(t)
+	var r sync.WaitGroup
 	var status int
-	r.start(func() {
+	r.Go(func() {
 		resp, _ := send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", true))
 		status = resp.StatusCode
 	})
 	<-started
 	begin := time.Now()
 	done := make(chan time.Duration, 1)
-	r.start(func() {
+	r.Go(func() {
 		if h.Drain(context.Background()) == nil {
 			done <- time.Since(begin)
 		}
@@ -113,13 +115,31 @@
 	is.True(time.Since(begin) >= 350*time.Millisecond)
 	is.Equal(len(done), 0) // a request is in progress
 	close(release)
-	r.wait()
+	r.Wait()
 	is.Equal(len(done), 1)
 	is.Equal(status, 200)
 	is.Equal(e.count(), 1)
 	is.True(f.drained)
 }
 
+// Guards against small accounts that cannot see what the others get.
+func TestFairnessShowsAllAccounts(t *testing.T) {
+	is := is.New(t)
+	f := newFakeControl(poolDocument())
+	startEngine(t, f, "w1", "small", &engine{version: "v1", words: []string{"a"}, breakAfter: -1})
+	startEngine(t, f, "w2", "large", &engine{version: "v1", words: []string{"a"}, breakAfter: -1})
+	_, s := newHandler(t, f, nil)
+	send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false))
+	send(t, "POST", s.URL+"/v1/chat/completions", chatBody("large", false), "Authorization", "Bearer farm")
+	_, body := send(t, "GET", s.URL+"/v1/fairness", "")
+	var list struct{ Accounts []fairnessBody }
+	is.NoErr(json.Unmarshal([]byte(body), &list))
+	is.Equal(len(list.Accounts), 2)
+	is.Equal(list.Accounts[0].Account, "farm")
+	is.Equal(list.Accounts[0].Requests, uint64(1))
+	is.Equal(list.Accounts[0].Totals, []totalBody{{Service: "pool", Requests: 1, Amount: 70}})
+}
+
 // Guards against traces that end at the entry or leave out a hop.
 func TestTraceSpansEveryHop(t *testing.T) {
 	is := is.New(t)
@@ -139,7 +159,7 @@
 		is.Equal(p.SpanContext().TraceID().String(), id)
 		count[p.Name()]++
 		if strings.HasPrefix(p.Name(), "POST ") {
-			is.True(contains(p.Attributes(), attribute.String("request", "r-1")))
+			is.True(slices.Contains(p.Attributes(), attribute.String("request", "r-1")))
 		}
 	}
 	is.Equal(count, map[string]int{
@@ -147,12 +167,3 @@
 	})
 	is.True(strings.Contains(cheap.calls[0].Header.Get("traceparent"), id))
 }
-
-func contains(list []attribute.KeyValue, want attribute.KeyValue) bool {
-	for _, a := range list {
-		if a == want {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/entry/route/route_test.go
+++ b/internal/entry/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -16,37 +17,30 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
-func pool() *document.Document {
-	return &document.Document{
-		Service: "pool", Kind: document.KindEngine,
-		Models: []document.ModelSpec{
-			{Name: "small", Versions: []document.VersionSpec{
-				{Name: "v1", State: document.StateActive},
-				{Name: "v2", State: document.StateCandidate},
-				{Name: "v0", State: document.StateRetiring},
-				{Name: "bad", State: document.StateWithdrawn},
-			}},
-			{Name: "large", Versions: []document.VersionSpec{{Name: "v1", State: document.StateActive}}},
-		},
-		Cascades: []document.CascadeSpec{{Name: "draft", Steps: []document.Model{"small", "large"}, Quality: 0.7}},
-		Rollouts: []document.RolloutSpec{{Model: "small", From: "v1", To: "v2", Stages: []document.StageSpec{{Share: 20}, {Share: 100}}}},
-		Accounts: []document.AccountSpec{
-			{Name: "town", Models: []string{"small", "draft"}, Quality: 0.9},
-			{Name: "farm", Models: []string{"small@v1"}},
-		},
+func parse(text string) *document.Document {
+	d := &document.Document{}
+	if err := json.Unmarshal([]byte(text), d); err != nil {
+		panic(err)
 	}
+	return d
+}
+
+func pool() *document.Document {
+	return parse(`{"service":"pool","kind":"engine","models":[
+		{"name":"small","versions":[{"name":"v1","state":"active"},{"name":"v2","state":"candidate"},
+			{"name":"v0","state":"retiring"},{"name":"bad","state":"withdrawn"}]},
+		{"name":"large","versions":[{"name":"v1","state":"active"}]}],
+		"cascades":[{"name":"draft","steps":["small","large"],"quality":0.7}],
+		"rollouts":[{"model":"small","from":"v1","to":"v2","stages":[{"share":20},{"share":100}]}],
+		"accounts":[{"name":"town","models":["small","draft"],"quality":0.9},{"name":"farm","models":["small@v1"]},
+			{"name":"both","models":["small"]}]}`)
 }
 
 func config() *control.Config {
-	other := &document.Document{
-		Service: "press", Kind: document.KindEngine,
-		Models:   []document.ModelSpec{{Name: "small", Versions: []document.VersionSpec{{Name: "v1", State: document.StateActive}}}},
-		Accounts: []document.AccountSpec{{Name: "both", Models: []string{"small"}}},
-	}
-	d := pool()
-	d.Accounts = append(d.Accounts, document.AccountSpec{Name: "both", Models: []string{"small"}})
+	press := parse(`{"service":"press","kind":"engine","models":[{"name":"small","versions":[{"name":"v1","state":"active"}]}],
+		"accounts":[{"name":"both","models":["small"]}]}`)
 	return &control.Config{
-		Documents: map[document.Service]*document.Document{"pool": d, "press": other, "desk": {Service: "desk", Kind: document.KindPlain}},
+		Documents: map[document.Service]*document.Document{"pool": pool(), "press": press, "desk": {Service: "desk", Kind: document.KindPlain}},
 		Upstreams: map[string]*wire.Upstream{},
 	}
 }
@@ -184,6 +178,14 @@
 
 var want = Want{Service: "pool", Model: "small", Version: "v1"}
 
+// pick takes one upstream and returns its name.
+func pick(t *testing.T, p *Pool, c *control.Config) string {
+	t.Helper()
+	k, err := p.Pick(c, nil, want)
+	is.New(t).NoErr(err)
+	return k.Upstream.Name
+}
+
 // Guards against an unknown chooser in the settings being noticed at the first request only.
 func TestChooserNames(t *testing.T) {
 	is := is.New(t)
@@ -200,16 +202,12 @@
 	c := workers("z1", "z1", "z2")
 	count := map[string]int{}
 	for range 8 {
-		k, err := p.Pick(c, nil, want)
-		is.NoErr(err)
-		count[k.Upstream.Name]++
+		count[pick(t, p, c)]++
 	}
 	is.Equal(count["w2"], 0)
 	is.Equal(count["w0"], 4) // no report came since, only own requests tell
 	for range 4 {
-		k, err := p.Pick(c, nil, want)
-		is.NoErr(err)
-		count[k.Upstream.Name]++
+		count[pick(t, p, c)]++
 	}
 	is.Equal(count["w2"], 4) // the own zone is full
 	free, slots := p.Free(c, nil, "pool", "small", 1)
@@ -224,9 +222,7 @@
 	c := workers("z1", "z2", "z3")
 	count := map[string]int{}
 	for range 9 {
-		k, err := p.Pick(c, nil, want)
-		is.NoErr(err)
-		count[k.Upstream.Name]++
+		count[pick(t, p, c)]++
 	}
 	is.Equal(count, map[string]int{"w0": 3, "w1": 3, "w2": 3})
 }
@@ -239,9 +235,7 @@
 	c.Upstreams["w0"].Left = true
 	c.Upstreams["w1"].Version = "v2"
 	for range 20 {
-		k, err := p.Pick(c, nil, want)
-		is.NoErr(err)
-		is.Equal(k.Upstream.Name, "w2")
+		is.Equal(pick(t, p, c), "w2")
 	}
 	w := want
 	w.Tried = []string{"w2"}
@@ -261,9 +255,7 @@
 	c := workers("z1", "z1")
 	share := func() (n int) {
 		for range 200 {
-			k, err := p.Pick(c, nil, want)
-			is.NoErr(err)
-			if k.Upstream.Name == "w0" {
+			if pick(t, p, c) == "w0" {
 				n++
 			}
 		}
@@ -297,13 +289,11 @@
 	// With all ejected the requests still go somewhere.
 	c = workers("z1")
 	c.Upstreams["w0"].Incarnation = 3
-	_, err := p.Pick(c, nil, want)
-	is.NoErr(err)
+	pick(t, p, c)
 	for range ejectAfter {
 		fail()
 	}
-	_, err = p.Pick(c, nil, want)
-	is.NoErr(err)
+	pick(t, p, c)
 }
 
 // Guards against retries that multiply the traffic of an overloaded service.
@@ -320,13 +310,31 @@
 	is.True(n >= 100 && n <= 100+budgetReserve)
 }
 
+// Guards against slots that stay unused after requests ended, until the next report.
+func TestEndedRequestsFreeTheirSlots(t *testing.T) {
+	is := is.New(t)
+	p, _ := newPool(t, "least")
+	c := workers("z1")
+	var picks []*Pick
+	for range 3 {
+		k, err := p.Pick(c, nil, want)
+		is.NoErr(err)
+		picks = append(picks, k)
+	}
+	p.Report("w0", 1, &wire.Load{Running: 4, Slots: 4, Sequence: 9}) // three are this entry's
+	for i, k := range picks {
+		k.Done(false)
+		free, _ := p.Free(c, nil, "pool", "small", 1)
+		is.Equal(free, i+1)
+	}
+}
+
 // Guards against late load reports that replace newer ones.
 func TestLateReportIsIgnored(t *testing.T) {
 	is := is.New(t)
 	p, _ := newPool(t, "least")
 	c := workers("z1")
-	_, err := p.Pick(c, nil, want)
-	is.NoErr(err)
+	pick(t, p, c)
 	p.Report("w0", 1, &wire.Load{Running: 3, Slots: 4, Sequence: 9})
 	p.Report("w0", 1, &wire.Load{Running: 0, Slots: 4, Sequence: 8})
 	p.Report("w0", 2, &wire.Load{Running: 0, Slots: 4, Sequence: 10})
