call: prove the claim with a control leader cut from its followers

The proof with a frozen leader never let the leader answer, so that it would have passed with a leader that answers before a majority has the claim's move. Killing it was ruled out for the same reason: the followers have the move by then in nearly all runs. The leader is now cut from the other control instances while the entries still reach it, and the killed leader comes back on its directory.

--- a/internal/proof/call/fault_test.go
+++ b/internal/proof/call/fault_test.go
@@ -124,10 +124,14 @@
 		x.must(x.resend(0, 500*time.Millisecond), unknown)
 		x.expect(1, answered)
 	}},
-	{"G7", "control-leader-killed-before-dispatching", func(x *trial) { x.loseLeader(x.leader().Kill, func() {}) }},
-	{"G7", "control-leader-frozen-before-dispatching", func(x *trial) {
+	{"G7", "control-leader-killed-before-dispatching", func(x *trial) {
 		c := x.leader()
-		x.loseLeader(c.Freeze, c.Thaw)
+		x.loseLeader(c.Kill, c.Restart)
+	}},
+	{"G7", "control-leader-cut-before-dispatching", func(x *trial) {
+		// Entries still reach the leader, which must not answer alone.
+		c := x.leader()
+		x.loseLeader(func() { c.Cut(x.peers()...) }, func() { c.Heal(x.peers()...) })
 	}},
 	{"G7", "control-connections-silent", func(x *trial) {
 		e := x.Entries[0]
