caller: store a refusal before the dispatch under a code of its own

Ruled out: reading "lease" as a final answer in the proofs: it speaks of one request of one entry only. Change: a claim that ends for want of a lease is stored as code "claim" with the outcome "not run". Conclusion: stored answers never carry what holds for one entry.

--- a/internal/entry/caller/refusal.go
+++ b/internal/entry/caller/refusal.go
@@ -50,6 +50,10 @@
 	kindControl    = "control_error"
 )
 
+// codeLease marks a refusal of an entry without a lease. It speaks of this request
+// only: the entry cannot ask for what became of earlier ones.
+const codeLease = "lease"
+
 func invalid(code, format string, args ...any) *refusal {
 	return &refusal{
 		status: http.StatusBadRequest, kind: kindRequest, code: code,
@@ -148,7 +152,7 @@
 	case errors.Is(err, route.ErrUpstream):
 		return h.busy(kindCapacity, "upstream", err.Error())
 	case errors.Is(err, control.ErrNoLease):
-		return h.busy(kindControl, "lease", "this entry has no valid configuration lease; use another one")
+		return h.busy(kindControl, codeLease, "this entry has no valid configuration lease; use another one")
 	default:
 		return h.busy(kindControl, "control", err.Error())
 	}
@@ -181,7 +185,7 @@
 
 // sendRefusal sends the refusal and names other entries where that helps.
 func (q *request) sendRefusal(r *refusal) {
-	if r.code == "lease" || r.code == "draining" {
+	if r.code == codeLease || r.code == "draining" {
 		q.writer.Header().Set(headerEntries, q.handler.others())
 	}
 	r.send(q.writer)
--- a/internal/entry/caller/store.go
+++ b/internal/entry/caller/store.go
@@ -63,6 +63,10 @@
 		return &wire.Answer{Status: uint32(a.Status), Type: kind, Body: a.Body}
 	}
 	r := c.outcome(err)
+	if r.code == codeLease {
+		// Another entry may hand this out, and it holds a lease of its own.
+		r.kind, r.code, r.message = kindControl, "claim", "the call was not sent: the entry lost its lease"
+	}
 	if r.outcome == upstream.NotRun {
 		// There is no second dispatch with the key, so a resend gets this refusal again.
 		r.message += "; send it with a new key"
