replica: bound the waits in the tests of refusals

Cause: without the lease check or the target check, two tests waited for the time limit of the whole run instead of failing. Ruled out: a limit on real time; one test uses simulated time, the other a context that has ended. Before: a hang with the rule taken out. After: both pass, go test -race passes for both packages. Conclusion: a missing rule is reported at once.

--- a/internal/control/replica/rules_test.go
+++ b/internal/control/replica/rules_test.go
@@ -164,11 +164,13 @@
 func TestTarget(t *testing.T) {
 	is := is.New(t)
 	n, _ := leadingNode(t)
-	_, err := n.Append(context.Background(), &wire.AppendRequest{Target: "b"})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // a message that is not refused at once would wait
+	_, err := n.Append(ctx, &wire.AppendRequest{Target: "b"})
 	is.True(errors.Is(err, ErrTarget))
-	_, err = n.Vote(context.Background(), &wire.VoteRequest{Target: "b"})
+	_, err = n.Vote(ctx, &wire.VoteRequest{Target: "b"})
 	is.True(errors.Is(err, ErrTarget))
-	_, err = n.Install(context.Background(), &wire.InstallRequest{Target: "b"})
+	_, err = n.Install(ctx, &wire.InstallRequest{Target: "b"})
 	is.True(errors.Is(err, ErrTarget))
 }
 
