upstream: keep the reason of a call withdrawn at its first write

Cause: when the check before the first byte fails, net/http may report that the connection was closed instead of the error of the write; the call then counted as unknown although nothing was sent. Ruled out: taking every error without written bytes as not run; net/http does not tell whether bytes were written. Change: the call notes the failed check itself and forgets it if a later check of the same call, over another connection, passes.

--- a/internal/entry/upstream/dispatch.go
+++ b/internal/entry/upstream/dispatch.go
@@ -167,6 +167,9 @@
 	cancel   context.CancelCauseFunc
 	// reached is true once a connection was handed to the call; bytes may be written from then on.
 	reached atomic.Bool
+	// withdrawn is set once the check failed. net/http may report the closing of
+	// the connection instead of the error of the write.
+	withdrawn atomic.Pointer[Failure]
 
 	mu      sync.Mutex
 	stop    func()
@@ -182,12 +185,28 @@
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c.reached.Store(true)
 		if g, ok := i.Conn.(*guarded); ok {
-			g.arm(check)
+			g.arm(c.checked(check))
 		}
 	}}
 	return httptrace.WithClientTrace(ctx, trace), c
 }
 
+// checked notes the failure of the check.
+func (c *call) checked(check func() error) func() error {
+	if check == nil {
+		return nil
+	}
+	return func() error {
+		err := check()
+		if err == nil {
+			c.withdrawn.Store(nil) // net/http took another connection after a first check
+			return nil
+		}
+		c.withdrawn.Store(&Failure{Outcome: NotRun, Reason: "withdrawn before it was sent", Withdrawn: true, Err: err})
+		return err
+	}
+}
+
 // expect replaces the deadline for the next sign of progress.
 func (c *call) expect(d time.Duration, cause error) {
 	c.mu.Lock()
@@ -248,9 +267,8 @@
 
 // broken classifies a transport error: without a connection nothing was sent.
 func (c *call) broken(ctx context.Context, err error) *Failure {
-	var withdrawn *Failure
-	if errors.As(err, &withdrawn) {
-		return withdrawn
+	if w := c.withdrawn.Load(); w != nil {
+		return w
 	}
 	f := &Failure{Outcome: Unknown, Reason: "connection to the upstream broke", Blame: true, Err: err}
 	if !c.reached.Load() {
--- a/internal/entry/upstream/guard.go
+++ b/internal/entry/upstream/guard.go
@@ -31,7 +31,7 @@
 	g.mu.Unlock()
 	if check != nil {
 		if err := check(); err != nil {
-			return 0, &Failure{Outcome: NotRun, Reason: "withdrawn before it was sent", Withdrawn: true, Err: err}
+			return 0, err
 		}
 	}
 	return g.Conn.Write(p)
