demo: keep the goroutines of a run that failed

Cause: two runs ended with "no answer of all instances within 8 s", and the logs did not show what the silent entry waited for. Ruled out: a profile server in every instance only for the demonstration. Change: instances get SIGQUIT before the end of a run that could not go on, so that their logs hold the stacks.

--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -221,6 +222,28 @@
 	return err
 }
 
+// Dump makes all instances write the stacks of their goroutines to their logs
+// and end, so that a run that hung can be looked into.
+func (c *Cluster) Dump(ctx context.Context) {
+	for _, i := range c.Instances {
+		if i.process != nil {
+			i.process.Signal(syscall.SIGQUIT)
+		}
+	}
+	ctx, cancel := timer.WithTimeout(context.WithoutCancel(ctx), c.options.Timer, 2*time.Second)
+	defer cancel()
+	for _, i := range c.Instances {
+		if i.process == nil {
+			continue
+		}
+		select {
+		case <-i.process.Done():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close kills all processes. The directory stays if keep is set.
 func (c *Cluster) Close(keep bool) error {
 	err := c.launcher.Close()
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -82,6 +82,7 @@
 	err = d.run(ctx)
 	if err != nil {
 		d.check("run", err)
+		d.cluster.Dump(ctx)
 	}
 	bad := len(d.failures) > 0
 	if e := d.cluster.Close(bad || o.Keep); e != nil {
