caller: send upstreams an identity of the entry's own

Cause: callers choose the request identity and it was passed on unchanged, so two callers with the same identity at one upstream could get each other's answer: the echo matched both. Ruled out: refusing a second request with an identity in progress, since a resend while the first is still running is legitimate. Change: the entry appends "~" and a random part towards upstreams and checks the echo of the whole; simulated services count by the caller's part. The entry role passes heartbeat loads, the call timeout and the limits for parallel and open requests on, which it had left at their defaults. Before: both requests of TestOutwardIdentityIsUnique reached the engine as "same". After: two identities; 572 tests pass. Conclusion: an answer is bound to one request of one caller.

--- a/internal/bench/engine/engine.go
+++ b/internal/bench/engine/engine.go
@@ -126,7 +126,7 @@
 	if !c.accept() {
 		return
 	}
-	e.Runs.Begin(r.Header.Get("X-Request-Id"))
+	e.Runs.Begin(fault.RequestOf(r))
 	c.run()
 }
 
--- a/internal/bench/fault/runs.go
+++ b/internal/bench/fault/runs.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,13 @@
 	return errors.Wrap(lines.Err(), "read journal of runs")
 }
 
+// RequestOf returns the caller's request identity; an entry appends "~" and a part
+// of its own.
+func RequestOf(r *http.Request) string {
+	id, _, _ := strings.Cut(r.Header.Get("X-Request-Id"), "~")
+	return id
+}
+
 // Begin counts one run and returns how many there are for that identity.
 func (r *Runs) Begin(id string) int {
 	r.mu.Lock()
--- a/internal/bench/plain/plain.go
+++ b/internal/bench/plain/plain.go
@@ -100,7 +100,7 @@
 	key := r.Header.Get("Idempotency-Key")
 	id := key
 	if id == "" {
-		id = r.Header.Get("X-Request-Id")
+		id = fault.RequestOf(r)
 	}
 	run := s.Runs.Begin(id)
 	// A call that was begun takes effect even if its caller has gone, so it is never cancelled.
--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -184,7 +184,7 @@
 	o := a.output
 	before := o.contents
 	q := upstream.Chat{
-		Body: body, Request: j.id, Version: string(p.version), Priority: priority,
+		Body: body, Request: j.outward, Version: string(p.version), Priority: priority,
 		Stream: j.chat.stream, Sink: o.take,
 	}
 	pinned := j.session != "" || o.begun()
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -52,7 +52,7 @@
 	}
 	p.message = upstream.Plain{
 		Method: q.http.Method, Path: escaped, Body: q.body, Type: q.http.Header.Get("Content-Type"),
-		Request: q.id, Key: q.http.Header.Get(upstream.HeaderKey), Account: string(q.account),
+		Request: q.outward, Key: q.http.Header.Get(upstream.HeaderKey), Account: string(q.account),
 		Timeout: time.Duration(p.call.Timeout) * time.Millisecond,
 	}
 	if p.call.Repeat {
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -26,16 +26,23 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
+// outwardSeparator stands between the identity of a caller and the random part of
+// the entry.
+const outwardSeparator = "~"
+
 // textLimit bounds the identities that callers choose.
 const textLimit = 256
 
 // request is one request in progress.
 type request struct {
-	handler  *Handler
-	writer   http.ResponseWriter
-	http     *http.Request
-	account  document.Account
-	id       string
+	handler *Handler
+	writer  http.ResponseWriter
+	http    *http.Request
+	account document.Account
+	id      string
+	// outward is the identity towards upstreams. Callers choose id, so two of them
+	// may use the same one at once; an echo of id could not tell their answers apart.
+	outward  string
 	session  string
 	body     []byte
 	digest   string
@@ -97,6 +104,7 @@
 	if len(q.id) > textLimit {
 		return invalid("request_id", "%s is longer than %d bytes", upstream.HeaderRequest, textLimit)
 	}
+	q.outward = q.id + outwardSeparator + h.identity()
 	q.writer.Header().Set(upstream.HeaderRequest, q.id)
 	token, ok := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
 	if ok {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -38,7 +38,9 @@
 		return err
 	}
 	h.Register(e.Mux)
-	upstream.NewHandler(c, e.Secrets).Register(e.Mux)
+	u := upstream.NewHandler(c, e.Secrets)
+	u.Load = h.Report
+	u.Register(e.Mux)
 	control.AddOperator(e, c)
 	e.Drain(h.Drain)
 	e.Group.Go("lease", c.Run)
@@ -56,7 +58,9 @@
 		Credentials: e.Secrets, Timer: e.Timer, Random: control.NewRandom(), Log: e.Log.Named("caller"),
 		Self: control.Instance(s), Epoch: epoch, Upstream: limits,
 		Queue: int(s.Limits.Queue), Total: int(s.Limits.Total), Body: int64(s.Limits.Body),
-		Longest: s.Timeouts.Call.Duration(), Lifetime: s.Timeouts.Lifetime.Duration(),
+		Parallel: int(s.Limits.Parallel), Connections: int(s.Limits.Connections),
+		Timeout: s.Timeouts.Call.Duration(), Longest: s.Timeouts.Call.Duration(),
+		Lifetime: s.Timeouts.Lifetime.Duration(),
 	}
 	if s.Rating != "" {
 		o.Rater = rating.New(s.Rating)
