--- a/internal/control/entry/server.go
+++ b/internal/control/entry/server.go
@@ -158,8 +158,8 @@
 }
 
 // open loads everything that the data directory holds.
-func open(o Options) (s *Server, err error) {
-	s = &Server{
+func open(o Options) (_ *Server, err error) {
+	s := &Server{
 		options: o, standing: &standing{files: o.Files, directory: o.Folder},
 		transport: replica.NewTransport(replica.TransportOptions{
 			Timer: o.Timer, Token: o.Peer,
