--- a/internal/control/disk/faulty/faulty.go
+++ b/internal/control/disk/faulty/faulty.go
@@ -328,7 +328,8 @@
 	if h.inode.lost {
 		return nil
 	}
-	h.inode.synced = slices.Clone(h.inode.data)
+	// A handle only appends, so what was synced before is a prefix.
+	h.inode.synced = append(h.inode.synced, h.inode.data[len(h.inode.synced):]...)
 	return nil
 }
 
--- a/internal/proof/control/world_test.go
+++ b/internal/proof/control/world_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"wisteriakeel.example/wisteriakeel/internal/control/disk/faulty"
@@ -162,18 +163,25 @@
 	w.instances[address].files = faulty.New(w.random.Uint64())
 }
 
+// freeze stops a process while messages to it are on their way.
 func (w *world) freeze(name string) {
 	w.network.freeze(name, true)
+	w.sleep(w.between(time.Millisecond, 150*time.Millisecond))
 	w.clockOf(name).freeze()
 }
 
-// thaw lets a process go on; an entry acts before it learns anything new.
+// thaw lets a process go on; an entry acts before it learns anything new. Either the
+// messages or the timers that waited come first.
 func (w *world) thaw(name string) {
 	if e := w.entries[name]; e != nil {
 		e.act()
 	}
-	w.clockOf(name).thaw()
+	if w.random.IntN(2) == 0 {
+		w.clockOf(name).thaw()
+	}
 	w.network.freeze(name, false)
+	synctest.Wait()
+	w.clockOf(name).thaw()
 }
 
 func (w *world) clockOf(name string) *clock {
