upstream: refuse heartbeats at an entry without a lease

An entry that is cut off from the control instances answered heartbeats with 200 as long as its last configuration held the upstream. The leader heard nothing, so that the registration ended after 5 s although the upstream was alive and other entries could be reached; the upstream had no reason to go on to the next entry. Seen in a proof whose entry stayed cut off for 10 s: all other entries then said "no upstream is available". A longer registration was ruled out, since it would only move the end. An announcement is now answered 503 while the entry holds no lease. A resend of a call that gives up its wait is also told so again: the text that the claim could not be confirmed had replaced it. Before: heartbeat without a lease 200. After: 503, tests of internal/entry pass with the race detector. Conclusion: an upstream moves on to an entry that the leader hears.

--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -175,6 +175,9 @@
 // unopened is the answer if the claim could not be opened or read. This
 // request sent nothing, but one before it with the same key may have.
 func (c *claim) unopened(ctx context.Context, err error) error {
+	if own := (*refusal)(nil); errors.As(err, &own) {
+		return own
+	}
 	r := unknown("claim", "the claim could not be confirmed; resend the call with the same key")
 	r.kind, r.status, r.retry = kindControl, http.StatusServiceUnavailable, c.handler.pause()
 	if ctx.Err() != nil {
--- a/internal/entry/upstream/announce.go
+++ b/internal/entry/upstream/announce.go
@@ -37,6 +37,7 @@
 	Announce(ctx context.Context, r *wire.AnnounceRequest) (*wire.AnnounceReply, error)
 	Leave(ctx context.Context, r *wire.LeaveRequest) (*wire.LeaveReply, error)
 	Config() *control.Config
+	Held() bool
 	Entries() []*wire.Instance
 	Heard(h *wire.Heard)
 }
@@ -187,6 +188,11 @@
 		refuse(w, http.StatusBadRequest, "invalid", err.Error())
 		return
 	}
+	if !h.registrar.Held() {
+		// The leader does not hear from this entry, so that the registration would end.
+		refuse(w, http.StatusServiceUnavailable, "lease", "this entry has no valid configuration lease; use another one")
+		return
+	}
 	u := a.wire()
 	if h.outdated(u) {
 		refuseFault(w, control.ErrConflict)
--- a/internal/entry/upstream/announce_test.go
+++ b/internal/entry/upstream/announce_test.go
@@ -21,6 +21,7 @@
 	left      []*wire.LeaveRequest
 	heard     []*wire.Heard
 	err       error
+	lapsed    bool
 }
 
 func (f *fakeRegistrar) Announce(_ context.Context, r *wire.AnnounceRequest) (*wire.AnnounceReply, error) {
@@ -35,6 +36,8 @@
 
 func (f *fakeRegistrar) Config() *control.Config { return f.config }
 
+func (f *fakeRegistrar) Held() bool { return !f.lapsed }
+
 func (f *fakeRegistrar) Entries() []*wire.Instance {
 	return []*wire.Instance{{Name: "e1", Address: "127.0.0.1:1"}, {Name: "e2", Draining: true}}
 }
@@ -62,6 +65,7 @@
 	}{
 		{"new upstream", "announce", "one", registration, nil, nil, 200, 1, 1, 0},
 		{"heartbeat", "announce", "one", registration, func(*wire.Upstream) {}, nil, 200, 0, 1, 0},
+		{"heartbeat without a lease", "announce", "one", registration, func(*wire.Upstream) {}, nil, 503, 0, 0, 0},
 		{"new incarnation", "announce", "one", registration, func(u *wire.Upstream) { u.Incarnation = 4 }, nil, 200, 1, 1, 0},
 		{"late incarnation", "announce", "one", registration, func(u *wire.Upstream) { u.Incarnation = 6 }, nil, 409, 0, 0, 0},
 		{"changed address", "announce", "one", registration, func(u *wire.Upstream) { u.Address = "127.0.0.1:1" }, nil, 200, 1, 1, 0},
@@ -85,6 +89,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			f := &fakeRegistrar{config: &control.Config{Upstreams: map[string]*wire.Upstream{}}, err: c.err}
+			f.lapsed = c.name == "heartbeat without a lease"
 			if c.known != nil {
 				var a announcement
 				is.NoErr(json.Unmarshal([]byte(registration), &a))
