--- a/internal/proof/call/fault_test.go
+++ b/internal/proof/call/fault_test.go
@@ -126,12 +126,12 @@
 	}},
 	{"G7", "control-leader-killed-before-dispatching", func(x *trial) {
 		c := x.leader()
-		x.loseLeader(c.Kill, c.Restart)
+		x.loseLeader(c, c.Kill, c.Restart)
 	}},
 	{"G7", "control-leader-cut-before-dispatching", func(x *trial) {
 		// Entries still reach the leader, which must not answer alone.
 		c := x.leader()
-		x.loseLeader(func() { c.Cut(x.peers()...) }, func() { c.Heal(x.peers()...) })
+		x.loseLeader(c, func() { c.Cut(x.peers()...) }, func() { c.Heal(x.peers()...) })
 	}},
 	{"G7", "control-connections-silent", func(x *trial) {
 		e := x.Entries[0]
@@ -181,12 +181,16 @@
 
 // loseLeader takes the leader of the claim's group away between the opening of the
 // claim and its move to dispatching, and gives it back later.
-func (x *trial) loseLeader(lose, back func()) {
+func (x *trial) loseLeader(c *system.Control, lose, back func()) {
 	lost := x.at("entry-1", system.Dispatch, false, lose)
 	first := x.send(0, 0, 0)
 	x.wait(lost)
 	x.resends()
 	first.wait()
+	x.Until("another leader", func() bool {
+		l := x.Leader(1)
+		return l != nil && l != c
+	})
 	back()
 	x.resend(2, resendLimit)
 	x.expect(1, answered)
