call: share a system between the proofs of lost entries

Most of it was the start of 58 systems at 2 s each, and the three tests ran one after the other. The proofs of killed and frozen entries now share one system per seed, in which each loses an entry of its own, and the tests run in parallel.

--- a/internal/proof/call/fault_test.go
+++ b/internal/proof/call/fault_test.go
@@ -97,7 +97,7 @@
 		x.expect(1, answered)
 	}},
 	{"G6", "control-cut-before-dispatching", func(x *trial) {
-		e := x.Entries[0]
+		e := x.entries[0]
 		cut := x.at(e.Name, system.Dispatch, false, func() { e.Cut(x.peers()...) })
 		first := x.send(0, 0, time.Second)
 		x.wait(cut)
@@ -105,7 +105,7 @@
 		x.expect(1, answered)
 	}},
 	{"G6", "lease-ended-before-send", func(x *trial) {
-		e := x.Entries[0]
+		e := x.entries[0]
 		x.at(e.Name, system.Dispatch, true, func() {
 			e.Cut(x.peers()...)
 			for end := time.Now().Add(20 * time.Second); e.Client.Held() && time.Now().Before(end); {
@@ -116,8 +116,8 @@
 		x.expect(0, unknown)
 	}},
 	{"G6", "first-answer-lost-and-control-cut", func(x *trial) {
-		e := x.Entries[0]
-		lost := x.at(e.Name, system.Finish, true, x.Entries[2].Kill)
+		e := x.entries[0]
+		lost := x.at(e.Name, system.Finish, true, x.entries[2].Kill)
 		x.must(x.resend(0, 0), answered)
 		x.wait(lost)
 		e.Cut(x.peers()...)
@@ -134,7 +134,7 @@
 		x.loseLeader(c, func() { c.Cut(x.peers()...) }, func() { c.Heal(x.peers()...) })
 	}},
 	{"G7", "control-connections-silent", func(x *trial) {
-		e := x.Entries[0]
+		e := x.entries[0]
 		lost := x.at(e.Name, system.Dispatch, false, func() { e.Silence(x.peers()...) })
 		first := x.send(0, 0, 0)
 		x.wait(lost)
@@ -149,13 +149,13 @@
 	{"G7", "upstream-connections-silent", func(x *trial) {
 		// Lookups leave connections in the pool.
 		for i := range 4 {
-			a := x.Send(x.Entries[0], system.Call{Method: "GET", Path: "/v1/services/" + system.Plain + "/lookups/" + fmt.Sprint(i)})
+			a := x.Send(x.entries[0], system.Call{Method: "GET", Path: "/v1/services/" + system.Plain + "/lookups/" + fmt.Sprint(i)})
 			if !a.Answered() {
 				x.t.Errorf("lookup: %+v", a)
 			}
 		}
 		for _, u := range x.Plains {
-			x.Entries[0].Silence(u.Address)
+			x.entries[0].Silence(u.Address)
 		}
 		x.must(x.resend(0, 0), answered)
 		x.expect(1, answered)
@@ -170,7 +170,7 @@
 	{"G7", "duplicates-while-an-entry-is-lost", func(x *trial) {
 		x.faulty(fault.Fault{Kind: fault.Late, Delay: 100})
 		p := points[x.random.IntN(len(points))]
-		x.at(pointAt(p.step), p.step, p.after, sync.OnceFunc(x.Entries[0].Kill))
+		x.at(x.pointAt(p.step), p.step, p.after, sync.OnceFunc(x.entries[0].Kill))
 		for _, s := range x.duplicates() {
 			s.wait()
 		}
@@ -182,7 +182,7 @@
 // loseLeader takes the leader of the claim's group away between the opening of the
 // claim and its move to dispatching, and gives it back later.
 func (x *trial) loseLeader(c *system.Control, lose, back func()) {
-	lost := x.at("entry-1", system.Dispatch, false, lose)
+	lost := x.at(x.entries[0].Name, system.Dispatch, false, lose)
 	first := x.send(0, 0, 0)
 	x.wait(lost)
 	x.resends()
@@ -206,11 +206,12 @@
 
 // Guards against second runs and untrue outcomes under each fault of the table.
 func TestProofCallFaults(t *testing.T) {
+	t.Parallel()
 	for _, c := range faults {
 		t.Run(c.guarantee+"-"+c.fault, func(t *testing.T) {
 			t.Parallel()
 			report.Run(t, c.guarantee, c.fault, 5, func(t *testing.T, seed uint64) {
-				c.f(newTrial(t, seed, system.Options{Entries: 3, Plains: 2}))
+				c.f(newTrial(t, seed))
 			})
 		})
 	}
--- a/internal/proof/call/step_test.go
+++ b/internal/proof/call/step_test.go
@@ -42,12 +42,14 @@
 
 // Guards against a second run by the resend when the first entry was lost.
 func TestProofEntryKilled(t *testing.T) {
-	for _, p := range points {
+	t.Parallel()
+	s := newStages(t, len(points))
+	for i, p := range points {
 		t.Run(p.name, func(t *testing.T) {
 			t.Parallel()
 			report.Run(t, "G7", "entry-killed-"+p.name, 5, func(t *testing.T, seed uint64) {
-				x := newTrial(t, seed, system.Options{Entries: 3, Plains: 2})
-				lost := x.at(pointAt(p.step), p.step, p.after, x.Entries[0].Kill)
+				x := s.trial(t, seed, i)
+				lost := x.at(x.pointAt(p.step), p.step, p.after, x.entries[0].Kill)
 				first := x.send(0, 0, 0)
 				x.wait(lost)
 				x.resends()
@@ -61,12 +63,14 @@
 // Guards against an entry that goes on after a pause as if nothing had happened:
 // its claim was taken over, or its lease has ended.
 func TestProofEntryFrozen(t *testing.T) {
-	for _, p := range points {
+	t.Parallel()
+	s := newStages(t, len(points))
+	for i, p := range points {
 		t.Run(p.name, func(t *testing.T) {
 			t.Parallel()
 			report.Run(t, "G7", "entry-frozen-"+p.name, 5, func(t *testing.T, seed uint64) {
-				x := newTrial(t, seed, system.Options{Entries: 3, Plains: 2})
-				lost := x.at(pointAt(p.step), p.step, p.after, x.Entries[0].Freeze)
+				x := s.trial(t, seed, i)
+				lost := x.at(x.pointAt(p.step), p.step, p.after, x.entries[0].Freeze)
 				begin := time.Now()
 				first := x.send(0, 0, 0)
 				x.wait(lost)
@@ -75,7 +79,7 @@
 					// Longer than the lease of 2 s.
 					time.Sleep(2300*time.Millisecond - time.Since(begin))
 				}
-				x.Entries[0].Thaw()
+				x.entries[0].Thaw()
 				first.wait()
 				if p.name == "before-send" && seed%2 == 1 {
 					// The lease may hold still, so that the call is sent.
@@ -90,11 +94,11 @@
 }
 
 // pointAt names the instance of a step; a run is seen at whichever upstream has it.
-func pointAt(s system.Step) string {
+func (x *trial) pointAt(s system.Step) string {
 	if s == system.Run {
 		return ""
 	}
-	return "entry-1"
+	return x.entries[0].Name
 }
 
 // resends sends the call again through the other entries, at once and later.
--- a/internal/proof/call/trial_test.go
+++ b/internal/proof/call/trial_test.go
@@ -27,8 +27,10 @@
 	t      *testing.T
 	random *rand.Rand
 	key    string
-	group  *group.Group
-	begin  time.Time
+	// entries are those of this trial: the first has the fault, the others take the resends.
+	entries []*system.Entry
+	group   *group.Group
+	begin   time.Time
 
 	mu       sync.Mutex
 	traps    []*trap
@@ -45,27 +47,79 @@
 	hit      chan struct{}
 }
 
-func newTrial(t *testing.T, seed uint64, o system.Options) *trial {
+// stage is a system that several trials share.
+type stage struct {
+	start  sync.Once
+	system *system.System
+
+	mu     sync.Mutex
+	trials map[string]*trial
+}
+
+// stages holds one stage per seed. Each trial loses an entry of its own.
+type stages struct {
+	t     *testing.T
+	count int
+
+	mu     sync.Mutex
+	bySeed map[uint64]*stage
+}
+
+func newStages(t *testing.T, count int) *stages {
+	return &stages{t: t, count: count, bySeed: map[uint64]*stage{}}
+}
+
+// trial returns the trial with that number on the stage of the seed.
+func (s *stages) trial(t *testing.T, seed uint64, number int) *trial {
+	s.mu.Lock()
+	g := s.bySeed[seed]
+	if g == nil {
+		g = &stage{trials: map[string]*trial{}}
+		s.bySeed[seed] = g
+	}
+	s.mu.Unlock()
+	g.start.Do(func() {
+		g.system = system.Start(s.t, system.Options{
+			Seed: seed, Entries: s.count + 2, Plains: 2, Takeover: takeover, Longest: answerLimit, Hook: g.hook,
+		})
+	})
+	x := g.add(t, seed)
+	x.System = g.system
+	all := x.System.Entries
+	x.entries = []*system.Entry{all[number], all[s.count], all[s.count+1]}
+	return x
+}
+
+func (g *stage) add(t *testing.T, seed uint64) *trial {
 	x := &trial{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), key: "key-" + t.Name(),
 		group: group.New(context.Background()), begin: time.Now(),
 	}
-	o.Seed, o.Hook, o.Takeover = seed, x.hook, takeover
-	if o.Longest == 0 {
-		o.Longest = answerLimit
-	}
-	x.System = system.Start(t, o)
-	// Registered last, so that the requests end before the system does.
 	t.Cleanup(func() { _ = x.group.Stop() })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.trials[x.key] = x
 	return x
 }
 
+// hook passes a point to the trial that it belongs to.
+func (g *stage) hook(p system.Point) {
+	g.mu.Lock()
+	x := g.trials[p.Key]
+	g.mu.Unlock()
+	if x != nil {
+		x.hook(p)
+	}
+}
+
+// newTrial returns a trial on a system of its own, which loses what it needs.
+func newTrial(t *testing.T, seed uint64) *trial {
+	return newStages(t, 1).trial(t, seed, 0)
+}
+
 // hook springs the first trap set for the point. The lock is not held during
 // the trap, since a frozen request must not hold up the others.
 func (x *trial) hook(p system.Point) {
-	if p.Step != system.Send && p.Key != x.key {
-		return
-	}
 	x.mu.Lock()
 	i := slices.IndexFunc(x.traps, func(a *trap) bool {
 		return a.step == p.Step && a.after == p.After && (a.instance == "" || a.instance == p.Instance)
@@ -117,7 +171,7 @@
 	if timeout > 0 {
 		c.Header = append(c.Header, "Wisteriakeel-Timeout", timeoutHeader(timeout))
 	}
-	s := &sender{trial: x, entry: x.Entries[entry], pause: pause, call: c, done: make(chan struct{})}
+	s := &sender{trial: x, entry: x.entries[entry], pause: pause, call: c, done: make(chan struct{})}
 	x.group.Go("sender", s.run)
 	return s
 }
