proof: send chats, change answers and shut entries down in the system

Proofs of charges, sessions and leaves need what the path in one process did not have: chats whose answer can be compared with the request, engines of several versions, answers that are changed on their way, a shutdown of an entry, and the ledger. Ruled out: a second harness per package, since the parts are the same. Work is exported. Before: only calls of plain services were sent.

--- /dev/null
+++ b/internal/proof/system/chat.go
@@ -0,0 +1,129 @@
+package system
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"wisteriakeel.example/wisteriakeel/internal/bench/engine"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// Chat is a chat completion of one message.
+type Chat struct {
+	Model, Text, ID string
+	Stream          bool
+	// Most bounds the tokens of the answer; zero leaves them to the engine.
+	Most int
+	// Header holds further headers, name and value in turn.
+	Header []string
+}
+
+func (c Chat) messages() []engine.Message { return []engine.Message{{Role: "user", Content: c.Text}} }
+
+// Call is the request of the chat; equal chats have equal bodies.
+func (c Chat) Call() Call {
+	body, err := json.Marshal(engine.Request{
+		Model: c.Model, Messages: c.messages(), Stream: c.Stream, MaxTokens: c.Most,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return Call{
+		Path: "/v1/chat/completions", Body: string(body),
+		Header: append([]string{"X-Request-Id", c.ID}, c.Header...),
+	}
+}
+
+// Words are the tokens of the chat's answer, whichever engine gives it.
+func (c Chat) Words() []string {
+	words, _ := engine.Words(c.messages(), c.Most)
+	return words
+}
+
+// Price is what the answer of a model of the default document costs.
+func (c Chat) Price(model string) uint64 {
+	in, out := len(strings.Fields("user "+c.Text)), len(c.Words())
+	if model == "large" {
+		return uint64(10*in + 20*out)
+	}
+	return uint64(in + 2*out)
+}
+
+// Completion is what a caller takes from an answer.
+type Completion struct {
+	Answer
+	Text string
+	// Complete is true if the answer says that it has ended.
+	Complete bool
+	// Model and Version served it.
+	Model, Version string
+}
+
+// Right tells whether a complete answer is that of the chat.
+func (c Completion) Right(chat Chat) bool {
+	return c.Text == strings.Join(chat.Words(), "") && c.Header.Get("X-Request-Id") == chat.ID
+}
+
+// Chat sends a chat to an entry. The answer is complete if its framing and, for a
+// stream, its end mark are.
+func (s *System) Chat(e *Entry, chat Chat) (c Completion) {
+	c.Answer = s.Send(e, chat.Call())
+	c.Model, c.Version, _ = strings.Cut(c.Header.Get("Wisteriakeel-Model"), "@")
+	if !c.Answered() {
+		return c
+	}
+	events := [][]byte{c.Body}
+	if chat.Stream {
+		events = bytes.Split(c.Body, []byte("\n\n"))
+	}
+	for _, event := range events {
+		event = bytes.TrimPrefix(event, []byte("data: "))
+		if chat.Stream && string(event) == "[DONE]" {
+			c.Complete = true
+			continue
+		}
+		var k struct {
+			Error   struct{ Outcome string }
+			Choices []engine.Choice
+		}
+		if json.Unmarshal(event, &k) != nil {
+			continue
+		}
+		if k.Error.Outcome != "" {
+			c.Outcome = k.Error.Outcome
+		}
+		for _, choice := range k.Choices {
+			if choice.Message != nil {
+				c.Text += choice.Message.Content
+				c.Complete = !chat.Stream
+			}
+			if choice.Delta != nil {
+				c.Text += choice.Delta.Content
+			}
+		}
+	}
+	return c
+}
+
+// Ledger returns all totals and charges.
+func (s *System) Ledger() *wire.LedgerReply {
+	s.test.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	reply, err := s.alive().Client.Ledger(ctx, &wire.LedgerRequest{Limit: 10000})
+	s.must(err)
+	return reply
+}
+
+// Entry returns the entry of that name.
+func (s *System) Entry(name string) *Entry {
+	for _, e := range s.Entries {
+		if e.Name == name {
+			return e
+		}
+	}
+	return nil
+}
--- a/internal/proof/system/entry.go
+++ b/internal/proof/system/entry.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"wisteriakeel.example/wisteriakeel/internal/entry/caller"
 	client "wisteriakeel.example/wisteriakeel/internal/entry/control"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
@@ -22,6 +24,8 @@
 	// Client is the entry's client of the control instances. It does not pass the
 	// hook; don't use it while the entry is frozen.
 	Client *client.Client
+	// Handler serves the entry's callers.
+	Handler *caller.Handler
 
 	system   *System
 	listener net.Listener
@@ -52,13 +56,14 @@
 	p := caller.Options{
 		Control: &hooked{Client: e.Client, entry: e}, Credentials: s.secrets, Timer: service, Random: random,
 		Log: o.Log.Named(e.Name), Self: self, Epoch: epoch, Upstream: limits, Longest: o.Longest, Timeout: o.Longest,
-		Takeover: o.Takeover, Dial: e.dialUpstream,
+		Takeover: o.Takeover, Dial: e.dialUpstream, Lifetime: o.Lifetime, Spread: o.Spread,
 	}
 	if r := s.rater(); r != nil {
 		p.Rater = r
 	}
 	h, err := caller.New(p)
 	s.must(err)
+	e.Handler = h
 	mux := http.NewServeMux()
 	h.Register(mux)
 	upstream.NewHandler(e.Client, s.secrets).Register(mux)
@@ -86,6 +91,22 @@
 	_ = e.server.Close()
 }
 
+// Shutdown ends the entry as a signal does: it drains and waits for the requests
+// in progress.
+func (e *Entry) Shutdown(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "shutdown of "+e.Name)
+		}
+	}()
+	if err := e.Handler.Drain(ctx); err != nil {
+		return err
+	}
+	err = e.server.Shutdown(ctx)
+	e.Kill()
+	return err
+}
+
 // dialUpstream opens a connection whose first byte passes the hook.
 func (e *Entry) dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
 	n, err := e.dial(ctx, network, address)
--- a/internal/proof/system/system.go
+++ b/internal/proof/system/system.go
@@ -6,11 +6,13 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"wisteriakeel.example/wisteriakeel/internal/bench/engine"
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 	"wisteriakeel.example/wisteriakeel/internal/config/secret"
 	"wisteriakeel.example/wisteriakeel/internal/entry/rating"
@@ -29,8 +31,10 @@
 	Hill = "hill-token-000001"
 	Dale = "dale-token-000001"
 
-	upstreamToken = "work-token-000001"
-	secrets       = `{"accounts":[{"name":"hill","token":"hill-token-000001"},{"name":"dale","token":"dale-token-000001"}],
+	// Work is the token of all upstreams.
+	Work = "work-token-000001"
+
+	secrets = `{"accounts":[{"name":"hill","token":"hill-token-000001"},{"name":"dale","token":"dale-token-000001"}],
 "operators":[{"name":"team","token":"team-token-000001","services":["wisteria-pool","crewdesk"]}],
 "upstreams":[{"name":"*","token":"work-token-000001"}],"peer":"peer-token-000001"}`
 )
@@ -100,6 +104,15 @@
 	Rating string
 	// Step is the time that an engine needs for one token; 1 ms by default.
 	Step time.Duration
+	// Versions are those of the engines, one for each pair of draft and large in
+	// turn; all have version 1 by default.
+	Versions []string
+	// Features are what engines announce; all that they have by default.
+	Features []string
+	// Wrap may change what an upstream answers.
+	Wrap func(upstream string, next http.Handler) http.Handler
+	// Lifetime and Spread are those of the entries; their defaults if zero.
+	Lifetime, Spread time.Duration
 	// Hook is called at each Point, in the goroutine that makes the step, and may
 	// kill or freeze its instance. The goroutine then goes no further.
 	Hook func(Point)
@@ -126,6 +139,15 @@
 	if o.Step == 0 {
 		o.Step = time.Millisecond
 	}
+	if len(o.Versions) == 0 {
+		o.Versions = []string{"1"}
+	}
+	if o.Features == nil {
+		o.Features = engine.Features()
+	}
+	if o.Wrap == nil {
+		o.Wrap = func(_ string, next http.Handler) http.Handler { return next }
+	}
 	if o.Hook == nil {
 		o.Hook = func(Point) {}
 	}
--- a/internal/proof/system/upstream.go
+++ b/internal/proof/system/upstream.go
@@ -42,14 +42,15 @@
 func (s *System) startEngine(i int) *Upstream {
 	s.test.Helper()
 	model := []string{"draft", "large"}[i%2]
+	version := s.options.Versions[i/2%len(s.options.Versions)]
 	u := &Upstream{Name: fmt.Sprint("engine-", i+1), system: s}
 	e := engine.New(engine.Options{
-		Service: Engine, Model: model, Version: "1", Queue: 16, Base: s.options.Step, Timer: s.clock(), Crash: u.crash,
+		Service: Engine, Model: model, Version: version, Queue: 16, Base: s.options.Step, Timer: s.clock(), Crash: u.crash,
 	})
 	u.Faults, u.Runs = &e.Faults, &e.Runs
 	s.group.Go(u.Name+" batch", e.Run)
 	u.serve(e, announce.Options{
-		Upstream: announce.Upstream{Service: Engine, Model: model, Version: "1", Features: engine.Features()}, Load: e.Load,
+		Upstream: announce.Upstream{Service: Engine, Model: model, Version: version, Features: s.options.Features}, Load: e.Load,
 	})
 	return u
 }
@@ -67,9 +68,9 @@
 	u.Address = u.listener.Addr().String()
 	mux := http.NewServeMux()
 	handler.Register(mux)
-	u.server = &http.Server{Handler: u.hooked(mux), ReadHeaderTimeout: 5 * time.Second}
+	u.server = &http.Server{Handler: u.hooked(s.options.Wrap(u.Name, mux)), ReadHeaderTimeout: 5 * time.Second}
 	o.Upstream.Name, o.Upstream.Address, o.Upstream.Zone = u.Name, u.Address, "concord"
-	o.Token, o.Timer = upstreamToken, newClock(u.Gate)
+	o.Token, o.Timer = Work, newClock(u.Gate)
 	for _, e := range s.Entries {
 		o.Entries = append(o.Entries, e.Address)
 	}
