--- /dev/null
+++ b/internal/proof/session/session_test.go
@@ -0,0 +1,402 @@
+// Package session proves that a request runs only where its client account may
+// run it (G1), that a withdrawn version gets no new work (G2) and that a session
+// keeps its version (G3).
+package session
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/bench/rating"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	"wisteriakeel.example/wisteriakeel/internal/proof/report"
+	"wisteriakeel.example/wisteriakeel/internal/proof/system"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// spec is what a proof changes of the document.
+type spec struct {
+	// draft and large are the states of their versions 1, 2 and so on.
+	draft, large []string
+	// models are those that the account may use.
+	models string
+}
+
+func (s spec) text() string {
+	versions := func(states []string) string {
+		var list []string
+		for i, v := range states {
+			list = append(list, fmt.Sprintf(`{"name":"%d","state":%q}`, i+1, v))
+		}
+		return strings.Join(list, ",")
+	}
+	return fmt.Sprintf(`{"service":"wisteria-pool","kind":"engine","models":[
+{"name":"draft","price":{"input":1,"output":2},"versions":[%s]},
+{"name":"large","price":{"input":10,"output":20},"versions":[%s]}],
+"cascades":[{"name":"auto","steps":["draft","large"],"quality":0.8}],
+"accounts":[{"name":"hill","models":[%s],"weight":1,"limit":{"parallel":1}}]}`,
+		versions(s.draft), versions(s.large), s.models)
+}
+
+const (
+	active    = "active"
+	withdrawn = "withdrawn"
+	all       = `"auto","draft","large"`
+)
+
+// first allows everything.
+var first = spec{[]string{active, active}, []string{active, active}, all}
+
+// stage is a running system and what a proof does to it.
+type stage struct {
+	*system.System
+	system.Trap
+	is *is.I
+}
+
+// begin starts engines of draft and large for each version, two of version 1 and
+// one of the others.
+func begin(t *testing.T, seed uint64, s spec, o system.Options) *stage {
+	g := &stage{is: is.New(t)}
+	o.Seed, o.Documents = seed, system.Documents()
+	o.Documents[system.Engine] = s.text()
+	o.Versions = []string{"1", "1"}
+	for i := range len(s.draft) - 1 {
+		o.Versions = append(o.Versions, fmt.Sprint(i+2))
+	}
+	o.Engines = 2 * len(o.Versions)
+	g.System = system.Start(t, g.Options(o))
+	return g
+}
+
+// rated starts a rating service that finds every answer of draft bad.
+func rated(t *testing.T) string {
+	r := rating.New(timer.NewSystem())
+	r.Set(rating.Switches{Models: map[string]float64{"draft": 0.1}})
+	mux := http.NewServeMux()
+	r.Register(mux)
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// apply changes the document through an entry and returns once it is in force.
+func (g *stage) apply(e *system.Entry, s spec) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	shown, err := e.Client.Show(ctx, &wire.ShowRequest{Service: system.Engine})
+	g.is.NoErr(err)
+	r, err := e.Client.Apply(ctx, &wire.ApplyRequest{
+		Service: system.Engine, Text: []byte(s.text()), Base: shown.Documents[0].Revision,
+		Operator: "team", Change: fmt.Sprint(time.Now()), Wait: 8000,
+	})
+	g.is.NoErr(err)
+	g.is.True(r.Inforce) // the change is in force
+}
+
+// forbid fails if an engine of the model's version ran a chat after the first n runs.
+func (g *stage) forbid(n int, names ...string) {
+	for _, r := range g.Runs()[n:] {
+		for _, name := range names {
+			g.is.True(r.Upstream != name) // no run without permission, on a withdrawn version
+		}
+	}
+}
+
+// Engines by what they serve; see begin.
+var (
+	draft1 = []string{"engine-1", "engine-3"}
+	large1 = []string{"engine-2", "engine-4"}
+	large  = append([]string{"engine-6"}, large1...)
+	drafts = append([]string{"engine-5"}, draft1...)
+)
+
+// held is a request that is held at an engine while the document changes.
+var held = []struct {
+	guarantee, fault string
+	// blocker is the model of a request that holds the account's only place, so that the
+	// chat waits in the queue; empty if the chat itself is held in its first run.
+	blocker string
+	model   string
+	// cut breaks the held stream off after a word.
+	cut      bool
+	change   spec
+	forbid   []string
+	complete bool
+}{
+	{
+		guarantee: "G2", fault: "withdrawn-in-queue", blocker: "draft", model: "draft@1",
+		change: spec{[]string{withdrawn, active}, []string{active, active}, all}, forbid: draft1,
+	},
+	{
+		guarantee: "G1", fault: "permission-taken-in-queue", blocker: "draft", model: "draft",
+		change: spec{[]string{active, active}, []string{active, active}, `"auto","large"`}, forbid: drafts,
+	},
+	{
+		guarantee: "G1", fault: "version-not-permitted-in-queue", blocker: "draft", model: "draft@1",
+		change: spec{[]string{active, active}, []string{active, active}, `"draft@2"`}, forbid: draft1,
+	},
+	{
+		guarantee: "G2", fault: "withdrawn-between-steps", model: "auto",
+		change: spec{[]string{active, active}, []string{withdrawn, active}, all}, forbid: large1, complete: true,
+	},
+	{
+		guarantee: "G1", fault: "permission-taken-between-steps", model: "auto",
+		change: spec{[]string{active, active}, []string{active, active}, `"draft"`}, forbid: large,
+	},
+	{
+		guarantee: "G2", fault: "withdrawn-during-resume", model: "draft@1", cut: true,
+		change: spec{[]string{withdrawn, active}, []string{active, active}, all}, forbid: drafts,
+	},
+	{
+		guarantee: "G1", fault: "permission-taken-during-resume", model: "draft@1", cut: true,
+		change: spec{[]string{active, active}, []string{active, active}, `"large"`}, forbid: drafts,
+	},
+}
+
+// Guards against work on a version that was withdrawn, or for which the account
+// lost its permission, after the request had been admitted.
+func TestProofHeld(t *testing.T) {
+	t.Parallel()
+	for _, k := range held {
+		t.Run(k.fault, func(t *testing.T) {
+			t.Parallel()
+			report.Run(t, k.guarantee, k.fault, 6, func(t *testing.T, seed uint64) {
+				g := begin(t, seed, first, system.Options{Rating: rated(t), Longest: 20 * time.Second})
+				e := g.Entries[seed%2]
+				reached, release := make(chan struct{}), make(chan struct{})
+				g.Set(nil, func(w http.ResponseWriter, r *http.Request, next http.Handler) {
+					if k.cut {
+						defer func() { panic(http.ErrAbortHandler) }()
+						// The first word has passed before the document changes.
+						w = &pauser{system.Cutter{ResponseWriter: w, Left: 2}, reached, release}
+						next.ServeHTTP(w, r)
+						return
+					}
+					close(reached)
+					<-release
+					next.ServeHTTP(w, r)
+				})
+				chat := system.Chat{Model: k.model, ID: "held", Stream: k.cut, Text: fmt.Sprint("held ", seed), Most: 6}
+				done, before := make(chan system.Completion, 1), make(chan system.Completion, 1)
+				send := func(c system.Chat, got chan system.Completion) { got <- g.Chat(e, c) }
+				if k.blocker != "" {
+					go send(system.Chat{Model: k.blocker, ID: "blocker", Text: "blocker", Most: 2}, before)
+					<-reached
+					g.Set(nil, nil)
+					go send(chat, done)
+					time.Sleep(100 * time.Millisecond) // the chat reaches the queue
+				} else {
+					go send(chat, done)
+					<-reached
+					g.Set(nil, nil)
+				}
+				g.apply(g.Entries[0], k.change)
+				n := len(g.Runs())
+				close(release)
+				if k.blocker != "" {
+					g.is.True((<-before).Complete) // the request that ran before the change ends well
+				}
+				got := <-done
+				g.is.Equal(got.Complete, k.complete)
+				g.is.True(got.Complete || got.Outcome != "") // a refusal tells the outcome
+				g.is.True(!got.Complete || got.Right(chat))
+				g.forbid(n, k.forbid...)
+			})
+		})
+	}
+}
+
+// pauser holds a stream after its first event.
+type pauser struct {
+	system.Cutter
+	reached, release chan struct{}
+}
+
+// Write passes the first event on and waits before the second.
+func (p *pauser) Write(b []byte) (int, error) {
+	if p.Left == 1 {
+		close(p.reached)
+		<-p.release
+		panic(http.ErrAbortHandler)
+	}
+	return p.Cutter.Write(b)
+}
+
+// Guards against an entry that goes on with an old document after the change is
+// in force, because it cannot reach the control instances or stood still.
+func TestProofApart(t *testing.T) {
+	t.Parallel()
+	for _, k := range []struct {
+		guarantee, fault string
+		part             func(g *stage, e *system.Entry)
+		join             func(g *stage, e *system.Entry)
+		change           spec
+	}{
+		{"G2", "entry-cut-off", cut, heal, spec{[]string{withdrawn, active}, []string{active, active}, all}},
+		{"G1", "entry-cut-off", cut, heal, spec{[]string{active, active}, []string{active, active}, `"large"`}},
+		{"G2", "entry-frozen", freeze, thaw, spec{[]string{withdrawn, active}, []string{active, active}, all}},
+		{"G1", "entry-frozen", freeze, thaw, spec{[]string{active, active}, []string{active, active}, `"large"`}},
+	} {
+		t.Run(k.guarantee+" "+k.fault, func(t *testing.T) {
+			t.Parallel()
+			report.Run(t, k.guarantee, k.fault, 6, func(t *testing.T, seed uint64) {
+				g := begin(t, seed, first, system.Options{})
+				far := g.Entries[1]
+				k.part(g, far)
+				var mu sync.Mutex
+				var senders sync.WaitGroup
+				stop := false
+				for i := range 4 {
+					senders.Go(func() {
+						for j := 0; ; j++ {
+							mu.Lock()
+							ended := stop
+							mu.Unlock()
+							if ended {
+								return
+							}
+							g.Chat(far, system.Chat{Model: "draft@1", ID: fmt.Sprint("apart-", i, "-", j), Text: "apart", Most: 2})
+							time.Sleep(10 * time.Millisecond)
+						}
+					})
+				}
+				time.Sleep(time.Duration(seed) * 40 * time.Millisecond)
+				g.apply(g.Entries[0], k.change)
+				n := len(g.Runs())
+				time.Sleep(300 * time.Millisecond) // the entry goes on alone
+				k.join(g, far)
+				g.Until("lease", far.Client.Held)
+				mu.Lock()
+				stop = true
+				mu.Unlock()
+				senders.Wait()
+				g.forbid(n, draft1...)
+			})
+		})
+	}
+}
+
+func addresses(g *stage) (list []string) {
+	for _, c := range g.Controls {
+		list = append(list, c.Address)
+	}
+	return list
+}
+
+func cut(g *stage, e *system.Entry)    { e.Cut(addresses(g)...) }
+func heal(g *stage, e *system.Entry)   { e.Heal(addresses(g)...) }
+func freeze(_ *stage, e *system.Entry) { e.Freeze() }
+func thaw(_ *stage, e *system.Entry)   { e.Thaw() }
+
+// three has three versions of draft.
+var three = spec{[]string{active, active, active}, []string{active}, all}
+
+// in sends a chat of a session and returns the version that answered and the one
+// that the session left.
+func (g *stage) in(e *system.Entry, session, id string) (version, moved string) {
+	c := g.Chat(e, system.Chat{Model: "draft", ID: session + "-" + id, Text: session + id, Most: 2, Header: []string{"Wisteriakeel-Session", session}})
+	g.is.True(c.Complete) // a request of a session is answered
+	return c.Version, c.Header.Get("Wisteriakeel-Session-Moved")
+}
+
+// both sends a chat of a session to two entries at once.
+func (g *stage) both(session, id string) (versions, moved [2]string) {
+	var w sync.WaitGroup
+	for i := range 2 {
+		w.Go(func() { versions[i], moved[i] = g.in(g.Entries[i], session, id) })
+	}
+	w.Wait()
+	return versions, moved
+}
+
+// sessions is how many sessions a proof has: enough for each version to have some.
+const sessions = 8
+
+// Guards against a session that changes its version: with its first requests at
+// two entries at once, with the loss of the entry that pinned it and of the
+// leader that holds the pin, and with a list of versions that has changed.
+func TestProofPin(t *testing.T) {
+	t.Parallel()
+	for _, k := range []struct {
+		fault  string
+		strike func(g *stage)
+	}{
+		{"two-entries-at-once", func(*stage) {}},
+		{"pinning-entry-lost", func(g *stage) { g.Entries[0].Kill() }},
+		{"pin-leader-lost", func(g *stage) { g.Leader(1).Kill() }},
+		{"version-added", func(g *stage) {
+			g.apply(g.Entries[0], spec{[]string{active, active, active}, []string{active}, all})
+		}},
+	} {
+		t.Run(k.fault, func(t *testing.T) {
+			t.Parallel()
+			report.Run(t, "G3", k.fault, 6, func(t *testing.T, seed uint64) {
+				begun := three
+				if k.fault == "version-added" {
+					begun.draft = []string{active, active, withdrawn}
+				}
+				g := begin(t, seed, begun, system.Options{Entries: 3, Longest: 10 * time.Second})
+				pinned := map[string]string{}
+				for i := range sessions {
+					name := fmt.Sprint("s", seed, "-", i)
+					v, _ := g.both(name, "first")
+					g.is.Equal(v[0], v[1]) // both entries use the version that was pinned first
+					pinned[name] = v[0]
+				}
+				k.strike(g)
+				for name, v := range pinned {
+					for i, e := range g.Entries[1:] {
+						got, moved := g.in(e, name, fmt.Sprint("later-", i))
+						g.is.Equal([]string{got, moved}, []string{v, ""}) // the session keeps its version
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a session that stays on a withdrawn version, moves more than
+// once, moves without a word or moves back.
+func TestProofMove(t *testing.T) {
+	t.Parallel()
+	report.Run(t, "G3", "pinned-version-withdrawn", 6, func(t *testing.T, seed uint64) {
+		g := begin(t, seed, three, system.Options{})
+		old := map[string]string{}
+		for i := range sessions {
+			name := fmt.Sprint("m", seed, "-", i)
+			old[name], _ = g.in(g.Entries[i%2], name, "first")
+		}
+		gone := old[fmt.Sprint("m", seed, "-0")]
+		less := spec{[]string{active, active, active}, three.large, all}
+		less.draft[gone[0]-'1'] = withdrawn
+		g.apply(g.Entries[0], less)
+		n := len(g.Runs())
+		now := map[string]string{}
+		for name, v := range old {
+			got, moved := g.both(name, "second")
+			g.is.Equal(got[0], got[1]) // one move, whichever entry makes it
+			now[name] = got[0]
+			if v != gone {
+				g.is.Equal([]string{got[0], moved[0], moved[1]}, []string{v, "", ""})
+				continue
+			}
+			g.is.True(got[0] != gone)                       // withdrawal goes before the pin
+			g.is.True(moved[0] == gone || moved[1] == gone) // and the answer says so
+		}
+		g.forbid(n, [][]string{draft1, {"engine-5"}, {"engine-7"}}[gone[0]-'1']...)
+		g.apply(g.Entries[0], three)
+		for name, v := range now {
+			got, moved := g.both(name, "third")
+			g.is.Equal([]string{got[0], got[1], moved[0], moved[1]}, []string{v, v, "", ""})
+		}
+	})
+}
