proof: count changed answers by the caller's part of the identity

Entries now append a random part to the identity that upstreams see. The trap of the proofs changed the answer of the first run of each identity, so each resend of a caller was changed again and the proof of cut streams without resume sent until its limit. Ruled out: a fault of the entry; each changed answer was refused rightly. Change: the trap cuts the identity at "~", as the simulated services do.

--- a/internal/proof/system/trap.go
+++ b/internal/proof/system/trap.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 )
 
@@ -41,7 +42,8 @@
 
 // serve changes the answer of the first run of each request.
 func (t *Trap) serve(name string, w http.ResponseWriter, r *http.Request, next http.Handler) {
-	id := r.Header.Get("X-Request-Id")
+	// The entry adds a part of its own, which differs when the caller sends again.
+	id, _, _ := strings.Cut(r.Header.Get("X-Request-Id"), "~")
 	t.mu.Lock()
 	f := t.tamper
 	if t.tampered[id] {
