state: keep suspicions and quarantines of requests in group 0

Cause: a request that crashes each upstream which runs it was retried and resent without a bound, since nobody knew of the crashes but one entry. Ruled out: soft state at the leader. It is lost with the leader between the two crashes, and a trial of a lost entry could not be told from none. Change: command Suspect keeps per fingerprint the crashes (confirmed, or a broken connection for 15 s), the one permitted trial, and the quarantine. New incarnations and expired registrations confirm crashes, also of trials whose entry is gone. Conclusion: one place decides what counts as a crash, for all entries.

--- a/internal/control/entry/documents.go
+++ b/internal/control/entry/documents.go
@@ -108,7 +108,7 @@
 	if f.GetCode() == wire.Code_CODE_REDIRECT {
 		return &wire.StatusReply{Fault: f}, nil
 	}
-	reply := &wire.StatusReply{Fault: f, Revision: s.config.Revision(), Upstreams: s.config.Upstreams()}
+	reply := &wire.StatusReply{Fault: f, Revision: s.config.Revision(), Upstreams: s.config.Upstreams(), Suspicions: s.config.Suspicions()}
 	if f == nil {
 		reply.Inforce, _ = s.table.inforce(reply.Revision)
 		reply.Leases = s.table.leases(s.config)
--- a/internal/control/entry/renew.go
+++ b/internal/control/entry/renew.go
@@ -36,7 +36,7 @@
 	s.table.end(g, d.Revision)
 	reply := &wire.RenewReply{
 		Lease: uint32(LeasePeriod.Milliseconds()), Revision: d.Revision, Full: d.Full,
-		Documents: d.Documents, Upstreams: d.Upstreams, Term: term,
+		Documents: d.Documents, Upstreams: d.Upstreams, Suspicions: d.Suspicions, Term: term,
 	}
 	s.table.fill(reply, r.Soft, s.config)
 	return reply, nil
--- a/internal/control/state/config.go
+++ b/internal/control/state/config.go
@@ -37,6 +37,7 @@
 	receipts expiry[*wire.Receipt]
 	registry map[string]*wire.Registration
 	drains   map[string]bool
+	suspects map[string]*wire.Suspicion
 	// drained counts changes of drains since this process started.
 	drained uint64
 	// recent lists what changed at which revision, oldest first; floor is the
@@ -56,6 +57,7 @@
 	revision uint64
 	service  string
 	upstream string
+	suspect  string
 }
 
 // NewConfig returns an empty group 0.
@@ -73,6 +75,7 @@
 	c.receipts = expiry[*wire.Receipt]{}
 	c.registry = map[string]*wire.Registration{}
 	c.drains = map[string]bool{}
+	c.suspects = map[string]*wire.Suspicion{}
 	c.recent = nil
 }
 
@@ -101,6 +104,8 @@
 		return encode(c.leave(b.Leave))
 	case *wire.Command_Drain:
 		return encode(c.drain(b.Drain))
+	case *wire.Command_Suspect:
+		return encode(c.suspect(b.Suspect))
 	case *wire.Command_Form:
 		return encode(c.form(b.Form))
 	}
@@ -194,8 +199,9 @@
 	c.receipts.add(k, k.Instant)
 }
 
-// expire drops receipts past their retention.
+// expire drops receipts and suspicions past their retention.
 func (c *Config) expire() {
+	c.expireSuspicions()
 	c.receipts.drop(horizon(c.instant), func(k *wire.Receipt) {
 		if c.changes[k.Change] == k {
 			delete(c.changes, k.Change)
--- a/internal/control/state/registry.go
+++ b/internal/control/state/registry.go
@@ -33,6 +33,9 @@
 			return &wire.AnnounceReply{Revision: old.Revision}
 		}
 	}
+	if old != nil && u.Incarnation > old.Upstream.Incarnation {
+		c.crashed(u.Name, u.Incarnation-1)
+	}
 	c.revision++
 	c.registry[u.Name] = &wire.Registration{Upstream: u, Revision: c.revision}
 	c.note(change{revision: c.revision, upstream: u.Name})
@@ -68,6 +71,9 @@
 		c.registry[r.Name] = &wire.Registration{Upstream: u, Revision: revision, Final: !r.Expired}
 		return &wire.LeaveReply{Revision: c.revision}
 	}
+	if r.Expired {
+		c.crashed(r.Name, r.Incarnation)
+	}
 	c.revision++
 	c.registry[r.Name] = &wire.Registration{Upstream: u, Revision: c.revision, Final: !r.Expired}
 	c.note(change{revision: c.revision, upstream: r.Name})
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -28,6 +28,7 @@
 		s.Drains = append(s.Drains, n)
 	}
 	slices.Sort(s.Drains)
+	s.Suspicions = c.sortedSuspicions()
 	snapshot, err = proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	return snapshot, errors.Wrap(err, "config snapshot")
 }
@@ -54,6 +55,9 @@
 	for _, n := range s.Drains {
 		c.drains[n] = true
 	}
+	for _, p := range s.Suspicions {
+		c.suspects[p.Fingerprint] = p
+	}
 	// The list of changes is not kept in snapshots; entries that are behind get the full state.
 	c.floor = c.revision
 	c.drained++
--- /dev/null
+++ b/internal/control/state/suspect_test.go
@@ -0,0 +1,83 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// suspicion is one command and the standing that it must return.
+type suspicion struct {
+	at          time.Duration
+	move        wire.Move
+	suspect     string
+	upstream    string
+	incarnation uint64
+	want        wire.Standing
+}
+
+const (
+	brk    = wire.Move_MOVE_BREAK
+	crash  = wire.Move_MOVE_CRASH
+	trial  = wire.Move_MOVE_TRIAL
+	end    = wire.Move_MOVE_END
+	clean  = wire.Move_MOVE_CLEAR
+	lift   = wire.Move_MOVE_LIFT
+	renew  = wire.Move(-1) // the upstream announces the incarnation
+	expire = wire.Move(-2) // its registration ends
+
+	free     = wire.Standing_STANDING_FREE
+	under    = wire.Standing_STANDING_SUSPECTED
+	granted  = wire.Standing_STANDING_GRANTED
+	occupied = wire.Standing_STANDING_OCCUPIED
+	wait     = wire.Standing_STANDING_WAIT
+	out      = wire.Standing_STANDING_QUARANTINED
+)
+
+// Guards against a third upstream that gets a poison request, and against the
+// quarantine of innocent requests. Every case passes through a snapshot after each move.
+func TestSuspicions(t *testing.T) {
+	for _, k := range []struct {
+		name  string
+		moves []suspicion
+	}{
+		{"two crashes", []suspicion{{0, crash, "p", "a", 1, under}, {0, trial, "p", "b", 1, granted}, {0, crash, "p", "b", 1, out}, {0, trial, "p", "c", 1, out}}},
+		{"same crash twice", []suspicion{{0, crash, "p", "a", 1, under}, {0, crash, "p", "a", 1, under}, {0, trial, "p", "b", 1, granted}}},
+		{"finished elsewhere", []suspicion{{0, crash, "p", "a", 1, under}, {0, trial, "p", "b", 1, granted}, {0, clean, "p", "b", 1, free}, {0, trial, "p", "b", 1, free}, {0, crash, "p", "c", 1, under}}},
+		{"apart", []suspicion{{0, crash, "p", "a", 1, under}, {0, crash, "n", "a", 1, under}, {0, trial, "p", "b", 1, granted}, {0, trial, "n", "b", 1, occupied}, {0, trial, "n", "c", 1, granted}, {0, crash, "p", "b", 1, out}, {0, clean, "n", "c", 1, free}, {0, trial, "n", "d", 1, free}}},
+		{"one run at a time", []suspicion{{0, crash, "p", "a", 1, under}, {0, trial, "p", "b", 1, granted}, {0, trial, "p", "c", 1, wait}, {0, end, "p", "b", 1, free}, {0, trial, "p", "c", 1, granted}}},
+		{"broken connections only", []suspicion{{0, brk, "p", "a", 1, under}, {0, brk, "p", "b", 1, under}, {0, trial, "p", "c", 1, wait}, {16 * time.Second, trial, "p", "c", 1, free}}},
+		{"broken, then new incarnations", []suspicion{{0, renew, "", "a", 1, 0}, {0, brk, "p", "a", 1, under}, {0, renew, "", "a", 2, 0}, {0, brk, "p", "a", 2, under}, {0, trial, "p", "b", 1, wait}, {0, renew, "", "a", 3, 0}, {0, trial, "p", "b", 1, out}}},
+		{"entry lost with its trial", []suspicion{{0, renew, "", "b", 1, 0}, {0, crash, "p", "a", 1, under}, {0, trial, "p", "b", 1, granted}, {time.Second, expire, "", "b", 1, 0}, {time.Second, trial, "p", "c", 1, out}}},
+		{"late report", []suspicion{{0, renew, "", "a", 2, 0}, {0, brk, "p", "a", 1, under}, {16 * time.Second, trial, "p", "a", 2, granted}, {16 * time.Second, crash, "p", "a", 2, out}}},
+		{"lifted", []suspicion{{0, crash, "p", "a", 1, under}, {0, crash, "p", "b", 1, out}, {0, clean, "p", "b", 1, free}, {0, trial, "p", "c", 1, out}, {0, lift, "p", "", 0, free}, {0, trial, "p", "c", 1, free}}},
+		{"kept for a day", []suspicion{{0, crash, "p", "a", 1, under}, {0, crash, "p", "b", 1, out}, {Retention, trial, "p", "c", 1, out}, {Retention + time.Minute, trial, "p", "c", 1, free}}},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			is := is.New(t)
+			c := NewConfig()
+			for i, m := range k.moves {
+				command := &wire.Command{Instant: m.at.Milliseconds() + 1}
+				switch m.move {
+				case renew:
+					command.Body = &wire.Command_Announce{Announce: &wire.AnnounceRequest{Upstream: &wire.Upstream{Name: m.upstream, Incarnation: m.incarnation, Sequence: 1}}}
+				case expire:
+					command.Body = &wire.Command_Leave{Leave: &wire.LeaveRequest{Name: m.upstream, Incarnation: m.incarnation, Sequence: 1, Expired: true}}
+				default:
+					command.Body = &wire.Command_Suspect{Suspect: &wire.SuspectRequest{
+						Move: m.move, Suspects: []*wire.Suspect{{Fingerprint: m.suspect, Account: "hill"}},
+						Upstream: m.upstream, Incarnation: m.incarnation, Owner: "e1", Epoch: 1, Nonce: uint64(len(m.upstream)),
+					}}
+				}
+				r := run(is, c.Apply, command, &wire.SuspectReply{})
+				if m.suspect != "" && r.Standings[0] != m.want {
+					t.Errorf("move %d: %s, expected %s", i+1, r.Standings[0], m.want)
+				}
+				c = restored(is, c)
+			}
+		})
+	}
+}
--- a/internal/control/state/view.go
+++ b/internal/control/state/view.go
@@ -16,6 +16,8 @@
 	Revision  uint64
 	Documents []*wire.Document
 	Upstreams []*wire.Upstream
+	// Suspicions are those that changed; an ended one is marked as removed.
+	Suspicions []*wire.Suspicion
 }
 
 // Revision returns the revision of the last change.
@@ -63,7 +65,7 @@
 	}
 	first := sort.Search(len(c.recent), func(i int) bool { return c.recent[i].revision > revision })
 	d := Delta{Revision: c.revision}
-	services, upstreams := map[string]bool{}, map[string]bool{}
+	services, upstreams, suspects := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, n := range c.recent[first:] {
 		switch {
 		case n.service != "" && !services[n.service]:
@@ -72,6 +74,9 @@
 		case n.upstream != "" && !upstreams[n.upstream]:
 			upstreams[n.upstream] = true
 			d.Upstreams = append(d.Upstreams, proto.CloneOf(c.registry[n.upstream].Upstream))
+		case n.suspect != "" && !suspects[n.suspect]:
+			suspects[n.suspect] = true
+			d.Suspicions = append(d.Suspicions, c.suspicion(n.suspect))
 		}
 	}
 	return d
@@ -84,6 +89,7 @@
 	}
 	slices.SortFunc(d.Documents, func(a, b *wire.Document) int { return cmp.Compare(a.Service, b.Service) })
 	d.Upstreams = c.live()
+	d.Suspicions = c.sortedSuspicions()
 	return d
 }
 
--- a/internal/entry/control/calls.go
+++ b/internal/entry/control/calls.go
@@ -91,6 +91,11 @@
 	return invoke(ctx, c, c.short(0, true), r, wire.DRPCControlClient.Drain)
 }
 
+// Suspect makes one move of the suspicion of requests.
+func (c *Client) Suspect(ctx context.Context, r *wire.SuspectRequest) (*wire.SuspectReply, error) {
+	return invoke(ctx, c, c.long(0, true, r.Wait), r, wire.DRPCControlClient.Suspect)
+}
+
 // Claim makes one move of a claim. All attempts of one call carry the same nonce,
 // so that a move whose answer was lost is not taken for another owner's.
 func (c *Client) Claim(ctx context.Context, r *wire.ClaimRequest) (*wire.ClaimReply, error) {
--- a/internal/entry/control/control.go
+++ b/internal/entry/control/control.go
@@ -35,6 +35,8 @@
 	Revision  document.Revision
 	Documents map[document.Service]*document.Document
 	Upstreams map[string]*wire.Upstream
+	// Suspicions are the suspected and quarantined requests by fingerprint.
+	Suspicions map[string]*wire.Suspicion
 }
 
 // Caller is the part of the control service that requests use. Each call finds
--- a/internal/entry/control/renew.go
+++ b/internal/entry/control/renew.go
@@ -146,13 +146,15 @@
 // merge returns the configuration after the changes; the old one stays as it is.
 func (c *Client) merge(old *Config, r *wire.RenewReply) (*Config, error) {
 	next := &Config{
-		Revision:  document.Revision(r.Revision),
-		Documents: map[document.Service]*document.Document{},
-		Upstreams: map[string]*wire.Upstream{},
+		Revision:   document.Revision(r.Revision),
+		Documents:  map[document.Service]*document.Document{},
+		Upstreams:  map[string]*wire.Upstream{},
+		Suspicions: map[string]*wire.Suspicion{},
 	}
 	if !r.Full {
 		maps.Copy(next.Documents, old.Documents)
 		maps.Copy(next.Upstreams, old.Upstreams)
+		maps.Copy(next.Suspicions, old.Suspicions)
 	}
 	for _, d := range r.Documents {
 		p, err := c.options.Parse(d.Text)
@@ -168,5 +170,12 @@
 		}
 		next.Upstreams[u.Name] = u
 	}
+	for _, s := range r.Suspicions {
+		if s.Removed {
+			delete(next.Suspicions, s.Fingerprint)
+			continue
+		}
+		next.Suspicions[s.Fingerprint] = s
+	}
 	return next, nil
 }
