entry: report requests in flight at a crash and try suspects apart

Ruled out: blaming each broken connection; counting crashes at the entry only. Change: package suspect follows the runs per upstream incarnation, probes for refused connections within 60 ms of a break, and reports all in flight in one command, answered once all entries know. A suspect needs a trial from group 0 before each further run. Calls that may not be repeated report after their answer and never get a second upstream. Measured: go test -race ./internal/entry/caller ./internal/entry/upstream passes. Conclusion: the path of an unsuspected request has no control call more.

--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -11,6 +11,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
 	"wisteriakeel.example/wisteriakeel/internal/entry/route"
+	"wisteriakeel.example/wisteriakeel/internal/entry/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
@@ -33,6 +34,13 @@
 	pick    *route.Pick
 }
 
+func (p placement) chosen() (*wire.Upstream, func()) { return chosen(p.pick) }
+
+// chosen returns the upstream and what gives it back unused.
+func chosen(k *route.Pick) (*wire.Upstream, func()) {
+	return k.Upstream, func() { k.Done(false) }
+}
+
 func (h *Handler) within(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	return timer.WithTimeout(ctx, h.timer, d)
 }
@@ -56,14 +64,13 @@
 	var failure error
 	changes := 0
 	for {
-		p, err := j.place(ctx, model, a.version, o, tried)
+		p, run, err := admit(ctx, j.request, func() (placement, error) { return j.place(ctx, model, a.version, o, tried) }, placement.chosen)
 		if err != nil {
-			// A failed attempt says more than that there is no further upstream.
-			return a, errors.CombineErrors(failure, err)
+			return a, worst(failure, err)
 		}
 		before := a.version
 		a.version = p.version
-		a.result, err = j.attempt(ctx, a, p, body)
+		a.result, err = j.attempt(ctx, a, p, run, body)
 		if err == nil {
 			return a, nil
 		}
@@ -147,7 +154,7 @@
 
 // clear checks the lease, the permission, the version and the upstream against
 // the configuration in force, immediately before the dispatch.
-func (j *job) clear(model document.Model, p placement, pinned bool) error {
+func (j *job) clear(model document.Model, p placement, pinned, trial bool) error {
 	c, err := j.handler.config()
 	if err != nil {
 		return err
@@ -156,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	if !plan.Takes(model, p.version, j.key(), pinned) || !registered(c, p.pick.Upstream) {
+	if !plan.Takes(model, p.version, j.key(), pinned) || !registered(c, p.pick.Upstream) || !trial && j.suspected(c) {
 		return errChanged
 	}
 	return nil
@@ -169,7 +176,7 @@
 }
 
 // attempt sends the request to one upstream and records the cost.
-func (j *job) attempt(ctx context.Context, a answered, p placement, body []byte) (res upstream.Result, err error) {
+func (j *job) attempt(ctx context.Context, a answered, p placement, run *suspect.Run, body []byte) (res upstream.Result, err error) {
 	u := p.pick.Upstream
 	ctx, span := j.handler.options.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("upstream", u.Name), attribute.String("version", u.Version)))
@@ -179,6 +186,7 @@
 		if err != nil {
 			j.attempted(err)
 		}
+		err = j.settle(ctx, run, err)
 		end(span, err)
 	}()
 	o := a.output
@@ -188,7 +196,7 @@
 		Stream: j.chat.stream, Sink: o.take,
 	}
 	pinned := j.session != "" || o.begun()
-	q.Check = func() error { return j.clear(a.model, p, pinned) }
+	q.Check = func() error { return j.clear(a.model, p, pinned, run.Trial()) }
 	if o.begun() {
 		q.Resume = o.contents
 	}
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -29,6 +29,7 @@
 // Control is the part of the control client that requests use.
 type Control interface {
 	control.Caller
+	Suspect(ctx context.Context, r *wire.SuspectRequest) (*wire.SuspectReply, error)
 	Ledger(ctx context.Context, r *wire.LedgerRequest) (*wire.LedgerReply, error)
 	Config() *control.Config
 	Leased() *control.Config
@@ -144,6 +145,7 @@
 	dispatcher *upstream.Dispatcher
 	pins       *pins
 	drain      *drain
+	tracker    Tracker
 	open       *connections
 
 	mu     sync.Mutex
@@ -173,6 +175,7 @@
 		return nil, err
 	}
 	h.dispatcher = upstream.New(upstream.Options{Timer: o.Timer, Limits: o.Upstream, Load: h.pool.Report, Dial: o.Dial})
+	h.tracker = h.newTracker()
 	o.Control.SetTallies(h.tallies)
 	metric.Func("caller.queues", h.gauges)
 	return h, nil
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 	"wisteriakeel.example/wisteriakeel/internal/entry/route"
+	"wisteriakeel.example/wisteriakeel/internal/entry/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
@@ -130,6 +132,10 @@
 	if err != nil {
 		return err
 	}
+	q.print = suspect.OfChat(string(q.account), c.fields)
+	if err := q.screen(config); err != nil {
+		return err
+	}
 	j := &job{request: q, chat: c}
 	if j.plan, err = route.Resolve(config, q.account, c.model); err != nil {
 		return err
@@ -150,6 +156,10 @@
 			if ctx.Err() != nil {
 				return a, context.Cause(ctx)
 			}
+			var own *refusal
+			if errors.As(err, &own) && own.code == codeQuarantined {
+				return a, err
+			}
 			if err != nil {
 				metric.Int("cascade.failed").Add(1)
 				continue
--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -202,7 +202,19 @@
 	}
 	defer conn.Close()
 	defer k.Done(false)
-	if err = c.clear(k.Upstream); err != nil {
+	run, err := c.venture(ctx, k.Upstream)
+	if errors.Is(err, errOccupied) {
+		err = c.handler.busy(kindUpstream, "suspected", "an upstream crashed while it ran this call, and another attempt is in progress")
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if !sent {
+			_ = run.Ended(context.WithoutCancel(ctx))
+		}
+	}()
+	if err = c.clear(k.Upstream, run.Trial()); err != nil {
 		return nil, err
 	}
 	reply, err := c.move(ctx, &wire.ClaimRequest{Step: wire.Step_STEP_DISPATCH, Epoch: c.epoch})
@@ -212,11 +224,11 @@
 	if !reply.Won || reply.Phase != wire.Phase_PHASE_DISPATCHING {
 		return nil, errTaken
 	}
-	sent = true
-	answer, err := c.attempt(ctx, k, func(ctx context.Context) (upstream.Answer, error) {
+	sent, c.single = true, true
+	answer, err := c.attempt(ctx, k, run, func(ctx context.Context) (upstream.Answer, error) {
 		m := c.message
 		// The claim may have taken long, so everything is checked once more.
-		m.Check = func() error { return c.clear(k.Upstream) }
+		m.Check = func() error { return c.clear(k.Upstream, run.Trial()) }
 		return c.handler.dispatcher.Once(ctx, k.Upstream, m, conn)
 	})
 	return c.store(ctx, c.answer(answer, err)), nil
--- a/internal/entry/caller/fake_test.go
+++ b/internal/entry/caller/fake_test.go
@@ -202,6 +202,11 @@
 	return &wire.ClaimReply{Phase: c.Phase, Owner: c.Owner, Epoch: c.Epoch, Digest: c.Digest, Answer: c.Answer, Age: c.Age, Won: won}, nil
 }
 
+// Suspect keeps no suspicion.
+func (f *fakeControl) Suspect(_ context.Context, r *wire.SuspectRequest) (*wire.SuspectReply, error) {
+	return &wire.SuspectReply{Standings: make([]wire.Standing, len(r.Suspects))}, nil
+}
+
 // book holds one account per token; the token is the account's name.
 type book struct{}
 
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -14,6 +14,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
 	"wisteriakeel.example/wisteriakeel/internal/entry/route"
+	"wisteriakeel.example/wisteriakeel/internal/entry/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
@@ -50,6 +51,7 @@
 	if _, p.call, p.grant, err = p.permitted(); err != nil {
 		return err
 	}
+	p.print = suspect.Of(string(q.account), []byte(service), []byte(q.http.Method), []byte(escaped), q.body)
 	p.message = upstream.Plain{
 		Method: q.http.Method, Path: escaped, Body: q.body, Type: q.http.Header.Get("Content-Type"),
 		Request: q.id, Key: q.http.Header.Get(upstream.HeaderKey), Account: string(q.account),
@@ -97,7 +99,7 @@
 
 // clear checks everything that may have changed, immediately before the
 // dispatch. It changes nothing, since the connection's own goroutine calls it.
-func (p *plainCall) clear(u *wire.Upstream) error {
+func (p *plainCall) clear(u *wire.Upstream, trial bool) error {
 	c, call, _, err := p.permitted()
 	if err != nil {
 		return err
@@ -105,6 +107,9 @@
 	if call.Repeat != p.call.Repeat {
 		return errors.Wrap(errChanged, "the call's declaration")
 	}
+	if !trial && p.suspected(c) {
+		return errors.Wrap(errChanged, "the call is suspected of a crash")
+	}
 	if !registered(c, u) {
 		return errors.Wrap(route.ErrUpstream, "the upstream has left")
 	}
@@ -122,13 +127,13 @@
 	var tried []string
 	var failure error
 	for {
-		k, err := p.pick(tried)
+		k, run, err := admit(ctx, p.request, func() (*route.Pick, error) { return p.pick(tried) }, chosen)
 		if err != nil {
-			return errors.CombineErrors(failure, err)
+			return worst(failure, err)
 		}
-		a, err := p.attempt(ctx, k, func(ctx context.Context) (upstream.Answer, error) {
+		a, err := p.attempt(ctx, k, run, func(ctx context.Context) (upstream.Answer, error) {
 			m := p.message
-			m.Check = func() error { return p.clear(k.Upstream) }
+			m.Check = func() error { return p.clear(k.Upstream, run.Trial()) }
 			return p.handler.dispatcher.Plain(ctx, k.Upstream, m)
 		})
 		if err == nil {
@@ -143,7 +148,7 @@
 }
 
 // attempt sends the call to one upstream.
-func (p *plainCall) attempt(ctx context.Context, k *route.Pick, send func(ctx context.Context) (upstream.Answer, error)) (a upstream.Answer, err error) {
+func (p *plainCall) attempt(ctx context.Context, k *route.Pick, run *suspect.Run, send func(ctx context.Context) (upstream.Answer, error)) (a upstream.Answer, err error) {
 	ctx, span := p.handler.options.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("upstream", k.Upstream.Name)))
 	defer func() {
@@ -152,6 +157,7 @@
 		if err != nil {
 			p.attempted(err)
 		}
+		err = p.settle(ctx, run, err)
 		if err == nil || upstream.OutcomeOf(err) != upstream.NotRun {
 			p.costs = append(p.costs, &wire.Cost{Upstream: k.Upstream.Name, Amount: uint64(p.call.Price)})
 		}
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -20,6 +20,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
 	"wisteriakeel.example/wisteriakeel/internal/entry/queue"
+	"wisteriakeel.example/wisteriakeel/internal/entry/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
@@ -47,6 +48,14 @@
 	ran upstream.Outcome
 	// events is true once an event stream has begun.
 	events bool
+	// print identifies the content; it is set before the request is dispatched.
+	print suspect.Fingerprint
+	// struck is true once the connection of an attempt broke; tried is when the
+	// present attempt was first placed.
+	struck bool
+	// single is true for a call that may not be repeated.
+	single bool
+	tried  timer.Instant
 	// after is what remains to be done once the caller has its answer.
 	after []func()
 }
--- /dev/null
+++ b/internal/entry/suspect/suspect.go
@@ -0,0 +1,232 @@
+// Package suspect finds out which requests of an entry were in flight when an
+// upstream crashed, reports them to group 0 and asks there before a suspected
+// request runs again.
+package suspect
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
+)
+
+// probes are the times from a broken connection to the attempts to connect anew. A
+// process that dies may close its connections shortly before its listener.
+var probes = []time.Duration{0, 10 * time.Millisecond, 30 * time.Millisecond, 60 * time.Millisecond}
+
+// inforce bounds the wait until all entries know of a crash.
+const inforce = 3000
+
+// Reporter keeps the suspicions in group 0.
+type Reporter interface {
+	Suspect(ctx context.Context, r *wire.SuspectRequest) (*wire.SuspectReply, error)
+}
+
+// Options are what a Tracker needs.
+type Options struct {
+	Timer    timer.Service
+	Reporter Reporter
+	// Refuses tells whether the address refuses connections.
+	Refuses func(ctx context.Context, address string) bool
+	// Owner and Epoch name the process of the entry, Nonce a run of it.
+	Owner string
+	Epoch uint64
+	Nonce func() uint64
+}
+
+// Tracker knows the runs of one entry.
+type Tracker struct {
+	options Options
+
+	mu        sync.Mutex
+	flights   map[target]map[*Run]struct{}
+	inquiries map[target]*inquiry
+}
+
+// target is one incarnation of an upstream.
+type target struct {
+	name        string
+	incarnation uint64
+}
+
+// inquiry finds out whether an upstream crashed. All runs that break meanwhile
+// share it.
+type inquiry struct {
+	runs      []*Run
+	done      chan struct{}
+	standings map[Fingerprint]wire.Standing
+	err       error
+}
+
+// New returns a tracker.
+func New(o Options) *Tracker {
+	return &Tracker{options: o, flights: map[target]map[*Run]struct{}{}, inquiries: map[target]*inquiry{}}
+}
+
+// Run is a request on its way to one upstream. Exactly one of Finished, Broke and
+// Ended must be called.
+type Run struct {
+	tracker     *Tracker
+	fingerprint Fingerprint
+	account     string
+	target      target
+	address     string
+	nonce       uint64
+	// reported is true once the run was named in a report; guarded by the tracker's lock.
+	reported bool
+	trial    bool
+}
+
+// Begin counts a run of a request that is not suspected.
+func (k *Tracker) Begin(f Fingerprint, account string, u *wire.Upstream) *Run {
+	r := &Run{tracker: k, fingerprint: f, account: account, target: target{u.Name, u.Incarnation}, address: u.Address}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.flights[r.target] == nil {
+		k.flights[r.target] = map[*Run]struct{}{}
+	}
+	k.flights[r.target][r] = struct{}{}
+	return r
+}
+
+// Try asks group 0 whether the suspected request may run on the upstream. The run
+// is nil unless it may. The standing WAIT comes with the trial that must end
+// first, nil while crashes are not confirmed yet.
+func (k *Tracker) Try(ctx context.Context, f Fingerprint, account string, u *wire.Upstream) (r *Run, s wire.Standing, t *wire.Trial, err error) {
+	r = k.Begin(f, account, u)
+	r.nonce = k.options.Nonce()
+	reply, err := k.options.Reporter.Suspect(ctx, r.request(wire.Move_MOVE_TRIAL))
+	if err != nil {
+		r.leave()
+		return nil, s, nil, err
+	}
+	s = reply.Standings[0]
+	if s != wire.Standing_STANDING_GRANTED && s != wire.Standing_STANDING_FREE {
+		r.leave()
+		return nil, s, reply.Trial, nil
+	}
+	// A request that is free by now needs no trial, whatever the entry's own configuration still says.
+	r.trial = true
+	return r, s, nil, nil
+}
+
+// Trial tells whether group 0 permitted this run of a suspected request.
+func (r *Run) Trial() bool { return r.trial }
+
+// Finished clears the request if it was suspected.
+func (r *Run) Finished(ctx context.Context) error {
+	if !r.leave() && !r.trial {
+		return nil
+	}
+	_, err := r.tracker.options.Reporter.Suspect(ctx, r.request(wire.Move_MOVE_CLEAR))
+	return err
+}
+
+// Ended ends a run that says nothing about the request.
+func (r *Run) Ended(ctx context.Context) error {
+	r.leave()
+	if !r.trial {
+		return nil
+	}
+	_, err := r.tracker.options.Reporter.Suspect(ctx, r.request(wire.Move_MOVE_END))
+	return err
+}
+
+// Broke reports that the connection of the run broke and returns how the request
+// stands then.
+func (r *Run) Broke(ctx context.Context) (wire.Standing, error) {
+	defer r.leave()
+	k := r.tracker
+	k.mu.Lock()
+	q, joined := k.inquiries[r.target]
+	if !joined {
+		q = &inquiry{done: make(chan struct{}), standings: map[Fingerprint]wire.Standing{}}
+		k.inquiries[r.target] = q
+	}
+	q.runs = append(q.runs, r)
+	k.mu.Unlock()
+	if !joined {
+		k.inquire(ctx, r, q)
+	}
+	select {
+	case <-q.done:
+		return q.standings[r.fingerprint], q.err
+	case <-ctx.Done():
+		return 0, context.Cause(ctx)
+	}
+}
+
+// inquire reports the runs whose connections broke. If the upstream refuses
+// connections, all runs in flight there are suspects.
+func (k *Tracker) inquire(ctx context.Context, r *Run, q *inquiry) {
+	defer close(q.done)
+	move := wire.Move_MOVE_BREAK
+	if k.refused(ctx, r.address) {
+		move = wire.Move_MOVE_CRASH
+	}
+	k.mu.Lock()
+	delete(k.inquiries, r.target)
+	if move == wire.Move_MOVE_CRASH {
+		for o := range k.flights[r.target] {
+			if !slices.Contains(q.runs, o) {
+				q.runs = append(q.runs, o)
+			}
+		}
+	}
+	request := r.request(move)
+	request.Wait, request.Suspects = inforce, nil
+	for _, o := range q.runs {
+		o.reported = true
+		if _, ok := q.standings[o.fingerprint]; !ok {
+			q.standings[o.fingerprint] = wire.Standing_STANDING_SUSPECTED
+			request.Suspects = append(request.Suspects, &wire.Suspect{Fingerprint: string(o.fingerprint), Account: o.account})
+		}
+	}
+	k.mu.Unlock()
+	reply, err := k.options.Reporter.Suspect(ctx, request)
+	if err != nil {
+		q.err = err
+		return
+	}
+	for i, s := range reply.Standings {
+		q.standings[Fingerprint(request.Suspects[i].Fingerprint)] = s
+	}
+}
+
+// refused tells whether the upstream refuses connections shortly after one broke.
+func (k *Tracker) refused(ctx context.Context, address string) bool {
+	passed := time.Duration(0)
+	for _, p := range probes {
+		if p > passed && timer.Sleep(ctx, k.options.Timer, p-passed) != nil {
+			return false
+		}
+		passed = p
+		if k.options.Refuses(ctx, address) {
+			return true
+		}
+	}
+	return false
+}
+
+// leave ends the flight and tells whether the run was reported.
+func (r *Run) leave() (reported bool) {
+	k := r.tracker
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.flights[r.target], r)
+	if len(k.flights[r.target]) == 0 {
+		delete(k.flights, r.target)
+	}
+	return r.reported
+}
+
+func (r *Run) request(m wire.Move) *wire.SuspectRequest {
+	o := r.tracker.options
+	return &wire.SuspectRequest{
+		Move: m, Suspects: []*wire.Suspect{{Fingerprint: string(r.fingerprint), Account: r.account}},
+		Upstream: r.target.name, Incarnation: r.target.incarnation, Owner: o.Owner, Epoch: o.Epoch, Nonce: r.nonce,
+	}
+}
--- a/internal/entry/upstream/dispatch.go
+++ b/internal/entry/upstream/dispatch.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -256,6 +257,7 @@
 	if !c.reached.Load() {
 		f.Outcome, f.Reason = NotRun, "upstream cannot be reached"
 	}
+	f.Broken = c.reached.Load() && (ctx.Err() == nil || broke(err))
 	if cause := context.Cause(ctx); cause != nil {
 		f.Err = cause
 		f.Blame = errors.Is(cause, ErrHeaderTimeout) || errors.Is(cause, ErrTokenTimeout)
@@ -270,6 +272,11 @@
 	return f
 }
 
+// broke tells an error of the connection itself from one of a call that was ended.
+func broke(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+}
+
 // body reads a bounded answer to the end of its framing.
 func (c *call) body(ctx context.Context, resp *http.Response, limit int64) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
--- a/internal/entry/upstream/outcome.go
+++ b/internal/entry/upstream/outcome.go
@@ -33,7 +33,9 @@
 	Withdrawn bool
 	// Blame is true if the failure speaks against the upstream.
 	Blame bool
-	Err   error
+	// Broken is true if the connection broke while the upstream ran the call.
+	Broken bool
+	Err    error
 }
 
 // Error names the outcome and the reason.
