operator: list and lift the quarantine of requests

Cause: an operator must see and be able to end a quarantine, for example after an engine was repaired. Ruled out: putting requests into quarantine by hand; nothing asks for it. Measured: go test -race ./internal/entry/operator ./internal/command/... passes with 6 new table rows. Conclusion: the lift goes through the log and waits until all entries know.

--- a/internal/command/terminal/remote_test.go
+++ b/internal/command/terminal/remote_test.go
@@ -101,6 +101,9 @@
 		{"ledger", []string{"ledger"}, answer{200, "", `{"totals":[{"account":"hill","service":"desk","requests":2,"amount":10}]}`}, ExitOK, "hill     desk     2"},
 		{"fairness", []string{"fairness"}, answer{200, "", `{"accounts":[{"account":"hill","requests":100,"waits":[94,1,5],"totals":[{"amount":3},{"amount":4}]}]}`}, ExitOK, "hill     100       0         < 1 ms        < 2 ms       7"},
 		{"drain", []string{"drain", "e1"}, answer{200, "", `{}`}, ExitOK, "e1: draining\n"},
+		{"lift", []string{"quarantine", "00ab", "--off"}, answer{200, "", `{}`}, ExitOK, "00ab: quarantine lifted\n"},
+		{"quarantine", []string{"quarantine"}, answer{200, "", `{"suspicions":[{"fingerprint":"00ab","account":"hill","quarantined":true,"crashes":[{"upstream":"w1","confirmed":true},{"upstream":"w2"}]}]}`}, ExitOK, "00ab         hill     true         w1 w2?\n"},
+		{"fingerprint alone", []string{"quarantine", "00ab"}, answer{200, "", `{}`}, ExitUsage, "--off"},
 		{"no argument", []string{"drain"}, answer{200, "", `{}`}, ExitUsage, "INSTANCE"},
 		{"no such option", []string{"show", "desk", "--fast"}, answer{200, "", `{}`}, ExitUsage, "fast"},
 	}
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -57,6 +57,7 @@
 	Status(ctx context.Context, r *wire.StatusRequest) (*wire.StatusReply, error)
 	Ledger(ctx context.Context, r *wire.LedgerRequest) (*wire.LedgerReply, error)
 	Drain(ctx context.Context, r *wire.DrainRequest) (*wire.DrainReply, error)
+	Suspect(ctx context.Context, r *wire.SuspectRequest) (*wire.SuspectReply, error)
 }
 
 // Options is what a server needs.
@@ -93,6 +94,7 @@
 	mux.Handle("GET /v1/operator/status", s.handler("status", s.bounded(s.status)))
 	mux.Handle("GET /v1/operator/ledger", s.handler("ledger", s.bounded(s.ledger)))
 	mux.Handle("POST /v1/operator/drain/{instance}", s.handler("drain", s.bounded(s.drain)))
+	mux.Handle("POST /v1/operator/quarantine/{fingerprint}", s.handler("quarantine", s.bounded(s.quarantine)))
 	mux.Handle("GET /v1/operator/watch", s.handler("watch", s.watch))
 }
 
--- a/internal/entry/operator/operator_test.go
+++ b/internal/entry/operator/operator_test.go
@@ -83,6 +83,10 @@
 	return &wire.DrainReply{}, f.err
 }
 
+func (f *fake) Suspect(context.Context, *wire.SuspectRequest) (*wire.SuspectReply, error) {
+	return &wire.SuspectReply{}, f.err
+}
+
 func setUp(t *testing.T) (*fake, *Server, *httptest.Server) {
 	t.Helper()
 	book, err := secret.Parse("s", []byte(`{"accounts":[{"name":"hill","token":"hill-account-token"}],
@@ -164,6 +168,9 @@
 		{"ledger", "GET /v1/operator/ledger", "", "", nil, 200, "", `{"charges":[],"totals":[{"account":"","amount":1152921504606846976,"cost":0,"input":0,"output":0,"requests":0,"service":"desk"}]}`},
 		{"drain", "POST /v1/operator/drain/e1", "", "", nil, 200, "", `{"draining":true,"instance":"e1"}`},
 		{"drain off", "POST /v1/operator/drain/e1?off=true", "", "", nil, 200, "", `"draining":false`},
+		{"lift", "POST /v1/operator/quarantine/00ab?off=true", "", "", nil, 200, "", `{"fingerprint":"00ab","quarantined":false}`},
+		{"quarantine by hand", "POST /v1/operator/quarantine/00ab", "", "", nil, 400, "not run", `"code":"off"`},
+		{"not in quarantine", "POST /v1/operator/quarantine/00ab?off=true", "", "", control.ErrMissing, 404, "not run", ""},
 	}
 	for _, c := range steps {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/entry/operator/state.go
+++ b/internal/entry/operator/state.go
@@ -92,6 +92,25 @@
 	return answer(w, http.StatusOK, map[string]any{"instance": r.Instance, "draining": !r.Off})
 }
 
+// liftWait bounds the wait in milliseconds until all entries know of a lift.
+const liftWait = 3000
+
+// quarantine ends the quarantine of a request.
+func (s *Server) quarantine(ctx context.Context, w http.ResponseWriter, c call) error {
+	if c.URL.Query().Get("off") != "true" {
+		return refusal(http.StatusBadRequest, "off", "off must be true: requests get into quarantine by crashes only")
+	}
+	name := c.PathValue("fingerprint")
+	_, err := s.Control.Suspect(ctx, &wire.SuspectRequest{
+		Move: wire.Move_MOVE_LIFT, Suspects: []*wire.Suspect{{Fingerprint: name}}, Wait: liftWait,
+	})
+	if err != nil {
+		return err
+	}
+	s.Log.Info("quarantine lifted", zap.String("fingerprint", name), zap.String("operator", c.operator.Name))
+	return answer(w, http.StatusOK, map[string]any{"fingerprint": name, "quarantined": false})
+}
+
 // watch sends an event whenever the accepted revision or the one in force changes.
 func (s *Server) watch(ctx context.Context, w http.ResponseWriter, _ call) error {
 	select {
