--- a/internal/proof/system/entry.go
+++ b/internal/proof/system/entry.go
@@ -49,6 +49,12 @@
 	s.must(err)
 	limits := upstream.DefaultLimits()
 	limits.Overall = o.Longest
+	if o.Header > 0 {
+		limits.Header = o.Header
+	}
+	if o.Token > 0 {
+		limits.Token = o.Token
+	}
 	p := caller.Options{
 		Control: &hooked{Client: e.Client, entry: e}, Credentials: s.secrets, Timer: service, Random: random,
 		Log: o.Log.Named(e.Name), Self: self, Epoch: epoch, Upstream: limits, Longest: o.Longest, Timeout: o.Longest,
--- a/internal/proof/system/system.go
+++ b/internal/proof/system/system.go
@@ -98,6 +98,9 @@
 	Longest time.Duration
 	// Rating is the address of a rating service; cascades go without one otherwise.
 	Rating string
+	// Header and Token bound the wait for the header and the next part of an answer;
+	// those of upstream.DefaultLimits by default.
+	Header, Token time.Duration
 	// Step is the time that an engine needs for one token; 1 ms by default.
 	Step time.Duration
 	// Hook is called at each Point, in the goroutine that makes the step, and may
@@ -241,6 +244,15 @@
 	return nil
 }
 
+// Restart starts an entry in place of a killed one, under another address.
+func (s *System) Restart(i int) *Entry {
+	s.test.Helper()
+	e := s.startEntry(i)
+	s.Entries[i] = e
+	s.Until("lease of the new entry", e.Client.Held)
+	return e
+}
+
 func (s *System) alive() *Entry {
 	for _, e := range s.Entries {
 		if !e.Gate.Killed() {
