upstream: drop idle connections when a call ends by its deadline

Ruled out: a longer call timeout; each silent connection would cost one more. Change: the deadline of the call and of the request drop idle connections as well. A chat answer that is not streamed has no bound but the deadline of the request; this is not proved.

--- a/internal/entry/upstream/dispatch.go
+++ b/internal/entry/upstream/dispatch.go
@@ -261,7 +261,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		f.Err = cause
 		f.Blame = errors.Is(cause, ErrHeaderTimeout) || errors.Is(cause, ErrTokenTimeout)
-		if f.Blame {
+		if f.Blame || errors.Is(cause, ErrCallTimeout) || errors.Is(cause, context.DeadlineExceeded) {
 			// Connections go silent together, so the idle ones are not used again either.
 			c.owner.pooled.CloseIdleConnections()
 		}
--- a/internal/proof/poison/poison_test.go
+++ b/internal/proof/poison/poison_test.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		for !final(x.Send(e, chat(marker, stream))) {
-			if time.Now().After(end) {
+			if time.Now().After(end) || x.crashed() > 2 {
 				x.t.Fatalf("no final answer from entry %d; %d engines crashed", i+1, x.crashed())
 			}
 			time.Sleep(time.Duration(x.random.IntN(100)) * time.Millisecond)
