--- a/internal/proof/system/system.go
+++ b/internal/proof/system/system.go
@@ -102,6 +102,9 @@
 	Longest time.Duration
 	// Rating is the address of a rating service; cascades go without one otherwise.
 	Rating string
+	// Header and Token bound the wait for the header and the next part of an answer;
+	// those of upstream.DefaultLimits by default.
+	Header, Token time.Duration
 	// Step is the time that an engine needs for one token; 1 ms by default.
 	Step time.Duration
 	// Versions are those of the engines, one for each pair of draft and large in
@@ -169,6 +172,8 @@
 	group   *group.Group
 	peers   []string
 	ended   chan struct{}
+	// started counts entries, so that one that is restarted has an epoch of its own.
+	started uint64
 }
 
 // startLimit bounds the start; elections take up to 2.4 s on an idle machine.
@@ -263,6 +268,15 @@
 	return nil
 }
 
+// Restart starts an entry in place of a killed one, under another address.
+func (s *System) Restart(i int) *Entry {
+	s.test.Helper()
+	e := s.startEntry(i)
+	s.Entries[i] = e
+	s.Until("lease of the new entry", e.Client.Held)
+	return e
+}
+
 func (s *System) alive() *Entry {
 	for _, e := range s.Entries {
 		if !e.Gate.Killed() {
