state, replica: give orders a fencing token and tell the remaining lease

Orders to engines need a number that rises with each order over all leaders, and a leader must know how long its lease lasts before it lets an order go. A token from the term and a local counter was ruled out: it does not outlive a lost counter, and the design takes tokens from the log. Node.LeaseLeft returns the term and the time until the leader lease runs out. Before: no token, and Leading only as yes or no.

--- a/internal/control/replica/election_test.go
+++ b/internal/control/replica/election_test.go
@@ -57,6 +57,34 @@
 	})
 }
 
+// Guards against a remaining lease that lasts beyond the time that a majority confirmed.
+func TestLeaseLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3, 3).form()
+		l := c.leader()
+		term, left := l.node.LeaseLeft()
+		now, ok := l.node.Leading()
+		is.True(ok)
+		is.Equal(term, now)
+		is.True(left > 0 && left <= replica.Lease)
+		_, left = c.others(l)[0].node.LeaseLeft()
+		is.Equal(left, time.Duration(0))
+		c.isolate(l, true)
+		_, left = l.node.LeaseLeft()
+		for _, s := range []struct {
+			after time.Duration
+			want  time.Duration
+		}{{left / 2, left - left/2}, {left, 0}} {
+			time.Sleep(s.after)
+			_, got := l.node.LeaseLeft()
+			is.True(got <= s.want)
+			_, ok = l.node.Leading()
+			is.Equal(ok, got > 0)
+		}
+	})
+}
+
 // Guards against a vote by a replica that acknowledged a heartbeat just before it
 // restarted: the former leader still holds its lease then.
 func TestNoVoteAfterStart(t *testing.T) {
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -311,6 +312,17 @@
 	return s.status.Term, s.ready && n.timer.Now().Before(s.lease)
 }
 
+// LeaseLeft returns the time until the leader lease runs out, zero unless Leading holds.
+func (n *Node) LeaseLeft() (term Term, left time.Duration) {
+	s := &n.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ready {
+		return s.status.Term, 0
+	}
+	return s.status.Term, max(s.lease.Sub(n.timer.Now()), 0)
+}
+
 // Status describes the node.
 func (n *Node) Status() Status {
 	_, leading := n.Leading()
--- a/internal/control/state/config.go
+++ b/internal/control/state/config.go
@@ -37,6 +37,9 @@
 	receipts expiry[*wire.Receipt]
 	registry map[string]*wire.Registration
 	drains   map[string]bool
+	// token is the last fencing token; orders holds the latest orders, oldest first.
+	token  uint64
+	orders []*wire.OrderRecord
 	// drained counts changes of drains since this process started.
 	drained uint64
 	// recent lists what changed at which revision, oldest first; floor is the
@@ -74,6 +77,7 @@
 	c.registry = map[string]*wire.Registration{}
 	c.drains = map[string]bool{}
 	c.recent = nil
+	c.token, c.orders = 0, nil
 }
 
 // Digest returns the digest of a document's text.
@@ -103,6 +107,8 @@
 		return encode(c.drain(b.Drain))
 	case *wire.Command_Form:
 		return encode(c.form(b.Form))
+	case *wire.Command_Order:
+		return encode(c.order(b.Order))
 	}
 	return malformed("command is not for group 0")
 }
--- a/internal/control/state/config_test.go
+++ b/internal/control/state/config_test.go
@@ -168,3 +168,25 @@
 	is.Equal(len(d.Documents), 1)
 	is.Equal(d.Revision, c.Revision())
 }
+
+// Guards against a token that is given twice, and against a repeated order that gets another.
+func TestOrderTokens(t *testing.T) {
+	is := is.New(t)
+	c := NewConfig()
+	order := func(id string) *wire.OrderReply {
+		return run(is, c.Apply, &wire.Command{Body: &wire.Command_Order{Order: &wire.OrderCommand{Order: id}}}, &wire.OrderReply{})
+	}
+	is.Equal(order("").Fault.GetCode(), wire.Code_CODE_INVALID)
+	for _, s := range []struct {
+		id    string
+		token uint64
+	}{{"a", 1}, {"b", 2}, {"a", 1}, {"c", 3}, {"b", 2}} {
+		is.Equal(order(s.id).Token, s.token)
+		c = restored(is, c)
+	}
+	for i := range keptOrders {
+		is.Equal(order(fmt.Sprint(i)).Token, uint64(4+i))
+	}
+	is.Equal(len(restored(is, c).orders), keptOrders)
+	is.Equal(order("c").Token, uint64(4+keptOrders)) // forgotten, so it gets a newer one
+}
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -16,6 +16,7 @@
 	defer c.mu.RUnlock()
 	s := &wire.ConfigSnapshot{
 		Revision: c.revision, Instant: c.instant, Groups: c.groups, Documents: c.sortedDocuments(),
+		Token: c.token, Orders: c.orders,
 	}
 	for _, i := range c.receipts.items {
 		s.Receipts = append(s.Receipts, i.key)
@@ -42,6 +43,7 @@
 	defer c.mu.Unlock()
 	c.reset()
 	c.revision, c.instant, c.groups = s.Revision, s.Instant, s.Groups
+	c.token, c.orders = s.Token, s.Orders
 	for _, d := range s.Documents {
 		c.history[d.Service] = append(c.history[d.Service], d)
 	}
