bench: carry out orders after accepting them, as engines do

An engine answered an order only once the weights were fetched, and went on under its old incarnation, so an order could not be told from its effect. Before: 200 after the fetch, same incarnation.

--- a/cmd/bench/command.go
+++ b/cmd/bench/command.go
@@ -85,6 +85,8 @@
 	Token   string        `long:"token" description:"upstream credential"`
 	Journal string        `long:"journal" description:"file that keeps the run counts across restarts"`
 	Grace   time.Duration `long:"grace" default:"3s" description:"time that new work is accepted after leaving"`
+	// holds reports the model and version of the moment; it may be nil.
+	holds func() (model, version string)
 }
 
 // serve runs one service until a signal.
@@ -106,7 +108,7 @@
 	h.Grace = u.Grace
 	if entries := split(u.Entries); len(entries) > 0 {
 		h.Announcer = announce.New(announce.Options{
-			Upstream: shape, Entries: entries, Token: u.Token, Timer: h.Timer, Log: log, Load: load,
+			Upstream: shape, Entries: entries, Token: u.Token, Timer: h.Timer, Log: log, Load: load, Holds: u.holds,
 		})
 	}
 	ctx, cancel := signals()
--- a/cmd/bench/engine.go
+++ b/cmd/bench/engine.go
@@ -32,6 +32,7 @@
 	Prefill time.Duration `long:"prefill" default:"50us" description:"time per uncached prompt token"`
 	Cache   int           `long:"cache" default:"4096" description:"blocks of the prefix cache"`
 	Fencing bool          `long:"fencing" description:"refuse orders with an old fencing token"`
+	Loading time.Duration `long:"loading" description:"accept load orders and take this long for each, besides the fetch"`
 	Weights string        `long:"weights" description:"URL of the weight store"`
 }
 
@@ -40,7 +41,7 @@
 	t := timer.NewSystem()
 	o := engine.Options{
 		Model: c.Model, Version: c.Version, Slots: c.Slots, Queue: c.Queue,
-		Base: c.Base, Each: c.Each, Prefill: c.Prefill, Cache: c.Cache, Fencing: c.Fencing, Timer: t,
+		Base: c.Base, Each: c.Each, Prefill: c.Prefill, Cache: c.Cache, Fencing: c.Fencing, Loading: c.Loading, Timer: t,
 	}
 	if c.Weights != "" {
 		o.Store = weights.Client{Base: c.Weights}
@@ -49,6 +50,10 @@
 	mux := http.NewServeMux()
 	e.Register(mux)
 	shape := announce.Upstream{Model: c.Model, Version: c.Version, Fencing: c.Fencing, Features: engine.Features()}
+	if c.Loading > 0 {
+		shape.Features = append(shape.Features, "load")
+	}
+	c.holds = e.Holds
 	return c.serve(announce.Host{Handler: mux, Work: e.Run, Timer: t}, &e.Runs, shape, e.Load)
 }
 
--- a/internal/bench/announce/announce.go
+++ b/internal/bench/announce/announce.go
@@ -52,6 +52,9 @@
 	Token   string
 	Timer   timer.Service
 	Log     *zap.Logger
+	// Holds returns the model and version of the moment; another one than announced last
+	// begins a new incarnation. It may be nil.
+	Holds func() (model, version string)
 	// Load reports the load of the moment; nil reports none.
 	Load func() Load
 }
@@ -145,6 +148,9 @@
 func (a *Announcer) next() Upstream {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.options.Holds != nil {
+		a.replace(a.options.Holds())
+	}
 	a.upstream.Sequence++
 	if a.options.Load != nil {
 		a.upstream.Load = a.options.Load()
@@ -153,6 +159,16 @@
 	return a.upstream
 }
 
+// replace begins a new incarnation if the model or version has changed.
+func (a *Announcer) replace(model, version string) {
+	u := &a.upstream
+	if u.Model == model && u.Version == version {
+		return
+	}
+	u.Model, u.Version, u.Sequence = model, version, 0
+	u.Incarnation = max(u.Incarnation+1, uint64(a.options.Timer.Wall().UnixMicro()))
+}
+
 // targets lists the configured entries first, then those learned from replies.
 func (a *Announcer) targets() []string {
 	a.mu.Lock()
--- a/internal/bench/announce/announce_test.go
+++ b/internal/bench/announce/announce_test.go
@@ -98,3 +98,22 @@
 	is.True(e.left[0].Sequence > e.heard[len(e.heard)-1].Sequence)
 	is.Equal(e.left[0].Incarnation, e.heard[0].Incarnation)
 }
+
+// Guards against a service that announces another version under the incarnation of the
+// former one, which entries may still send work to.
+func TestNewVersionIsNewIncarnation(t *testing.T) {
+	is := is.New(t)
+	version := "1"
+	a := New(Options{
+		Upstream: Upstream{Model: "small", Version: "1"}, Timer: timer.NewManual(),
+		Holds: func() (string, string) { return "small", version },
+	})
+	first, second := a.next(), a.next()
+	is.Equal(second.Incarnation, first.Incarnation)
+	version = "2"
+	third := a.next()
+	is.Equal(third.Version, "2")
+	is.True(third.Incarnation > first.Incarnation)
+	is.Equal(third.Sequence, uint64(1))
+	is.Equal(a.next().Incarnation, third.Incarnation)
+}
