engine: order engines off withdrawn versions under the leader lease

A withdrawn version stayed loaded, and nothing sent orders to engines. Sending from entries was ruled out: only the leader of group 0 knows that no other sends. A token alone was ruled out too, since some engines ignore it. Before: no orders. Conclusion: what remains is the proof with two leaders.

--- a/internal/control/entry/server.go
+++ b/internal/control/entry/server.go
@@ -15,6 +15,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 	"wisteriakeel.example/wisteriakeel/internal/control/disk"
+	"wisteriakeel.example/wisteriakeel/internal/control/engine"
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	"wisteriakeel.example/wisteriakeel/internal/control/state"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
@@ -58,6 +59,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Listen opens the peer address; TCP by default.
 	Listen func(address string) (net.Listener, error)
+	// Engines sends orders to engines; over HTTP by default.
+	Engines engine.Sender
 	// Compaction is when logs are compacted; the defaults of package replica if zero.
 	Compaction replica.Compaction
 }
@@ -104,6 +107,9 @@
 	if o.Listen == nil {
 		o.Listen = listen
 	}
+	if o.Engines == nil {
+		o.Engines = engine.HTTP{}
+	}
 }
 
 func dial(ctx context.Context, address string) (net.Conn, error) {
@@ -124,6 +130,7 @@
 	service    *Service
 	membership *membership
 	standing   *standing
+	orders     *engine.Orders
 	server     *drpcserver.Server
 }
 
@@ -234,6 +241,9 @@
 	s.service = NewService(Parts{
 		Timer: o.Timer, Log: o.Log, Address: o.Address, Validate: o.Validate, Config: config, Data: data, Nodes: nodes,
 	})
+	s.orders = engine.New(engine.Options{
+		Node: s.nodes[0], Config: config, Sender: o.Engines, Timer: o.Timer, Log: o.Log.Named("orders"),
+	})
 	s.membership = &membership{timer: o.Timer, log: o.Log, addresses: o.Control, nodes: members}
 	replicas := replica.NewServer(byGroup)
 	replicas.Token = o.Peer
@@ -261,6 +271,7 @@
 		g.Go("replica", n.Run)
 	}
 	g.Go("service", s.service.Run)
+	g.Go("orders", s.orders.Run)
 	g.Go("peers", s.loop)
 	if s.standing.get() == nil {
 		g.Go("forming", s.former().run)
