--- a/internal/control/state/config.go
+++ b/internal/control/state/config.go
@@ -38,6 +38,9 @@
 	registry map[string]*wire.Registration
 	drains   map[string]bool
 	suspects map[string]*wire.Suspicion
+	// token is the last fencing token; orders holds the latest orders, oldest first.
+	token  uint64
+	orders []*wire.OrderRecord
 	// drained counts changes of drains since this process started.
 	drained uint64
 	// recent lists what changed at which revision, oldest first; floor is the
@@ -77,6 +80,7 @@
 	c.drains = map[string]bool{}
 	c.suspects = map[string]*wire.Suspicion{}
 	c.recent = nil
+	c.token, c.orders = 0, nil
 }
 
 // Digest returns the digest of a document's text.
@@ -108,6 +112,8 @@
 		return encode(c.suspect(b.Suspect))
 	case *wire.Command_Form:
 		return encode(c.form(b.Form))
+	case *wire.Command_Order:
+		return encode(c.order(b.Order))
 	}
 	return malformed("command is not for group 0")
 }
