--- a/internal/control/engine/send.go
+++ b/internal/control/engine/send.go
@@ -77,7 +77,7 @@
 // retransmit what was written after the connection is closed, and while the process is
 // paused: a reset on close ends the former, a limit on unacknowledged data the latter.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+	d := net.Dialer{Timeout: Flight, Control: func(_, _ string, c syscall.RawConn) error {
 		var failure error
 		err := c.Control(func(fd uintptr) {
 			failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(Flight.Milliseconds()))
