proof: bound how long a one-way cut may hold a change back

Cause: without the rule that a leader steps down once it has no majority, a change was still accepted in the end, so the proof one-way-cut passed. Change: under a one-way cut a change must be accepted and in force within four times the bound, in the time of the timer service: an election, a lease period and retries. Before: not proved.

--- a/internal/proof/control/faults_test.go
+++ b/internal/proof/control/faults_test.go
@@ -199,7 +199,11 @@
 			w.network.cut(leader, f, !inward)
 		}
 		w.driver.patience = 20
+		began := w.clock.Now()
 		w.must(services[0])
+		if d := w.clock.Now().Sub(began); d > 4*bound {
+			w.t.Errorf("a change took %s while a path to or from the leader was cut", d)
+		}
 		for _, f := range followers {
 			w.network.cut(f, leader, false)
 			w.network.cut(leader, f, false)
