caller: move a session only by the document in force

Two entries took a session's first requests while a version was added. One computed its choice before the change, waited for its pin, and found the pin of the other entry on the version that was new. By its old document that version took no work, so it moved the pin: the session changed its version although nothing was withdrawn (TestProofPin/two-entries-at-once). Ruled out: the compare-and-set of the state machine, which did as asked. Change: before a move the entry compares its document with the one in force, and places the request anew if it has changed. After: go test -race ./internal/entry/caller ./internal/proof/session passes. Open: an entry that has not applied the later document yet can still move such a pin; only a revision kept with the pin closes that.

--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -57,6 +57,10 @@
 	changes := 0
 	for {
 		p, err := j.place(ctx, model, a.version, o, tried)
+		if errors.Is(err, errChanged) && changes < changeLimit {
+			changes++
+			continue
+		}
 		if err != nil {
 			// A failed attempt says more than that there is no further upstream.
 			return a, errors.CombineErrors(failure, err)
--- a/internal/entry/caller/pin.go
+++ b/internal/entry/caller/pin.go
@@ -136,6 +136,10 @@
 			}
 			return got, nil
 		}
+		if c := q.handler.control.Leased(); c == nil || c.Documents[p.Document.Service] != p.Document {
+			// A pin that was made under a later document must not be moved by this one.
+			return "", errChanged
+		}
 		if p.Name.Version != "" && got != p.Name.Version && live(p.Document, step, got) {
 			return "", errPinned
 		}
