--- a/internal/proof/session/session_test.go
+++ b/internal/proof/session/session_test.go
@@ -54,8 +54,8 @@
 	all       = `"auto","draft","large"`
 )
 
-// first allows everything.
-var first = spec{draft: []string{active, active}, large: []string{active, active}, models: all, parallel: 1}
+// first allows everything; large has version 1 only.
+var first = spec{draft: []string{active, active}, large: []string{active, withdrawn}, models: all, parallel: 1}
 
 // stage is a running system and what a proof does to it.
 type stage struct {
@@ -348,6 +348,8 @@
 				var slow sync.WaitGroup
 				var firsts [sessions]string
 				release := make(chan struct{})
+				end := sync.OnceFunc(func() { close(release) })
+				defer end()
 				held := make(chan struct{}, sessions)
 				if k.strike == nil {
 					g.Set(func(p system.Point) {
@@ -359,9 +361,7 @@
 					for i := range sessions {
 						slow.Go(func() { firsts[i], _ = g.in(g.Entries[1], fmt.Sprint("s", seed, "-", i), "first") })
 					}
-					for range sessions {
-						<-held
-					}
+					g.Until("requests before their pin", func() bool { return len(held) == sessions })
 					g.apply(g.Entries[0], three)
 					g.Set(nil, nil)
 				}
@@ -369,7 +369,7 @@
 				for i := range sessions {
 					pinned[i], _ = g.in(g.Entries[0], fmt.Sprint("s", seed, "-", i), "other")
 				}
-				close(release)
+				end()
 				slow.Wait()
 				if k.strike == nil {
 					g.is.Equal(firsts, pinned) // the version that was pinned first
