--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -65,6 +65,10 @@
 	changes := 0
 	for {
 		p, run, err := admit(ctx, j.request, func() (placement, error) { return j.place(ctx, model, a.version, o, tried) }, placement.chosen)
+		if errors.Is(err, errChanged) && changes < changeLimit {
+			changes++
+			continue
+		}
 		if err != nil {
 			return a, worst(failure, err)
 		}
