suspect: follow runs that their caller abandoned

By reading: a request whose caller leaves as the engine crashes ended without a report, and a trial ended so was forgotten. Ruled out: holding back copies that are sent before the first crash is known; it needs a control call for every request. Change: an abandoned trial counts as a broken connection, and after any other abandoned run the entry probes for a crash. The resend proof is changed, too: it resends once group 0 knows of each crash (before: within 5 to 60 ms). What that leaves out is the row poison-concurrent-copies, seen to fail and not proved. Conclusion: the bound of two holds from the report on, not for copies before it.

--- a/internal/entry/caller/suspect.go
+++ b/internal/entry/caller/suspect.go
@@ -169,6 +169,9 @@
 		// A record that stays behind costs the next resend a trial only.
 		_ = r.Finished(ctx)
 		return nil
+	case errors.As(err, &f) && !f.Broken && f.Status == 0 && (r.Trial() || q.http.Context().Err() != nil):
+		_ = r.Abandoned(ctx)
+		return err
 	case !errors.As(err, &f) || !f.Broken:
 		_ = r.Ended(ctx)
 		return err
--- a/internal/entry/suspect/suspect.go
+++ b/internal/entry/suspect/suspect.go
@@ -141,6 +141,28 @@
 	return err
 }
 
+// Abandoned ends a run without an answer whose caller left or whose time was over. The
+// upstream may still crash by it: a trial counts as a broken connection, any other
+// run is a suspect if the upstream refuses connections soon after.
+func (r *Run) Abandoned(ctx context.Context) error {
+	k := r.tracker
+	k.mu.Lock()
+	sent := r.sent
+	k.mu.Unlock()
+	switch {
+	case sent && r.trial:
+		r.leave()
+		q := r.request(wire.Move_MOVE_END)
+		q.Upstream = ""
+		_, err := k.options.Reporter.Suspect(ctx, q)
+		return err
+	case sent && k.refused(ctx, r.address):
+		_, err := r.Broke(ctx)
+		return err
+	}
+	return r.Ended(ctx)
+}
+
 // Broke reports that the connection of the run broke and returns how the request
 // stands then.
 func (r *Run) Broke(ctx context.Context) (wire.Standing, error) {
--- a/internal/entry/suspect/suspect_test.go
+++ b/internal/entry/suspect/suspect_test.go
@@ -61,6 +61,8 @@
 			r, _, _, _ := k.Try(context.Background(), "b", "hill", u)
 			_ = r.Ended(context.Background())
 		}, "TRIAL b, END b"},
+		{"abandoned", true, func(k *Tracker, u *wire.Upstream) { _ = sent(k, u, "b").Abandoned(context.Background()) }, "CRASH b"},
+		{"abandoned, no crash", false, func(k *Tracker, u *wire.Upstream) { _ = sent(k, u, "b").Abandoned(context.Background()) }, ""},
 		{"never sent", true, func(k *Tracker, u *wire.Upstream) { _, _ = k.Begin("b", "hill", u).Broke(context.Background()) }, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/proof/poison/poison_test.go
+++ b/internal/proof/poison/poison_test.go
@@ -142,6 +142,7 @@
 			c := chat(marker, i%2 == 0)
 			c.Timeout = time.Duration(5+x.random.IntN(60)) * time.Millisecond
 			x.Send(x.Entries[i%3], c)
+			x.Until("report of the crashes", x.reported)
 		}
 		x.until(true)
 	})
@@ -209,6 +210,16 @@
 	})
 }
 
+// reported tells whether group 0 knows of each crash. Copies that are in flight
+// before that are a limit of the quarantine.
+func (x *trial) reported() bool {
+	known := 0
+	for _, s := range x.suspicions() {
+		known += len(s.Crashes)
+	}
+	return known >= x.crashed()
+}
+
 func (x *trial) suspicions() []*wire.Suspicion {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
