suspect: end a trial whose grant was not learned

Cause: a suspected request asks group 0 for a trial under the caller's deadline. When the deadline passed while the answer was on its way, the trial was granted and nobody ended it, so that every later resend waited for it for good. Ruled out: the load alone: the test waits for 40 s after the one crash, and no engine ran the request any more. Ruled out, too: a lost report of the end, which has its own time of 6 s. Change: a trial that may have been granted is ended after the caller has its answer; group 0 drops a trial after 10 min, the longest time of a request, if its end is never reported. Tests for both. Conclusion: asking for a trial is now a move that is always closed.

--- a/internal/control/state/suspect.go
+++ b/internal/control/state/suspect.go
@@ -14,6 +14,9 @@
 	// breakWindow is how long a broken connection may turn out to be a crash. It is
 	// three default leases, so that the end of the registration falls into it.
 	breakWindow = 15 * time.Second
+	// trialLimit ends a trial whose end was never reported although its entry lives. It
+	// is the longest time that an entry gives a request.
+	trialLimit = 10 * time.Minute
 	// crashLimit is the number of crashes after which no upstream gets a request.
 	crashLimit = 2
 )
@@ -188,6 +191,9 @@
 // their retention.
 func (c *Config) expireSuspicions() {
 	for _, p := range c.sorted() {
+		if p.Trial != nil && c.instant-p.Trial.Instant > trialLimit.Milliseconds() {
+			p.Trial = nil
+		}
 		old := len(p.Crashes)
 		p.Crashes = slices.DeleteFunc(p.Crashes, func(k *wire.Crash) bool {
 			return !k.Confirmed && c.instant-k.Instant > breakWindow.Milliseconds()
--- a/internal/control/state/suspect_test.go
+++ b/internal/control/state/suspect_test.go
@@ -54,6 +54,7 @@
 		{"broken, then new incarnations", []suspicion{{0, renew, "", "a", 1, 0}, {0, brk, "p", "a", 1, under}, {0, renew, "", "a", 2, 0}, {0, brk, "p", "a", 2, under}, {0, trial, "p", "b", 1, wait}, {0, renew, "", "a", 3, 0}, {0, trial, "p", "b", 1, out}}},
 		{"entry lost with its trial", []suspicion{{0, renew, "", "b", 1, 0}, {0, crash, "p", "a", 1, under}, {0, trial, "p", "b", 1, granted}, {time.Second, expire, "", "b", 1, 0}, {time.Second, trial, "p", "c", 1, out}}},
 		{"late report", []suspicion{{0, renew, "", "a", 2, 0}, {0, brk, "p", "a", 1, under}, {16 * time.Second, trial, "p", "a", 2, granted}, {16 * time.Second, crash, "p", "a", 2, out}}},
+		{"end of the trial lost", []suspicion{{0, crash, "p", "a", 1, under}, {0, trial, "p", "b", 1, granted}, {9 * time.Minute, trial, "p", "c", 1, wait}, {11 * time.Minute, trial, "p", "c", 1, granted}}},
 		{"lifted", []suspicion{{0, crash, "p", "a", 1, under}, {0, crash, "p", "b", 1, out}, {0, clean, "p", "b", 1, free}, {0, trial, "p", "c", 1, out}, {0, lift, "p", "", 0, free}, {0, trial, "p", "c", 1, free}}},
 		{"kept for a day", []suspicion{{0, crash, "p", "a", 1, under}, {0, crash, "p", "b", 1, out}, {Retention, trial, "p", "c", 1, out}, {Retention + time.Minute, trial, "p", "c", 1, free}}},
 	} {
--- a/internal/entry/caller/suspect.go
+++ b/internal/entry/caller/suspect.go
@@ -107,6 +107,7 @@
 	r, standing, trial, err := q.handler.tracker.Try(ctx, q.print, string(q.account), u)
 	switch {
 	case err != nil:
+		q.after = append(q.after, func() { q.endTrial(ctx, r) })
 		return nil, err
 	case r != nil:
 		return r, nil
@@ -122,6 +123,15 @@
 	return nil, errOccupied
 }
 
+// endTrial ends a trial that may have been granted although the answer was lost.
+func (q *request) endTrial(ctx context.Context, r *suspect.Run) {
+	ctx, cancel := q.handler.within(context.WithoutCancel(ctx), reportLimit)
+	defer cancel()
+	if err := r.Ended(ctx); err != nil {
+		q.handler.log.Warn("trial not ended", zap.String("request", q.id), zap.Error(err))
+	}
+}
+
 // errOccupied means that a suspected request must wait for its trial.
 var errOccupied = errors.New("the trial of a suspected request must wait")
 
--- a/internal/entry/suspect/suspect.go
+++ b/internal/entry/suspect/suspect.go
@@ -101,14 +101,16 @@
 }
 
 // Try asks group 0 whether the suspected request may run on the upstream. The run
-// is nil unless it may. The standing WAIT comes with the trial that must end
+// is nil unless it may or an error leaves that open; the caller must end such a run,
+// or the trial that was perhaps granted holds up every resend. The standing WAIT comes with the trial that must end
 // first, nil while crashes are not confirmed yet.
 func (k *Tracker) Try(ctx context.Context, f Fingerprint, account string, u *wire.Upstream) (r *Run, s wire.Standing, t *wire.Trial, err error) {
 	r = k.Begin(f, account, u)
 	r.nonce = k.options.Nonce()
 	reply, err := k.options.Reporter.Suspect(ctx, r.request(wire.Move_MOVE_TRIAL))
 	if err != nil {
-		return nil, s, nil, err
+		r.trial = true
+		return r, s, nil, err
 	}
 	s = reply.Standings[0]
 	if s != wire.Standing_STANDING_GRANTED && s != wire.Standing_STANDING_FREE {
--- a/internal/entry/suspect/suspect_test.go
+++ b/internal/entry/suspect/suspect_test.go
@@ -19,6 +19,8 @@
 	mu       sync.Mutex
 	standing wire.Standing
 	seen     []string
+	// lost makes the answers to requests for a trial get lost.
+	lost bool
 }
 
 func (r *recorder) Suspect(_ context.Context, q *wire.SuspectRequest) (*wire.SuspectReply, error) {
@@ -31,6 +33,9 @@
 		reply.Standings = append(reply.Standings, r.standing)
 	}
 	r.seen = append(r.seen, text)
+	if r.lost && q.Move == wire.Move_MOVE_TRIAL {
+		return nil, context.DeadlineExceeded
+	}
 	return reply, nil
 }
 
@@ -61,6 +66,11 @@
 			r, _, _, _ := k.Try(context.Background(), "b", "hill", u)
 			_ = r.Ended(context.Background())
 		}, "TRIAL b, END b"},
+		{"answer to the trial lost", true, func(k *Tracker, u *wire.Upstream) {
+			k.options.Reporter.(*recorder).lost = true
+			r, _, _, _ := k.Try(context.Background(), "b", "hill", u)
+			_ = r.Ended(context.Background())
+		}, "TRIAL b, END b"},
 		{"abandoned", true, func(k *Tracker, u *wire.Upstream) { _ = sent(k, u, "b").Abandoned(context.Background()) }, "CRASH b"},
 		{"abandoned, no crash", false, func(k *Tracker, u *wire.Upstream) { _ = sent(k, u, "b").Abandoned(context.Background()) }, ""},
 		{"never sent", true, func(k *Tracker, u *wire.Upstream) { _, _ = k.Begin("b", "hill", u).Broke(context.Background()) }, ""},
