--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -40,6 +40,9 @@
 	if err := proto.Unmarshal(snapshot, &s); err != nil {
 		return errors.Wrap(err, "config snapshot")
 	}
+	if err := complete(&s); err != nil {
+		return errors.Wrap(err, "config snapshot")
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reset()
@@ -66,3 +69,18 @@
 	c.wake()
 	return nil
 }
+
+// complete checks that records have the parts that the state relies on.
+func complete(s *wire.ConfigSnapshot) error {
+	for _, r := range s.Registrations {
+		if r.Upstream == nil {
+			return errors.New("registration without an upstream")
+		}
+	}
+	for _, k := range s.Receipts {
+		if k.Reply == nil {
+			return errors.New("receipt without a reply")
+		}
+	}
+	return nil
+}
