state: do not move a session's pin for an older configuration

Cause: an entry that had not learned of the newest document yet took a version that the document had just made active for withdrawn, and moved the pin which another entry had made on it. The session changed its version without need. Ruled out: the check at the entry alone: it compares with the entry's own configuration, which is the one that is behind. Change: a pin keeps the revision of the configuration that it was made under; a move names its own and is not made if that is older. Before: TestPinIsNotMovedByAnOlderConfiguration moved the pin to v2 with the comparison taken out.

--- a/internal/control/entry/entering.go
+++ b/internal/control/entry/entering.go
@@ -21,7 +21,7 @@
 func (c *calls) Identify(context.Context, *wire.IdentifyRequest) (*wire.IdentifyReply, error) {
 	s := c.server
 	reply := &wire.IdentifyReply{Identity: s.identity, Instance: s.options.Instance, Groups: s.options.Groups}
-	if r := s.standing.get(); r != nil {
+	if r := s.memberState.get(); r != nil {
 		reply.Formed, reply.Members = true, r.Members
 	}
 	return reply, nil
@@ -29,27 +29,27 @@
 
 // Join takes a replica into the groups that this instance leads.
 func (c *calls) Join(ctx context.Context, r *wire.JoinRequest) (*wire.JoinReply, error) {
-	if c.server.standing.get() == nil {
+	if c.server.memberState.get() == nil {
 		return &wire.JoinReply{Fault: &wire.Fault{Code: wire.Code_CODE_UNAVAILABLE, Text: "not formed"}}, nil
 	}
 	return c.server.membership.join(ctx, r), nil
 }
 
-// former returns what brings this instance into the control group.
-func (s *Server) former() *former {
+// formation returns what brings this instance into the control group.
+func (s *Server) formation() *formation {
 	o := s.options
 	p := &peers{timer: o.Timer, token: o.Peer, dial: o.Dial}
-	return &former{
+	return &formation{
 		timer: o.Timer, random: o.Random, log: o.Log, identity: s.identity, address: o.Address,
 		addresses: o.Control, groups: o.Groups, identify: p.identify, join: p.join,
-		found: s.found, applied: s.applied, joined: s.joined,
+		establish: s.establish, applied: s.applied, joined: s.joined,
 	}
 }
 
-// found records the first members and bootstraps all groups with them. The record
+// establish records the first members and bootstraps all groups with them. The record
 // comes first: after a crash in between the same members are used again.
-func (s *Server) found(members []*wire.Founder) error {
-	if err := s.standing.set(&record{Groups: s.options.Groups, Members: members}); err != nil {
+func (s *Server) establish(members []*wire.Founder) error {
+	if err := s.memberState.set(&record{Groups: s.options.Groups, Members: members}); err != nil {
 		return err
 	}
 	return s.bootstrap(members)
@@ -78,7 +78,7 @@
 }
 
 func (s *Server) joined() error {
-	return s.standing.set(&record{Groups: s.options.Groups})
+	return s.memberState.set(&record{Groups: s.options.Groups})
 }
 
 // applied returns how far each group of this instance is.
--- a/internal/control/entry/form.go
+++ b/internal/control/entry/form.go
@@ -19,9 +19,9 @@
 	formMost  = 150 * time.Millisecond
 )
 
-// former brings an instance with an empty disk into the control group: it takes
+// formation brings an instance with an empty disk into the control group: it takes
 // part in the first formation, or joins a group that exists.
-type former struct {
+type formation struct {
 	timer     timer.Service
 	random    *rand.Rand
 	log       *zap.Logger
@@ -31,8 +31,8 @@
 	groups    uint32
 	identify  func(ctx context.Context, address string) (*wire.IdentifyReply, error)
 	join      func(ctx context.Context, address string, r *wire.JoinRequest) (*wire.JoinReply, error)
-	// found records the first members and bootstraps all groups with them.
-	found func(members []*wire.Founder) error
+	// establish records the first members and bootstraps all groups with them.
+	establish func(members []*wire.Founder) error
 	// applied returns the last applied index of each group.
 	applied func() []uint64
 	// joined records that all groups hold this instance as a voter.
@@ -42,7 +42,7 @@
 }
 
 // run returns once this instance belongs to the control group.
-func (f *former) run(ctx context.Context) (err error) {
+func (f *formation) run(ctx context.Context) (err error) {
 	defer func() {
 		if err != nil {
 			err = errors.Wrap(err, "forming the control group")
@@ -62,7 +62,7 @@
 }
 
 // step looks at all control instances once and acts on what they say.
-func (f *former) step(ctx context.Context) (done bool, err error) {
+func (f *formation) step(ctx context.Context) (done bool, err error) {
 	seen, err := f.look(ctx)
 	if err != nil {
 		return false, err
@@ -75,7 +75,7 @@
 		}
 		formed = append(formed, a)
 		if slices.ContainsFunc(r.Members, f.self) {
-			return true, f.found(r.Members)
+			return true, f.establish(r.Members)
 		}
 	}
 	if len(formed) > 0 {
@@ -96,16 +96,16 @@
 		}
 		return 1
 	})
-	return true, f.found(members)
+	return true, f.establish(members)
 }
 
-func (f *former) self(m *wire.Founder) bool {
+func (f *formation) self(m *wire.Founder) bool {
 	return m.Identity == f.identity && m.Address == f.address
 }
 
 // look asks the other instances who they are. An instance whose number of groups
 // differs is an error of the settings.
-func (f *former) look(ctx context.Context) (map[string]*wire.IdentifyReply, error) {
+func (f *formation) look(ctx context.Context) (map[string]*wire.IdentifyReply, error) {
 	seen := map[string]*wire.IdentifyReply{}
 	for _, a := range f.addresses {
 		if a == f.address {
@@ -126,7 +126,7 @@
 
 // enter asks the formed instances to take this one in. Each acts for the groups
 // that it leads.
-func (f *former) enter(ctx context.Context, formed []string) (done bool, err error) {
+func (f *formation) enter(ctx context.Context, formed []string) (done bool, err error) {
 	for _, a := range formed {
 		r, err := f.join(ctx, a, &wire.JoinRequest{Identity: f.identity, Address: f.address, Applied: f.applied()})
 		if err != nil {
--- a/internal/control/entry/form_test.go
+++ b/internal/control/entry/form_test.go
@@ -17,16 +17,16 @@
 
 // cluster is a set of control instances that only form.
 type cluster struct {
-	formers map[string]*former
-	members map[string][]*wire.Founder
-	down    map[string]bool
-	groups  map[string]uint32
-	replica *fakeReplica
+	formations map[string]*formation
+	members    map[string][]*wire.Founder
+	down       map[string]bool
+	groups     map[string]uint32
+	replica    *fakeReplica
 }
 
 func newCluster(addresses ...string) *cluster {
 	c := &cluster{
-		formers: map[string]*former{}, members: map[string][]*wire.Founder{}, down: map[string]bool{},
+		formations: map[string]*formation{}, members: map[string][]*wire.Founder{}, down: map[string]bool{},
 		groups: map[string]uint32{}, replica: &fakeReplica{fakeNode: fakeNode{leading: true}},
 	}
 	for _, a := range addresses {
@@ -36,17 +36,17 @@
 }
 
 // start adds an instance with an empty disk.
-func (c *cluster) start(address, identity string, addresses []string) *former {
+func (c *cluster) start(address, identity string, addresses []string) *formation {
 	m := timer.NewManual()
 	delete(c.members, address)
-	f := &former{
+	f := &formation{
 		timer: m, random: rand.New(rand.NewPCG(1, 1)), log: zap.NewNop(), identity: identity,
 		address: address, addresses: addresses, groups: 0, identify: c.identify, join: c.join, voting: map[uint32]bool{},
 	}
-	f.found = func(members []*wire.Founder) error { c.members[address] = members; return nil }
+	f.establish = func(members []*wire.Founder) error { c.members[address] = members; return nil }
 	f.applied = func() []uint64 { return []uint64{c.replica.applied} }
 	f.joined = func() error { c.members[address] = []*wire.Founder{}; return nil }
-	c.formers[address] = f
+	c.formations[address] = f
 	return f
 }
 
@@ -55,7 +55,7 @@
 		return nil, errors.New("no answer")
 	}
 	members, formed := c.members[address]
-	return &wire.IdentifyReply{Identity: c.formers[address].identity, Formed: formed, Members: members, Groups: c.groups[address]}, nil
+	return &wire.IdentifyReply{Identity: c.formations[address].identity, Formed: formed, Members: members, Groups: c.groups[address]}, nil
 }
 
 func (c *cluster) join(ctx context.Context, address string, r *wire.JoinRequest) (*wire.JoinReply, error) {
@@ -112,7 +112,7 @@
 	ctx := context.Background()
 	c := newCluster("a", "b", "c")
 	step := func(a string) bool {
-		done, err := c.formers[a].step(ctx)
+		done, err := c.formations[a].step(ctx)
 		is.NoErr(err)
 		return done
 	}
@@ -138,7 +138,7 @@
 	is := is.New(t)
 	c := newCluster("a", "b")
 	c.groups["b"] = 7
-	_, err := c.formers["a"].step(context.Background())
+	_, err := c.formations["a"].step(context.Background())
 	is.True(err != nil)
 }
 
@@ -149,7 +149,7 @@
 	ctx := context.Background()
 	c := newCluster("a", "b", "c")
 	for _, a := range []string{"a", "b", "c"} {
-		done, err := c.formers[a].step(ctx)
+		done, err := c.formations[a].step(ctx)
 		is.NoErr(err)
 		is.True(done)
 		c.replica.members = append(c.replica.members, &wire.Replicator{Identity: "id-" + a, Address: a, Voter: true})
--- a/internal/control/entry/peers.go
+++ b/internal/control/entry/peers.go
@@ -49,8 +49,8 @@
 	return f(replica.WithToken(ctx, p.token), wire.NewDRPCControlClient(conn))
 }
 
-// standing is how this instance stands to the control group.
-type standing struct {
+// memberState keeps the record that this instance belongs to the control group.
+type memberState struct {
 	files     disk.Files
 	directory string
 
@@ -59,14 +59,14 @@
 }
 
 // get returns nil while this instance belongs to no group.
-func (s *standing) get() *record {
+func (s *memberState) get() *record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.record
 }
 
 // set makes the record durable before others see it.
-func (s *standing) set(r *record) error {
+func (s *memberState) set(r *record) error {
 	if err := r.save(s.files, s.directory); err != nil {
 		return err
 	}
--- a/internal/control/entry/server.go
+++ b/internal/control/entry/server.go
@@ -121,17 +121,17 @@
 
 // Server is one control instance: its replicas and the services on its peer address.
 type Server struct {
-	options    Options
-	identity   string
-	listener   net.Listener
-	transport  *replica.DRPCTransport
-	nodes      []*replica.Node
-	stores     []*disk.Store
-	service    *Service
-	membership *membership
-	standing   *standing
-	orders     *engine.Orders
-	server     *drpcserver.Server
+	options     Options
+	identity    string
+	listener    net.Listener
+	transport   *replica.DRPCTransport
+	nodes       []*replica.Node
+	stores      []*disk.Store
+	service     *Service
+	membership  *membership
+	memberState *memberState
+	orders      *engine.Orders
+	server      *drpcserver.Server
 }
 
 // New opens the data directory and the peer address. A directory that is corrupt
@@ -167,7 +167,7 @@
 // open loads everything that the data directory holds.
 func open(o Options) (_ *Server, err error) {
 	s := &Server{
-		options: o, standing: &standing{files: o.Files, directory: o.Folder},
+		options: o, memberState: &memberState{files: o.Files, directory: o.Folder},
 		transport: replica.NewTransport(replica.TransportOptions{
 			Timer: o.Timer, Token: o.Peer,
 			Dial: func(ctx context.Context, to replica.Address) (net.Conn, error) { return o.Dial(ctx, string(to)) },
@@ -183,7 +183,7 @@
 		return nil, err
 	}
 	s.identity = string(directory.Identity())
-	if s.standing.record, err = loadRecord(o.Files, o.Folder); err != nil {
+	if s.memberState.record, err = loadRecord(o.Files, o.Folder); err != nil {
 		return nil, errors.Mark(err, disk.ErrCorrupt)
 	}
 	config := state.NewConfig()
@@ -198,7 +198,7 @@
 			return nil, err
 		}
 	}
-	if r := s.standing.record; r != nil {
+	if r := s.memberState.record; r != nil {
 		if r.Groups != o.Groups {
 			return nil, errors.Newf("setting groups is %d, but the data directory holds %d", o.Groups, r.Groups)
 		}
@@ -273,8 +273,8 @@
 	g.Go("service", s.service.Run)
 	g.Go("orders", s.orders.Run)
 	g.Go("peers", s.loop)
-	if s.standing.get() == nil {
-		g.Go("forming", s.former().run)
+	if s.memberState.get() == nil {
+		g.Go("forming", s.formation().run)
 	}
 	s.options.Log.Info("control instance runs", zap.String("identity", s.identity), zap.String("address", s.options.Address))
 	return errors.CombineErrors(g.Wait(), s.close())
--- a/internal/control/state/data_snapshot.go
+++ b/internal/control/state/data_snapshot.go
@@ -48,7 +48,7 @@
 	}
 	for _, r := range s.Pins {
 		k := pinKey{account: r.Account, service: r.Service, session: r.Session, model: r.Model}
-		d.pins[k] = &pin{version: r.Version, instant: r.Instant}
+		d.pins[k] = &pin{version: r.Version, instant: r.Instant, revision: r.Revision}
 		d.oldPins.add(k, r.Instant)
 	}
 	if err := d.restoreReceipts(s.Receipts); err != nil {
@@ -82,7 +82,7 @@
 	for k, p := range d.pins {
 		out = append(out, &wire.PinRecord{
 			Account: k.account, Service: k.service, Session: k.session, Model: k.model,
-			Version: p.version, Instant: p.instant,
+			Version: p.version, Instant: p.instant, Revision: p.revision,
 		})
 	}
 	slices.SortFunc(out, func(a, b *wire.PinRecord) int {
--- a/internal/control/state/data_test.go
+++ b/internal/control/state/data_test.go
@@ -91,6 +91,34 @@
 	}
 }
 
+// Guards against an entry that is behind and moves a session off a version which
+// only its older configuration calls withdrawn; also after a restore.
+func TestPinIsNotMovedByAnOlderConfiguration(t *testing.T) {
+	is := is.New(t)
+	d := NewData(timer.NewManual().Now)
+	for _, k := range []struct {
+		revision      uint64
+		version, from string
+		want          string
+		made          uint64
+	}{
+		{10, "v3", "", "v3", 10},
+		{9, "v2", "v3", "v3", 10},
+		{10, "v2", "v3", "v2", 10},
+		{12, "v4", "v2", "v4", 12},
+		{11, "v3", "v4", "v4", 12},
+	} {
+		r := run(is, d.Apply, &wire.Command{Body: &wire.Command_Pin{Pin: &wire.PinRequest{
+			Account: "acme", Service: "pool", Session: "s", Model: "m", Version: k.version, From: k.from, Revision: k.revision,
+		}}}, &wire.PinReply{})
+		is.Equal(r.Version, k.want)
+		is.Equal(r.Revision, k.made)
+		b, err := d.Snapshot()
+		is.NoErr(err)
+		is.NoErr(d.Restore(b))
+	}
+}
+
 // Guards against a request that is billed twice.
 func TestChargeOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/control/state/fuzz_test.go
+++ b/internal/control/state/fuzz_test.go
@@ -32,4 +32,6 @@
 	})
 }
 
-func machines() []replica.Machine { return []replica.Machine{NewConfig(), NewData(timer.NewManual().Now)} }
+func machines() []replica.Machine {
+	return []replica.Machine{NewConfig(), NewData(timer.NewManual().Now)}
+}
--- a/internal/control/state/pin.go
+++ b/internal/control/state/pin.go
@@ -13,7 +13,9 @@
 
 type pin struct {
 	version string
-	instant int64
+	// revision is that of the configuration that the pin was made or moved under.
+	revision uint64
+	instant  int64
 }
 
 // pin creates or moves the pin of a session. Each request for an existing pin
@@ -29,16 +31,16 @@
 	case p == nil && r.From != "":
 		return &wire.PinReply{Fault: fault(wire.Code_CODE_MISSING, "the session has no pin to move")}
 	case p == nil:
-		p, won = &pin{version: r.Version}, true
+		p, won = &pin{version: r.Version, revision: r.Revision}, true
 		d.pins[k] = p
-	case r.From != "" && p.version == r.From:
-		p.version, won = r.Version, true
+	case r.From != "" && p.version == r.From && r.Revision >= p.revision:
+		p.version, p.revision, won = r.Version, r.Revision, true
 	}
 	if p.instant != d.instant || won {
 		p.instant = d.instant
 		d.oldPins.add(k, d.instant)
 	}
-	return &wire.PinReply{Version: p.version, Won: won}
+	return &wire.PinReply{Version: p.version, Won: won, Revision: p.revision}
 }
 
 // Pin returns the version that a session is pinned to, empty if it has no pin.
@@ -49,5 +51,5 @@
 	if p == nil {
 		return &wire.PinReply{}
 	}
-	return &wire.PinReply{Version: p.version}
+	return &wire.PinReply{Version: p.version, Revision: p.revision}
 }
--- a/internal/entry/caller/fake_test.go
+++ b/internal/entry/caller/fake_test.go
@@ -28,6 +28,8 @@
 	held    bool
 	entries []*wire.Instance
 	claims  map[string]*wire.ClaimReply
+	// pinned is the revision under which the pins were made.
+	pinned  uint64
 	pins    map[string]string
 	charges []*wire.ChargeRequest
 	// fail makes the calls of that kind fail.
@@ -152,8 +154,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := r.Account + "/" + r.Service + "/" + r.Session + "/" + r.Model
-	if r.Version == "" || f.pins[k] != r.From {
-		return &wire.PinReply{Version: f.pins[k]}, nil
+	if r.Version == "" || f.pins[k] != r.From || r.From != "" && r.Revision < f.pinned {
+		return &wire.PinReply{Version: f.pins[k], Revision: f.pinned}, nil
 	}
 	f.pins[k] = r.Version
 	return &wire.PinReply{Version: r.Version, Won: true}, nil
--- a/internal/entry/caller/pin.go
+++ b/internal/entry/caller/pin.go
@@ -75,7 +75,7 @@
 	if err != nil && !errors.Is(err, route.ErrVersion) {
 		return "", err
 	}
-	v, err = q.pin(ctx, p, step, want)
+	v, err = q.pin(ctx, c.Revision, p, step, want)
 	if err != nil {
 		return "", err
 	}
@@ -114,19 +114,25 @@
 	return q.id
 }
 
-// pinMoves bounds how often a pin is followed that others move at the same time.
-const pinMoves = 3
+const (
+	// pinMoves bounds how often a pin is followed that others move at the same time.
+	pinMoves = 3
+	// behindPause is the wait of an entry that has yet to learn of the configuration
+	// under which another one made a pin; a change arrives within a few milliseconds.
+	behindPause = 50 * time.Millisecond
+)
 
 // pin writes the session's pin and moves it off a version that no longer takes
 // work. Without a wanted version it only reads the pin, since a session that is
 // pinned already can go on, for example on a retiring version.
-func (q *request) pin(ctx context.Context, p *route.Plan, step document.Model, want document.Version) (document.Version, error) {
+func (q *request) pin(ctx context.Context, revision document.Revision, p *route.Plan, step document.Model, want document.Version) (document.Version, error) {
 	from := ""
 	for range pinMoves {
-		got, err := q.sendPin(ctx, p, step, want, from)
+		reply, err := q.sendPin(ctx, revision, p, step, want, from)
 		if err != nil {
 			return "", err
 		}
+		got := document.Version(reply.GetVersion())
 		if got == "" {
 			return "", errors.Wrapf(route.ErrVersion, "%q", string(step))
 		}
@@ -136,6 +142,12 @@
 			}
 			return got, nil
 		}
+		if reply.GetRevision() > uint64(revision) {
+			if err := timer.Sleep(ctx, q.handler.timer, behindPause); err != nil {
+				return "", err
+			}
+			return "", errChanged
+		}
 		if c := q.handler.control.Leased(); c == nil || c.Documents[p.Document.Service] != p.Document {
 			// A pin that was made under a later document must not be moved by this one.
 			return "", errChanged
@@ -158,19 +170,16 @@
 	return ok && state != document.StateWithdrawn
 }
 
-func (q *request) sendPin(ctx context.Context, p *route.Plan, step document.Model, want document.Version, from string) (v document.Version, err error) {
+func (q *request) sendPin(ctx context.Context, revision document.Revision, p *route.Plan, step document.Model, want document.Version, from string) (reply *wire.PinReply, err error) {
 	ctx, span := q.handler.options.Tracer.Start(ctx, "control pin")
 	defer func() { end(span, err) }()
-	reply, err := q.handler.control.Pin(ctx, &wire.PinRequest{
+	reply, err = q.handler.control.Pin(ctx, &wire.PinRequest{
 		Account: string(q.account), Service: string(p.Document.Service), Session: q.session,
-		Model: string(step), Version: string(want), From: from,
+		Model: string(step), Version: string(want), From: from, Revision: uint64(revision),
 	})
 	if errors.Is(err, control.ErrConflict) || errors.Is(err, control.ErrMissing) {
 		// The reply names the version that the pin holds, if there is one.
-		return document.Version(reply.GetVersion()), nil
-	}
-	if err != nil {
-		return "", err
+		return reply, nil
 	}
-	return document.Version(reply.GetVersion()), nil
+	return reply, err
 }
--- a/internal/entry/caller/session_test.go
+++ b/internal/entry/caller/session_test.go
@@ -88,3 +88,21 @@
 	f.change(both())
 	is.Equal(model(), "small@v2")
 }
+
+// Guards against an entry with an older document that moves a session off the version
+// which another entry gave it under the newer one.
+func TestEntryBehindMovesNoPin(t *testing.T) {
+	is := is.New(t)
+	f := newFakeControl(versions(
+		document.VersionSpec{Name: "v1", State: document.StateActive},
+		document.VersionSpec{Name: "v2", State: document.StateWithdrawn},
+	))
+	const key = "town/pool/s/small"
+	startEngine(t, f, "w1", "small", &engine{version: "v1", breakAfter: -1})
+	f.pins[key], f.pinned = "v2", uint64(f.config.Revision)+1
+	_, s := newHandler(t, f, nil)
+	resp, body := send(t, "POST", s.URL+"/v1/chat/completions", chatBody("small", false), "Wisteriakeel-Session", "s")
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(string(detail(t, body).Outcome), "not run")
+	is.Equal(f.pins[key], "v2")
+}
