proof: let a killed control instance end without stopping the others

Cause: a kill in the harness fails the instance's connections before it cancels the instance; if the accept loop saw the failure first, its error stopped the whole run group, so that restarted instances never ran again. A dump of all goroutines showed one control instance instead of three. Ruled out: a stalled election or a stuck client: the remaining instance and the entries were running and asking; and an error of the product: every instance ended without one except for the one that was killed.

--- a/internal/proof/system/control.go
+++ b/internal/proof/system/control.go
@@ -56,10 +56,14 @@
 	s.group.Go(c.Name, c.run)
 }
 
-// run ends with the instance's own context, so that it can be killed alone.
+// run ends with the instance's own context, so that it can be killed alone. A kill
+// fails its connections first; that error must not stop the other instances.
 func (c *Control) run(context.Context) error {
 	defer close(c.done)
-	return c.server.Run(c.ctx)
+	if err := c.server.Run(c.ctx); err != nil && !c.Killed() {
+		return err
+	}
+	return nil
 }
 
 // Kill ends the instance with all its connections. Its directory stays.
