control: refuse a change that is too large as invalid

Cause: a proposal above the limit of the log is refused before anything is done, but was answered as unknown, so that the client sent it again until its deadline. Ruled out: a lower limit for documents alone: charges and claims use the same way. Change: the refusal is told as invalid; a table test of all refusals of the log. Before: read from the code, no test showed it. Conclusion: only outcomes that are open are told as unknown.

--- a/internal/control/entry/service.go
+++ b/internal/control/entry/service.go
@@ -187,6 +187,8 @@
 		return &wire.Fault{Code: wire.Code_CODE_UNAVAILABLE, Text: err.Error()}
 	case errors.Is(err, replica.ErrFull):
 		return &wire.Fault{Code: wire.Code_CODE_FULL, Text: err.Error()}
+	case errors.Is(err, replica.ErrTooLarge):
+		return &wire.Fault{Code: wire.Code_CODE_INVALID, Text: err.Error()}
 	}
 	return &wire.Fault{Code: wire.Code_CODE_UNKNOWN, Text: err.Error()}
 }
--- a/internal/control/entry/service_test.go
+++ b/internal/control/entry/service_test.go
@@ -284,3 +284,20 @@
 	b.data = append(b.data, b.data[0])
 	is.True(b.check(context.Background()) != nil)
 }
+
+// Guards against a refusal that is told as an unknown outcome: the client would send
+// the change again until its deadline.
+func TestRefusedProposalsAreTold(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		code wire.Code
+	}{
+		{replica.ErrBusy, wire.Code_CODE_UNAVAILABLE},
+		{replica.ErrFull, wire.Code_CODE_FULL},
+		{replica.ErrTooLarge, wire.Code_CODE_INVALID},
+		{replica.ErrUnknown, wire.Code_CODE_UNKNOWN},
+		{replica.ErrStopped, wire.Code_CODE_UNKNOWN},
+	} {
+		is.New(t).Equal((&Service{}).explain(0, c.err).Code, c.code)
+	}
+}
