disk: use one routine for files that are replaced whole

Cause: the record of a control instance's membership wrote the temporary file, sync, rename and directory sync again that package disk already has for its own files. Ruled out: a wrapper in package entry: the order of the four steps is what must not differ, so that it belongs in one place. Change: disk.Replace is exported and the record uses it; 18 lines less. Before: two copies.

--- a/internal/control/disk/directory.go
+++ b/internal/control/disk/directory.go
@@ -77,7 +77,7 @@
 		return fatal(err)
 	}
 	d.identity = replica.Identity(hex.EncodeToString(b[:]))
-	return fatal(replace(d.files, d.path, identityName, encode(kindIdentity, []byte(d.identity))))
+	return fatal(Replace(d.files, d.path, identityName, encode(kindIdentity, []byte(d.identity))))
 }
 
 func (d *Directory) load(names []string) error {
@@ -144,7 +144,7 @@
 	}
 	groups := append(slices.Clone(d.groups), name)
 	record := encode(kindGroups, []byte(strings.Join(groups, "\n")))
-	if err := replace(d.files, d.path, groupsName, record); err != nil {
+	if err := Replace(d.files, d.path, groupsName, record); err != nil {
 		return err
 	}
 	d.groups = groups
--- a/internal/control/disk/files.go
+++ b/internal/control/disk/files.go
@@ -111,8 +111,8 @@
 	return errors.Mark(errors.Wrap(err, "storage failed"), ErrFatal)
 }
 
-// replace writes a file so that either the old or the new content is found after a crash.
-func replace(f Files, dir, name string, parts ...[]byte) (err error) {
+// Replace writes a file so that either the old or the new content is found after a crash.
+func Replace(f Files, dir, name string, parts ...[]byte) (err error) {
 	temporary := filepath.Join(dir, name+temporarySuffix)
 	if err := writeSynced(f, temporary, parts); err != nil {
 		return err
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return s.fail(err)
 	}
-	return s.fail(replace(s.files, s.dir, hardName, encode(kindHard, b)))
+	return s.fail(Replace(s.files, s.dir, hardName, encode(kindHard, b)))
 }
 
 // Append adds entries that follow the last one, with one sync.
--- a/internal/control/entry/record.go
+++ b/internal/control/entry/record.go
@@ -55,23 +55,5 @@
 	if err != nil {
 		return err
 	}
-	if err := writeSynced(f, path+".tmp", text); err != nil {
-		return err
-	}
-	if err := f.Rename(path+".tmp", path); err != nil {
-		return err
-	}
-	return f.SyncDir(directory)
-}
-
-func writeSynced(f disk.Files, path string, text []byte) (err error) {
-	file, err := f.Create(path)
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.CombineErrors(err, file.Close()) }()
-	if _, err := file.Write(text); err != nil {
-		return err
-	}
-	return file.Sync()
+	return disk.Replace(f, directory, recordName, text)
 }
