queue: drop a method that nothing calls

Cause: Ticket.Waited has no caller, neither in the product nor in tests; waits are counted when a request gets its place. Ruled out: using it for the counts, which are kept under the queue's lock. Change: the method is removed. Before: reported as unreachable. After: 838 passed, 0 failed. Conclusion: behaviour is the same.

--- a/internal/entry/queue/ticket.go
+++ b/internal/entry/queue/ticket.go
@@ -25,9 +25,6 @@
 	return &Ticket{queue: q, waiter: w, since: q.timer.Now()}
 }
 
-// Waited returns how long the request waited for its place.
-func (t *Ticket) Waited() time.Duration { return t.since.Sub(t.waiter.entered) }
-
 // Done gives the place back and corrects the account's tag by the true number
 // of tokens; zero means that nothing ran. Further calls do nothing.
 func (t *Ticket) Done(tokens uint64) { t.once.Do(func() { t.done(tokens) }) }
