suspect: a late request for a trial is not granted

Cause: a request for a trial may be applied after its own end, or as the second copy that a client sent after the first was answered. Nobody ends the trial that it is granted, so that each resend is refused for 10 minutes. Ruled out: a lost report of the end: no instance logged "trial not ended". Ruled out: load alone: the trace of a failed run shows the trial of an entry that had no run any more. Change: trials of one process are numbered; group 0 keeps the last number of each entry and answers an older or ended one without a grant. The proof prints the last answer and the suspicions when it fails.

--- a/internal/control/state/suspect.go
+++ b/internal/control/state/suspect.go
@@ -42,6 +42,7 @@
 				reply.Trial = p.Trial
 			}
 		case wire.Move_MOVE_END:
+			overtaken(p, r)
 			c.endTrial(p, r)
 		case wire.Move_MOVE_CLEAR, wire.Move_MOVE_LIFT:
 			c.clear(p, r)
@@ -112,6 +113,8 @@
 		return wire.Standing_STANDING_QUARANTINED
 	case p.Trial != nil && mine(p.Trial, r) && p.Trial.Upstream == r.Upstream:
 		return wire.Standing_STANDING_GRANTED
+	case overtaken(p, r):
+		return wire.Standing_STANDING_OCCUPIED
 	case p.Trial != nil || len(p.Crashes) >= crashLimit:
 		return wire.Standing_STANDING_WAIT
 	}
@@ -125,6 +128,26 @@
 	return wire.Standing_STANDING_GRANTED
 }
 
+// overtaken tells whether a request of the same process with this nonce or a later
+// one was answered or ended before. It is a copy that a client sent twice or that its
+// own end overtook: nobody would end a trial granted to it.
+func overtaken(p *wire.Suspicion, r *wire.SuspectRequest) bool {
+	if p == nil {
+		return false
+	}
+	i := slices.IndexFunc(p.Asked, func(a *wire.Asked) bool { return a.Owner == r.Owner })
+	if i < 0 {
+		i = len(p.Asked)
+		p.Asked = append(p.Asked, &wire.Asked{Owner: r.Owner})
+	}
+	a := p.Asked[i]
+	if a.Epoch == r.Epoch && r.Nonce <= a.Nonce {
+		return true
+	}
+	a.Epoch, a.Nonce = r.Epoch, r.Nonce
+	return false
+}
+
 // crashedAt tells whether the upstream of the request is known to be down. A trial
 // there would show nothing and could count as a second crash.
 func crashedAt(p *wire.Suspicion, r *wire.SuspectRequest) bool {
--- a/internal/control/state/suspect_test.go
+++ b/internal/control/state/suspect_test.go
@@ -61,7 +61,11 @@
 		t.Run(k.name, func(t *testing.T) {
 			is := is.New(t)
 			c := NewConfig()
+			nonces := map[string]uint64{} // of the last trial by upstream
 			for i, m := range k.moves {
+				if m.move == trial {
+					nonces[m.upstream] = uint64(i + 1)
+				}
 				command := &wire.Command{Instant: m.at.Milliseconds() + 1}
 				switch m.move {
 				case renew:
@@ -71,7 +75,7 @@
 				default:
 					command.Body = &wire.Command_Suspect{Suspect: &wire.SuspectRequest{
 						Move: m.move, Suspects: []*wire.Suspect{{Fingerprint: m.suspect, Account: "hill"}},
-						Upstream: m.upstream, Incarnation: m.incarnation, Owner: "e1", Epoch: 1, Nonce: uint64(len(m.upstream)),
+						Upstream: m.upstream, Incarnation: m.incarnation, Owner: "e1", Epoch: 1, Nonce: nonces[m.upstream],
 					}}
 				}
 				r := run(is, c.Apply, command, &wire.SuspectReply{})
@@ -83,3 +87,46 @@
 		})
 	}
 }
+
+// Guards against a trial that nobody ends, which holds up each resend: the request
+// for it arrives after its end, or a second copy of it after the first was answered.
+func TestLateTrial(t *testing.T) {
+	for _, k := range []struct {
+		name string
+		// moves are those of entry e1 before the late copy of its request with nonce 1.
+		moves []wire.Move
+		nonce []uint64
+	}{
+		{"after its end", []wire.Move{end}, []uint64{1}},
+		{"copy after its end", []wire.Move{trial, end}, []uint64{1, 1}},
+		{"copy after a later trial", []wire.Move{trial, end, trial, end}, []uint64{1, 1, 2, 2}},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			is := is.New(t)
+			c := NewConfig()
+			do := func(m wire.Move, owner, upstream string, nonce uint64) wire.Standing {
+				r := run(is, c.Apply, &wire.Command{Instant: 1, Body: &wire.Command_Suspect{Suspect: &wire.SuspectRequest{
+					Move: m, Suspects: []*wire.Suspect{{Fingerprint: "p", Account: "hill"}},
+					Upstream: upstream, Incarnation: 1, Owner: owner, Epoch: 1, Nonce: nonce,
+				}}}, &wire.SuspectReply{})
+				c = restored(is, c)
+				return r.Standings[0]
+			}
+			do(crash, "e1", "a", 0)
+			for i, m := range k.moves {
+				do(m, "e1", "b", k.nonce[i])
+			}
+			is.Equal(do(trial, "e1", "b", 1), occupied)
+			is.Equal(do(trial, "e2", "c", 1), granted)
+		})
+	}
+	// A copy that arrives while its trial runs gets the answer of the first.
+	is := is.New(t)
+	c := NewConfig()
+	for i, m := range []wire.Move{crash, trial, trial} {
+		r := run(is, c.Apply, &wire.Command{Instant: 1, Body: &wire.Command_Suspect{Suspect: &wire.SuspectRequest{
+			Move: m, Suspects: []*wire.Suspect{{Fingerprint: "p"}}, Upstream: []string{"a", "b", "b"}[i], Incarnation: 1, Owner: "e1", Nonce: 1,
+		}}}, &wire.SuspectReply{})
+		is.Equal(r.Standings[0], []wire.Standing{under, granted, granted}[i])
+	}
+}
--- a/internal/entry/caller/suspect.go
+++ b/internal/entry/caller/suspect.go
@@ -44,7 +44,7 @@
 func (h *Handler) newTracker() Tracker {
 	return suspect.New(suspect.Options{
 		Timer: h.timer, Reporter: h.control, Refuses: h.refuses,
-		Owner: h.options.Self.GetName(), Epoch: h.options.Epoch, Nonce: h.number,
+		Owner: h.options.Self.GetName(), Epoch: h.options.Epoch,
 	})
 }
 
--- a/internal/entry/suspect/suspect.go
+++ b/internal/entry/suspect/suspect.go
@@ -31,17 +31,18 @@
 	Reporter Reporter
 	// Refuses tells whether the address refuses connections.
 	Refuses func(ctx context.Context, address string) bool
-	// Owner and Epoch name the process of the entry, Nonce a run of it.
+	// Owner and Epoch name the process of the entry.
 	Owner string
 	Epoch uint64
-	Nonce func() uint64
 }
 
 // Tracker knows the runs of one entry.
 type Tracker struct {
 	options Options
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// asked numbers the requests for trials, by which group 0 tells late copies.
+	asked     uint64
 	flights   map[target]map[*Run]struct{}
 	inquiries map[target]*inquiry
 }
@@ -106,7 +107,10 @@
 // first, nil while crashes are not confirmed yet.
 func (k *Tracker) Try(ctx context.Context, f Fingerprint, account string, u *wire.Upstream) (r *Run, s wire.Standing, t *wire.Trial, err error) {
 	r = k.Begin(f, account, u)
-	r.nonce = k.options.Nonce()
+	k.mu.Lock()
+	k.asked++
+	r.nonce = k.asked
+	k.mu.Unlock()
 	reply, err := k.options.Reporter.Suspect(ctx, r.request(wire.Move_MOVE_TRIAL))
 	if err != nil {
 		r.trial = true
--- a/internal/entry/suspect/suspect_test.go
+++ b/internal/entry/suspect/suspect_test.go
@@ -78,7 +78,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			m, r := timer.NewManual(), &recorder{standing: wire.Standing_STANDING_GRANTED}
-			k := New(Options{Timer: &advancing{m}, Reporter: r, Nonce: func() uint64 { return 1 }, Refuses: func(context.Context, string) bool { return c.refuses }})
+			k := New(Options{Timer: &advancing{m}, Reporter: r, Refuses: func(context.Context, string) bool { return c.refuses }})
 			c.do(k, &wire.Upstream{Name: "w1", Incarnation: 1})
 			is.Equal(strings.Join(r.seen, ", "), c.want)
 		})
--- a/internal/proof/poison/poison_test.go
+++ b/internal/proof/poison/poison_test.go
@@ -89,9 +89,10 @@
 		if e.Killed() {
 			continue
 		}
-		for !final(x.Send(e, chat(marker, stream))) {
+		for a := x.Send(e, chat(marker, stream)); !final(a); a = x.Send(e, chat(marker, stream)) {
 			if time.Now().After(end) || x.crashed() > 2 {
-				x.t.Fatalf("no final answer from entry %d; %d engines crashed", i+1, x.crashed())
+				x.t.Fatalf("no final answer from entry %d; %d engines crashed; last answer: status %d, outcome %q: %s %v; suspicions: %v",
+					i+1, x.crashed(), a.Status, a.Outcome, a.Body, a.Err, x.suspicions())
 			}
 			time.Sleep(time.Duration(x.random.IntN(100)) * time.Millisecond)
 		}
