suspect: look for the crash of an abandoned run for a second

Cause: when a caller leaves, its run is reported only if the upstream refuses connections within 60 ms. A busy upstream may run the request, and crash, later; no connection breaks then, and no entry reports the crash. Ruled out: a report that is lost: the requests ended before the crash, and no report was made. Change: two further attempts to connect after an abandoned run, at 300 ms and 1 s. A later crash stays unreported, as docs/proofs.md says of copies in flight.

--- a/internal/entry/suspect/suspect.go
+++ b/internal/entry/suspect/suspect.go
@@ -17,6 +17,10 @@
 // process that dies may close its connections shortly before its listener.
 var probes = []time.Duration{0, 10 * time.Millisecond, 30 * time.Millisecond, 60 * time.Millisecond}
 
+// later are further attempts after a run was abandoned: nobody sees its connection
+// break, and a busy upstream may run the request only after its caller has left.
+var later = []time.Duration{300 * time.Millisecond, time.Second}
+
 // inforce bounds the wait until all entries know of a crash.
 const inforce = 3000
 
@@ -162,7 +166,7 @@
 		q.Upstream = ""
 		_, err := k.options.Reporter.Suspect(ctx, q)
 		return err
-	case sent && k.refused(ctx, r.address):
+	case sent && k.refused(ctx, r.address, later...):
 		_, err := r.Broke(ctx)
 		return err
 	}
@@ -235,9 +239,9 @@
 }
 
 // refused tells whether the upstream refuses connections shortly after one broke.
-func (k *Tracker) refused(ctx context.Context, address string) bool {
+func (k *Tracker) refused(ctx context.Context, address string, later ...time.Duration) bool {
 	passed := time.Duration(0)
-	for _, p := range probes {
+	for _, p := range slices.Concat(probes, later) {
 		if p > passed && timer.Sleep(ctx, k.options.Timer, p-passed) != nil {
 			return false
 		}
--- a/internal/entry/suspect/suspect_test.go
+++ b/internal/entry/suspect/suspect_test.go
@@ -85,6 +85,26 @@
 	}
 }
 
+// Guards against the crash by a request whose caller has left before a busy upstream
+// runs it: no connection breaks that would be reported.
+func TestAbandonedLateCrash(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration
+		want  string
+	}{
+		{0, "CRASH b"}, {200 * time.Millisecond, "CRASH b"}, {900 * time.Millisecond, "CRASH b"}, {time.Minute, ""},
+	} {
+		t.Run(c.after.String(), func(t *testing.T) {
+			is := is.New(t)
+			m, r := timer.NewManual(), &recorder{standing: wire.Standing_STANDING_SUSPECTED}
+			down := m.Now().Add(c.after)
+			k := New(Options{Timer: &advancing{m}, Reporter: r, Refuses: func(context.Context, string) bool { return m.Now() >= down }})
+			_ = sent(k, &wire.Upstream{Name: "w1", Incarnation: 1}, "b").Abandoned(context.Background())
+			is.Equal(strings.Join(r.seen, ", "), c.want)
+		})
+	}
+}
+
 // advancing is a manual timer that makes each call at once.
 type advancing struct{ *timer.Manual }
 
