place: use the loads that upstreams state to other instances

Cause: the leader spreads the loads that upstreams state with their answers, but instances dropped them. At 69 and 90 machines an instance sends each upstream a request every few seconds and places by its own requests alone, so that 5 to 17 of 100 requests for models waited behind others. What was known of upstreams that left was never dropped. Ruled out: the pressure at which small models are accepted (crowded 1.1 and 2.4 changed nothing). Change: an instance takes a spread load over unless it has one of its own that is younger than 0.7 s. Marks without a request in flight are dropped from 4096 on. No bytes are added, as the loads were sent before.

--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -47,8 +47,10 @@
 	Decode   view.Decoder
 	// Sessions returns the sessions that ran lately; see view.Options.
 	Sessions func(s layout.Service, bucket uint32) []uint64
-	Timer    timer.Service
-	Log      *zap.Logger
+	// Stated takes a load that an upstream stated to another instance.
+	Stated func(id string, running, waiting int)
+	Timer  timer.Service
+	Log    *zap.Logger
 }
 
 // Instance is one process of the deployment.
@@ -75,7 +77,7 @@
 		}
 	}()
 	i = &Instance{options: o, epoch: rand.Uint64()}
-	i.View = view.New(view.Options{Decode: o.Decode, Sessions: o.Sessions, Lease: o.Lease, Timer: o.Timer, Log: o.Log.Named("view")})
+	i.View = view.New(view.Options{Decode: o.Decode, Sessions: o.Sessions, Stated: o.Stated, Lease: o.Lease, Timer: o.Timer, Log: o.Log.Named("view")})
 	i.Client = peer.NewClient(peer.Options{
 		Self: o.Peer, Seeds: o.Seeds, Token: o.Token, View: i.View, Instance: i.describe,
 		Hint: i.hint, Timer: o.Timer, Random: newRandom(), Log: o.Log.Named("peer"),
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -31,8 +31,10 @@
 	Lease time.Duration
 	// Sessions returns the sessions of a service that ran lately, for a roll-out that begins.
 	Sessions func(s layout.Service, bucket uint32) []uint64
-	Timer    timer.Service
-	Log      *zap.Logger
+	// Stated takes a load that an upstream stated to another instance.
+	Stated func(id string, running, waiting int)
+	Timer  timer.Service
+	Log    *zap.Logger
 }
 
 // Rollout is a roll-out and the sessions that stay on the former version.
@@ -184,6 +186,11 @@
 		}
 		v.instances[i.GetName()] = &instance{record: i, term: r.GetTerm()}
 	}
+	if v.options.Stated != nil {
+		for _, l := range r.GetLoads() {
+			v.options.Stated(l.GetId(), int(l.GetRunning()), int(l.GetWaiting()))
+		}
+	}
 	v.learnRollouts(r.GetRollouts())
 	for _, f := range r.GetQuarantined() {
 		v.quarantined[f] = true
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -122,3 +123,17 @@
 	clock.Advance(confirmWithin + time.Millisecond)
 	is.Equal(v.Entries("", "", 64), []string{"c1"})
 }
+
+// Guards against loads that the leader spreads and nobody uses: an instance of a large
+// deployment sees each upstream too seldom to know its load.
+func TestStatedLoads(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewManual()
+	got := ""
+	v := New(Options{
+		Stated: func(id string, running, waiting int) { got += fmt.Sprintln(id, running, waiting) },
+		Timer:  clock, Log: zap.NewNop(),
+	})
+	is.NoErr(v.Learn(&wire.SyncReply{Term: 1, Loads: []*wire.Load{{Id: "a", Running: 3, Waiting: 1}, {Id: "b"}}}, clock.Now()))
+	is.Equal(got, "a 3 1\nb 0 0\n")
+}
--- a/internal/gateway/place/place.go
+++ b/internal/gateway/place/place.go
@@ -34,6 +34,9 @@
 	fillPart = 0.6
 	// staleAfter is the age from which a stated load counts half, and again for each such span.
 	staleAfter = time.Second
+	// ownFor is how long a statement to this entry is preferred to those to others, which
+	// arrive about a period of reports and a poll later.
+	ownFor = 700 * time.Millisecond
 	// shunFirst is how long an upstream is avoided after a failed connection; it doubles
 	// with each further failure up to shunMost.
 	shunFirst = 400 * time.Millisecond
@@ -48,6 +51,8 @@
 	// gradeHalf is the time in which a failure rate halves without news, so that an
 	// upstream that failed is tried again.
 	gradeHalf = 4 * time.Second
+	// maxMarks is the number of known upstreams from which those that left are dropped.
+	maxMarks = 4096
 	// coldFactor is the load factor of an upstream that is slow after its start.
 	coldFactor = 1.6
 )
@@ -114,12 +119,25 @@
 func (c *Chooser) mark(id string) *mark {
 	m := c.marks[id]
 	if m == nil {
+		if len(c.marks) >= maxMarks {
+			c.forget()
+		}
 		m = &mark{}
 		c.marks[id] = m
 	}
 	return m
 }
 
+// forget drops what is known of upstreams without a request in flight; those that are
+// still there state their load again with their next answer.
+func (c *Chooser) forget() {
+	for id, m := range c.marks {
+		if m.inflight == 0 {
+			delete(c.marks, id)
+		}
+	}
+}
+
 // Report takes over a load that an upstream stated.
 func (c *Chooser) Report(id string, running, waiting int) {
 	c.mu.Lock()
@@ -128,6 +146,18 @@
 	m.running, m.waiting, m.at, m.base = float64(running), float64(waiting), c.timer.Now(), m.inflight
 }
 
+// Stated takes over a load that an upstream stated to another entry a moment ago,
+// unless this entry has a recent statement of its own.
+func (c *Chooser) Stated(id string, running, waiting int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, m := c.timer.Now(), c.mark(id)
+	if m.at != 0 && now.Sub(m.at) < ownFor {
+		return
+	}
+	m.running, m.waiting, m.at, m.base = float64(running), float64(waiting), now, m.inflight
+}
+
 // load estimates the requests at an upstream.
 func (c *Chooser) load(m *mark, now timer.Instant) float64 {
 	own := float64(m.inflight) + pendingWeight*float64(m.pending)
--- a/internal/gateway/place/place_test.go
+++ b/internal/gateway/place/place_test.go
@@ -25,8 +25,14 @@
 }
 
 // Replays a burst that reaches many entries just after all have read the same report,
-// in which one upstream is idle: it must not get most of the burst.
+// in which one upstream is idle: it must not get most of the burst, whether the report
+// came with an answer or through the leader.
 func TestStaleReportDoesNotHerd(t *testing.T) {
+	t.Run("own", func(t *testing.T) { testHerd(t, (*Chooser).Report) })
+	t.Run("shared", func(t *testing.T) { testHerd(t, (*Chooser).Stated) })
+}
+
+func testHerd(t *testing.T, report func(c *Chooser, id string, running, waiting int)) {
 	is := is.New(t)
 	candidates := pool(12)
 	counts := map[string]int{}
@@ -35,7 +41,7 @@
 		c, _ := chooser(uint64(e))
 		c.Zone = fmt.Sprintf("z%d", e%3) // entries stand in all availability zones
 		for i, k := range candidates {
-			c.Report(k.ID, min(i, 1)*8, 0)
+			report(c, k.ID, min(i, 1)*8, 0)
 		}
 		for range burst {
 			k, ok := c.Pick(candidates, 0, nil)
@@ -47,6 +53,43 @@
 	is.True(counts["u0"] < entries*burst*2/5)
 }
 
+// Replays entries that see each upstream seldom: one whose queue is known through others
+// only must be avoided, and an old report must not replace a newer one of its own.
+func TestStated(t *testing.T) {
+	is := is.New(t)
+	candidates := pool(2)
+	busy := func(c *Chooser) (n int) {
+		for range 100 {
+			if k, _ := c.Pick(candidates, 0, nil); k.ID == "u1" {
+				n++
+			}
+		}
+		return n
+	}
+	c, clock := chooser(5)
+	c.Stated("u1", 16, 9)
+	is.Equal(busy(c), 0)
+	c.Report("u0", 8, 0)
+	c.Report("u1", 0, 0)
+	c.Stated("u1", 16, 9)
+	is.Equal(busy(c), 100) // its own report is newer
+	clock.Advance(time.Second)
+	c.Stated("u1", 26, 9)
+	is.Equal(busy(c), 0)
+}
+
+// Guards against memory that grows with each upstream that ever was.
+func TestDepartedUpstreamsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c, _ := chooser(6)
+	c.Begin("busy")
+	for i := range 3 * maxMarks {
+		c.Stated(fmt.Sprint(i), 1, 0)
+	}
+	is.True(len(c.marks) <= maxMarks)
+	is.Equal(c.marks["busy"].inflight, 1)
+}
+
 // Replays one key that gets much of the traffic: the upstreams that hold its part of
 // the prompt must not be loaded far above the mean.
 func TestHotKeySpreads(t *testing.T) {
