peer: an instance that called does not keep the deployment from being founded

Cause: an instance with a disk that asks the first seed for the leader was noted as a voter there, and a seed that knows voters does not grant the founding. Five processes that start at the same moment were never founded if another one's poll came before the first question. Ruled out: lost questions and tokens: one instance alone, and three, are founded. Change: callers with a disk are kept apart from voters, also in what instances tell each other; they are still asked first for the leader.

--- a/internal/fleet/peer/finder.go
+++ b/internal/fleet/peer/finder.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -24,9 +25,11 @@
 	seeds  []Address
 	leader Address
 	voters []Address
-	others []Address
-	next   int
-	timer  timer.Service
+	// callers have a disk and called or were named to this instance since it last learned voters.
+	callers []Address
+	others  []Address
+	next    int
+	timer   timer.Service
 	// at is when the leader last answered, lost the time at which an address failed.
 	at   timer.Instant
 	lost map[Address]timer.Instant
@@ -45,7 +48,7 @@
 	}
 	var all []Address
 	seen := map[Address]bool{}
-	for _, list := range [][]Address{f.voters, f.seeds, f.others} {
+	for _, list := range [][]Address{f.callers, f.voters, f.seeds, f.others} {
 		for _, a := range list {
 			if !seen[a] {
 				seen[a] = true
@@ -91,6 +94,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.learnVoters(g.GetVoters())
+	for _, a := range g.GetCallers() {
+		f.called(Address(a))
+	}
 	if f.leader == from {
 		f.leader = ""
 	}
@@ -116,7 +122,7 @@
 	if len(voters) == 0 {
 		return
 	}
-	f.voters = f.voters[:0]
+	f.voters, f.callers = f.voters[:0], nil
 	for _, v := range voters {
 		f.voters = append(f.voters, Address(v))
 	}
@@ -148,20 +154,21 @@
 // met remembers an instance that called. One with a disk may lead or know who does.
 func (f *finder) met(i *wire.Instance) {
 	f.know([]*wire.Instance{i})
-	a := Address(i.GetPeer())
-	if i.GetIdentity() == "" || a == "" || a == f.self {
+	if i.GetIdentity() == "" {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, v := range f.voters {
-		if v == a {
-			return
-		}
+	f.called(Address(i.GetPeer()))
+}
+
+func (f *finder) called(a Address) {
+	if a == "" || a == f.self || slices.Contains(f.voters, a) || slices.Contains(f.callers, a) {
+		return
 	}
-	f.voters = append([]Address{a}, f.voters...)
-	if len(f.voters) > maxKnown {
-		f.voters = f.voters[:maxKnown]
+	f.callers = append([]Address{a}, f.callers...)
+	if len(f.callers) > maxKnown {
+		f.callers = f.callers[:maxKnown]
 	}
 }
 
@@ -193,6 +200,9 @@
 	for _, v := range f.voters {
 		g.Voters = append(g.Voters, string(v))
 	}
+	for _, a := range f.callers {
+		g.Callers = append(g.Callers, string(a))
+	}
 	return g
 }
 
--- a/internal/fleet/peer/finder_test.go
+++ b/internal/fleet/peer/finder_test.go
@@ -1,11 +1,14 @@
 package peer
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
@@ -48,3 +51,33 @@
 	f.met(&wire.Instance{Peer: "x", Identity: "disk"})
 	is.Equal(f.current(), Address("x"))
 }
+
+// Guards against a deployment that starts at once and is never founded: an instance
+// with a disk that asks the seed for the leader is no sign that there is a group, nor
+// is one that was named by another instance.
+func TestFoundingAfterCalls(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		before  func(c *Client)
+		granted bool
+	}{
+		{"nobody called", func(*Client) {}, true},
+		{"called by an instance with a disk", func(c *Client) { c.finder.met(&wire.Instance{Peer: "x", Identity: "disk"}) }, true},
+		{"guided by an instance that was called", func(c *Client) {
+			o := newFinder("o", nil, c.options.Timer)
+			o.met(&wire.Instance{Peer: "x", Identity: "disk"})
+			c.finder.guided("o", o.guide())
+		}, true},
+		{"voters named by another instance", func(c *Client) { c.finder.guided("o", &wire.Guide{Voters: []string{"x"}}) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.NewManual()
+			s := &Server{First: true, Token: "t", Log: zap.NewNop(), Client: NewClient(Options{Self: "me", Timer: clock, Log: zap.NewNop()})}
+			c.before(s.Client)
+			r, err := s.Found(replica.WithToken(context.Background(), "t"), &wire.FoundRequest{Identity: "first"})
+			is.NoErr(err)
+			is.Equal(r.Granted, c.granted)
+		})
+	}
+}
