bench: a fault soak of instances as processes

Cause: faults between real processes were played by the bench only, which starts machines in one order and simulates time. Ruled out: the demonstration as the place for it: it plays a fixed script of the product's own interface. Change: `bench soak` runs the program on the platform as processes, with signals, loopback proxies, lost disks and crashed upstreams that follow from a seed, and checks the promises from what callers and upstreams see. The platform's words stay in platform/dialect.go. Not covered: steps of the clock, slow or full disks, cuts between instances.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 TESTTIME ?= 8m
 
-.PHONY: build test demo proofs generate format lint linkage unit
+.PHONY: build test demo proofs generate format lint linkage unit soak
 
 build:
 	$(GO) build -o $(BIN)/wisteriakeel .
@@ -30,6 +30,12 @@
 demo: build
 	$(BIN)/bench demo --binary $(BIN)/wisteriakeel
 
+# The fault soak with SEEDS seeds from SEED on, about 45 s each.
+SEED ?= 1
+SEEDS ?= 1
+soak: build
+	$(BIN)/bench soak --binary $(BIN)/wisteriakeel --seed $(SEED) --seeds $(SEEDS)
+
 # All proofs with all their seeds, within 15 minutes; a short set runs with the tests.
 proofs:
 	.ci/proofs
--- /dev/null
+++ b/cmd/bench/soak.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"wisteriakeel.example/wisteriakeel/internal/bench/soak"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	"wisteriakeel.example/wisteriakeel/platform"
+)
+
+func init() {
+	register(command{
+		name: "soak", short: "Run instances as processes with random faults and check what callers see",
+		factory: func(out io.Writer) flags.Commander { return &soakCommand{out: out} },
+	})
+}
+
+type soakCommand struct {
+	out    io.Writer
+	Binary string        `long:"binary" default:"bin/wisteriakeel" description:"path of wisteriakeel"`
+	Seed   uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds  int           `long:"seeds" default:"1" description:"number of seeds, one after the other"`
+	Length time.Duration `long:"length" default:"24s" description:"how long faults come with each seed"`
+	Folder string        `long:"folder" description:"where settings, disks and logs are kept; default: a temporary directory"`
+}
+
+// Execute runs the seeds. The folders of failed seeds are kept and named.
+func (c *soakCommand) Execute([]string) error {
+	binary, err := filepath.Abs(c.Binary)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signals()
+	defer cancel()
+	var failed error
+	for i := range c.Seeds {
+		seed := c.Seed + uint64(i)
+		folder, err := os.MkdirTemp(c.Folder, fmt.Sprintf("soak-%d-", seed))
+		if err != nil {
+			return err
+		}
+		err = soak.Run(ctx, soak.Options{
+			Dialect: platform.Dialect{}, Binary: binary, Folder: folder, Seed: seed, Length: c.Length,
+			Timer: timer.NewSystem(), Out: c.out,
+		})
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			_, _ = fmt.Fprintf(c.out, "%v; logs in %s\n", err, folder)
+			failed = err
+			continue
+		}
+		if err := os.RemoveAll(folder); err != nil {
+			return err
+		}
+	}
+	return failed
+}
--- a/internal/bench/cluster/process.go
+++ b/internal/bench/cluster/process.go
@@ -66,6 +66,11 @@
 
 // Start starts a child whose output goes to NAME.log.
 func (l *Launcher) Start(name string, args ...string) (p *Process, err error) {
+	return l.StartWith(nil, name, args...)
+}
+
+// StartWith starts a child with further variables NAME=VALUE in its environment.
+func (l *Launcher) StartWith(environment []string, name string, args ...string) (p *Process, err error) {
 	defer func() {
 		if err != nil {
 			err = errors.Wrapf(err, "start %s", name)
@@ -78,6 +83,7 @@
 	defer log.Close()
 	command := exec.Command(args[0], args[1:]...)
 	command.Dir = l.folder
+	command.Env = append(os.Environ(), environment...)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	l.mu.Lock()
