platform: check the settings of an instance and the deploy file

Cause: `wisteriakeel check` knew the files of the product only; a wrong deploy file or settings of the platform showed when machines started. Ruled out: a command of its own: a check of all files of an installation is one call. The command reads TOML where a file is no JSON. Before: "expected JSON".

--- a/internal/command/terminal/check.go
+++ b/internal/command/terminal/check.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 
+	"github.com/BurntSushi/toml"
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
@@ -56,6 +57,12 @@
 	}},
 }
 
+// RegisterForm adds a kind of file that check knows, told by the fields that only it has.
+// parse returns a *problem.Error for a file that is wrong. It is called from init.
+func RegisterForm(name string, marks []string, parse func(name string, text []byte) error) {
+	forms = append(forms, form{name, marks, parse})
+}
+
 // Execute checks each file and reports the problems of all of them.
 func (c *checkCommand) Execute([]string) error {
 	all := &problem.Error{}
@@ -85,8 +92,11 @@
 
 // guess returns the kind of file that has most of the fields.
 func guess(text []byte) form {
-	var fields map[string]json.RawMessage
-	_ = json.Unmarshal(text, &fields) // the parser of the kind reports what is wrong
+	// The parser of the kind reports what is wrong. Files of the product are JSON.
+	fields := map[string]any{}
+	if json.Unmarshal(text, &fields) != nil {
+		_ = toml.Unmarshal(text, &fields)
+	}
 	best, most := unknown, 0
 	for _, f := range forms {
 		count := 0
