--- a/internal/gateway/caller/caller_test.go
+++ b/internal/gateway/caller/caller_test.go
@@ -36,7 +36,7 @@
 
 // fixture is a handler in front of stand-ins.
 type fixture struct {
-	*testing.T
+	testing.TB
 	*is.I
 	view    *view.View
 	handler *Handler
@@ -63,9 +63,9 @@
 }
 
 // newFixture starts a handler whose services have the upstreams given, in order.
-func newFixture(t *testing.T, desk, pool []*standin.Upstream) *fixture {
+func newFixture(t testing.TB, desk, pool []*standin.Upstream) *fixture {
 	t.Helper()
-	f := &fixture{T: t, I: is.New(t), clock: timer.NewManual()}
+	f := &fixture{TB: t, I: is.New(t), clock: timer.NewManual()}
 	f.clock.Advance(time.Hour)
 	system := timer.NewSystem()
 	f.view = view.New(view.Options{
@@ -121,7 +121,7 @@
 	return reply{r.StatusCode, r.Header, string(text), err}
 }
 
-func serve(t *testing.T, handle func(e *standin.Exchange) bool) *standin.Upstream {
+func serve(t testing.TB, handle func(e *standin.Exchange) bool) *standin.Upstream {
 	t.Helper()
 	u, err := standin.New(handle)
 	if err != nil {
