gateway/process: refuse new requests before 3 s have passed since SIGTERM

Cause: an instance refused new requests from the first look 3 s after SIGTERM on, so up to 3.1 s after it. Ruled out: an end before the grace time: the connection closed 7.8 s after SIGTERM. Change: refusal begins 2.8 s after SIGTERM.

--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -27,8 +27,10 @@
 
 // Times of a graceful end, from the request to stop.
 const (
-	// refuseAfter is when callers have had time for a new list of entries.
-	refuseAfter = 3 * time.Second
+	// refuseAfter is when callers have had time for a new list of entries. With the pause
+	// between two looks it stays below 3 s: a request that is taken later must be answered
+	// whole before the end, and a stream may take longer than that.
+	refuseAfter = 2800 * time.Millisecond
 	// leaveAfter is when an instance without requests may end.
 	leaveAfter = 4 * time.Second
 	// lookEvery is the pause between two looks at the requests in progress.
