gateway/stage: see a version that is slow within its answers from fewer of them

From 21 answers its pauses were 3.5 times as long with a standard error of 0.17; the same bounds as for first bytes (3.5, and 2.4 beyond luck) were not reached. Ruled out: first bytes: they were 2.3 times as long only, as the larger part of them is the wait for a batch. Ruled out: a lost canary: 45 answers came. Change: pauses are compared with factors of their own, 3.0 and 2.0 beyond luck. A good version whose canary filled one upstream showed up to 2.9.

--- a/internal/gateway/stage/stage.go
+++ b/internal/gateway/stage/stage.go
@@ -53,7 +53,13 @@
 	// cost; coldFactor is what these cost at most.
 	slowFactor = 3.5
 	coldFactor = 2.4
-	// slowDeviations is the distance of mean times beyond coldFactor, in standard errors.
+	// paceFactor and warmFactor are the same for the pauses within answers, which an empty
+	// cache does not lengthen. A version four times as slow was 3.5 times as slow to the
+	// first of them, a good one on one full upstream up to 2.9 times.
+	paceFactor = 3.0
+	warmFactor = 2.0
+	// slowDeviations is the distance of mean times beyond coldFactor or warmFactor, in
+	// standard errors.
 	slowDeviations = 3.0
 	// leastVariance keeps a few equal times from looking certain.
 	leastVariance = 0.25
@@ -231,6 +237,10 @@
 	if n < leastSlow {
 		return false
 	}
+	slow, luck := slowFactor, coldFactor
+	if pace {
+		slow, luck = paceFactor, warmFactor
+	}
 	factor, deviation := sum/n, math.Sqrt(variance)/n
-	return factor > math.Log(slowFactor) && factor-math.Log(coldFactor) > slowDeviations*deviation
+	return factor > math.Log(slow) && factor-math.Log(luck) > slowDeviations*deviation
 }
--- a/internal/gateway/stage/stage_test.go
+++ b/internal/gateway/stage/stage_test.go
@@ -127,3 +127,40 @@
 	_, end, _ := r.Decide(5 * time.Second)
 	is.Equal(end, Bad)
 }
+
+// Replays a short canary of a version that is about four times as slow within its
+// answers, as gnsw-frostline showed it (rollouts --vary, seed 43550033605): it must be
+// seen before it gets everything. A good version whose canary fills one upstream is up
+// to 2.9 times as slow and must not go back.
+func TestSlowPaceOfFewAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		factor  float64
+		answers int
+		want    End
+	}{
+		{"slow", 3.55, 21, Bad},
+		{"full upstream", 2.85, 21, Open},
+		{"full upstream, many answers", 2.85, 300, Open},
+		{"too few answers", 8, leastSlow - 1, Open},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := New(12*time.Second, 0.15)
+			// The logarithms of the pauses spread by 0.78, as there.
+			observe := func(target bool, n int, mean float64) {
+				for i := range n {
+					l := math.Log(mean) + 0.78*float64(2*(i%2)-1)
+					if n%2 == 1 && i == n-1 {
+						l = math.Log(mean)
+					}
+					r.Observe("a"+Pace, target, Count{Times: 1, Logs: l, Squares: l * l})
+				}
+			}
+			observe(false, 400, 0.02)
+			observe(true, c.answers, 0.02*c.factor)
+			_, end, _ := r.Decide(8 * time.Second)
+			is.Equal(end, c.want)
+		})
+	}
+}
