--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -107,7 +107,9 @@
 	c.late(id, begun)
 	switch {
 	case r.StatusCode == http.StatusOK:
-		c.whole(id, k, r, string(text), begun, err)
+		if !c.whole(id, k, r, string(text), err) && ctx.Err() == nil {
+			l.lost(id, c.node.name, begun)
+		}
 	case r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusTooManyRequests ||
 		r.StatusCode == http.StatusRequestTimeout || r.StatusCode == http.StatusMisdirectedRequest:
 		l.refusedRequest(id, r.StatusCode)
@@ -129,8 +131,8 @@
 	}
 }
 
-// whole checks an answer with success.
-func (c *caller) whole(id string, k kind, r *http.Response, text string, begun timer.Instant, err error) {
+// whole checks an answer with success. It returns false for one that broke off.
+func (c *caller) whole(id string, k kind, r *http.Response, text string, err error) bool {
 	l, names := c.soak.ledger, c.soak.options.Dialect.Names()
 	if got := r.Header.Get(names.Signature); got != "s-"+id {
 		l.broken("request %s is answered with signature %q", id, got)
@@ -153,8 +155,9 @@
 	case !strings.HasPrefix(want, text):
 		l.broken("request %s gets other bytes than its upstream sent: %q", id, lastLine(text))
 	default:
-		l.lost(id, c.node.name, begun)
+		return false
 	}
+	return true
 }
 
 func lastLine(text string) (last string) {
