suspect: clear an answered request only after the report that names it

Ruled out: a lost clearance: the record is that of one crash, as a report leaves it. Change: the clearance waits for the report of its inquiry. Before: the test in package suspect sees CLEAR before CRASH. After: CRASH, CLEAR.

--- a/internal/entry/suspect/suspect.go
+++ b/internal/entry/suspect/suspect.go
@@ -82,9 +82,10 @@
 	nonce       uint64
 	// sent is true once bytes may have reached the upstream; guarded by the tracker's lock.
 	sent bool
-	// reported is true once the run was named in a report; guarded by the tracker's lock.
-	reported bool
-	trial    bool
+	// inquiry is the last one whose report names the run, nil if there is none; guarded by
+	// the tracker's lock.
+	inquiry *inquiry
+	trial   bool
 }
 
 // Begin returns a run of a request that is not suspected.
@@ -134,9 +135,18 @@
 
 // Finished clears the request if it was suspected.
 func (r *Run) Finished(ctx context.Context) error {
-	if !r.leave() && !r.trial {
+	q := r.leave()
+	if q == nil && !r.trial {
 		return nil
 	}
+	if q != nil {
+		// A report that arrives after the clearance would leave the suspicion behind.
+		select {
+		case <-q.done:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
 	_, err := r.tracker.options.Reporter.Suspect(ctx, r.request(wire.Move_MOVE_CLEAR))
 	return err
 }
@@ -221,7 +231,7 @@
 	request := r.request(move)
 	request.Wait, request.Suspects = inforce, nil
 	for _, o := range q.runs {
-		o.reported = true
+		o.inquiry = q
 		if _, ok := q.standings[o.fingerprint]; !ok {
 			q.standings[o.fingerprint] = wire.Standing_STANDING_SUSPECTED
 			request.Suspects = append(request.Suspects, &wire.Suspect{Fingerprint: string(o.fingerprint), Account: o.account})
@@ -253,8 +263,8 @@
 	return false
 }
 
-// leave ends the flight and tells whether the run was reported.
-func (r *Run) leave() (reported bool) {
+// leave ends the flight and returns the inquiry that named the run, if any.
+func (r *Run) leave() *inquiry {
 	k := r.tracker
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -262,7 +272,7 @@
 	if len(k.flights[r.target]) == 0 {
 		delete(k.flights, r.target)
 	}
-	return r.reported
+	return r.inquiry
 }
 
 func (r *Run) request(m wire.Move) *wire.SuspectRequest {
--- a/internal/entry/suspect/suspect_test.go
+++ b/internal/entry/suspect/suspect_test.go
@@ -105,6 +105,39 @@
 	}
 }
 
+// slow is a reporter whose crash reports wait until they are let through.
+type slow struct {
+	recorder
+	asked, through chan struct{}
+}
+
+func (s *slow) Suspect(ctx context.Context, q *wire.SuspectRequest) (*wire.SuspectReply, error) {
+	if q.Move == wire.Move_MOVE_CRASH {
+		close(s.asked)
+		<-s.through
+	}
+	return s.recorder.Suspect(ctx, q)
+}
+
+// Guards against a suspicion that stays: the clearance of a request that was answered
+// reaches group 0 before the report that names it.
+func TestClearanceAfterReport(t *testing.T) {
+	is := is.New(t)
+	s := &slow{recorder: recorder{standing: wire.Standing_STANDING_SUSPECTED}, asked: make(chan struct{}), through: make(chan struct{})}
+	k := New(Options{Timer: &advancing{timer.NewManual()}, Reporter: s, Refuses: func(context.Context, string) bool { return true }})
+	u := &wire.Upstream{Name: "w1", Incarnation: 1}
+	answered := sent(k, u, "b")
+	var group sync.WaitGroup
+	group.Add(2)
+	go func() { defer group.Done(); broke(k, u) }()
+	<-s.asked
+	go func() { defer group.Done(); _ = answered.Finished(context.Background()) }()
+	time.Sleep(50 * time.Millisecond) // time for a clearance that does not wait
+	close(s.through)
+	group.Wait()
+	is.Equal(strings.Join(s.seen, ", "), "CRASH a b, CLEAR b")
+}
+
 // advancing is a manual timer that makes each call at once.
 type advancing struct{ *timer.Manual }
 
