kernel: one dialer, one source of random numbers, one advancing timer

Ruled out: a dialer with all settings in it: the three differ in the rest. Change: packages kernel/tcp and kernel/random, and timer.Advancing, serve them. Before and after: no figure; the limits are as they were, and one test reads the limit back from the socket.

--- a/internal/control/engine/send.go
+++ b/internal/control/engine/send.go
@@ -6,10 +6,10 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/tcp"
 )
 
 // HTTP sends orders over HTTP, each on a connection of its own.
@@ -77,13 +77,8 @@
 // retransmit what was written after the connection is closed, and while the process is
 // paused: a reset on close ends the former, a limit on unacknowledged data the latter.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: Flight, Control: func(_, _ string, c syscall.RawConn) error {
-		var failure error
-		err := c.Control(func(fd uintptr) {
-			failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(Flight.Milliseconds()))
-		})
-		return errors.CombineErrors(err, failure)
-	}}
+	d := tcp.Dialer(Flight)
+	d.Timeout = Flight
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -19,6 +19,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/state"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/view"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/random"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
@@ -66,9 +67,6 @@
 	draining atomic.Bool
 }
 
-// newRandom returns a source seeded by the system.
-func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-
 // New opens the data directory and the peer address.
 func New(o Options) (i *Instance, err error) {
 	defer func() {
@@ -80,7 +78,7 @@
 	i.View = view.New(view.Options{Decode: o.Decode, Sessions: o.Sessions, Stated: o.Stated, Lease: o.Lease, Timer: o.Timer, Log: o.Log.Named("view")})
 	i.Client = peer.NewClient(peer.Options{
 		Self: o.Peer, Seeds: o.Seeds, Token: o.Token, View: i.View, Instance: i.describe,
-		Hint: i.hint, Timer: o.Timer, Random: newRandom(), Log: o.Log.Named("peer"),
+		Hint: i.hint, Timer: o.Timer, Random: random.New(), Log: o.Log.Named("peer"),
 	})
 	s := &peer.Server{Token: o.Token, Client: i.Client, Log: o.Log.Named("peer"), First: o.First}
 	if o.Folder != "" {
@@ -102,7 +100,7 @@
 	st.Changed = i.hub.Changed
 	i.core, err = core.New(core.Options{
 		Folder: o.Folder, Address: string(o.Peer), Token: o.Token, State: st, Timer: o.Timer,
-		Random: newRandom(), Log: o.Log.Named("core"), First: o.First,
+		Random: random.New(), Log: o.Log.Named("core"), First: o.First,
 		Found: func(ctx context.Context, identity string) bool {
 			return i.Client.Found(ctx, o.Seeds[0], identity)
 		},
--- a/internal/fleet/peer/link.go
+++ b/internal/fleet/peer/link.go
@@ -6,14 +6,13 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcconn"
 
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/tcp"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
@@ -59,13 +58,7 @@
 }
 
 func dialTCP(ctx context.Context, to Address) (net.Conn, error) {
-	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) {
-		failure := c.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
-		})
-		return errors.CombineErrors(err, failure)
-	}}
-	return d.DialContext(ctx, "tcp", string(to))
+	return tcp.Dialer(unacknowledged).DialContext(ctx, "tcp", string(to))
 }
 
 // call makes one call with a deadline. A connection on which a call failed is closed.
--- a/internal/gateway/process/process_test.go
+++ b/internal/gateway/process/process_test.go
@@ -11,15 +11,6 @@
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
-// advancing is a manual timer that makes each call at once.
-type advancing struct{ *timer.Manual }
-
-func (a *advancing) AfterFunc(d time.Duration, f func()) func() {
-	stop := a.Manual.AfterFunc(d, f)
-	a.Advance(d)
-	return stop
-}
-
 // drainer notes when it is told to refuse.
 type drainer struct {
 	timer   timer.Service
@@ -46,7 +37,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			clock := &advancing{timer.NewManual()}
+			clock := timer.Advancing{Manual: timer.NewManual()}
 			clock.Advance(time.Hour)
 			d := &drainer{timer: clock, running: c.running}
 			p, err := New(Options{Drainer: d, Leave: func() {}, Grace: 8 * time.Second, Timer: clock, Log: zap.NewNop()})
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"wisteriakeel.example/wisteriakeel/internal/kernel/tcp"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
@@ -146,16 +147,9 @@
 
 // dial opens a connection that notices when the machine of the upstream is gone.
 func dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{
-		Timeout:         connectLimit,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount},
-		Control: func(_, _ string, c syscall.RawConn) (err error) {
-			failure := c.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
-			})
-			return errors.CombineErrors(err, failure)
-		},
-	}
+	d := tcp.Dialer(unacknowledged)
+	d.Timeout = connectLimit
+	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount}
 	n, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/kernel/tcp/tcp_test.go
@@ -0,0 +1,28 @@
+package tcp
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+)
+
+// Guards against connections without the limit, which hang when their other end is gone.
+func TestDialer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	c, err := Dialer(1500*time.Millisecond).DialContext(context.Background(), "tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	var limit int
+	is.NoErr(raw.Control(func(fd uintptr) { limit, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }))
+	is.NoErr(err)
+	is.Equal(limit, 1500)
+}
--- a/internal/kernel/timer/manual.go
+++ b/internal/kernel/timer/manual.go
@@ -49,6 +49,16 @@
 // Subscribe delivers a tick every d.
 func (m *Manual) Subscribe(d time.Duration) *Subscription { return Ticks(m, d) }
 
+// Advancing is a Manual whose time passes at once: each call is made when it is asked for.
+type Advancing struct{ *Manual }
+
+// AfterFunc advances the time by d, which calls f.
+func (a Advancing) AfterFunc(d time.Duration, f func()) (stop func()) {
+	stop = a.Manual.AfterFunc(d, f)
+	a.Advance(d)
+	return stop
+}
+
 // Advance moves the time on by d and makes all calls that fall due, in order.
 func (m *Manual) Advance(d time.Duration) {
 	m.mu.Lock()
--- a/internal/role/control/control.go
+++ b/internal/role/control/control.go
@@ -13,6 +13,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/entry/caller"
 	client "wisteriakeel.example/wisteriakeel/internal/entry/control"
 	"wisteriakeel.example/wisteriakeel/internal/entry/operator"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/random"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/role"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
@@ -21,9 +22,6 @@
 	role.Registry.Register(string(settings.RoleControl), run)
 }
 
-// NewRandom returns a source seeded by the system.
-func NewRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-
 // Instance describes the instance of these settings to others.
 func Instance(s *settings.Settings) *wire.Instance {
 	return &wire.Instance{Name: s.Instance, Address: s.Listen.HTTP, Zone: s.Zone, Region: s.Region}
@@ -33,7 +31,7 @@
 func NewClient(e role.Env, epoch uint64) (*client.Client, error) {
 	return client.New(client.Options{
 		Addresses: e.Settings.Control, Peer: e.Secrets.Peer(), Groups: e.Settings.Groups,
-		Instance: Instance(e.Settings), Epoch: epoch, Timer: e.Timer, Random: NewRandom(),
+		Instance: Instance(e.Settings), Epoch: epoch, Timer: e.Timer, Random: random.New(),
 		Log: e.Log.Named("control"),
 	})
 }
@@ -41,7 +39,7 @@
 // AddOperator serves operators at the process's HTTP address.
 func AddOperator(e role.Env, c *client.Client) {
 	o := operator.New(operator.Options{
-		Control: c, Secrets: e.Secrets, Timer: e.Timer, Log: e.Log.Named("operator"), Random: NewRandom(),
+		Control: c, Secrets: e.Secrets, Timer: e.Timer, Log: e.Log.Named("operator"), Random: random.New(),
 	})
 	o.Register(e.Mux)
 	e.Drain(o.Drain)
@@ -58,7 +56,7 @@
 	s := e.Settings
 	control, err := server.New(server.Options{
 		Instance: s.Instance, Folder: s.Folder, Address: s.Listen.Peer, Control: s.Control,
-		Groups: s.Groups, Peer: e.Secrets.Peer(), Timer: e.Timer, Random: NewRandom(),
+		Groups: s.Groups, Peer: e.Secrets.Peer(), Timer: e.Timer, Random: random.New(),
 		Log: e.Log.Named("replica"),
 	})
 	if err != nil {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -12,6 +12,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/entry/caller"
 	"wisteriakeel.example/wisteriakeel/internal/entry/rating"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/random"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/role"
 	"wisteriakeel.example/wisteriakeel/internal/role/control"
 )
@@ -55,7 +56,7 @@
 	limits.Overall = s.Timeouts.Call.Duration()
 	limits.Body = int64(s.Limits.Body)
 	o := caller.Options{
-		Credentials: e.Secrets, Timer: e.Timer, Random: control.NewRandom(), Log: e.Log.Named("caller"),
+		Credentials: e.Secrets, Timer: e.Timer, Random: random.New(), Log: e.Log.Named("caller"),
 		Self: control.Instance(s), Epoch: epoch, Upstream: limits,
 		Queue: int(s.Limits.Queue), Total: int(s.Limits.Total), Body: int64(s.Limits.Body),
 		Parallel: int(s.Limits.Parallel), Connections: int(s.Limits.Connections),
