gateway/caller: no map of versions for each dispatch, no sorted list for a count

Cause: each dispatch built a map from all upstreams of the service to their versions to read one of them, and each repeat sorted all instances to learn their number. Two loads were noted by the same assignment, and two lists sorted by the same comparison written out. Ruled out: nothing was measured beside other work; the answers are the same. Change: a candidate holds its version; the view counts its instances.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -1,8 +1,10 @@
 package view
 
 import (
+	"iter"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -135,19 +137,33 @@
 func (v *View) Instances() (out []*wire.Instance) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	for i := range v.running() {
+		out = append(out, i)
+	}
+	slices.SortFunc(out, func(a, b *wire.Instance) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return out
+}
+
+// Size returns the number of instances that are known to run.
+func (v *View) Size() (n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for range v.running() {
+		n++
+	}
+	return n
+}
+
+// running iterates over the instances that are known to run. The mutex is held.
+func (v *View) running() iter.Seq[*wire.Instance] {
 	late := v.options.Timer.Now().Sub(v.termSince) > confirmWithin
-	for _, i := range v.instances {
-		if i.term == v.term || !late {
-			out = append(out, i.record)
+	return func(yield func(*wire.Instance) bool) {
+		for _, i := range v.instances {
+			if (i.term == v.term || !late) && !yield(i.record) {
+				return
+			}
 		}
 	}
-	slices.SortFunc(out, func(a, b *wire.Instance) int {
-		if a.GetName() < b.GetName() {
-			return -1
-		}
-		return 1
-	})
-	return out
 }
 
 // Position returns the term and cursor that the next poll starts from.
@@ -315,12 +331,7 @@
 		}
 	}
 	for _, list := range t.Services {
-		slices.SortFunc(list, func(a, b *wire.Upstream) int {
-			if a.GetId() < b.GetId() {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(list, func(a, b *wire.Upstream) int { return strings.Compare(a.GetId(), b.GetId()) })
 	}
 	v.table.Store(t)
 }
--- a/internal/gateway/caller/candidates.go
+++ b/internal/gateway/caller/candidates.go
@@ -9,27 +9,25 @@
 // by upstream.
 const trialShare = 1000
 
-// candidates returns the upstreams that the request may go to, and the version by id.
-// trial is true if they are those of a new version with a small share.
-func (q *request) candidates() (out []place.Candidate, versions map[string]string, trial bool) {
+// candidates returns the upstreams that the request may go to. trial is true if they
+// are those of a new version with a small share.
+func (q *request) candidates() (out []place.Candidate, trial bool) {
 	all := q.View.Table().Services[q.service]
 	allowed := q.allowed(all)
 	if r := q.View.Rollout(q.service); r != nil && r.GetPhase() == wire.Phase_PHASE_RUNNING {
 		trial = r.GetShare() < trialShare && allowed(r.GetTarget())
 	}
 	out = make([]place.Candidate, 0, len(all))
-	versions = make(map[string]string, len(all))
 	for _, u := range all {
 		if !allowed(u.GetVersion()) {
 			continue
 		}
 		out = append(out, place.Candidate{
-			ID: u.GetId(), Address: u.GetAddress(), Zone: u.GetZone(), Slots: int(u.GetSlots()),
+			ID: u.GetId(), Address: u.GetAddress(), Zone: u.GetZone(), Version: u.GetVersion(), Slots: int(u.GetSlots()),
 			Silent: u.GetStage() == wire.Stage_STAGE_SILENT, Cold: u.GetCold() > 0,
 		})
-		versions[u.GetId()] = u.GetVersion()
 	}
-	return out, versions, trial
+	return out, trial
 }
 
 // allowed returns which versions the request may go to. Sessions are spread by their
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -50,7 +50,7 @@
 	Rollout(s layout.Service) *view.Rollout
 	Hold(s layout.Service, sessions ...uint64)
 	Quarantined(fingerprint uint64) bool
-	Instances() []*wire.Instance
+	Size() int
 	Observe(l *wire.Load)
 	Count(o *wire.Outcome)
 	Crashed(c *wire.Crash)
@@ -82,7 +82,7 @@
 }
 
 // New returns a handler.
-func New(o Options) *Handler { return &Handler{Options: o, metrics: newMetrics()} }
+func New(o Options) *Handler { return &Handler{Options: o, metrics: counters} }
 
 // Drain makes every answer end its connection.
 func (h *Handler) Drain() { h.draining.Store(true) }
--- a/internal/gateway/caller/metrics.go
+++ b/internal/gateway/caller/metrics.go
@@ -68,5 +68,3 @@
 		First: times("first"), Whole: times("whole"),
 	}
 }()
-
-func newMetrics() *metrics { return counters }
--- a/internal/gateway/caller/serve.go
+++ b/internal/gateway/caller/serve.go
@@ -49,7 +49,6 @@
 type exchange struct {
 	*request
 	target  place.Candidate
-	version string
 	sent    timer.Instant
 	result  place.Result
 	replied bool // the head of the answer has arrived
@@ -119,7 +118,7 @@
 	case e.result == place.Unreachable:
 		return true
 	}
-	return q.Budget.Spend(string(q.service), budget.Failed, len(q.View.Instances()))
+	return q.Budget.Spend(string(q.service), budget.Failed, q.View.Size())
 }
 
 // giveUp answers a request for which no upstream is left.
@@ -149,7 +148,7 @@
 
 // next chooses the upstream of the next dispatch.
 func (q *request) next(excluded []string) (e *exchange, ok bool) {
-	candidates, versions, trial := q.candidates()
+	candidates, trial := q.candidates()
 	var target place.Candidate
 	if trial {
 		target, ok = q.Chooser.Fill(candidates, excluded)
@@ -160,7 +159,7 @@
 	if !ok {
 		return nil, false
 	}
-	e = &exchange{request: q, target: target, version: versions[target.ID]}
+	e = &exchange{request: q, target: target}
 	if q.sized() {
 		e.pressure = q.Chooser.Pressure(candidates)
 		q.forward.Set(q.Names.Model, string(q.route.Sizes[q.size]))
@@ -185,7 +184,7 @@
 		c = size.Confidence(n)
 	}
 	next, ok := size.Next(e.size, len(e.route.Sizes), c, e.pressure)
-	if !ok || !e.Budget.Spend(string(e.service), budget.Better, len(e.View.Instances())) {
+	if !ok || !e.Budget.Spend(string(e.service), budget.Better, e.View.Size()) {
 		return false
 	}
 	e.log("larger model", zap.Int("size", next), zap.Int("confidence", int(c)), zap.Float64("pressure", e.pressure),
@@ -254,7 +253,7 @@
 		e.answer.Close()
 	}
 	e.Chooser.End(e.target.ID, e.result, e.replied)
-	o := &wire.Outcome{Service: string(e.service), Version: e.version, Route: e.route.Name}
+	o := &wire.Outcome{Service: string(e.service), Version: e.target.Version, Route: e.route.Name}
 	switch e.result {
 	case place.Good:
 		o.Good = 1
@@ -270,7 +269,7 @@
 func (e *exchange) account(tries int) {
 	e.metrics.Whole.record(e.Timer.Now().Sub(e.arrived))
 	fields := []zap.Field{
-		zap.String("upstream", e.target.ID), zap.String("version", e.version), zap.Int("status", e.answer.Status),
+		zap.String("upstream", e.target.ID), zap.String("version", e.target.Version), zap.Int("status", e.answer.Status),
 		zap.Int("tries", tries+1), zap.Duration("first", e.first), zap.Bool("complete", e.result != place.Unknown),
 	}
 	if e.sized() {
@@ -295,7 +294,7 @@
 func (e *exchange) sample(kind string, d time.Duration) {
 	l := math.Log(max(d.Seconds(), 1e-4))
 	e.View.Count(&wire.Outcome{
-		Service: string(e.service), Version: e.version, Route: kind, Times: 1, Logs: l, Squares: l * l,
+		Service: string(e.service), Version: e.target.Version, Route: kind, Times: 1, Logs: l, Squares: l * l,
 	})
 }
 
@@ -367,10 +366,7 @@
 	}
 	e.status, e.header, e.body = e.answer.Status, e.answer.Header, body
 	e.log("upstream failed", zap.String("upstream", e.target.ID), zap.Int("status", e.status))
-	if e.status >= 500 && e.route.Repeatable() {
-		return repeat
-	}
-	if e.began {
+	if e.began || (e.status >= 500 && e.route.Repeatable()) {
 		return repeat
 	}
 	e.pass(e.status, e.header, body)
--- a/internal/gateway/place/place.go
+++ b/internal/gateway/place/place.go
@@ -62,6 +62,7 @@
 	ID      string
 	Address string
 	Zone    string
+	Version string
 	Slots   int
 	// Silent upstreams have missed their heartbeats.
 	Silent bool
@@ -142,8 +143,7 @@
 func (c *Chooser) Report(id string, running, waiting int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := c.mark(id)
-	m.running, m.waiting, m.at, m.base = float64(running), float64(waiting), c.timer.Now(), m.inflight
+	c.mark(id).state(running, waiting, c.timer.Now())
 }
 
 // Stated takes over a load that an upstream stated to another entry a moment ago,
@@ -155,6 +155,11 @@
 	if m.at != 0 && now.Sub(m.at) < ownFor {
 		return
 	}
+	m.state(running, waiting, now)
+}
+
+// state notes a load that the upstream stated.
+func (m *mark) state(running, waiting int, now timer.Instant) {
 	m.running, m.waiting, m.at, m.base = float64(running), float64(waiting), now, m.inflight
 }
 
