--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -48,20 +48,20 @@
 }
 
 // plan draws the next request.
-func (c *caller) plan(now timer.Instant) (k kind, path, key string, revoked, owed bool) {
+func (c *caller) plan(now timer.Instant) (k kind, path, key string, revoked bool) {
 	version, former := c.soak.document(now)
 	switch n := c.random.IntN(20); {
 	case n < 6:
-		return once, Once, Key, false, false
+		return once, Once, Key, false
 	case n < 11:
-		return read, Read, Key, false, false
+		return read, Read, Key, false
 	case n < 17:
-		return stream, Stream, Key, false, false
+		return stream, Stream, Key, false
 	case n < 19 || former.Key == "":
 		// A route of the document that has been in force long enough must be known.
-		return added, version.Added, Key, false, version.Added != ""
+		return added, version.Added, Key, false
 	default:
-		return read, Read, former.Key, true, false
+		return read, Read, former.Key, true
 	}
 }
 
@@ -70,7 +70,7 @@
 func (c *caller) call(ctx context.Context) (ok bool) {
 	l, names, t := c.soak.ledger, c.soak.options.Dialect.Names(), c.soak.options.Timer
 	begun := t.Now()
-	k, path, key, revoked, owed := c.plan(begun)
+	k, path, key, revoked := c.plan(begun)
 	if path == "" {
 		return true
 	}
@@ -113,7 +113,7 @@
 	case r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusTooManyRequests ||
 		r.StatusCode == http.StatusRequestTimeout || r.StatusCode == http.StatusMisdirectedRequest:
 		l.refusedRequest(id, r.StatusCode)
-	case r.StatusCode == http.StatusNotFound && owed && c.soak.inForce(path, begun) && l.calmSince(begun):
+	case r.StatusCode == http.StatusNotFound && k == added && c.soak.inForce(path, begun) && l.calmSince(begun):
 		l.broken("%s answers 404 on a route that is in force", c.node.name)
 	case r.StatusCode == http.StatusUnauthorized && !revoked:
 		l.broken("%s answers 401 to a key that is in force", c.node.name)
--- a/internal/bench/soak/script.go
+++ b/internal/bench/soak/script.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -75,21 +76,13 @@
 
 // choose draws the next fault.
 func (c *script) choose(planned bool) fault {
-	sum := 0
+	var lots []fault
 	for _, f := range faults {
 		if f.planned || !planned {
-			sum += f.weight
+			lots = append(lots, slices.Repeat([]fault{f}, f.weight)...)
 		}
 	}
-	n := c.random.IntN(sum)
-	for _, f := range faults {
-		if f.planned || !planned {
-			if n -= f.weight; n < 0 {
-				return f
-			}
-		}
-	}
-	return faults[0]
+	return lots[c.random.IntN(len(lots))]
 }
 
 // playing is one fault that lasts.
@@ -272,7 +265,7 @@
 	if same < 3 {
 		return nil
 	}
-	c.upstreams = append(c.upstreams[:i:i], c.upstreams[i+1:]...)
+	c.upstreams = slices.Delete(c.upstreams, i, i+1)
 	return u
 }
 
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -347,13 +348,8 @@
 	l := s.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var names []string
-	for n := range l.counts {
-		names = append(names, n)
-	}
-	slices.Sort(names)
 	line := fmt.Sprintf("soak seed %d:", s.options.Seed)
-	for _, n := range names {
+	for _, n := range slices.Sorted(maps.Keys(l.counts)) {
 		line += fmt.Sprintf(" %s %d,", n, l.counts[n])
 	}
 	_, _ = fmt.Fprintln(s.options.Out, strings.TrimSuffix(line, ","))
--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"path/filepath"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,8 +65,7 @@
 	transport *replica.DRPCTransport
 	server    *replica.Server
 	identity  replica.Identity
-
-	mu     sync.Mutex
+	// silent is when members were first not in contact; only loop uses it.
 	silent map[replica.Identity]timer.Instant
 }
 
@@ -143,7 +141,7 @@
 	for {
 		pause := tendPause
 		switch {
-		case len(c.node.Status().Members) == 0:
+		case len(c.Members()) == 0:
 			pause = foundPause
 			if err := c.found(ctx); err != nil {
 				return err
@@ -176,7 +174,7 @@
 		c.silent = map[replica.Identity]timer.Instant{}
 		return
 	}
-	members := c.node.Status().Members
+	members := c.Members()
 	live := c.options.Live()
 	live[c.identity] = replica.Address(c.options.Address)
 	step := Next(c.identity, members, live, c.quiet(members, live))
--- a/internal/fleet/hub/hub.go
+++ b/internal/fleet/hub/hub.go
@@ -124,9 +124,14 @@
 func (h *Hub) bump() uint64 {
 	h.revision++
 	h.urgent = h.revision
+	h.wake()
+	return h.revision
+}
+
+// wake lets those who wait look again. The mutex is held.
+func (h *Hub) wake() {
 	close(h.changed)
 	h.changed = make(chan struct{})
-	return h.revision
 }
 
 // Changed must be called after each change of the state machine.
@@ -209,9 +214,8 @@
 	have.seen = h.options.Timer.Now()
 	if q.GetLayout() != have.layout {
 		have.layout = q.GetLayout()
-		// Wakes proposals that wait for the layout to be in force, but no polls.
-		close(h.changed)
-		h.changed = make(chan struct{})
+		// For proposals that wait for the layout to be in force; polls wait on.
+		h.wake()
 	}
 }
 
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -121,12 +122,7 @@
 	for _, r := range s.rollouts {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *wire.Rollout) int {
-		if a.GetService() < b.GetService() {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b *wire.Rollout) int { return strings.Compare(a.GetService(), b.GetService()) })
 	return out
 }
 
