fleet/view: put the first layout into force after the upstreams

Cause: ApplySync announced the first layout before it stored the upstreams and the lease of the same reply. A request that waited for the layout could find no upstream and was refused with 503. Change: the layout is decoded first, then upstreams, roll-outs and lease are stored, and the layout comes into force last. TestFirstLayoutIsComplete fails on the former code.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -184,11 +184,10 @@
 
 // ApplySync applies the reply to a poll that was sent at the given instant. If the layout
 // cannot be decoded, it applies the rest and returns an error; the cursor and the lease
-// do not advance.
+// do not advance. The layout comes into force last, since requests that wait for it need
+// the upstreams of the same reply.
 func (v *View) ApplySync(r *wire.SyncReply, sent timer.Instant) (err error) {
-	if l := r.GetLayout(); l != nil {
-		err = v.applyLayout(l)
-	}
+	next, err := v.decodeLayout(r.GetLayout())
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.term != r.GetTerm() {
@@ -226,25 +225,30 @@
 		return err
 	}
 	v.cursor = r.GetCursor()
-	v.leaseExpiry.Store(int64(sent.Add(v.options.LeaseDuration)))
+	v.applyLayout(next, sent.Add(v.options.LeaseDuration))
 	return nil
 }
 
-// applyLayout decodes a layout and makes it the current one if its version is higher.
-func (v *View) applyLayout(l *wire.Layout) error {
-	if current := v.Layout(); current != nil && current.Version >= layout.Version(l.GetVersion()) {
-		return nil
-	}
-	n, err := v.options.Decode(layout.Version(l.GetVersion()), l.GetText())
-	if err != nil {
-		return err
+// decodeLayout decodes a layout. It returns nil if the current version is not lower.
+func (v *View) decodeLayout(l *wire.Layout) (*layout.Layout, error) {
+	if current := v.Layout(); l == nil || (current != nil && current.Version >= layout.Version(l.GetVersion())) {
+		return nil, nil
 	}
-	if v.layout.Swap(n) == nil {
+	return v.options.Decode(layout.Version(l.GetVersion()), l.GetText())
+}
+
+// applyLayout makes a layout the current one, unless it is nil, and extends the lease. v.mu
+// must be held.
+func (v *View) applyLayout(l *layout.Layout, expiry timer.Instant) {
+	first := l != nil && v.layout.Swap(l) == nil
+	v.leaseExpiry.Store(int64(expiry))
+	if first {
 		close(v.layoutLoaded)
 	}
-	v.options.Log.Info("layout in force", zap.Uint64("version", l.GetVersion()),
-		zap.Int("routes", len(n.Routes)), zap.Int("accounts", len(n.Clients)))
-	return nil
+	if l != nil {
+		v.options.Log.Info("layout in force", zap.Uint64("version", uint64(l.Version)),
+			zap.Int("routes", len(l.Routes)), zap.Int("accounts", len(l.Clients)))
+	}
 }
 
 // applyRollouts stores roll-outs. When one begins, it queues the recently active sessions of
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -141,3 +143,31 @@
 	is.NoErr(v.ApplySync(&wire.SyncReply{Term: 1, Loads: []*wire.Load{{Id: "a", Running: 3, Waiting: 1}, {Id: "b"}}}, clock.Now()))
 	is.Equal(got, "a 3 1\nb 0 0\n")
 }
+
+// Guards against a first layout that is announced before the upstreams of the same reply and
+// its lease are in place: waiting requests were refused then for lack of an upstream.
+func TestFirstLayoutIsComplete(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewManual()
+	var v *View
+	loaded := 0
+	checkLoaded := func(zapcore.Entry) error {
+		select {
+		case <-v.LayoutLoaded():
+			loaded++
+			is.Equal(len(v.Table().Services["a"]), 1)
+			is.True(v.LayoutConfirmed())
+		default:
+		}
+		return nil
+	}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel)
+	v = New(Options{
+		Decode: func(n layout.Version, _ []byte) (*layout.Layout, error) { return &layout.Layout{Version: n}, nil },
+		Timer:  clock, LeaseDuration: time.Second, Log: zap.New(core, zap.Hooks(checkLoaded)),
+	})
+	is.NoErr(v.ApplySync(&wire.SyncReply{
+		Term: 1, Layout: &wire.Layout{Version: 1}, Upstreams: []*wire.Upstream{{Id: "x", Born: 1, Sequence: 1, Address: "1", Service: "a"}},
+	}, clock.Now()))
+	is.Equal(loaded, 1)
+}
