--- a/internal/fleet/layout/layout.go
+++ b/internal/fleet/layout/layout.go
@@ -39,7 +39,7 @@
 // Share is the weight with which a route sends requests to one service.
 type Share struct {
 	Service Service
-	Weight  int
+	Weight  float64
 }
 
 // Route matches requests by host and path prefix and says how they are served.
@@ -185,7 +185,7 @@
 	case len(r.Shares) == 0:
 		return errors.New("no service")
 	}
-	total := 0
+	total := 0.0
 	for _, s := range r.Shares {
 		if l.pools[s.Service] == nil {
 			return errors.Newf("service %q is not known", s.Service)
@@ -240,11 +240,11 @@
 // PickService selects a service by weight. fraction is a number from 0 to 1 that callers
 // draw at random.
 func (r *Route) PickService(fraction float64) Service {
-	total := 0
+	total := 0.0
 	for _, s := range r.Shares {
 		total += s.Weight
 	}
-	remaining := int(fraction * float64(total))
+	remaining := fraction * total
 	for _, s := range r.Shares {
 		if remaining < s.Weight {
 			return s.Service
