control/engine: report a denied order as denied

Cause: an order that may not be written any more could end with the error of the reader of net/http ("use of closed network connection") or of the connection setup, so that its caller took it for a failure of the engine. No order was sent in either case. Change: if nothing was written and the permission is denied at the end, the error is that of the permission. TestHTTPSenderReportsDenial fails on the former code.

--- a/internal/control/engine/engine_test.go
+++ b/internal/control/engine/engine_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -217,3 +219,32 @@
 	is.Equal(len(bodies), 3)
 	is.Equal(bodies[0], `POST /v1/orders {"order":"1-1","kind":"load","model":"small","version":"2","token":7}`)
 }
+
+// brokenConn is a connection whose reader fails before anything is written.
+type brokenConn struct{ net.Conn }
+
+func (brokenConn) Read([]byte) (int, error) { return 0, net.ErrClosed }
+
+// Guards against an order that may not be written and ends with another error than that of
+// permit, so that the caller believes that the engine failed.
+func TestHTTPSenderReportsDenial(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		dial func(net.Conn) (net.Conn, error)
+	}{
+		{"connection works", func(c net.Conn) (net.Conn, error) { return c, nil }},
+		{"connection closed by the engine", func(c net.Conn) (net.Conn, error) { return brokenConn{c}, nil }},
+		{"connection setup fails", func(net.Conn) (net.Conn, error) { return nil, os.ErrDeadlineExceeded }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client, engine := net.Pipe()
+			defer func() { is.NoErr(errors.CombineErrors(client.Close(), engine.Close())) }()
+			h := HTTPSender{Dial: func(context.Context, string) (net.Conn, error) { return c.dial(client) }}
+			for range 20 {
+				err := h.Send(t.Context(), "engine:1", Order{ID: "1-1"}, func() error { return ErrNoLease })
+				is.True(errors.Is(err, ErrNoLease))
+			}
+		})
+	}
+}
--- a/internal/control/engine/send.go
+++ b/internal/control/engine/send.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,8 +19,19 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
-// Send posts the order. A nil error means only that the engine accepted the order.
+// Send posts the order. A nil error means only that the engine accepted the order. If nothing
+// was written and permit fails by the end, the error is that of permit: the transport may
+// report the error of its reader or of the connection setup instead.
 func (h HTTPSender) Send(ctx context.Context, address string, o Order, permit func() error) (err error) {
+	var written atomic.Bool
+	defer func() {
+		if err == nil || written.Load() {
+			return
+		}
+		if denied := permit(); denied != nil {
+			err = errors.WithSecondaryError(denied, err)
+		}
+	}()
 	body, err := json.Marshal(o)
 	if err != nil {
 		return err
@@ -35,7 +47,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &permittedConn{Conn: c, permit: permit}, nil
+			return &permittedConn{Conn: c, permit: permit, written: &written}, nil
 		},
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/orders", bytes.NewReader(body))
@@ -63,6 +75,8 @@
 type permittedConn struct {
 	net.Conn
 	permit func() error
+	// written is set before the first permitted write.
+	written *atomic.Bool
 }
 
 // Write writes b if that is permitted now.
@@ -70,6 +84,7 @@
 	if err := c.permit(); err != nil {
 		return 0, err
 	}
+	c.written.Store(true)
 	return c.Conn.Write(b)
 }
 
