fleet: spread layouts through a tree of instances instead of the leader

Cause: the leader put the whole text of a layout into the reply to the poll of every instance that was behind, on the exchange that leases, liveness and upstream changes depend on. With 1,449 routes that is 293 KB for each of 200 instances, 59 MB on a link of 100 Mbit/s; the log of the control group carried the same text uncompressed to every replica. Polls ran into their timeouts and the leader lost its majority. Change: a poll only names the newest version.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -69,7 +69,8 @@
 	period        uint64                    // random identifier of the period; the term on the wire
 	revision      uint64                    // revision of the last change; the cursor on the wire
 	wakeRevision  uint64                    // revision of the last change that waiting polls return for
-	changed       chan struct{}             // closed and replaced to wake waiting calls
+	changed       chan struct{}             // closed and replaced to wake waiting polls
+	applied       chan struct{}             // closed and replaced when an instance has applied a layout or is gone
 	upstreams     map[string]*upstream      // by id
 	records       map[string]*wire.Upstream // by id, of the same upstreams
 	instances     map[string]*instance
@@ -101,7 +102,7 @@
 
 // New returns an empty coordinator.
 func New(o Options) *Coordinator {
-	c := &Coordinator{options: o, changed: make(chan struct{}), active: map[string]*rollout{}}
+	c := &Coordinator{options: o, changed: make(chan struct{}), applied: make(chan struct{}), active: map[string]*rollout{}}
 	c.reset(0)
 	return c
 }
@@ -216,16 +217,28 @@
 	name := q.GetInstance().GetName()
 	known := c.instances[name]
 	if known == nil || !proto.Equal(known.record, q.GetInstance()) {
-		known = &instance{record: q.GetInstance()}
+		known = &instance{record: q.GetInstance(), layoutVersion: q.GetLayout()}
 		c.instances[name] = known
 		known.revision = c.nextRevision()
 	}
 	known.lastPoll = c.options.Timer.Now()
-	if q.GetLayout() != known.layoutVersion {
-		known.layoutVersion = q.GetLayout()
-		// Wakes WaitLayoutApplied; polls see no new revision and keep waiting.
-		c.wakeWaiters()
+	c.recordApplied(known, q.GetLayout())
+}
+
+// recordApplied records the version of the layout that an instance has applied. c.mu must be
+// held.
+func (c *Coordinator) recordApplied(i *instance, version uint64) {
+	if version <= i.layoutVersion {
+		return
 	}
+	i.layoutVersion = version
+	c.wakeApplied()
+}
+
+// wakeApplied makes WaitLayoutApplied check its condition again. c.mu must be held.
+func (c *Coordinator) wakeApplied() {
+	close(c.applied)
+	c.applied = make(chan struct{})
 }
 
 // reply returns the changes that the caller of a poll does not know. c.mu must be held.
@@ -236,7 +249,7 @@
 		since = 0
 	}
 	if l := c.options.State.Layout(); l.GetVersion() > q.GetLayout() {
-		r.Layout = l
+		r.Layout = &wire.Layout{Version: l.GetVersion(), Digest: l.GetDigest()}
 	}
 	for id, u := range c.upstreams {
 		if u.revision > since {
@@ -269,6 +282,9 @@
 		return 0, false
 	}
 	now := c.options.Timer.Now()
+	if i := c.instances[q.GetInstance()]; i != nil {
+		c.recordApplied(i, q.GetLayout())
+	}
 	for _, u := range q.GetUpstreams() {
 		c.applyUpstream(u, now)
 	}
@@ -396,6 +412,7 @@
 		c.options.Log.Info("instance out of contact", zap.String("instance", name))
 		i.record = &wire.Instance{Name: name, Gone: true}
 		i.revision = c.nextRevision()
+		c.wakeApplied()
 	}
 	for id, u := range c.upstreams {
 		old := c.records[id]
@@ -433,10 +450,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for !c.layoutApplied(version) {
-		changed := c.changed
+		applied := c.applied
 		c.mu.Unlock()
 		select {
-		case <-changed:
+		case <-applied:
 		case <-ctx.Done():
 		}
 		c.mu.Lock()
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -16,6 +16,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/coordinator"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/peer"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/relay"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/state"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/view"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
@@ -49,8 +50,10 @@
 	HeartbeatInterval time.Duration
 	// Exposure is the fraction of the requests during a roll-out that a bad version may get.
 	Exposure float64
-	// LeaseDuration is how long a layout counts as confirmed; see view.Options.
+	// LeaseDuration is how long a layout counts as confirmed, and MaxLayoutLag how long one may
+	// be used after a newer one is known; see view.Options.
 	LeaseDuration time.Duration
+	MaxLayoutLag  time.Duration
 	Decode        view.Decoder
 	// RecentSessions returns the recently active sessions of a service; see view.Options.
 	RecentSessions func(s layout.Service, bucket uint32) []uint64
@@ -67,8 +70,9 @@
 
 	options     Options
 	epoch       uint64             // random, different for each start of the process
-	replica     *consensus.Replica // nil without a disk, like coordinator
+	replica     *consensus.Replica // nil without a disk, like coordinator and state
 	coordinator *coordinator.Coordinator
+	state       *state.State
 	listener    *peer.Listener
 	draining    atomic.Bool
 }
@@ -81,12 +85,13 @@
 		}
 	}()
 	i = &Instance{options: o, epoch: rand.Uint64()}
-	i.View = view.New(view.Options{Decode: o.Decode, RecentSessions: o.RecentSessions, OnLoad: o.OnLoad, LeaseDuration: o.LeaseDuration, Timer: o.Timer, Log: o.Log.Named("view")})
+	i.View = view.New(view.Options{Decode: o.Decode, RecentSessions: o.RecentSessions, OnLoad: o.OnLoad, LeaseDuration: o.LeaseDuration, MaxLayoutLag: o.MaxLayoutLag, Timer: o.Timer, Log: o.Log.Named("view")})
+	layouts := relay.NewStore(o.Timer, o.Log.Named("layouts"))
 	i.Client = peer.NewClient(peer.Options{
 		Self: o.PeerAddress, Seeds: o.Seeds, PeerToken: o.PeerToken, View: i.View, DescribeInstance: i.describe,
-		KnownLeader: i.knownLeader, Timer: o.Timer, Random: random.New(), Log: o.Log.Named("peer"),
+		Layouts: layouts, CommittedLayout: i.committedLayout, KnownLeader: i.knownLeader, Timer: o.Timer, Random: random.New(), Log: o.Log.Named("peer"),
 	})
-	s := &peer.Server{PeerToken: o.PeerToken, Client: i.Client, Log: o.Log.Named("peer"), AllowBootstrap: o.AllowBootstrap}
+	s := &peer.Server{PeerToken: o.PeerToken, Client: i.Client, Layouts: layouts, Log: o.Log.Named("peer"), AllowBootstrap: o.AllowBootstrap}
 	if o.DataDirectory != "" {
 		if err := i.openReplica(s); err != nil {
 			return nil, err
@@ -103,7 +108,11 @@
 	i.coordinator = coordinator.New(coordinator.Options{
 		Replica: lazyReplica{i}, State: st, Exposure: o.Exposure, HeartbeatInterval: o.HeartbeatInterval, Timer: o.Timer, Log: o.Log.Named("hub"), Random: rand.Uint64,
 	})
-	st.OnChange = i.coordinator.StateChanged
+	st.OnChange = func() {
+		i.coordinator.StateChanged()
+		i.Client.LayoutCommitted()
+	}
+	i.state = st
 	i.replica, err = consensus.New(consensus.Options{
 		DataDirectory: o.DataDirectory, Address: string(o.PeerAddress), PeerToken: o.PeerToken, State: st, Timer: o.Timer,
 		Random: random.New(), Log: o.Log.Named("core"), AllowBootstrap: o.AllowBootstrap,
@@ -144,6 +153,14 @@
 	return i.replica.Leader(), i.replica.MemberAddresses()
 }
 
+// committedLayout returns the newest layout that the replica has applied, or nil.
+func (i *Instance) committedLayout() *wire.Layout {
+	if i.state == nil {
+		return nil
+	}
+	return i.state.Layout()
+}
+
 // seedAnnouncer announces this instance to seeds that are not in contact while it leads.
 type seedAnnouncer struct{ *Instance }
 
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"wisteriakeel.example/wisteriakeel/internal/fleet/relay"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/view"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -47,6 +48,11 @@
 	View      *view.View
 	// DescribeInstance returns the record of this instance for other instances.
 	DescribeInstance func() *wire.Instance
+	// Layouts holds the newest layout for other instances.
+	Layouts *relay.Store
+	// CommittedLayout returns the newest committed layout in the replica of this instance, or
+	// nil. It is nil on an instance without a disk.
+	CommittedLayout func() *wire.Layout
 	// KnownLeader returns the addresses of the leader and of all members of the control group
 	// as known to the replica of this instance. They are empty on an instance without a disk.
 	KnownLeader func() (leader string, members []string)
@@ -61,13 +67,15 @@
 	options     Options
 	connections *connections
 	finder      *finder
+	// layoutCommitted has a value if the replica of this instance may hold a newer layout.
+	layoutCommitted chan struct{}
 }
 
 // NewClient returns a client. It starts to poll and report in Run.
 func NewClient(o Options) *Client {
 	return &Client{
 		options: o, connections: newConnections(o.Timer, o.PeerToken),
-		finder: newFinder(o.Self, o.Seeds, o.Timer),
+		finder: newFinder(o.Self, o.Seeds, o.Timer), layoutCommitted: make(chan struct{}, 1),
 	}
 }
 
@@ -81,6 +89,7 @@
 	r := &reporter{Client: c}
 	g.Go("poll", p.loop)
 	g.Go("report", r.loop)
+	g.Go("fetch", (&fetcher{c}).loop)
 	return errors.CombineErrors(g.Wait(), c.connections.Close())
 }
 
@@ -137,10 +146,7 @@
 	p.finder.markLeader(to)
 	p.finder.addInstances(r.GetInstances())
 	p.finder.setMembers(r.GetGuide().GetVoters())
-	if err := p.options.View.ApplySync(r, sent); err != nil {
-		p.options.Log.Error("could not decode layout", journal.Error(err))
-		return false
-	}
+	p.options.View.ApplySync(r, sent)
 	if p.warned {
 		p.options.Log.Info("leader found", zap.String("leader", string(to)),
 			zap.Duration("after", p.options.Timer.Now().Sub(p.lastServed)))
--- a/internal/fleet/peer/connection.go
+++ b/internal/fleet/peer/connection.go
@@ -26,6 +26,7 @@
 const (
 	classPoll    callClass = "sync"    // polls, which the leader delays until there are changes
 	classReport  callClass = "tell"    // reports
+	classFetch   callClass = "fetch"   // transfers of layouts
 	classRequest callClass = "request" // all other calls
 )
 
--- a/internal/fleet/peer/finder.go
+++ b/internal/fleet/peer/finder.go
@@ -67,6 +67,13 @@
 	return a
 }
 
+// leaderAddress returns the address of the leader, or "" if it is not known.
+func (f *finder) leaderAddress() Address {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader
+}
+
 // markFailed records a failed call, and forgets the leader if it is at this address.
 func (f *finder) markFailed(a Address) {
 	f.mu.Lock()
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -15,6 +15,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/consensus"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/coordinator"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/relay"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/state"
 	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
@@ -33,6 +34,7 @@
 	Replica     *consensus.Replica
 	Coordinator *coordinator.Coordinator
 	State       *state.State
+	Layouts     *relay.Store
 	Log         *zap.Logger
 	// AllowBootstrap is true if the control group may not exist yet.
 	AllowBootstrap bool
@@ -134,6 +136,14 @@
 	}, nil
 }
 
+// Fetch returns a piece of the newest layout.
+func (s *Server) Fetch(ctx context.Context, q *wire.FetchRequest) (*wire.FetchReply, error) {
+	if err := replica.CheckPeerToken(ctx, s.PeerToken); err != nil {
+		return nil, err
+	}
+	return s.Layouts.Serve(ctx, q), nil
+}
+
 // Found grants permission to bootstrap the control group to the first instance that asks,
 // provided that the group may not exist yet and this instance knows no members of it.
 func (s *Server) Found(ctx context.Context, q *wire.FoundRequest) (*wire.FoundReply, error) {
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
@@ -34,6 +35,8 @@
 	// LeaseDuration is how long after its confirmation a layout may be used for requests
 	// with an API key.
 	LeaseDuration time.Duration
+	// MaxLayoutLag is how long an older layout may be used after a newer one is known.
+	MaxLayoutLag time.Duration
 	// RecentSessions returns the recently active sessions of a service. It is called when
 	// a roll-out begins.
 	RecentSessions func(s layout.Service, bucket uint32) []uint64
@@ -55,6 +58,9 @@
 	Services map[layout.Service][]*wire.Upstream
 }
 
+// never is after every instant of the timer, and -never before all of them.
+const never = int64(1 << 62)
+
 // View is the local state of one instance. It is safe for concurrent use.
 type View struct {
 	options Options
@@ -63,6 +69,7 @@
 	table       atomic.Pointer[Table]
 	rollouts    atomic.Pointer[map[layout.Service]*Rollout]
 	leaseExpiry atomic.Int64 // timer.Instant until which the layout counts as confirmed
+	lagExpiry   atomic.Int64 // timer.Instant from which the layout is outdated; never if none newer is known
 
 	mu           sync.Mutex
 	upstreams    map[string]*wire.Upstream // by id
@@ -74,6 +81,15 @@
 	pending      *pendingReport
 	urgent       chan struct{} // has a value if the pending report should be sent without delay
 	layoutLoaded chan struct{} // closed with the first layout
+	newest       newestLayout
+	layoutWanted chan struct{} // has a value if a newer layout should be fetched
+}
+
+// newestLayout is the newest version that the leader named, and when the poll was sent whose
+// reply last named it.
+type newestLayout struct {
+	version layout.Version
+	sent    timer.Instant
 }
 
 // instance is the record of an instance and the term of the leader that last sent it.
@@ -90,6 +106,7 @@
 	outcomes   map[outcomeKey]*wire.Outcome
 	crashes    []*wire.Crash
 	holdings   []*wire.Holding
+	layout     layout.Version // version that was put into force, or 0
 }
 
 // outcomeKey identifies the responses whose outcomes are counted together.
@@ -107,11 +124,12 @@
 	v := &View{
 		options: o, upstreams: map[string]*wire.Upstream{}, instances: map[string]*instance{},
 		quarantined: map[uint64]bool{}, pending: newPendingReport(), urgent: make(chan struct{}, 1),
-		layoutLoaded: make(chan struct{}),
+		layoutLoaded: make(chan struct{}), layoutWanted: make(chan struct{}, 1),
 	}
 	v.table.Store(&Table{Services: map[layout.Service][]*wire.Upstream{}})
 	v.rollouts.Store(&map[layout.Service]*Rollout{})
-	v.leaseExpiry.Store(int64(-1 << 62)) // before every instant of the timer
+	v.leaseExpiry.Store(-never)
+	v.lagExpiry.Store(never)
 	return v
 }
 
@@ -121,10 +139,38 @@
 // LayoutLoaded returns a channel that is closed when the first layout has been received.
 func (v *View) LayoutLoaded() <-chan struct{} { return v.layoutLoaded }
 
-// LayoutConfirmed reports whether the lease on the layout is still valid. Without it the
-// API keys in the layout may be out of date.
-func (v *View) LayoutConfirmed() bool {
-	return v.options.Timer.Now().Before(timer.Instant(v.leaseExpiry.Load()))
+// LayoutConfirmed reports whether a layout is the current one and the lease on it is still
+// valid. Without that the API keys in the layout may be out of date.
+func (v *View) LayoutConfirmed(l *layout.Layout) bool {
+	return v.options.Timer.Now().Before(timer.Instant(v.leaseExpiry.Load())) && v.Layout() == l
+}
+
+// LayoutOutdated reports whether a newer layout has been known for so long that the current
+// one must not be used any more.
+func (v *View) LayoutOutdated() bool {
+	return !v.options.Timer.Now().Before(timer.Instant(v.lagExpiry.Load()))
+}
+
+// LayoutWanted returns a channel that receives a value when a newer layout is known.
+func (v *View) LayoutWanted() <-chan struct{} { return v.layoutWanted }
+
+// WantedLayout returns the newest version that the leader named if the current layout is
+// older, else 0.
+func (v *View) WantedLayout() layout.Version {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.newest.version > v.layoutVersion() {
+		return v.newest.version
+	}
+	return 0
+}
+
+// layoutVersion returns the version of the current layout, or 0 before the first.
+func (v *View) layoutVersion() layout.Version {
+	if l := v.Layout(); l != nil {
+		return l.Version
+	}
+	return 0
 }
 
 // Table returns the upstreams that may serve requests.
@@ -182,12 +228,9 @@
 	return v.term, v.cursor
 }
 
-// ApplySync applies the reply to a poll that was sent at the given instant. If the layout
-// cannot be decoded, it applies the rest and returns an error; the cursor and the lease
-// do not advance. The layout comes into force last, since requests that wait for it need
-// the upstreams of the same reply.
-func (v *View) ApplySync(r *wire.SyncReply, sent timer.Instant) (err error) {
-	next, err := v.decodeLayout(r.GetLayout())
+// ApplySync applies the reply to a poll that was sent at the given instant. If the reply names
+// a newer layout, that has to be fetched and passed to ApplyLayout.
+func (v *View) ApplySync(r *wire.SyncReply, sent timer.Instant) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.term != r.GetTerm() {
@@ -221,34 +264,69 @@
 	for _, f := range r.GetQuarantined() {
 		v.quarantined[f] = true
 	}
-	if err != nil {
-		return err
-	}
 	v.cursor = r.GetCursor()
-	v.applyLayout(next, sent.Add(v.options.LeaseDuration))
-	return nil
+	v.confirmLayout(layout.Version(r.GetLayout().GetVersion()), sent)
 }
 
-// decodeLayout decodes a layout. It returns nil if the current version is not lower.
-func (v *View) decodeLayout(l *wire.Layout) (*layout.Layout, error) {
-	if current := v.Layout(); l == nil || (current != nil && current.Version >= layout.Version(l.GetVersion())) {
-		return nil, nil
+// confirmLayout records that no version above the given one was in force at the leader when
+// a poll was answered that was sent at the given instant. Version 0 stands for the current
+// one. v.mu must be held.
+func (v *View) confirmLayout(version layout.Version, sent timer.Instant) {
+	current := v.layoutVersion()
+	v.newest = newestLayout{max(version, v.newest.version), sent}
+	if v.newest.version <= current {
+		v.extendLease()
+		return
+	}
+	if v.lagExpiry.Load() == never {
+		v.lagExpiry.Store(int64(v.options.Timer.Now().Add(v.options.MaxLayoutLag)))
 	}
-	return v.options.Decode(layout.Version(l.GetVersion()), l.GetText())
+	select {
+	case v.layoutWanted <- struct{}{}:
+	default:
+	}
+}
+
+// extendLease starts the lease from the last confirmation. The current layout must be at least
+// as new as the confirmed one. v.mu must be held.
+func (v *View) extendLease() {
+	v.lagExpiry.Store(never)
+	v.leaseExpiry.Store(int64(v.newest.sent.Add(v.options.LeaseDuration)))
 }
 
-// applyLayout makes a layout the current one, unless it is nil, and extends the lease. v.mu
-// must be held.
-func (v *View) applyLayout(l *layout.Layout, expiry timer.Instant) {
-	first := l != nil && v.layout.Swap(l) == nil
-	v.leaseExpiry.Store(int64(expiry))
+// ApplyLayout decodes a committed layout and puts it into force unless the current one is at
+// least as new. Requests that wait for the first layout find the upstreams of the replies
+// before it.
+func (v *View) ApplyLayout(version layout.Version, text []byte) (err error) {
+	if v.layoutVersion() >= version {
+		return nil
+	}
+	l, err := v.options.Decode(version, text)
+	if err != nil {
+		return errors.Wrapf(err, "decode layout %d", version)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.layoutVersion() >= version {
+		return nil
+	}
+	confirmed, first := v.newest.version > 0 && v.newest.version <= version, v.Layout() == nil
+	if confirmed && first {
+		// Requests that see the first layout must find its lease.
+		v.extendLease()
+	}
+	v.layout.Store(l)
+	if confirmed {
+		v.extendLease()
+	}
 	if first {
 		close(v.layoutLoaded)
 	}
-	if l != nil {
-		v.options.Log.Info("layout in force", zap.Uint64("version", uint64(l.Version)),
-			zap.Int("routes", len(l.Routes)), zap.Int("accounts", len(l.Clients)))
-	}
+	v.pending.layout = version
+	v.signalUrgent()
+	v.options.Log.Info("layout in force", zap.Uint64("version", uint64(version)),
+		zap.Int("routes", len(l.Routes)), zap.Int("accounts", len(l.Clients)))
+	return nil
 }
 
 // applyRollouts stores roll-outs. When one begins, it queues the recently active sessions of
@@ -422,11 +500,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	n := v.pending
-	if len(n.upstreams)+len(n.heartbeats)+len(n.loads)+len(n.outcomes)+len(n.crashes)+len(n.holdings) == 0 {
+	if n.layout == 0 && len(n.upstreams)+len(n.heartbeats)+len(n.loads)+len(n.outcomes)+len(n.crashes)+len(n.holdings) == 0 {
 		return nil
 	}
 	v.pending = newPendingReport()
-	r := &wire.TellRequest{Crashes: n.crashes, Holdings: n.holdings}
+	r := &wire.TellRequest{Crashes: n.crashes, Holdings: n.holdings, Layout: uint64(n.layout)}
 	for _, u := range n.upstreams {
 		r.Upstreams = append(r.Upstreams, u)
 	}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -16,6 +16,9 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
 
+// testLag is the time for which an older layout may be used in tests.
+const testLag = 400 * time.Millisecond
+
 // newView returns a view that cannot decode the layout text "bad", and its clock.
 func newView() (*View, *timer.Manual) {
 	clock := timer.NewManual()
@@ -27,7 +30,7 @@
 			}
 			return &layout.Layout{Version: v}, nil
 		},
-		LeaseDuration: time.Second, Timer: clock, Log: zap.NewNop(),
+		LeaseDuration: time.Second, MaxLayoutLag: testLag, Timer: clock, Log: zap.NewNop(),
 	}), clock
 }
 
@@ -36,21 +39,53 @@
 func TestLearnLayout(t *testing.T) {
 	is := is.New(t)
 	v, clock := newView()
-	is.True(!v.LayoutConfirmed())
+	confirmed := func() bool { return v.LayoutConfirmed(v.Layout()) }
+	is.True(!confirmed())
 	sent := clock.Now()
 	clock.Advance(900 * time.Millisecond)
-	is.NoErr(v.ApplySync(&wire.SyncReply{Term: 1, Layout: &wire.Layout{Version: 5}}, sent))
-	is.True(v.LayoutConfirmed())
-	is.NoErr(v.ApplySync(&wire.SyncReply{Term: 2, Layout: &wire.Layout{Version: 4}}, sent))
+	v.ApplySync(&wire.SyncReply{Term: 1, Layout: &wire.Layout{Version: 5}}, sent)
+	is.Equal(v.WantedLayout(), layout.Version(5))
+	is.True(!confirmed())
+	is.NoErr(v.ApplyLayout(5, nil))
+	is.True(confirmed())
+	is.Equal(v.WantedLayout(), layout.Version(0))
+	v.ApplySync(&wire.SyncReply{Term: 2, Layout: &wire.Layout{Version: 4}}, sent)
+	is.NoErr(v.ApplyLayout(4, nil))
 	is.Equal(v.Layout().Version, layout.Version(5))
 	clock.Advance(100 * time.Millisecond)
-	is.True(!v.LayoutConfirmed())
-	// A reply with a layout that cannot be decoded must not renew the lease.
-	is.True(v.ApplySync(&wire.SyncReply{Term: 2, Layout: &wire.Layout{Version: 6, Text: []byte("bad")}}, clock.Now()) != nil)
-	is.True(!v.LayoutConfirmed())
+	is.True(!confirmed())
+	// A layout that cannot be decoded must not renew the lease.
+	v.ApplySync(&wire.SyncReply{Term: 2, Layout: &wire.Layout{Version: 6}}, clock.Now())
+	is.True(v.ApplyLayout(6, []byte("bad")) != nil)
+	is.True(!confirmed())
 	is.Equal(v.Layout().Version, layout.Version(5))
 }
 
+// Guards against an instance that obeys an older layout long after it heard of a newer one,
+// or that renews the lease on the older one meanwhile.
+func TestOutdatedLayout(t *testing.T) {
+	is := is.New(t)
+	v, clock := newView()
+	v.ApplySync(&wire.SyncReply{Term: 1, Layout: &wire.Layout{Version: 5}}, clock.Now())
+	is.NoErr(v.ApplyLayout(5, nil))
+	old := v.Layout()
+	for range 4 {
+		is.True(!v.LayoutOutdated())
+		is.True(v.LayoutConfirmed(old))
+		v.ApplySync(&wire.SyncReply{Term: 1, Layout: &wire.Layout{Version: 6}}, clock.Now())
+		clock.Advance(testLag / 4)
+	}
+	is.True(v.LayoutOutdated())
+	clock.Advance(time.Second - testLag)
+	is.True(!v.LayoutConfirmed(old)) // the lease runs from the last reply without a newer version
+	v.ApplySync(&wire.SyncReply{Term: 1, Layout: &wire.Layout{Version: 6}}, clock.Now())
+	is.NoErr(v.ApplyLayout(6, nil))
+	is.True(!v.LayoutOutdated())
+	is.True(v.LayoutConfirmed(v.Layout()))
+	is.True(!v.LayoutConfirmed(old))
+	is.Equal(v.TakeReport().GetLayout(), uint64(6)) // the leader waits for it
+}
+
 // Guards against an outdated record of an upstream that replaces a newer one when
 // announcements arrive out of order.
 func TestNewer(t *testing.T) {
@@ -104,7 +139,7 @@
 	v.ApplyAnnouncement(&wire.Upstream{Id: "x", Born: 1, Sequence: 2, Address: "1", Service: "a"})
 	is.Equal(len(v.TakeReport().Beats), 1) // only the sequence number changed
 	// A new leader starts without records and needs all of them.
-	is.NoErr(v.ApplySync(&wire.SyncReply{Term: 9}, 0))
+	v.ApplySync(&wire.SyncReply{Term: 9}, 0)
 	is.Equal(len(v.TakeReport().Upstreams), 1)
 }
 
@@ -116,15 +151,15 @@
 	instance := func(name, zone string, ready bool) *wire.Instance {
 		return &wire.Instance{Name: name, Caller: name, Zone: zone, Region: "r", Ready: ready}
 	}
-	is.NoErr(v.ApplySync(&wire.SyncReply{Term: 1, Instances: []*wire.Instance{
+	v.ApplySync(&wire.SyncReply{Term: 1, Instances: []*wire.Instance{
 		instance("a1", "a", true), instance("a2", "a", true), instance("a3", "a", false), instance("b1", "b", true), instance("c1", "c", true),
-	}}, 0))
+	}}, 0)
 	is.Equal(v.NearestInstances("a", "r", 64), []string{"a1", "a2"})
 	is.Equal(v.NearestInstances("b", "r", 64), []string{"a1", "a2", "b1", "c1"})
-	is.NoErr(v.ApplySync(&wire.SyncReply{Term: 1, Instances: []*wire.Instance{{Name: "a1", Gone: true}}}, 0))
+	v.ApplySync(&wire.SyncReply{Term: 1, Instances: []*wire.Instance{{Name: "a1", Gone: true}}}, 0)
 	is.Equal(v.NearestInstances("", "", 2), []string{"a2", "b1"})
 	// An instance that ended together with the former leader is never named by the new one.
-	is.NoErr(v.ApplySync(&wire.SyncReply{Term: 2, Instances: []*wire.Instance{instance("c1", "c", true)}}, 0))
+	v.ApplySync(&wire.SyncReply{Term: 2, Instances: []*wire.Instance{instance("c1", "c", true)}}, 0)
 	is.Equal(len(v.NearestInstances("", "", 64)), 3)
 	clock.Advance(confirmTimeout + time.Millisecond)
 	is.Equal(v.NearestInstances("", "", 64), []string{"c1"})
@@ -140,7 +175,7 @@
 		OnLoad: func(id string, running, waiting int) { got += fmt.Sprintln(id, running, waiting) },
 		Timer:  clock, Log: zap.NewNop(),
 	})
-	is.NoErr(v.ApplySync(&wire.SyncReply{Term: 1, Loads: []*wire.Load{{Id: "a", Running: 3, Waiting: 1}, {Id: "b"}}}, clock.Now()))
+	v.ApplySync(&wire.SyncReply{Term: 1, Loads: []*wire.Load{{Id: "a", Running: 3, Waiting: 1}, {Id: "b"}}}, clock.Now())
 	is.Equal(got, "a 3 1\nb 0 0\n")
 }
 
@@ -156,7 +191,7 @@
 		case <-v.LayoutLoaded():
 			loaded++
 			is.Equal(len(v.Table().Services["a"]), 1)
-			is.True(v.LayoutConfirmed())
+			is.True(v.LayoutConfirmed(v.Layout()))
 		default:
 		}
 		return nil
@@ -166,8 +201,9 @@
 		Decode: func(n layout.Version, _ []byte) (*layout.Layout, error) { return &layout.Layout{Version: n}, nil },
 		Timer:  clock, LeaseDuration: time.Second, Log: zap.New(core, zap.Hooks(checkLoaded)),
 	})
-	is.NoErr(v.ApplySync(&wire.SyncReply{
+	v.ApplySync(&wire.SyncReply{
 		Term: 1, Layout: &wire.Layout{Version: 1}, Upstreams: []*wire.Upstream{{Id: "x", Born: 1, Sequence: 1, Address: "1", Service: "a"}},
-	}, clock.Now()))
+	}, clock.Now())
+	is.NoErr(v.ApplyLayout(1, nil))
 	is.Equal(loaded, 1)
 }
--- a/internal/gateway/caller/caller_test.go
+++ b/internal/gateway/caller/caller_test.go
@@ -83,7 +83,8 @@
 	}
 	add("desk", desk)
 	add("pool", pool)
-	f.NoErr(f.view.ApplySync(r, f.clock.Now()))
+	f.view.ApplySync(r, f.clock.Now())
+	f.NoErr(f.view.ApplyLayout(1, nil))
 	f.handler = New(Options{
 		Protocol: testProtocol, View: f.view, Upstream: upstream.New(testProtocol, system),
 		Balancer: balancer.New("z", system, rand.New(rand.NewPCG(1, 1))),
@@ -419,7 +420,7 @@
 	f := newFixture(t, []*upstreamtest.Server{formerVersion}, nil)
 	applyReply := func(r *wire.SyncReply) {
 		r.Term, r.Cursor = 1, 2
-		f.NoErr(f.view.ApplySync(r, f.clock.Now()))
+		f.view.ApplySync(r, f.clock.Now())
 	}
 	versionsServed := func() map[string]bool {
 		out := map[string]bool{}
@@ -445,7 +446,7 @@
 	q := &request{Handler: f.handler, client: &layout.Client{Name: "hill"}, body: []byte("poison")}
 	q.httpRequest = httptest.NewRequest("POST", "http://h/look/1", nil)
 	q.httpRequest.RequestURI = "/look/1"
-	f.NoErr(f.view.ApplySync(&wire.SyncReply{Term: 1, Quarantined: []uint64{q.computeFingerprint()}}, f.clock.Now()))
+	f.view.ApplySync(&wire.SyncReply{Term: 1, Quarantined: []uint64{q.computeFingerprint()}}, f.clock.Now())
 	f.Equal(f.do("POST", "/look/1", "poison", "Request-Id", "r7").status, 502)
 	f.Equal(len(u.Requests()), 0)
 	f.Equal(f.do("POST", "/look/1", "other").status, 200)
@@ -479,9 +480,10 @@
 	})
 	f.handler.View = unloaded
 	time.AfterFunc(100*time.Millisecond, func() {
-		if err := unloaded.ApplySync(&wire.SyncReply{Term: 1, Layout: &wire.Layout{Version: 1}, Upstreams: []*wire.Upstream{
+		unloaded.ApplySync(&wire.SyncReply{Term: 1, Layout: &wire.Layout{Version: 1}, Upstreams: []*wire.Upstream{
 			{Id: "desk0", Address: u.Address(), Service: "desk", Version: "v1", Slots: 4},
-		}}, f.clock.Now()); err != nil {
+		}}, f.clock.Now())
+		if err := unloaded.ApplyLayout(1, nil); err != nil {
 			t.Error(err)
 		}
 	})
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -50,8 +50,12 @@
 	Layout() *layout.Layout
 	// LayoutLoaded returns a channel that is closed when the first layout has been received.
 	LayoutLoaded() <-chan struct{}
-	// LayoutConfirmed reports whether the layout was confirmed recently enough to accept keys.
-	LayoutConfirmed() bool
+	// LayoutConfirmed reports whether a layout is the current one and was confirmed recently
+	// enough to accept keys.
+	LayoutConfirmed(l *layout.Layout) bool
+	// LayoutOutdated reports whether the current layout must not be used, since a newer one
+	// has been known for some time.
+	LayoutOutdated() bool
 	// Table returns the upstreams that may serve requests.
 	Table() *view.Table
 	// Rollout returns the most recent roll-out of a service, or nil.
@@ -175,6 +179,9 @@
 	if !q.awaitLayout() {
 		return q.reject(http.StatusServiceUnavailable, "no configuration yet", retryAfterLeaderChange)
 	}
+	if q.View.LayoutOutdated() {
+		return q.reject(http.StatusServiceUnavailable, "newer configuration is not loaded yet", retryOtherInstance)
+	}
 	host := q.httpRequest.Host
 	if name, _, err := net.SplitHostPort(host); err == nil && q.layout.Match(host, q.httpRequest.URL.Path) == nil {
 		host = name
@@ -243,7 +250,7 @@
 		return q.reject(http.StatusUnauthorized, "no key", 0)
 	}
 	// Without a recent confirmation of the layout, the key may have been revoked.
-	if !q.View.LayoutConfirmed() {
+	if !q.View.LayoutConfirmed(q.layout) {
 		return q.reject(http.StatusServiceUnavailable, "configuration not confirmed", retryAfterLeaderChange)
 	}
 	if q.client = q.layout.Client(key); q.client == nil {
