gateway/balancer: place long prompt prefixes among the upstreams of all zones

Cause: every availability zone chose an upstream of its own for a shared prompt prefix. Zones with more callers kept their requests until the mean load of their upstreams was far above the others'. Change: a prefix of 2,000 tokens or more has its place among the upstreams of all zones. A remote upstream is selected if the best local one is more than 1.25 times as loaded plus two requests. Load patterns: TestLongPrefixIsSharedByZones, TestUnevenZones; both fail without the rule (3 readers for 1; 15.0 requests at an upstream for 12.8).

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -32,6 +32,14 @@
 	minLocalCandidates = 3
 	localLoadFactor    = 1.3
 	localLoadMargin    = 2.0
+	// An upstream of another zone is selected if the score of the best local one exceeds
+	// remoteLoadFactor times its own plus remoteLoadMargin.
+	remoteLoadFactor = 1.25
+	remoteLoadMargin = 2.0
+	// longPrefixTokens is the length from which a shared prompt prefix has its place among the
+	// upstreams of all zones. Reading that many tokens again takes an upstream longer than the
+	// way to another zone, and costs more than the bytes of the request.
+	longPrefixTokens = 2000
 	// canaryFillRatio is the part of its slots up to which PickForCanary fills an upstream.
 	canaryFillRatio = 0.6
 	// reportHalfLife is the age from which a reported load counts half, and half again for
@@ -239,9 +247,14 @@
 	return load / float64(slots)
 }
 
-// Pick selects one of the candidates. It returns false if all are excluded. key is a hash
-// of the prompt prefix that the request shares with others, or 0 if it shares none.
-func (b *Balancer) Pick(candidates []Candidate, key uint64, excluded []string) (c Candidate, ok bool) {
+// Prefix is the prompt prefix that a request shares with others.
+type Prefix struct {
+	Key    uint64 // hash of the prefix, or 0 if the request shares none
+	Tokens int
+}
+
+// Pick selects one of the candidates. It returns false if all are excluded.
+func (b *Balancer) Pick(candidates []Candidate, prefix Prefix, excluded []string) (c Candidate, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.timer.Now()
@@ -252,13 +265,24 @@
 	if len(usable) == 0 {
 		return c, false
 	}
-	usable = b.preferLocal(usable, now)
-	if key != 0 {
-		if c, ok := b.pickByAffinity(usable, key, now); ok {
+	local := b.preferLocal(usable, now)
+	if prefix.Key != 0 {
+		near := local
+		if prefix.Tokens >= longPrefixTokens {
+			near = usable
+		}
+		if c, ok := b.pickByAffinity(near, prefix.Key, now); ok {
 			return c, true
 		}
 	}
-	return b.pickByLoad(usable, now), true
+	best := b.pickByLoad(local, now)
+	if len(local) == len(usable) {
+		return best, true
+	}
+	if remote := b.pickByLoad(usable, now); b.score(best, now) > remoteLoadFactor*b.score(remote, now)+remoteLoadMargin {
+		return remote, true
+	}
+	return best, true
 }
 
 // preferLocal returns the upstreams in the instance's availability zone if there are at
--- a/internal/gateway/balancer/balancer_test.go
+++ b/internal/gateway/balancer/balancer_test.go
@@ -45,7 +45,7 @@
 			report(b, c.ID, min(i, 1)*8, 0)
 		}
 		for range burst {
-			c, ok := b.Pick(candidates, 0, nil)
+			c, ok := b.Pick(candidates, Prefix{}, nil)
 			is.True(ok)
 			b.RequestSent(c.ID)
 			counts[c.ID]++
@@ -62,7 +62,7 @@
 	candidates := newCandidates(2)
 	picksOfU1 := func(b *Balancer) (n int) {
 		for range 100 {
-			if c, _ := b.Pick(candidates, 0, nil); c.ID == "u1" {
+			if c, _ := b.Pick(candidates, Prefix{}, nil); c.ID == "u1" {
 				n++
 			}
 		}
@@ -100,7 +100,7 @@
 	b, _ := newBalancer(1)
 	counts := map[string]int{}
 	for range 240 {
-		c, _ := b.Pick(candidates, 77, nil)
+		c, _ := b.Pick(candidates, Prefix{Key: 77}, nil)
 		b.RequestSent(c.ID)
 		b.ResponseStarted(c.ID)
 		counts[c.ID]++
@@ -120,10 +120,10 @@
 	b, _ := newBalancer(2)
 	moved := 0
 	for key := range uint64(200) {
-		x, _ := a.Pick(candidates, key+1, nil)
-		y, _ := b.Pick(candidates, key+1, nil)
+		x, _ := a.Pick(candidates, Prefix{Key: key + 1}, nil)
+		y, _ := b.Pick(candidates, Prefix{Key: key + 1}, nil)
 		is.Equal(x.ID, y.ID)
-		z, _ := b.Pick(candidates[:11], key+1, nil)
+		z, _ := b.Pick(candidates[:11], Prefix{Key: key + 1}, nil)
 		if z.ID != x.ID {
 			moved++
 		}
@@ -140,7 +140,7 @@
 	runRequests := func(failing bool) (share float64) {
 		n := 0
 		for range 400 {
-			c, _ := b.Pick(candidates, 0, nil)
+			c, _ := b.Pick(candidates, Prefix{}, nil)
 			b.RequestSent(c.ID)
 			b.ResponseStarted(c.ID)
 			o := Succeeded
@@ -172,16 +172,16 @@
 	b.RequestSent("u0")
 	b.RequestDone("u0", Unreachable, false)
 	for range 20 {
-		c, _ := b.Pick(candidates, 0, nil)
+		c, _ := b.Pick(candidates, Prefix{}, nil)
 		is.Equal(c.ID, "u1")
 	}
-	c, ok := b.Pick(candidates, 0, []string{"u1"})
+	c, ok := b.Pick(candidates, Prefix{}, []string{"u1"})
 	is.True(ok) // an upstream that is backed off is better than none
 	is.Equal(c.ID, "u0")
 	clock.Advance(initialBackoff)
 	found := false
 	for range 50 {
-		c, _ := b.Pick(candidates, 0, nil)
+		c, _ := b.Pick(candidates, Prefix{}, nil)
 		found = found || c.ID == "u0"
 	}
 	is.True(found)
@@ -194,7 +194,7 @@
 	candidates := newCandidates(12)
 	b, _ := newBalancer(8)
 	for key := range uint64(100) {
-		c, _ := b.Pick(candidates, key, nil)
+		c, _ := b.Pick(candidates, Prefix{Key: key}, nil)
 		is.Equal(c.Zone, "z0")
 	}
 	for _, c := range candidates {
@@ -204,7 +204,7 @@
 	}
 	away := 0
 	for key := range uint64(100) {
-		if c, _ := b.Pick(candidates, key, nil); c.Zone != "z0" {
+		if c, _ := b.Pick(candidates, Prefix{Key: key}, nil); c.Zone != "z0" {
 			away++
 		}
 	}
@@ -237,8 +237,101 @@
 func TestNoCandidates(t *testing.T) {
 	is := is.New(t)
 	b, _ := newBalancer(5)
-	_, ok := b.Pick(nil, 1, nil)
+	_, ok := b.Pick(nil, Prefix{Key: 1}, nil)
 	is.True(!ok)
-	_, ok = b.Pick(newCandidates(1), 1, []string{"u0"})
+	_, ok = b.Pick(newCandidates(1), Prefix{Key: 1}, []string{"u0"})
 	is.True(!ok)
 }
+
+// Guards against a long prompt prefix that every availability zone reads for itself: callers
+// of all zones share it, and reading it takes longer than the way to another zone. Short
+// prefixes stay in the zone.
+func TestLongPrefixIsSharedByZones(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		tokens         int
+		upstreams      int // that read the prefix
+		stayInOwnZones bool
+	}{
+		{"long", longPrefixTokens, 1, false},
+		{"short", longPrefixTokens - 1, 3, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			candidates := newCandidates(24)
+			for key := range uint64(50) {
+				readers := map[string]bool{}
+				for n := range 12 {
+					b, _ := newBalancer(uint64(n))
+					b.Zone = fmt.Sprintf("z%d", n%3)
+					u, ok := b.Pick(candidates, Prefix{Key: key + 1, Tokens: c.tokens}, nil)
+					is.True(ok)
+					readers[u.ID] = true
+					is.True(!c.stayInOwnZones || u.Zone == b.Zone)
+				}
+				is.Equal(len(readers), c.upstreams)
+			}
+		})
+	}
+}
+
+// Guards against a zone whose upstreams queue requests while those of other zones are idle:
+// the callers of one zone send twice as many requests as those of the others. Every instance
+// sees the loads of the former round only.
+func TestUnevenZones(t *testing.T) {
+	is := is.New(t)
+	candidates := newCandidates(24)
+	var instances []*Balancer
+	var clocks []*timer.Manual
+	for n := range 60 {
+		b, clock := newBalancer(uint64(n))
+		b.Zone = fmt.Sprintf("z%d", n%3)
+		instances, clocks = append(instances, b), append(clocks, clock)
+	}
+	running := map[string][]int{} // remaining rounds of each request
+	busiest, total := 0, 0        // requests running in zone z0 and in all zones, over the rounds
+	const warmUp, rounds = 10, 50
+	for round := range warmUp + rounds {
+		loads := map[string]int{}
+		for id, list := range running {
+			var left []int
+			for _, r := range list {
+				if r > 1 {
+					left = append(left, r-1)
+				}
+			}
+			running[id], loads[id] = left, len(left)
+		}
+		for n, b := range instances {
+			clocks[n].Advance(time.Second)
+			for _, c := range candidates {
+				b.ReportRelayedLoad(c.ID, min(loads[c.ID], c.Slots), max(loads[c.ID]-c.Slots, 0))
+			}
+			requests := 1
+			if n%3 == 0 {
+				requests = 2
+			}
+			for range requests {
+				c, _ := b.Pick(candidates, Prefix{}, nil)
+				b.RequestSent(c.ID)
+				b.ResponseStarted(c.ID)
+				b.RequestDone(c.ID, Inconclusive, true)
+				running[c.ID] = append(running[c.ID], 3)
+			}
+		}
+		if round < warmUp {
+			continue
+		}
+		for _, c := range candidates {
+			if c.Zone == "z0" {
+				busiest += len(running[c.ID])
+			}
+			total += len(running[c.ID])
+		}
+	}
+	const upstreamsPerZone = 8
+	mean := float64(total) / rounds / float64(len(candidates))
+	load := float64(busiest) / rounds / upstreamsPerZone
+	t.Logf("requests at an upstream of the busiest zone: %.1f, mean: %.1f", load, mean)
+	is.True(load <= remoteLoadFactor*mean+remoteLoadMargin) // 15 if every zone keeps its requests
+}
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -157,7 +157,7 @@
 		target, ok = q.Balancer.PickForCanary(candidates, excluded)
 	}
 	if !ok {
-		target, ok = q.Balancer.Pick(candidates, q.affinityKey, excluded)
+		target, ok = q.Balancer.Pick(candidates, q.prefix, excluded)
 	}
 	if !ok {
 		return nil, false
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -154,7 +154,7 @@
 	fingerprint    uint64
 	timeout        time.Duration // from the arrival
 	upstreamHeader http.Header
-	affinityKey    uint64 // hash of the longest part of the prompt that other requests share
+	prefix         balancer.Prefix
 	sessionHash    uint64 // hash of the session; a roll-out keeps a session on one version
 	model          layout.Model
 	modelIndex     int // index of the selected model in the route's list
@@ -297,7 +297,7 @@
 	if q.route.SessionAffinity && len(parts) >= 2 {
 		// The last part is specific to this request; the one before it is the longest
 		// prefix that other requests share.
-		q.affinityKey = xxhash.Sum64String(promptPartID(parts[len(parts)-2]))
+		q.prefix = sharedPrefix(parts[len(parts)-2])
 	}
 	switch s := header.Get(q.Protocol.Session); {
 	case s != "":
@@ -315,6 +315,17 @@
 	}
 }
 
+// sharedPrefix returns the prefix of the prompt that ends with a part. Its length is that of
+// the part; those before it are shared by so many requests that every upstream holds them.
+func sharedPrefix(part string) balancer.Prefix {
+	id, text, _ := strings.Cut(part, ":")
+	tokens, err := strconv.Atoi(text)
+	if err != nil {
+		tokens = 0
+	}
+	return balancer.Prefix{Key: xxhash.Sum64String(id), Tokens: tokens}
+}
+
 // promptPartID returns the identifier of a prompt part, which ends at the first colon.
 func promptPartID(part string) string {
 	id, _, _ := strings.Cut(part, ":")
