fleet/coordinator: collect changes for 40 ms before waiting polls return

Cause: each change at the leader woke every waiting poll. When all instances look for a new leader, every first poll is a change for all others, so that the leader sent a number of replies that grows with the square of the instances. TestChangesAreCollected fails on the former code.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -29,6 +29,10 @@
 	maxMissedHeartbeats = 5
 	// checkInterval is the interval between checks of timeouts and roll-outs.
 	checkInterval = 200 * time.Millisecond
+	// wakeDelay is how long changes are collected before waiting polls return with them. When
+	// all instances of a deployment look for a new leader, each of them is a change for all
+	// others: without the delay the number of replies grows with the square of the instances.
+	wakeDelay = 40 * time.Millisecond
 	// applyTimeout bounds the wait until all instances have applied a layout.
 	applyTimeout = 700 * time.Millisecond
 	// quarantineThreshold is the number of different upstreams that a request must crash
@@ -69,6 +73,7 @@
 	period        uint64                    // random identifier of the period; the term on the wire
 	revision      uint64                    // revision of the last change; the cursor on the wire
 	wakeRevision  uint64                    // revision of the last change that waiting polls return for
+	wakeScheduled bool                      // wake is going to run
 	changed       chan struct{}             // closed and replaced to wake waiting polls
 	applied       chan struct{}             // closed and replaced when an instance has applied a layout or is gone
 	upstreams     map[string]*upstream      // by id
@@ -128,17 +133,22 @@
 	return ok
 }
 
-// nextRevision returns the revision for a change that waiting polls return for, and wakes
-// them. c.mu must be held.
+// nextRevision returns the revision for a change that waiting polls return for after
+// wakeDelay. c.mu must be held.
 func (c *Coordinator) nextRevision() uint64 {
 	c.revision++
-	c.wakeRevision = c.revision
-	c.wakeWaiters()
+	if !c.wakeScheduled {
+		c.wakeScheduled = true
+		c.options.Timer.AfterFunc(wakeDelay, c.wake)
+	}
 	return c.revision
 }
 
-// wakeWaiters makes all waiting calls check their conditions again. c.mu must be held.
-func (c *Coordinator) wakeWaiters() {
+// wake makes the waiting polls return with the changes so far.
+func (c *Coordinator) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wakeScheduled, c.wakeRevision = false, c.revision
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -175,3 +176,40 @@
 	_, ok = f.coordinator.Sync(context.Background(), &wire.SyncRequest{Instance: &wire.Instance{Name: "a"}})
 	is.True(!ok)
 }
+
+// Guards against a reply to every waiting poll for each single change: the replies that a new
+// leader sends would grow with the square of the instances that look for it.
+func TestChangesAreCollected(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	first := f.sync(is, "a")
+	f.clock.Advance(wakeDelay)
+	p := &waitingPoll{fixture: f, request: &wire.SyncRequest{
+		Instance: &wire.Instance{Name: "a", Ready: true}, Term: first.GetTerm(), Cursor: first.GetCursor(), Wait: 60_000,
+	}, reply: make(chan *wire.SyncReply, 1)}
+	go p.run()
+	const instances = 100
+	for n := range instances {
+		f.sync(is, fmt.Sprint("b", n))
+		select {
+		case <-p.reply:
+			t.Fatal("the poll returned before all changes were made")
+		default:
+		}
+	}
+	// The poll may not have begun to wait yet; it then returns at once after the delay.
+	f.clock.Advance(wakeDelay)
+	is.Equal(len((<-p.reply).GetInstances()), instances)
+}
+
+// waitingPoll is a poll that waits for a change.
+type waitingPoll struct {
+	*fixture
+	request *wire.SyncRequest
+	reply   chan *wire.SyncReply
+}
+
+func (p *waitingPoll) run() {
+	r, _ := p.coordinator.Sync(context.Background(), p.request)
+	p.reply <- r
+}
