gateway/upstream: bound the bytes that are no answer

Cause: the head of a response was read without a limit, and each of many responses could take 16 MB. An upstream in trouble that sends bytes without end could exhaust the memory of the instance. Change: 64 KB until the head is complete, interim responses included; 256 KB for a late response to another request; 4 MB for one body, and 12 MB for the bodies and events of all responses together. Bodies are read in blocks that are reused. An announced length takes no memory before its bytes arrive.

--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,8 +33,19 @@
 	// maxInlineBytes is the size up to which a request is sent before its response is read. A
 	// longer one is sent concurrently, since an upstream may respond before it has read it all.
 	maxInlineBytes = 8 << 10
-	// maxBodyBytes limits the body of a response that is not a stream.
-	maxBodyBytes = 16 << 20
+	// maxBodyBytes limits the body of a response that is not a stream, and maxDiscardedBytes
+	// that of a response to another request.
+	maxBodyBytes      = 4 << 20
+	maxDiscardedBytes = 256 << 10
+	// maxHeaderBytes limits what is read until the header of the response is complete,
+	// including interim responses.
+	maxHeaderBytes = 64 << 10
+	// maxBufferedBytes limits the bodies and events of all responses that are held in memory
+	// at once. Some upstreams in trouble send bytes without end on many connections.
+	maxBufferedBytes = 12 << 20
+	// blockBytes is the size of the blocks in which bodies are read. The first one of each
+	// response does not count against maxBufferedBytes.
+	blockBytes = 16 << 10
 	// maxSkippedResponses limits the responses to other requests that are skipped on a
 	// connection.
 	maxSkippedResponses = 2
@@ -58,11 +71,17 @@
 	protocol *Protocol
 	pool     *pool
 	timer    timer.Service
+	buffered atomic.Int64 // bytes that responses have reserved
+	blocks   sync.Pool    // of *block
 }
 
+// block is a part of a body. Blocks are reused, since the garbage of many long bodies would
+// take several times the memory of the bodies themselves.
+type block [blockBytes]byte
+
 // New returns a client that speaks the protocol p.
 func New(p *Protocol, t timer.Service) *Client {
-	return &Client{protocol: p, pool: newPool(t), timer: t}
+	return &Client{protocol: p, pool: newPool(t), timer: t, blocks: sync.Pool{New: func() any { return new(block) }}}
 }
 
 // Run closes expired idle connections until the context is done.
@@ -99,6 +118,7 @@
 	// stopAbort keeps the context from aborting the exchange. It returns false if that has begun.
 	stopAbort func() bool
 	complete  bool // the body was read to its end
+	reserved  int64
 }
 
 // Send sends a request and returns once the header of its response has arrived. Until
@@ -199,6 +219,8 @@
 
 // readHeader reads the header of the response and skips late responses to other requests.
 func (r *Response) readHeader(q *Request) error {
+	r.conn.limit.set(maxHeaderBytes)
+	defer r.conn.limit.set(noLimit)
 	for range maxSkippedResponses + 1 {
 		res, err := http.ReadResponse(r.conn.reader, &http.Request{Method: q.Method})
 		if err != nil {
@@ -219,9 +241,11 @@
 		if echo == "" || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 			return errors.Wrapf(ErrResponseMismatch, "status %d, request id %q", res.StatusCode, echo)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBodyBytes)); err != nil {
+		r.conn.limit.set(maxDiscardedBytes)
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return errors.Wrap(err, "skip a response to another request")
 		}
+		r.conn.limit.set(maxHeaderBytes)
 	}
 	return errors.Wrap(ErrResponseMismatch, "too many responses to other requests")
 }
@@ -237,17 +261,59 @@
 
 // ReadAll reads the whole body, up to maxBodyBytes.
 func (r *Response) ReadAll() (body []byte, err error) {
-	if r.ContentLength > 0 && r.ContentLength <= maxBodyBytes {
-		body = make([]byte, 0, r.ContentLength+1)
+	defer func() {
+		if err != nil {
+			body, err = nil, errors.Mark(errors.Wrap(err, "read response body"), ErrInterrupted)
+		}
+	}()
+	var blocks []*block
+	defer func() {
+		for _, b := range blocks {
+			r.client.blocks.Put(b)
+		}
+	}()
+	for size := 0; ; {
+		used := size % blockBytes
+		if used == 0 {
+			if size >= maxBodyBytes {
+				return nil, errors.New("response body is too long")
+			}
+			if size > 0 {
+				if err := r.reserve(blockBytes); err != nil {
+					return nil, err
+				}
+			}
+			blocks = append(blocks, r.client.blocks.Get().(*block))
+		}
+		n, err := r.Read(blocks[len(blocks)-1][used:])
+		size += n
+		if errors.Is(err, io.EOF) {
+			return joinBlocks(blocks, size), nil
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
-	b := bytes.NewBuffer(body)
-	if _, err := io.Copy(b, io.LimitReader(r, maxBodyBytes)); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "read response body"), ErrInterrupted)
+}
+
+// joinBlocks returns the first size bytes of the blocks.
+func joinBlocks(blocks []*block, size int) []byte {
+	out := make([]byte, 0, size)
+	for _, b := range blocks {
+		out = append(out, b[:min(size-len(out), blockBytes)]...)
 	}
-	if !r.complete {
-		return nil, errors.Mark(errors.New("response body is too long"), ErrInterrupted)
+	return out
+}
+
+// reserve accounts for memory that the response takes beyond one block until Close. It
+// fails if all responses together hold too much.
+func (r *Response) reserve(n int) error {
+	if r.client.buffered.Add(int64(n)) > maxBufferedBytes {
+		r.client.buffered.Add(-int64(n))
+		return errors.Newf("responses hold more than %d bytes", maxBufferedBytes)
 	}
-	return b.Bytes(), nil
+	r.reserved += int64(n)
+	return nil
 }
 
 // Close ends the exchange. The connection is reused if the response was read to its end,
@@ -258,6 +324,7 @@
 	}
 	cn := r.conn
 	r.conn = nil
+	r.client.buffered.Add(-r.reserved)
 	notAborted := r.stopAbort()
 	idleTimeout := defaultIdleTimeout
 	if r.Header != nil {
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -42,6 +44,7 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
+	limit     *readLimit
 	expiresAt timer.Instant // when it may no longer be reused
 	used      bool
 }
@@ -155,7 +158,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBufferSize)}, nil
+	l := &readLimit{source: n, remaining: noLimit}
+	return &conn{Conn: n, reader: bufio.NewReaderSize(l, readBufferSize), limit: l}, nil
+}
+
+// noLimit is the limit of a reader that may read any number of bytes.
+const noLimit = math.MaxInt64
+
+// readLimit is a reader that fails after a number of bytes.
+type readLimit struct {
+	source    io.Reader
+	remaining int64
+}
+
+// set sets the number of bytes that may still be read.
+func (l *readLimit) set(n int64) { l.remaining = n }
+
+// Read reads from the source.
+func (l *readLimit) Read(b []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, errors.New("upstream sends more than the protocol allows")
+	}
+	n, err := l.source.Read(b[:min(int64(len(b)), l.remaining)])
+	if l.remaining != noLimit {
+		l.remaining -= int64(n)
+	}
+	return n, err
 }
 
 // parseKeepAlive returns how long an idle connection may be kept, from the value of the
--- /dev/null
+++ b/internal/gateway/upstream/endless_test.go
@@ -0,0 +1,152 @@
+package upstream
+
+import (
+	"context"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+)
+
+const (
+	// endlessUpstreams is the number of upstreams that send bytes without end at once.
+	endlessUpstreams = 100
+	// maxTestMemory is the memory of an instance at the target size.
+	maxTestMemory = 64 << 20
+)
+
+// exchangeReader reads a response in one of the ways in which requests do.
+type exchangeReader func(r *Response) error
+
+func readBody(r *Response) error {
+	_, err := r.ReadAll()
+	return err
+}
+
+func readEvents(r *Response) error {
+	events := NewEventReader(r)
+	for {
+		if _, _, err := events.Next(); err != nil {
+			return err
+		}
+	}
+}
+
+// memoryWatch records the largest heap.
+type memoryWatch struct {
+	stop    chan struct{}
+	stopped sync.WaitGroup
+	largest uint64
+}
+
+func (w *memoryWatch) loop() {
+	defer w.stopped.Done()
+	for {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		w.largest = max(w.largest, m.HeapInuse)
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
+
+// exchange is one exchange of the test.
+type exchange struct {
+	client  *Client
+	address string
+	read    exchangeReader
+	err     error
+	expired bool // the exchange lasted until its deadline
+	done    *sync.WaitGroup
+}
+
+func (e *exchange) run() {
+	defer e.done.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	defer func() { e.expired = ctx.Err() != nil }()
+	r, err := e.client.Send(ctx, e.address, newRequest("a"))
+	if err != nil {
+		e.err = err
+		return
+	}
+	defer r.Close()
+	e.err = e.read(r)
+}
+
+// Guards against an instance that runs out of memory, or requests that never end, because
+// upstreams in trouble send bytes that are no answer until their connection is closed.
+func TestEndlessBytes(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+	chunk := "10000\r\n" + strings.Repeat("x", 0x10000) + "\r\n"
+	for _, c := range []struct {
+		name, first, repeated string
+		read                  exchangeReader
+	}{
+		{"status line", "HTTP/1.1 200 ", strings.Repeat("O", 4096), readBody},
+		{"header line", head + "X: ", strings.Repeat("x", 4096), readBody},
+		{"header lines", head, strings.Repeat("X: y\r\n", 600), readBody},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\nX: " + strings.Repeat("y", 4096) + "\r\n\r\n", readBody},
+		{"response to another request", strings.Replace(head, "a", "z", 1) + "Transfer-Encoding: chunked\r\n\r\n", chunk, readBody},
+		{"body without a length", head + "\r\n", strings.Repeat("x", 4096), readBody},
+		{"chunked body", head + "Transfer-Encoding: chunked\r\n\r\n", chunk, readBody},
+		{"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n4;", strings.Repeat("x", 4096), readBody},
+		{"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("X: y\r\n", 600), readBody},
+		{"long body announced", head + "Content-Length: 4000000\r\n\r\n", strings.Repeat("x", 4096), readBody},
+		{"event", head + "Transfer-Encoding: chunked\r\n\r\n", chunk, readEvents},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			repeated := []byte(c.repeated)
+			u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+				e.Write(c.first)
+				for {
+					if _, err := e.Conn.Write(repeated); err != nil {
+						return false
+					}
+				}
+			})
+			client := New(testProtocol, timer.NewSystem())
+			runtime.GC()
+			w := &memoryWatch{stop: make(chan struct{})}
+			w.stopped.Add(1)
+			go w.loop()
+			var done sync.WaitGroup
+			var exchanges []*exchange
+			for range endlessUpstreams {
+				e := &exchange{client: client, address: u.Address(), read: c.read, done: &done}
+				exchanges = append(exchanges, e)
+				done.Add(1)
+				go e.run()
+			}
+			done.Wait()
+			close(w.stop)
+			w.stopped.Wait()
+			succeeded, interrupted := 0, 0
+			for _, e := range exchanges {
+				switch {
+				case e.err == nil:
+					succeeded++
+				case errors.Is(e.err, ErrInterrupted) || c.name == "event":
+					interrupted++
+				}
+				is.True(!e.expired)
+			}
+			is.True(succeeded == 0 || c.name == "long body announced") // that one has an end
+			is.True(succeeded+interrupted >= endlessUpstreams/2)       // the others found no connection in time
+			is.True(w.largest < maxTestMemory)
+			is.Equal(client.buffered.Load(), int64(0))
+			t.Logf("largest heap %d MB", w.largest>>20)
+		})
+	}
+}
--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -9,7 +9,7 @@
 )
 
 // maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 512 << 10
 
 // initialBufferBytes is the size of a new buffer, which is doubled for longer events.
 const initialBufferBytes = 2 << 10
@@ -18,6 +18,8 @@
 // that a truncated one is never passed on.
 type EventReader struct {
 	source io.Reader
+	// reserve, if set, accounts for the memory of a larger buffer.
+	reserve func(n int) error
 	buffer []byte
 	// start and end are the bounds of the bytes that were read and not returned yet.
 	start, end int
@@ -25,7 +27,11 @@
 
 // NewEventReader returns a reader of the events of source.
 func NewEventReader(source io.Reader) *EventReader {
-	return &EventReader{source: source, buffer: make([]byte, initialBufferBytes)}
+	e := &EventReader{source: source, buffer: make([]byte, initialBufferBytes)}
+	if r, ok := source.(*Response); ok {
+		e.reserve = r.reserve
+	}
+	return e
 }
 
 // Next returns the complete events that have arrived, at least one, and the last id among
@@ -70,6 +76,11 @@
 	if len(e.buffer) >= maxEventBytes {
 		return errors.Newf("event exceeds %d bytes", maxEventBytes)
 	}
+	if e.reserve != nil && len(e.buffer) >= blockBytes {
+		if err := e.reserve(len(e.buffer)); err != nil {
+			return err
+		}
+	}
 	e.buffer = append(e.buffer, make([]byte, len(e.buffer))...)
 	return nil
 }
