entry/upstream: bound the lines of one event

Cause: an event of a stream could have any number of lines, so that an upstream that never ends an event could exhaust the memory of the entry. Change: the lines of one event, comments included, take 2 MB at most. Measured: the cases "event of endless lines" and "endless comments" of TestStreamCompleteness fail without the bound. TestSlowStreamIsCompleted and the new cases of TestStalledStreamIsCancelled (comments or bytes of an event now and then) pass on the former code too: the limit on gaps counts events.

--- a/internal/entry/upstream/client_test.go
+++ b/internal/entry/upstream/client_test.go
@@ -198,6 +198,8 @@
 		{"connection breaks after [DONE]", "v1", open + stop + done, true, false},
 		{"error event", "v1", open + `data: {"error":{"message":"x"}}` + "\n\n" + done, false, false},
 		{"wrong version", "v2", open + stop + done, false, false},
+		{"event of endless lines", "v1", strings.Repeat("data: \n", maxEventBytes/6+1) + open + stop + done, false, false},
+		{"endless comments", "v1", open + strings.Repeat(": x\n", maxEventBytes/4+1) + stop + done, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -227,16 +229,48 @@
 	}
 }
 
-// Guards against a stalled stream that blocks its caller forever, and against an
-// upstream that keeps generating after the caller left.
+// Guards against a limit on the whole stream in place of its gaps: a slow stream that goes on
+// event by event must reach its end.
+func TestSlowStreamIsCompleted(t *testing.T) {
+	is := is.New(t)
+	const events = 6
+	event := `data: {"choices":[{"index":0,"delta":{"content":"a"},"finish_reason":null}]}` + "\n\n"
+	stop := `data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}` + "\n\n"
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sendEvents(w, "v1", strings.Repeat(event, events)+stop+"data: [DONE]\n\n")
+	}))
+	defer s.Close()
+	clock := timer.NewManual()
+	cl := New(Options{Timer: clock, Limits: Limits{EventGapTimeout: time.Second, MaxRequestTimeout: time.Hour}})
+	defer cl.Close()
+	received := 0
+	_, err := cl.SendChat(context.Background(), upstreamOf(s), ChatRequest{
+		Body: []byte("{}"), RequestID: "r", Version: "v1", Stream: true,
+		OnChunk: func(*Chunk) error {
+			received++
+			clock.Advance(900 * time.Millisecond)
+			return nil
+		},
+	})
+	is.NoErr(err)
+	is.Equal(received, events+1)
+}
+
+// Guards against a stalled stream that blocks its caller forever, also if the upstream sends
+// bytes that are no event now and then, and against an upstream that keeps generating after
+// the caller left.
 func TestStalledStreamIsCancelled(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		leave bool
-		cause error
+		// between is sent again and again after the first event.
+		between string
+		cause   error
 	}{
-		{"no token in time", false, ErrEventGapTimeout},
-		{"caller leaves", true, context.Canceled},
+		{"no token in time", false, "", ErrEventGapTimeout},
+		{"comments only", false, ": wait\n\n", ErrEventGapTimeout},
+		{"bytes of an event only", false, "d", ErrEventGapTimeout},
+		{"caller leaves", true, "", context.Canceled},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -244,6 +278,10 @@
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.ReadAll(r.Body)
 				sendEvents(w, "v1", `data: {"choices":[{"index":0,"delta":{"content":"a"}}]}`+"\n\n")
+				for c.between != "" && r.Context().Err() == nil {
+					sendEvents(w, "v1", c.between)
+					time.Sleep(5 * time.Millisecond)
+				}
 				<-r.Context().Done()
 				close(ended)
 			}))
--- a/internal/entry/upstream/stream.go
+++ b/internal/entry/upstream/stream.go
@@ -12,8 +12,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxLineBytes limits the length of one line of an event stream.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes limits the length of one line of an event stream.
+	maxLineBytes = 1 << 20
+	// maxEventBytes limits the lines of one event together, comments and other fields included.
+	maxEventBytes = 2 << 20
+)
 
 // Chunk is one event of a streamed response.
 type Chunk struct {
@@ -201,8 +205,12 @@
 // ends between two events.
 func readEvent(lines *bufio.Reader) (data []byte, err error) {
 	hasData := false
+	size := 0
 	for {
 		line, err := readLine(lines)
+		if size += len(line) + 1; size > maxEventBytes {
+			return nil, errors.New("event of the stream exceeds the size limit")
+		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && hasData {
 				err = io.ErrUnexpectedEOF
