gateway/caller: check the permission right before each write

Cause: the key and the lease on the layout were checked at the admission of a request only. A process that was paused afterwards, or a request that an upstream refused seconds later, was sent with a key that had been withdrawn or a lease that had ended; the time left was computed before the connection was opened. Change: once the connection is open, immediately before the request is written, the key must be valid in the current layout, the lease must hold, no newer layout may be overdue and time must be left. Else nothing is sent and the caller is told that the request has not run.

--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -31,6 +31,9 @@
 	minRemaining = 60 * time.Millisecond
 )
 
+// errPermissionExpired means that the request may no longer be sent to an upstream.
+var errPermissionExpired = errors.New("permission to send the request has expired")
+
 // action is what to do with a request after an exchange.
 type action int
 
@@ -108,7 +111,7 @@
 // the number of dispatches before e. It may spend retry budget.
 func (q *request) canRetry(a action, e *exchange, dispatched int) bool {
 	switch {
-	case q.ctx.Err() != nil || q.remaining() < minRemaining || dispatched+1 >= maxDispatches:
+	case q.ctx.Err() != nil || q.remaining() < minRemaining || dispatched+1 >= maxDispatches || q.permissionExpired:
 		return false
 	case a == actionRetryExecuted && !q.route.Retryable():
 		return false
@@ -140,6 +143,8 @@
 		q.failRequest(http.StatusGatewayTimeout, "no answer within the time limit")
 	case q.executions > 0:
 		q.failRequest(http.StatusBadGateway, "the upstream did not answer")
+	case q.permissionExpired:
+		q.reject(http.StatusServiceUnavailable, "configuration or key changed before an upstream took the request", retryAfterLeaderChange)
 	case q.remaining() < minRemaining:
 		q.reject(http.StatusServiceUnavailable, "time limit passed before an upstream took the request", 0)
 	case refused:
@@ -199,10 +204,38 @@
 	return true
 }
 
+// beforeSend checks that the request may still be sent and tells the upstream the time that is
+// left. The process may have been paused since the request was admitted or the connection
+// was opened.
+func (e *exchange) beforeSend() error {
+	remaining := e.remaining()
+	switch {
+	case remaining <= 0:
+		return errTimeout
+	case !e.keyValid() || e.View.LayoutOutdated():
+		e.permissionExpired = true
+		return errPermissionExpired
+	}
+	e.upstreamHeader.Set(e.Protocol.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	return nil
+}
+
+// keyValid reports whether the key of the request is still valid in the current layout.
+func (q *request) keyValid() bool {
+	if q.client == nil {
+		return true
+	}
+	current := q.View.Layout()
+	if !q.View.LayoutConfirmed(current) {
+		return false
+	}
+	holder := current.Client(q.key)
+	return holder != nil && holder.Name == q.client.Name
+}
+
 // buildRequest builds the request to the upstream.
 func (e *exchange) buildRequest() *upstream.Request {
 	h := e.upstreamHeader
-	h.Set(e.Protocol.Deadline, strconv.FormatInt(max(e.remaining().Milliseconds(), 1), 10))
 	h.Set(e.Protocol.ExpectedUpstream, e.target.ID)
 	if e.client != nil {
 		h.Set(e.Protocol.Account, string(e.client.Name))
@@ -216,6 +249,7 @@
 	return &upstream.Request{
 		ID: e.id, Method: e.request.httpRequest.Method, URI: e.request.httpRequest.RequestURI, Host: e.request.httpRequest.Host,
 		Header: h, Body: e.request.body, NewConnection: e.route.Kind == layout.NonIdempotent,
+		BeforeSend: e.beforeSend,
 	}
 }
 
@@ -325,7 +359,7 @@
 	e.log("exchange broke off", zap.String("upstream", e.target.ID), zap.String("address", e.target.Address), journal.Error(err), journal.NamedError("cause", cause))
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
-		if cause == nil {
+		if cause == nil && !errors.Is(err, errPermissionExpired) && !errors.Is(err, errTimeout) {
 			e.outcome = balancer.Unreachable
 		}
 		return actionRetryNotExecuted
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -150,6 +150,7 @@
 	route          *layout.Route
 	service        layout.Service
 	client         *layout.Client
+	key            string // of the client account
 	body           []byte
 	fingerprint    uint64
 	timeout        time.Duration // from the arrival
@@ -160,6 +161,10 @@
 	modelIndex     int // index of the selected model in the route's list
 	priority       int
 
+	// permissionExpired is true if an exchange did not begin because the key or the layout was
+	// no longer valid.
+	permissionExpired bool
+
 	executions int // exchanges in which the upstream executed or may have executed the request
 
 	// The state of the response to the caller.
@@ -256,6 +261,7 @@
 	if q.client = q.layout.Client(key); q.client == nil {
 		return q.reject(http.StatusUnauthorized, "key is not known", 0)
 	}
+	q.key = key
 	if q.client.Priority >= 0 {
 		q.priority = q.client.Priority
 	}
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -21,7 +21,7 @@
 // ReadAll as ErrInterrupted.
 var (
 	// ErrNotSent means that no byte of the request was sent.
-	ErrNotSent = errors.New("no connection to the upstream")
+	ErrNotSent = errors.New("request was not sent")
 	// ErrInterrupted means that the request was or may have been sent, and that its outcome
 	// is unknown.
 	ErrInterrupted = errors.New("exchange with the upstream was interrupted")
@@ -64,6 +64,9 @@
 	Body   []byte
 	// NewConnection requires a connection that was not used before.
 	NewConnection bool
+	// BeforeSend, if set, is called once the connection is open, immediately before the
+	// request is written. It may change Header. If it fails, nothing is sent.
+	BeforeSend func() error
 }
 
 // Client sends requests and pools idle connections. It is safe for concurrent use.
@@ -128,6 +131,12 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNotSent)
 	}
+	if q.BeforeSend != nil {
+		if err := q.BeforeSend(); err != nil {
+			discard(cn)
+			return nil, errors.Mark(err, ErrNotSent)
+		}
+	}
 	r = &Response{client: c, address: address, conn: cn}
 	r.stopAbort = context.AfterFunc(ctx, cn.abort)
 	defer func() {
--- a/internal/gateway/upstream/client_test.go
+++ b/internal/gateway/upstream/client_test.go
@@ -230,3 +230,27 @@
 type endlessReader struct{ event string }
 
 func (r *endlessReader) Read(b []byte) (int, error) { return copy(b, r.event), nil }
+
+// Guards against a request that is sent although the check right before the write fails, and
+// against one that counts as sent then.
+func TestBeforeSend(t *testing.T) {
+	is := is.New(t)
+	u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+		e.Write(response(e.Request.Header.Get("Request-Id"), "x"))
+		return true
+	})
+	client := New(testProtocol, timer.NewSystem())
+	denied := errors.New("denied")
+	q := newRequest("a")
+	q.BeforeSend = func() error { return denied }
+	_, err := send(client, u.Address(), q)
+	is.True(errors.Is(err, ErrNotSent) && errors.Is(err, denied))
+	q.BeforeSend = func() error {
+		q.Header.Set("Deadline", "7")
+		return nil
+	}
+	_, err = send(client, u.Address(), q)
+	is.NoErr(err)
+	is.Equal(len(u.Requests()), 1)
+	is.Equal(u.Requests()[0].Request.Header.Get("Deadline"), "7")
+}
--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -20,7 +20,7 @@
 	source io.Reader
 	// reserve, if set, accounts for the memory of a larger buffer.
 	reserve func(n int) error
-	buffer []byte
+	buffer  []byte
 	// start and end are the bounds of the bytes that were read and not returned yet.
 	start, end int
 }
