platform: acknowledge a leave once the leader knows of it

Cause: an instance acknowledged that an upstream drains or has left before it had reported so. If it ended right after, the other instances kept the upstream in use until its heartbeats were missed for 6 s.

--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -206,3 +206,35 @@
 	d.proposeLayout(3, 5)
 	d.eventually("layout 5 with two of three", d.layoutConfirmed(5))
 }
+
+// Guards against a leave of an upstream that is lost with the instance that heard it: the
+// instance is stopped right after the leader is said to know of the leave.
+func TestLeaveOutlivesInstance(t *testing.T) {
+	d := newDeployment(t, 3, 5)
+	d.proposeLayout(4, 7)
+	d.eventually("layout 7 everywhere", d.layoutConfirmed(7))
+	inUse := func(i int) bool { return len(d.running[i].instance.View.Table().Services["s"]) > 0 }
+	announce := func(i int, sequence uint64, stage wire.Stage) {
+		d.running[i].instance.View.ApplyAnnouncement(&wire.Upstream{Id: "u", Born: 1, Sequence: sequence, Address: "10.0.0.1:1", Service: "s", Stage: stage})
+	}
+	announce(3, 1, wire.Stage_STAGE_READY)
+	for i := range d.running {
+		d.eventually("upstream known", func() bool { return inUse(i) })
+	}
+	announce(4, 2, wire.Stage_STAGE_LEFT)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	d.NoErr(d.running[4].instance.Client.WaitReported(ctx))
+	d.stop(4)
+	for i := range 4 {
+		d.eventually("upstream left", func() bool { return !inUse(i) })
+	}
+	// Without a leader nothing is confirmed.
+	for i := range 3 {
+		d.stop(i)
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	d.running[3].instance.View.HoldSessions("s", 1)
+	d.True(d.running[3].instance.Client.WaitReported(ctx) != nil)
+}
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,6 +70,11 @@
 	finder      *finder
 	// layoutCommitted has a value if the replica of this instance may hold a newer layout.
 	layoutCommitted chan struct{}
+
+	mu sync.Mutex
+	// reportWaiters are closed when what was queued before them has been delivered.
+	reportWaiters []chan struct{}
+	reportNow     chan struct{} // has a value if there are new waiters
 }
 
 // NewClient returns a client. It starts to poll and report in Run.
@@ -76,6 +82,7 @@
 	return &Client{
 		options: o, connections: newConnections(o.Timer, o.PeerToken),
 		finder: newFinder(o.Self, o.Seeds, o.Timer), layoutCommitted: make(chan struct{}, 1),
+		reportNow: make(chan struct{}, 1),
 	}
 }
 
@@ -183,6 +190,35 @@
 // reporter sends the pending reports of the view to the leader.
 type reporter struct{ *Client }
 
+// WaitReported sends the pending report at once and waits until the leader has everything that
+// was queued in the view before the call. Otherwise the knowledge of this instance is lost
+// with its process.
+func (c *Client) WaitReported(ctx context.Context) error {
+	delivered := make(chan struct{})
+	c.mu.Lock()
+	c.reportWaiters = append(c.reportWaiters, delivered)
+	c.mu.Unlock()
+	select {
+	case c.reportNow <- struct{}{}:
+	default:
+	}
+	select {
+	case <-delivered:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(context.Cause(ctx), "report not delivered")
+	}
+}
+
+// takeReportWaiters returns the waiters and clears the list.
+func (c *Client) takeReportWaiters() []chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.reportWaiters
+	c.reportWaiters = nil
+	return w
+}
+
 // loop sends a report at each interval, and at once after an urgent change.
 func (r *reporter) loop(ctx context.Context) error {
 	ticks := r.options.Timer.Subscribe(reportInterval)
@@ -193,6 +229,7 @@
 			return nil
 		case <-ticks.C:
 		case <-r.options.View.UrgentReport():
+		case <-r.reportNow:
 		}
 		if err := r.report(ctx); err != nil {
 			r.options.Log.Debug("could not deliver report", journal.Error(err))
@@ -203,9 +240,22 @@
 	}
 }
 
-// report sends the pending report, if there is one. A report that cannot be delivered is queued
-// again.
-func (r *reporter) report(ctx context.Context) error {
+// report sends the pending report, if there is one, and tells those who wait for it. A report
+// that cannot be delivered is queued again, and so are they.
+func (r *reporter) report(ctx context.Context) (err error) {
+	// What was queued before a waiter is in this report or was delivered with an earlier one.
+	waiters := r.takeReportWaiters()
+	defer func() {
+		if err != nil {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.reportWaiters = append(waiters, r.reportWaiters...)
+			return
+		}
+		for _, w := range waiters {
+			close(w)
+		}
+	}()
 	n := r.options.View.TakeReport()
 	if n == nil {
 		return nil
