gateway/canary: promote a good version earlier before the end of its roll-out

Cause: with an exposure limit of 0.0975 a good version was promoted 0.4 s before the end of a roll-out of 24 s and 0.3 s before that of one of 16 s. Change: the phase with all traffic takes up to 0.47 of the exposure limit instead of 0.42, and the promotion comes 0.8 s before the end where the limit allows. TestSchedule fails on the former code for 16 s and 0.0975.

--- a/internal/gateway/canary/canary.go
+++ b/internal/gateway/canary/canary.go
@@ -32,16 +32,25 @@
 // Parts of the exposure limit, which bounds the part of all requests during the roll-out
 // that a bad version may get. Some versions fail only once they get all traffic, so the
 // limit must hold even if no failure was seen before. The canary phase uses about a third
-// of it, and the phase with all traffic less than a half, since a burst of requests may
-// fall into that phase.
+// of it, and the phase with all traffic about a half, since a burst of requests may fall into
+// that phase.
 const (
-	canaryExposure = 0.35
-	fullExposure   = 0.42
+	canaryExposure  = 0.35
+	minFullExposure = 0.42
+	maxFullExposure = 0.47
 )
 
-// promoteAfter is the part of the phase with all traffic after which the former version is
-// no longer needed: its short responses are complete, and streams can be resumed.
-const promoteAfter = 0.55
+const (
+	// promoteReserve is the time before the end of the roll-out at which it is promoted. The
+	// decision, its commit and its way to all instances take up to 400 ms, and an operator who
+	// reads the state in intervals must still see it in time.
+	promoteReserve = 800 * time.Millisecond
+	// minFullTime is how long a version gets all traffic before it is promoted: then the short
+	// responses of the former version are complete, and streams can be resumed. A short
+	// roll-out keeps at least minFullPart of the phase.
+	minFullTime = 450 * time.Millisecond
+	minFullPart = 0.35
+)
 
 // sessionCollection is the time in which the instances report which sessions within the
 // canary share already run on the former version. They stay on it, since a session keeps
@@ -121,10 +130,12 @@
 // New returns a roll-out that must end within the duration. exposure is the part of the
 // requests during that time that a bad version may get.
 func New(duration time.Duration, exposure float64) *Rollout {
-	allTrafficTime := time.Duration(fullExposure * exposure * float64(duration))
+	limit := exposure * float64(duration)
+	allTrafficTime := min(max(promoteReserve+minFullTime, time.Duration(minFullExposure*limit)), time.Duration(maxFullExposure*limit))
+	reserve := min(promoteReserve, time.Duration((1-minFullPart)*float64(allTrafficTime)))
 	return &Rollout{
 		duration: duration, canaryShare: Share(canaryExposure * exposure * float64(allTraffic)),
-		allTrafficAt: duration - allTrafficTime, promoteAt: duration - allTrafficTime + time.Duration(promoteAfter*float64(allTrafficTime)),
+		allTrafficAt: duration - allTrafficTime, promoteAt: duration - reserve,
 		former: map[string]*Stats{}, target: map[string]*Stats{},
 	}
 }
--- a/internal/gateway/canary/canary_test.go
+++ b/internal/gateway/canary/canary_test.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -167,3 +168,38 @@
 		})
 	}
 }
+
+// Guards against a good version that is promoted too late for an operator who reads the state
+// in intervals, and against a bad one that nothing shows until the end and that gets more
+// requests than the limit allows.
+func TestSchedule(t *testing.T) {
+	// The decision, its commit and its way to all instances take up to 400 ms.
+	const minReserve = 400 * time.Millisecond
+	for _, c := range []struct {
+		duration time.Duration
+		exposure float64
+	}{
+		{24 * time.Second, 0.0975},
+		{24 * time.Second, 0.15},
+		{16 * time.Second, 0.15},
+		{16 * time.Second, 0.0975},
+		{time.Hour, 0.1},
+	} {
+		t.Run(fmt.Sprint(c.duration, " ", c.exposure), func(t *testing.T) {
+			is := is.New(t)
+			const step = 10 * time.Millisecond
+			r := New(c.duration, c.exposure)
+			promotedAt, exposed := time.Duration(0), 0.0
+			for at := time.Duration(0); at < c.duration; at += step {
+				share, verdict, _ := r.Decide(at)
+				if verdict == Promote && promotedAt == 0 {
+					promotedAt = at
+				}
+				exposed += float64(share) / float64(allTraffic) * float64(step)
+				r.Observe("r", true, Stats{Successes: 1})
+			}
+			is.True(c.duration-promotedAt >= minReserve)
+			is.True(exposed/float64(c.duration) <= 0.85*c.exposure) // the rest is for a burst
+		})
+	}
+}
