--- a/internal/entry/upstream/client_test.go
+++ b/internal/entry/upstream/client_test.go
@@ -236,8 +236,17 @@
 	const events = 6
 	event := `data: {"choices":[{"index":0,"delta":{"content":"a"},"finish_reason":null}]}` + "\n\n"
 	stop := `data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}` + "\n\n"
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		sendEvents(w, "v1", strings.Repeat(event, events)+stop+"data: [DONE]\n\n")
+	next := make(chan struct{}, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range events {
+			sendEvents(w, "v1", event)
+			select {
+			case <-next:
+			case <-r.Context().Done():
+				return
+			}
+		}
+		sendEvents(w, "v1", stop+"data: [DONE]\n\n")
 	}))
 	defer s.Close()
 	clock := timer.NewManual()
@@ -249,6 +258,9 @@
 		OnChunk: func(*Chunk) error {
 			received++
 			clock.Advance(900 * time.Millisecond)
+			if received <= events {
+				next <- struct{}{}
+			}
 			return nil
 		},
 	})
