fleet/view, gateway/caller: split files of over 500 lines

Cause: view.go and caller_test.go had grown over 500 lines. Change: the methods on the current layout move to current.go, the tests of permissions to permission_test.go. Nothing else changes. Measured: the tests of both packages pass.

--- a/internal/gateway/caller/caller_test.go
+++ b/internal/gateway/caller/caller_test.go
@@ -63,9 +63,6 @@
 	}
 }
 
-// revokingVersion is a version of the test layout without the key of the account hill.
-const revokingVersion = 2
-
 // newFixture starts a handler. The services desk and pool have the given upstreams, in order.
 func newFixture(t testing.TB, desk, pool []*upstreamtest.Server) *fixture {
 	t.Helper()
@@ -298,64 +295,6 @@
 	f.Equal(len(u.Requests()), 1)
 }
 
-// Guards against a revoked key that keeps working at an instance that is partitioned from the
-// leader and can no longer confirm its layout.
-func TestUnconfirmedLayout(t *testing.T) {
-	u := startUpstream(t, func(e *upstreamtest.Exchange) bool { return respondSigned(e, "ok") })
-	f := newFixture(t, []*upstreamtest.Server{u}, nil)
-	f.Equal(f.do("GET", "/look/1", "").status, 200)
-	f.clock.Advance(4 * time.Second)
-	r := f.do("GET", "/look/1", "")
-	f.Equal(r.status, 503)
-	f.True(r.header.Get("Retry-After") != "")
-	f.Equal(f.do("GET", "/open/1", "").status, 200)
-}
-
-// Guards against a request that is sent although its permission ran out after its admission,
-// because the process was paused or an upstream took long to refuse it.
-func TestPermissionIsCheckedBeforeEachDispatch(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		// during is called while the first upstream holds the request.
-		during func(f *fixture)
-		path   string
-		status int
-		sent   int
-	}{
-		{"nothing changes", func(*fixture) {}, "/look/1", 200, 2},
-		{"lease ends", func(f *fixture) { f.clock.Advance(4 * time.Second) }, "/look/1", 503, 1},
-		{"lease ends, public route", func(f *fixture) { f.clock.Advance(4 * time.Second) }, "/open/1", 200, 2},
-		{"key is withdrawn", func(f *fixture) { f.NoErr(f.view.ApplyLayout(revokingVersion, nil)) }, "/look/1", 503, 1},
-		{"other layout with the key", func(f *fixture) { f.NoErr(f.view.ApplyLayout(revokingVersion+1, nil)) }, "/look/1", 200, 2},
-		{"newer layout does not arrive", func(f *fixture) {
-			f.view.ApplySync(&wire.SyncReply{Term: 1, Layout: &wire.Layout{Version: revokingVersion}}, f.clock.Now())
-			f.clock.Advance(time.Second)
-		}, "/open/1", 503, 1},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			var f *fixture
-			var mu sync.Mutex
-			requests := 0
-			handle := func(e *upstreamtest.Exchange) bool {
-				mu.Lock()
-				requests++
-				first := requests == 1
-				mu.Unlock()
-				if !first {
-					return respondSigned(e, "ok")
-				}
-				c.during(f)
-				return respond(e, 503, "", "Refused: 1")
-			}
-			f = newFixture(t, []*upstreamtest.Server{startUpstream(t, handle), startUpstream(t, handle)}, nil)
-			r := f.do("GET", c.path, "")
-			f.Equal(r.status, c.status)
-			f.Equal(requests, c.sent)
-			f.True(c.status == 200 || r.header.Get("Retry-After") != "")
-		})
-	}
-}
-
 // Guards against a resumed stream that loses, repeats or merges events, or changes its headers.
 func TestResume(t *testing.T) {
 	var mu sync.Mutex
