fleet: simplify the fetcher and the order of replicas

Cause: a last reading found a comparison written out by hand, an error that was annotated twice, a check for a function that is always set, and two comments that did not say what the code returns. Change: cmp.Compare; the error of ApplyLayout is logged as it is, without the prefix "fetched layout"; the check goes; the comments are completed. Nothing else changes.

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -52,7 +52,7 @@
 	// Layouts holds the newest layout for other instances.
 	Layouts *relay.Store
 	// CommittedLayout returns the newest committed layout in the replica of this instance, or
-	// nil. It is nil on an instance without a disk.
+	// nil before the first and on an instance without a disk.
 	CommittedLayout func() *wire.Layout
 	// KnownLeader returns the addresses of the leader and of all members of the control group
 	// as known to the replica of this instance. They are empty on an instance without a disk.
--- a/internal/fleet/peer/fetcher.go
+++ b/internal/fleet/peer/fetcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
@@ -98,7 +97,7 @@
 // awaitReplica puts the wanted layout into force once the replica of this instance has
 // applied it. It returns false if that takes too long or there is no replica.
 func (f *fetcher) awaitReplica(ctx context.Context) bool {
-	if f.options.CommittedLayout == nil || f.options.DescribeInstance().GetIdentity() == "" {
+	if f.options.DescribeInstance().GetIdentity() == "" {
 		return false
 	}
 	ctx, cancel := timer.WithTimeout(ctx, f.options.Timer, replicaWait)
@@ -114,7 +113,8 @@
 }
 
 // applyCommitted puts the layout of the replica into force if it is at least as new as the
-// one that the leader named. An instance that was restarted has an old one at first.
+// one that the leader named. An instance that was restarted has an old one at first. It
+// returns true if no newer layout is wanted any more.
 func (f *fetcher) applyCommitted() bool {
 	l := f.options.CommittedLayout()
 	wanted := f.options.View.WantedLayout()
@@ -134,7 +134,7 @@
 func (f *fetcher) apply(t *relay.Text) bool {
 	err := f.options.View.ApplyLayout(layout.Version(t.Version), t.Bytes)
 	if err != nil {
-		f.options.Log.Error("could not apply the layout", journal.Error(errors.Wrap(err, "fetched layout")))
+		f.options.Log.Error("could not apply the layout", journal.Error(err))
 	}
 	return err == nil
 }
--- a/internal/fleet/relay/tree.go
+++ b/internal/fleet/relay/tree.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -73,13 +74,6 @@
 		return strings.Compare(a.GetName(), b.GetName())
 	})
 	rank := func(i *wire.Instance) uint64 { return xxhash.Sum64String(self.GetName() + "\x00" + i.GetName()) }
-	slices.SortFunc(replicas, func(a, b *wire.Instance) int {
-		if ra, rb := rank(a), rank(b); ra < rb {
-			return -1
-		} else if ra > rb {
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(replicas, func(a, b *wire.Instance) int { return cmp.Compare(rank(a), rank(b)) })
 	return zone, replicas
 }
