bench/soak, gateway/caller, gateway/balancer: failing tests of pauses that upstreams ask for

The check of the soak allowed three requests for each instance, summed over all of them, so that one instance could break the rule while the others kept it. Change: the soak counts each pair of upstream and instance; its proxies connect with the address of the instance, so that upstreams see who sends. A disturbance excuses only the instance or upstream that it is on. Some pauses last 90 s and their upstreams are replaced.

--- a/internal/bench/soak/injector.go
+++ b/internal/bench/soak/injector.go
@@ -264,6 +264,11 @@
 	} else {
 		u.beginDraining()
 	}
+	in.stopDrained(ctx, r, u)
+}
+
+// stopDrained deregisters an upstream that drains, and stops it.
+func (in *injector) stopDrained(ctx context.Context, r *rand.Rand, u *simulatedUpstream) {
 	d := in.options.Dialect.DrainDelay()
 	in.sleepRandom(ctx, r, d+time.Second, d+3*time.Second)
 	u.mu.Lock()
--- a/internal/bench/soak/instance.go
+++ b/internal/bench/soak/instance.go
@@ -25,6 +25,8 @@
 	process  *cluster.Process
 	stops    int  // how often the process was killed or terminated
 	reserved bool // for a fault in progress
+	// reservationChanged is when reserved was last set or cleared.
+	reservationChanged timer.Instant
 }
 
 // reserve reserves the instance for one fault. It returns false if it is reserved already.
@@ -34,7 +36,7 @@
 	if i.reserved {
 		return false
 	}
-	i.reserved = true
+	i.reserved, i.reservationChanged = true, i.soak.options.Timer.Now()
 	return true
 }
 
@@ -42,7 +44,7 @@
 func (i *instance) release() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.reserved = false
+	i.reserved, i.reservationChanged = false, i.soak.options.Timer.Now()
 }
 
 // start writes the settings file and starts the process. initial is set when the whole deployment
--- a/internal/bench/soak/partition.go
+++ b/internal/bench/soak/partition.go
@@ -185,6 +185,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.partition != nil {
+		p.formerPartition, p.partitionEnded = p.partition, p.timer.Now()
+	}
 	p.partition = part
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/internal/bench/soak/upstream.go
+++ b/internal/bench/soak/upstream.go
@@ -51,6 +51,7 @@
 	drainAcknowledged timer.Instant
 	limit             statedLimit
 	announced         announcement
+	pause             requestedPause
 	brittle           *brittleness // nil unless the upstream is brittle
 }
 
@@ -180,7 +181,7 @@
 	u.checkLimit()
 	u.stateLimit(w.Header())
 	u.stateLeaving(w.Header())
-	if u.refuseInPause(w.Header()) {
+	if u.refuseInPause(w.Header(), r.RemoteAddr) {
 		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/gateway/balancer/pause_test.go
+++ b/internal/gateway/balancer/pause_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -55,3 +56,56 @@
 	clock.Advance(time.Second)
 	is.True(b.PauseOver(c))
 }
+
+// Guards against requests in the pause of a brittle upstream by an instance without a share of it,
+// which sends one request at a time there.
+func TestPauseWithoutShare(t *testing.T) {
+	is := is.New(t)
+	b, clock := newBalancer(1)
+	b.Share = func(string, int) int { return 0 }
+	c := newCandidates(1)
+	b.SetBrittle(c[0].ID, true)
+	b.Pause(c[0].ID, c[0].Born, 10*time.Second)
+	for range 12 {
+		is.Equal(fill(b, c), 0)
+		clock.Advance(700 * time.Millisecond)
+	}
+	clock.Advance(10 * time.Second)
+	is.Equal(fill(b, c), 1)
+}
+
+// Guards against a request that was selected before a pause, or before another request took the last
+// place at a brittle upstream.
+func TestSelectedBeforePause(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBalancer(1)
+	candidates := newCandidates(1)
+	c, ok := b.Pick(candidates, Prefix{}, nil)
+	is.True(ok)
+	b.Pause(c.ID, c.Born, time.Second)
+	is.True(!b.TryRequest(c))
+}
+
+// Guards against a late response of a former incarnation that ends the pause of the present one.
+func TestPauseOfFormerIncarnation(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBalancer(1)
+	c := newCandidates(1)
+	c[0].Born = 2
+	b.Pause(c[0].ID, 2, 2*time.Second)
+	b.Pause(c[0].ID, 1, 5*time.Second)
+	is.Equal(fill(b, c), 0)
+}
+
+// Guards against pauses that are lost when the state of idle upstreams is dropped.
+func TestPauseSurvivesEviction(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBalancer(1)
+	c := newCandidates(1)
+	b.Pause(c[0].ID, c[0].Born, 10*time.Second)
+	for i := range 3 * maxTracked {
+		b.ReportLoad(fmt.Sprint("other", i), 1, 0)
+	}
+	is.Equal(fill(b, c), 0)
+	is.True(len(b.upstreams) <= 2*maxTracked)
+}
--- /dev/null
+++ b/internal/gateway/caller/before_send_test.go
@@ -0,0 +1,112 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
+	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
+)
+
+// fingerprintOf returns the fingerprint of a request of the account hill.
+func fingerprintOf(f *fixture, method, path, body string) uint64 {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Host, r.RequestURI = "h", path
+	q := &request{Handler: f.handler, httpRequest: r, client: testLayout().Clients[0], body: []byte(body)}
+	return q.computeFingerprint()
+}
+
+// Guards against requests that were placed before an upstream stated a condition, waited for their
+// connection and were sent in spite of it.
+func TestConditionsAreCheckedBeforeSending(t *testing.T) {
+	const requests = 5
+	for _, c := range []struct {
+		name string
+		// during is called while the requests wait for connections.
+		during func(f *fixture)
+		sent   int
+		reason string // of the refusals
+	}{
+		{"nothing changes", func(*fixture) {}, requests, ""},
+		{"pause", func(f *fixture) { f.handler.Balancer.Pause("desk0", 1, 10*time.Second) }, 0, "pause"},
+		{"pause of another incarnation", func(f *fixture) { f.handler.Balancer.Pause("desk0", 0, 10*time.Second) }, requests, ""},
+		{"brittle and has refused a request", func(f *fixture) {
+			f.handler.Balancer.ReportCondition("desk0", true, true)
+		}, 0, "full"},
+		{"limit", func(f *fixture) { f.view.RecordLimit("desk0", permit.Limit{Born: 1, Rate: 1}) }, 0, "limit"},
+		{"leave", func(f *fixture) { f.view.RecordLeaving("desk0", 1) }, 0, "upstream"},
+		{"request is quarantined", func(f *fixture) {
+			var list []uint64
+			for n := range requests {
+				list = append(list, fingerprintOf(f, "GET", "/look/"+strconv.Itoa(n), ""))
+			}
+			f.view.ApplySync(&wire.SyncReply{Term: 1, Quarantined: list}, f.clock.Now())
+		}, 0, "crashed"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			u := startUpstream(t, func(e *upstreamtest.Exchange) bool { return respondSigned(e, "ok") })
+			// Direct connections hang, so that the requests wait for one through another instance.
+			f := newFixture(t, []*upstreamtest.Server{upstreamtest.At(partitionedAddress(t, "hang"))}, nil)
+			helper := newFixture(t, []*upstreamtest.Server{u}, nil)
+			waiting, released := make(chan struct{}, requests), make(chan struct{})
+			linkThrough(t, f, helper, func(ctx context.Context, address string) (net.Conn, error) {
+				waiting <- struct{}{}
+				<-released
+				return upstream.Dialer{}.Dial(ctx, address)
+			})
+			results := make([]result, requests)
+			var running sync.WaitGroup
+			for n := range requests {
+				running.Go(func() { results[n] = f.do("GET", "/look/"+strconv.Itoa(n), "", "Request-Id", "r"+strconv.Itoa(n)) })
+			}
+			for range requests {
+				<-waiting
+			}
+			c.during(f)
+			close(released)
+			running.Wait()
+			f.Equal(len(u.Requests()), c.sent)
+			for _, r := range results {
+				f.Equal(r.status == 200, c.sent > 0)
+				f.True(strings.Contains(r.body, c.reason) || c.sent > 0)
+			}
+		})
+	}
+}
+
+// Guards against an upstream that asks an instance for a pause and gets requests of other instances
+// through it, each of which learns of the pause by a request of its own.
+func TestPauseOfUpstreamBehindTunnels(t *testing.T) {
+	const instances = 12
+	list, servers := startAnnouncing(t, 1)
+	helper := newFixture(t, servers, nil)
+	var behind []*fixture
+	for range instances {
+		f := newFixture(t, []*upstreamtest.Server{upstreamtest.At(partitionedAddress(t, "refused"))}, nil)
+		linkInstances(t, f, helper)
+		behind = append(behind, f)
+	}
+	list[0].set(503, "Refused: 1", "Retry-After: 3")
+	asked := time.Now()
+	for i, f := range behind {
+		r := f.do("GET", "/look/1", "", "Request-Id", "r"+strconv.Itoa(i))
+		f.Equal(r.status, 503)
+		f.True(strings.Contains(r.body, "not run"))
+		time.Sleep(150 * time.Millisecond)
+	}
+	helper.True(countSince(&list[0].limitingUpstream, asked.Add(500*time.Millisecond), time.Now()) <= 2)
+	list[0].set(200)
+	time.Sleep(time.Until(asked.Add(4200 * time.Millisecond)))
+	for i, f := range behind {
+		f.Equal(f.do("GET", "/look/1", "", "Request-Id", "s"+strconv.Itoa(i)).status, 200)
+	}
+}
