gateway/balancer: check the pause of an upstream wherever a request is admitted

Callers saw 503 and the upstream got requests in its pause: an instance without a share of a brittle upstream sends one request at a time there, and looked at the end of the refusal pause alone; and a request that had been selected before the pause was admitted if nothing else was in flight. Cause: the condition was checked where candidates are filtered, not on the two ways past the filter. Change: spare and TryRequest ask the same predicates, which include the pause.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -422,7 +422,7 @@
 func (b *Balancer) TryRequest(c Candidate) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.state(c.ID); s.inflight > 0 && !b.hasRoom(c, b.timer.Now()) {
+	if now := b.timer.Now(); !b.hasRoom(c, now) && !b.isSpare(c, now) {
 		return false
 	}
 	b.requestSent(c.ID)
--- a/internal/gateway/balancer/brittle.go
+++ b/internal/gateway/balancer/brittle.go
@@ -108,11 +108,10 @@
 // instances than slots: a random one, for one request at a time. b.mu must be held.
 func (b *Balancer) spare(candidates []Candidate, now timer.Instant) (out []Candidate) {
 	for _, c := range candidates {
-		u := b.state(c.ID)
-		if u.brittle == nil || b.Share == nil || b.Share(c.ID, c.Slots) > 0 || u.inflight > 0 {
+		if !b.hasNoShare(c) || b.state(c.ID).inflight > 0 {
 			return nil
 		}
-		if !now.Before(u.brittle.pausedUntil) {
+		if b.isSpare(c, now) {
 			out = append(out, c)
 		}
 	}
@@ -123,6 +122,19 @@
 	return out[i : i+1]
 }
 
+// hasNoShare reports whether a candidate is brittle and this instance has no share of it. b.mu must
+// be held.
+func (b *Balancer) hasNoShare(c Candidate) bool {
+	return b.state(c.ID).brittle != nil && b.Share != nil && b.Share(c.ID, c.Slots) <= 0
+}
+
+// isSpare reports whether a candidate takes the one request of an instance without a share of it.
+// b.mu must be held.
+func (b *Balancer) isSpare(c Candidate, now timer.Instant) bool {
+	u := b.state(c.ID)
+	return b.hasNoShare(c) && u.inflight == 0 && !now.Before(u.brittle.pausedUntil) && u.pauseAllows(c, now)
+}
+
 // Vacated returns a channel that is closed when a request ends whose upstream is brittle or has asked
 // for a pause.
 func (b *Balancer) Vacated() <-chan struct{} {
