gateway/balancer: keep the state of upstreams that pause or are brittle

An upstream that pauses has no requests in flight, so its state was the first to go when an instance tracked 4096 upstreams, and requests reached it in its pause. Cause: eviction took all that is known of an upstream for a hint that comes back with the next response. Change: what an upstream has stated stays. The number at which states are evicted grows with those that stay, so that one new upstream does not search them all.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -63,7 +63,7 @@
 	// failureHalfLife is the time in which a failure rate halves without new outcomes, so
 	// that an upstream that failed is tried again.
 	failureHalfLife = 4 * time.Second
-	// maxTracked is the number of tracked upstreams from which the idle ones are evicted,
+	// maxTracked is the number of tracked upstreams at which the idle ones are evicted first,
 	// since some of them may no longer exist.
 	maxTracked = 4096
 	// coldLoadFactor scales the load of an upstream that is slow after its start.
@@ -141,18 +141,19 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	upstreams map[string]*upstreamState
+	evictAt   int // number of tracked upstreams at which the idle ones are evicted
 }
 
 // New returns a balancer, which must be the only user of random.
 func New(zone string, t timer.Service, random *rand.Rand) *Balancer {
-	return &Balancer{Zone: zone, timer: t, random: random, upstreams: map[string]*upstreamState{}, vacated: make(chan struct{})}
+	return &Balancer{Zone: zone, timer: t, random: random, upstreams: map[string]*upstreamState{}, evictAt: maxTracked, vacated: make(chan struct{})}
 }
 
 // state returns the state of an upstream, a new one if the upstream is not tracked yet.
 func (b *Balancer) state(id string) *upstreamState {
 	s := b.upstreams[id]
 	if s == nil {
-		if len(b.upstreams) >= maxTracked {
+		if len(b.upstreams) >= b.evictAt {
 			b.evictIdle()
 		}
 		s = &upstreamState{}
@@ -161,14 +162,16 @@
 	return s
 }
 
-// evictIdle drops the state of upstreams without a request in flight. Those that still
-// exist report their load again with their next response.
+// evictIdle drops the state of upstreams without a request in flight and without a time in which they
+// want none. Those that still exist report their load again with their next response.
 func (b *Balancer) evictIdle() {
+	now := b.timer.Now()
 	for id, s := range b.upstreams {
-		if s.inflight == 0 {
+		if s.inflight == 0 && s.brittle == nil && (s.pause == nil || !now.Before(s.pause.end)) {
 			delete(b.upstreams, id)
 		}
 	}
+	b.evictAt = max(maxTracked, 2*len(b.upstreams))
 }
 
 // ReportLoad records a load that an upstream reported to this instance.
