gateway/balancer, gateway/caller: keep the pause of the present incarnation, and log its age

A late response of a former incarnation replaced the pause of the present one, so that requests went to an upstream that had asked for a pause. The log did not tell how long an upstream had been pausing when it refused another request, which distinguishes requests that passed the choice of the upstream. Change: a pause is replaced by one of the same incarnation that ends later, or of a later one. The log states the value as it was read and for how long the upstream has been pausing. The head of a response is read apart from the exchange that it answers.

--- a/internal/gateway/balancer/pause.go
+++ b/internal/gateway/balancer/pause.go
@@ -16,19 +16,31 @@
 // pause is the time in which an incarnation of an upstream wants no requests of this instance.
 type pause struct {
 	born    int64
+	begin   timer.Instant
 	end     timer.Instant
 	endSeen bool // PauseOver has reported the end
 }
 
 // Pause stops requests to an incarnation of an upstream for some time, unless a longer pause has
-// begun.
-func (b *Balancer) Pause(id string, born int64, d time.Duration) {
+// begun or a later incarnation has asked for one. It returns for how long the incarnation has been
+// pausing.
+func (b *Balancer) Pause(id string, born int64, d time.Duration) (since time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, end := b.state(id), b.timer.Now().Add(d)
-	if s.pause == nil || s.pause.born != born || s.pause.end.Before(end) {
-		s.pause = &pause{born: born, end: end}
+	s, now := b.state(id), b.timer.Now()
+	begin, end := now, now.Add(d)
+	if p := s.pause; p != nil && p.born == born && now.Before(p.end) {
+		begin = p.begin
 	}
+	if p := s.pause; p == nil || p.born < born || p.born == born && p.end.Before(end) {
+		s.pause = &pause{born: born, begin: begin, end: end}
+	}
+	return now.Sub(begin)
+}
+
+// pausing reports whether an incarnation wants no requests now.
+func (s *upstreamState) pausing(born int64, now timer.Instant) bool {
+	return s.pause != nil && s.pause.born == born && now.Before(s.pause.end)
 }
 
 // pauseAllows reports whether the pause of a candidate, if there was one, allows another request.
@@ -47,17 +59,34 @@
 	return since >= 0 && s.inflight <= int(since/pauseRampStep)
 }
 
+// Closed returns how long an incarnation of an upstream wants no requests of this instance, whichever
+// was selected before: because of a pause or, if it is brittle, of a refusal. 0 means that it takes
+// requests.
+func (b *Balancer) Closed(id string, born int64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, now := b.upstreams[id], b.timer.Now()
+	left := time.Duration(0)
+	if s != nil && s.pausing(born, now) {
+		left = s.pause.end.Sub(now)
+	}
+	if s != nil && s.brittle != nil && now.Before(s.brittle.pausedUntil) {
+		left = max(left, s.brittle.pausedUntil.Sub(now))
+	}
+	return left
+}
+
 // PauseEnd returns when the first of the candidates takes requests again, if all of them pause.
 func (b *Balancer) PauseEnd(candidates []Candidate) (wait time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.timer.Now()
 	for _, c := range candidates {
-		p := b.state(c.ID).pause
-		if p == nil || p.born != c.Born || !now.Before(p.end) {
+		s := b.state(c.ID)
+		if !s.pausing(c.Born, now) {
 			return 0, false
 		}
-		if left := p.end.Sub(now); !ok || left < wait {
+		if left := s.pause.end.Sub(now); !ok || left < wait {
 			wait, ok = left, true
 		}
 	}
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -313,8 +313,9 @@
 	e.readLoad()
 	e.readLimit()
 	e.readCondition()
-	e.readLeaving()
-	e.readPause()
+	s := e.statement()
+	s.readLeaving()
+	s.readPause()
 	e.recordFirstByte()
 	if e.response.Header.Get(e.Protocol.NotExecuted) != "" || e.response.Status == http.StatusMisdirectedRequest {
 		return e.notExecuted()
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -129,7 +129,7 @@
 	running atomic.Int64 // requests in progress
 	// waitingForRoom is the number of requests that wait for a brittle upstream.
 	waitingForRoom atomic.Int64
-	// invalidLeaving holds the upstreams (upstream.Target) whose invalid leave was logged.
+	// invalidLeaving holds the incarnations of upstreams whose invalid leave was logged.
 	invalidLeaving sync.Map
 	draining       atomic.Bool
 	rejecting      atomic.Bool
--- a/internal/gateway/caller/leaving.go
+++ b/internal/gateway/caller/leaving.go
@@ -11,19 +11,25 @@
 
 // readLeaving reads whether the upstream leaves. It gets no more requests then, until a later
 // incarnation announces itself.
-func (e *exchange) readLeaving() {
-	value := e.response.Header.Get(e.Protocol.Leaving)
-	if value == "" || e.response.Status == http.StatusMisdirectedRequest {
+func (s *statement) readLeaving() {
+	value := s.header.Get(s.Protocol.Leaving)
+	if value == "" || s.status == http.StatusMisdirectedRequest {
 		return
 	}
 	if value == leavingValue {
-		if e.View.RecordLeaving(e.target.ID, e.target.Born) {
-			e.metrics.Leaves.Add(1)
-			e.log("upstream leaves", zap.String("upstream", e.target.ID), zap.Int64("born", e.target.Born))
+		if s.View.RecordLeaving(s.upstream, s.born) {
+			s.metrics.Leaves.Add(1)
+			s.log("upstream leaves", zap.String("upstream", s.upstream), zap.Int64("born", s.born))
 		}
 		return
 	}
-	if _, known := e.invalidLeaving.LoadOrStore(e.upstreamTarget(), true); !known {
-		e.log("upstream states an invalid leave", zap.String("upstream", e.target.ID), zap.Int64("born", e.target.Born), zap.String("value", value))
+	if _, known := s.invalidLeaving.LoadOrStore(incarnation{s.upstream, s.born}, true); !known {
+		s.log("upstream states an invalid leave", zap.String("upstream", s.upstream), zap.Int64("born", s.born), zap.String("value", value))
 	}
 }
+
+// incarnation identifies one start of an upstream.
+type incarnation struct {
+	upstream string
+	born     int64
+}
--- a/internal/gateway/caller/pause.go
+++ b/internal/gateway/caller/pause.go
@@ -8,22 +8,39 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/kernel/retryafter"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
 )
 
-// readPause reads how long an upstream that refused the request, or failed, wants no requests of
-// this instance.
-func (e *exchange) readPause() {
-	value := e.response.Header.Get("Retry-After")
-	if value == "" || e.response.Status != http.StatusServiceUnavailable {
+// statement is the head of a response in which an upstream may state that it leaves or wants a pause.
+type statement struct {
+	*Handler
+	upstream string
+	born     int64
+	status   int
+	header   http.Header
+	log      func(message string, fields ...zap.Field)
+}
+
+// statement returns the head of the response.
+func (e *exchange) statement() *statement {
+	return &statement{e.Handler, e.target.ID, e.target.Born, e.response.Status, e.response.Header, e.log}
+}
+
+// readPause reads how long an upstream that refused the request, or failed, wants no requests of this
+// instance.
+func (s *statement) readPause() {
+	value := s.header.Get("Retry-After")
+	if value == "" || s.status != http.StatusServiceUnavailable {
 		return
 	}
 	d, err := retryafter.Parse(value)
 	if err != nil {
-		e.log("upstream asks for an invalid pause", zap.String("upstream", e.target.ID), zap.String("value", value))
+		s.log("upstream asks for an invalid pause", zap.String("upstream", s.upstream), zap.String("value", value), journal.Error(err))
 	}
-	e.metrics.Pauses.Add(1)
-	e.Balancer.Pause(e.target.ID, e.target.Born, d)
-	e.log("upstream asks for a pause", zap.String("upstream", e.target.ID), zap.Duration("pause", d))
+	s.metrics.Pauses.Add(1)
+	since := s.Balancer.Pause(s.upstream, s.born, d)
+	s.log("upstream asks for a pause", zap.String("upstream", s.upstream), zap.Int64("born", s.born), zap.String("value", value),
+		zap.Duration("pause", d), zap.Duration("since", since))
 }
 
 // awaitPauseEnd waits for the end of a pause. It returns false if the request was refused before, or
