gateway/caller: check what an upstream has stated right before the first byte

Upstreams got requests in pauses that they had asked for: a request that was placed before the pause and then waited for its connection or a permit was sent in it. The same held for the pause after a refusal of a brittle upstream, for a limit that was stated meanwhile, and for requests quarantined meanwhile. Cause: a condition that an upstream states was checked where it was thought of, and not where every request passes right before its first byte; only leaves, permits and parts of prompts were. Change: beforeSend, in a file of its own, checks all of them. A request that finds its upstream closed has not been sent, so it costs no retry budget and may be placed on the same upstream again. A selected upstream that has no room any more leads to another choice at once instead of a wait.

--- a/internal/fleet/permit/stock.go
+++ b/internal/fleet/permit/stock.go
@@ -28,6 +28,9 @@
 // Valid reports whether the request may still be sent.
 func (p Permit) Valid(now timer.Instant) bool { return !p.limited || now.Before(p.expiresAt) }
 
+// Limited reports whether the upstream had a limit when the permit was taken.
+func (p Permit) Limited() bool { return p.limited }
+
 // Want is how many permits of an upstream the instance needs.
 type Want struct {
 	ID    string
--- /dev/null
+++ b/internal/gateway/caller/before_send.go
@@ -0,0 +1,94 @@
+package caller
+
+import (
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errQuarantined means that the request or a part of its prompt is in quarantine.
+var errQuarantined = errors.New("the request or a part of its prompt is in quarantine")
+
+// errPermissionExpired means that the request may no longer be sent to an upstream.
+var errPermissionExpired = errors.New("permission to send the request has expired")
+
+// errPermitExpired means that the permit to send the request to an upstream with a limit has expired.
+var errPermitExpired = errors.New("permit for an upstream with a limit has expired")
+
+// errUpstreamLeft means that the upstream drains or has left since it was selected.
+var errUpstreamLeft = errors.New("upstream takes no more requests")
+
+// errUpstreamClosed means that the upstream wants no requests for a time that began after it was selected.
+var errUpstreamClosed = errors.New("upstream wants no requests now")
+
+// errNoPermit means that the upstream has stated a limit since it was selected.
+var errNoPermit = errors.New("no permit for an upstream with a limit")
+
+// errNotAdmitted lists the errors of beforeSend, which say nothing about the upstream.
+var errNotAdmitted = []error{
+	errTimeout, errPermissionExpired, errQuarantined, errUpstreamLeft, errUpstreamClosed, errNoPermit, errPermitExpired,
+}
+
+// beforeSend checks right before the first byte whatever may have changed since the request was
+// admitted and its upstream selected, and tells the upstream the time that is left. The request may have
+// waited for a connection, or the process may have been paused.
+func (e *exchange) beforeSend() (err error) {
+	remaining := e.remaining()
+	if remaining <= 0 {
+		return errTimeout
+	}
+	if err = e.checkPermission(); err != nil {
+		return err
+	}
+	if err = e.checkTarget(); err != nil {
+		return err
+	}
+	e.upstreamHeader.Set(e.Protocol.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	return nil
+}
+
+// checkPermission checks that the request may run at all.
+func (e *exchange) checkPermission() error {
+	if !e.keyValid() || e.View.LayoutOutdated() {
+		e.permissionExpired = true
+		return errPermissionExpired
+	}
+	if _, ok := e.View.QuarantinedPart(e.sharedParts); ok || e.View.Quarantined(e.fingerprint) {
+		e.quarantined = true
+		return errQuarantined
+	}
+	return nil
+}
+
+// checkTarget checks what the upstream has stated: that it leaves, wants no requests for some time or
+// limits them.
+func (e *exchange) checkTarget() error {
+	if _, ok := e.View.UpstreamAddress(e.target.ID, e.target.Born); !ok {
+		return errUpstreamLeft
+	}
+	if e.Balancer.Closed(e.target.ID, e.target.Born) > 0 {
+		e.placeAgain = true
+		return errUpstreamClosed
+	}
+	if !e.permit.Limited() && e.View.RateLimited(e.target.ID, e.target.Born) {
+		e.placeAgain = true
+		return errNoPermit
+	}
+	if !e.permit.Valid(e.Timer.Now()) {
+		return errPermitExpired
+	}
+	return nil
+}
+
+// keyValid reports whether the key of the request is still valid in the current layout.
+func (q *request) keyValid() bool {
+	if q.client == nil {
+		return true
+	}
+	current := q.View.Layout()
+	if !q.View.LayoutConfirmed(current) {
+		return false
+	}
+	holder := current.Client(q.key)
+	return holder != nil && holder.Name == q.client.Name
+}
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -38,18 +38,6 @@
 	maxReportedParts = 32
 )
 
-// errQuarantined means that a part of the prompt is in quarantine.
-var errQuarantined = errors.New("a part of the prompt is in quarantine")
-
-// errPermissionExpired means that the request may no longer be sent to an upstream.
-var errPermissionExpired = errors.New("permission to send the request has expired")
-
-// errPermitExpired means that the permit to send the request to an upstream with a limit has expired.
-var errPermitExpired = errors.New("permit for an upstream with a limit has expired")
-
-// errUpstreamLeft means that the upstream drains or has left since it was selected.
-var errUpstreamLeft = errors.New("upstream takes no more requests")
-
 // action is what to do with a request after an exchange.
 type action int
 
@@ -84,6 +72,8 @@
 	failureStatus int
 	failureHeader http.Header
 	failureBody   []byte
+	// placeAgain is true if nothing was sent because the upstream had closed since it was selected.
+	placeAgain bool
 }
 
 // dispatch sends the request to one upstream after another until the caller has a response.
@@ -109,7 +99,9 @@
 		if a == actionEscalate {
 			continue
 		}
-		excluded = append(excluded, e.target.ID)
+		if !e.placeAgain {
+			excluded = append(excluded, e.target.ID)
+		}
 		if e.failureStatus > 0 {
 			failed = e
 		}
@@ -120,6 +112,10 @@
 			q.giveUp(failed, refusals > 0)
 			return
 		}
+		if e.placeAgain {
+			q.log("placed again", zap.String("upstream", e.target.ID))
+			continue
+		}
 		q.log("sent again", zap.String("upstream", e.target.ID), zap.Int("ran", q.executions), zap.Int("full", refusals), zap.Int64("position", q.lastEventID))
 		q.metrics.Retries.Add(1)
 		if q.responseStarted {
@@ -141,7 +137,7 @@
 		return false
 	case q.executions >= max(q.route.MaxAttempts, 1):
 		return false
-	case e.outcome == balancer.Unreachable:
+	case e.outcome == balancer.Unreachable || e.placeAgain:
 		return true
 	}
 	return q.Budget.AllowRetry(string(q.service), retrybudget.UpstreamFailure, q.View.InstanceCount())
@@ -165,8 +161,7 @@
 	case q.executions > 0:
 		q.failRequest(http.StatusBadGateway, "the upstream did not answer")
 	case q.quarantined:
-		p, _ := q.View.QuarantinedPart(q.sharedParts)
-		q.rejectPart(p)
+		q.rejectQuarantined()
 	case q.permissionExpired:
 		q.reject(http.StatusServiceUnavailable, "configuration or key changed before an upstream took the request", retryAfterLeaderChange)
 	case q.remaining() < minRemaining:
@@ -186,8 +181,9 @@
 func (q *request) nextExchange(excluded []string) (e *exchange, ok bool) {
 	candidates, isCanary := q.candidates()
 	target, p, ok := q.pickPermitted(candidates, isCanary, excluded)
-	for !ok || !q.Balancer.TryRequest(target) {
-		if !q.awaitRoom(candidates, excluded) {
+	for lost := 0; !ok || !q.Balancer.TryRequest(target); {
+		// A selected upstream without room was filled or closed by another request meanwhile.
+		if lost++; (!ok || lost > maxDispatches) && !q.awaitRoom(candidates, excluded) {
 			return nil, false
 		}
 		target, p, ok = q.pickPermitted(candidates, isCanary, excluded)
@@ -235,45 +231,6 @@
 	return true
 }
 
-// beforeSend checks that the request may still be sent and tells the upstream the time that is
-// left. The process may have been paused since the request was admitted or the connection
-// was opened.
-func (e *exchange) beforeSend() error {
-	remaining := e.remaining()
-	switch {
-	case remaining <= 0:
-		return errTimeout
-	case !e.keyValid() || e.View.LayoutOutdated():
-		e.permissionExpired = true
-		return errPermissionExpired
-	}
-	if _, ok := e.View.QuarantinedPart(e.sharedParts); ok {
-		e.quarantined = true
-		return errQuarantined
-	}
-	if _, ok := e.View.UpstreamAddress(e.target.ID, e.target.Born); !ok {
-		return errUpstreamLeft
-	}
-	if !e.permit.Valid(e.Timer.Now()) {
-		return errPermitExpired
-	}
-	e.upstreamHeader.Set(e.Protocol.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
-	return nil
-}
-
-// keyValid reports whether the key of the request is still valid in the current layout.
-func (q *request) keyValid() bool {
-	if q.client == nil {
-		return true
-	}
-	current := q.View.Layout()
-	if !q.View.LayoutConfirmed(current) {
-		return false
-	}
-	holder := current.Client(q.key)
-	return holder != nil && holder.Name == q.client.Name
-}
-
 // buildRequest builds the request to the upstream.
 func (e *exchange) buildRequest() *upstream.Request {
 	h := e.upstreamHeader
@@ -359,7 +316,7 @@
 		zap.Duration("sent", e.Timer.Now().Sub(e.sentAt)), zap.Duration("streamed", e.streamedFor()), zap.Array("parts", partList(e.sharedParts)))
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
-		if cause == nil && !errors.IsAny(err, errPermissionExpired, errPermitExpired, errUpstreamLeft, errQuarantined, errTimeout) {
+		if cause == nil && !errors.IsAny(err, errNotAdmitted...) {
 			e.outcome = balancer.Unreachable
 		}
 		return actionRetryNotExecuted
--- a/internal/gateway/caller/error_response.go
+++ b/internal/gateway/caller/error_response.go
@@ -54,6 +54,18 @@
 	return q.reject(http.StatusServiceUnavailable, "a part of the prompt crashed several upstreams", retryAfterQuarantine)
 }
 
+// rejectQuarantined answers a request that is in quarantine itself or because of a part of its prompt.
+// Like reject, it returns false.
+func (q *request) rejectQuarantined() bool {
+	if q.View.Quarantined(q.fingerprint) {
+		q.log("quarantined")
+		q.failRequest(http.StatusBadGateway, "request crashed several upstreams and is not run again")
+		return false
+	}
+	p, _ := q.View.QuarantinedPart(q.sharedParts)
+	return q.rejectPart(p)
+}
+
 // failRequest answers a request that was or may have been executed, without success.
 func (q *request) failRequest(status int, reason string) {
 	q.metrics.Failures.Add(1)
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -203,7 +203,7 @@
 	priority    int
 
 	// permissionExpired is true if an exchange did not begin because the key or the layout was
-	// no longer valid, and quarantined if a part of the prompt was in quarantine.
+	// no longer valid, and quarantined if it or a part of its prompt was in quarantine.
 	permissionExpired bool
 	quarantined       bool
 	// permitWait is when the first of the upstreams with a limit may have a permit again, counted
@@ -265,13 +265,8 @@
 	q.service = q.route.PickService(q.randomFloat())
 	q.readRoutingHeaders()
 	q.fingerprint = q.computeFingerprint()
-	if q.View.Quarantined(q.fingerprint) {
-		q.log("quarantined")
-		q.failRequest(http.StatusBadGateway, "request crashed several upstreams and is not run again")
-		return false
-	}
-	if p, ok := q.View.QuarantinedPart(q.sharedParts); ok {
-		return q.rejectPart(p)
+	if _, ok := q.View.QuarantinedPart(q.sharedParts); ok || q.View.Quarantined(q.fingerprint) {
+		return q.rejectQuarantined()
 	}
 	if !q.checkSession() {
 		return false
