fleet/tunnel, gateway/caller: keep pauses that upstreams ask of an instance that passes requests on

An upstream asked an instance for a pause and got requests from its address: of other instances, which it passes on. Each of them learned of the pause by a request of its own. Cause: a tunnel passed bytes on without reading them. Change: the instance that passes a response on reads its head, declines tunnels to an upstream that has closed, tells for how long, and answers a request as not run whose first byte comes later. Earlier builds ask the next instance on the new status; the answer is read by them as a refusal. TestClosedUpstream, TestUpstreamClosesBeforeRequest and TestReadResponse are new.

--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -64,7 +64,9 @@
 	OnCondition func(id string, brittle, refused bool)
 	// Partitioned reports whether this instance reaches upstreams only through others, and
 	// DialUpstream opens a connection to an upstream for another instance.
-	Partitioned  func() bool
+	Partitioned func() bool
+	// Conditions are what upstreams state to this instance.
+	Conditions   tunnel.Conditions
 	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
 	Timer        timer.Service
 	Log          *zap.Logger
@@ -106,8 +108,8 @@
 		Random: random.New(), Log: o.Log.Named("tunnel"),
 	})
 	i.Tunnels = tunnel.NewServer(tunnel.Options{
-		Token: o.PeerToken, Address: i.View.UpstreamAddress, Partitioned: o.Partitioned, Dial: o.DialUpstream, Timer: o.Timer,
-		Log: o.Log.Named("tunnel"),
+		Token: o.PeerToken, Address: i.View.UpstreamAddress, Partitioned: o.Partitioned, Conditions: o.Conditions, Dial: o.DialUpstream,
+		Timer: o.Timer, Log: o.Log.Named("tunnel"),
 	})
 	s := &peer.Server{Tunnels: i.Tunnels, PeerToken: o.PeerToken, Client: i.Client, Layouts: layouts, Log: o.Log.Named("peer"), AllowBootstrap: o.AllowBootstrap}
 	if o.DataDirectory != "" {
--- a/internal/fleet/tunnel/client.go
+++ b/internal/fleet/tunnel/client.go
@@ -56,7 +56,8 @@
 func NewClient(o ClientOptions) *Client { return &Client{options: o} }
 
 // Dial opens a connection to an incarnation of an upstream. The error is ECONNREFUSED if the
-// upstream refuses connections.
+// upstream refuses connections, and a ClosedError if it wants no requests of the instances that were
+// asked last.
 func (c *Client) Dial(ctx context.Context, id string, born int64) (n net.Conn, err error) {
 	defer func() {
 		if err != nil {
@@ -122,9 +123,5 @@
 		return nil, err
 	}
 	t := &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes)}
-	b, err := t.reader.ReadByte()
-	if err != nil {
-		return nil, err
-	}
-	return t, status(b).err()
+	return t, readStatus(t.reader)
 }
--- a/internal/fleet/tunnel/conn.go
+++ b/internal/fleet/tunnel/conn.go
@@ -3,7 +3,8 @@
 // responses stay with the instance that serves the caller.
 //
 // A connection begins with Prefix, the length of a TunnelRequest in two bytes, big-endian, and the
-// message. The reply is one status byte. The bytes of the request follow as they are; those of the
+// message. The reply is one status byte; statusClosed is followed by the time in milliseconds, in four
+// bytes. The bytes of the request follow as they are; those of the
 // response come in blocks, each after its length in two bytes. Length 0 is the end of the
 // response. A connection that ends without it was interrupted: otherwise the end of a process in
 // between would look like the end of a response that is framed by its connection.
@@ -13,8 +14,10 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"math"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -26,8 +29,9 @@
 const Prefix = "TUNNEL 1"
 
 const (
-	// lengthBytes is the size of a length.
+	// lengthBytes is the size of a length, and waitBytes that of the time after statusClosed.
 	lengthBytes = 2
+	waitBytes   = 4
 	// maxRequestBytes limits a TunnelRequest.
 	maxRequestBytes = 1 << 10
 	// blockBytes is the largest block of a response.
@@ -46,8 +50,19 @@
 	// statusDeclined: the instance does not know the upstream, is partitioned itself or serves
 	// too many tunnels.
 	statusDeclined
+	// statusClosed: the upstream wants no requests of the instance for some time. Earlier versions
+	// ask the next instance then, as for any status that they do not know.
+	statusClosed
 )
 
+// ClosedError means that an upstream wants no requests of the other instance for some time.
+type ClosedError struct{ Wait time.Duration }
+
+// Error returns the text for the log.
+func (e *ClosedError) Error() string {
+	return "the upstream wants no requests of the other instance for " + e.Wait.String()
+}
+
 // ErrDeclined means that the other instance does not open the connection.
 var ErrDeclined = errors.New("the other instance declined the connection")
 
@@ -69,6 +84,30 @@
 	return errors.Newf("unknown status %d of a tunnel", s)
 }
 
+// readStatus reads the reply to a TunnelRequest.
+func readStatus(r io.Reader) error {
+	var b [1]byte
+	if _, err := io.ReadFull(r, b[:]); err != nil {
+		return err
+	}
+	if status(b[0]) != statusClosed {
+		return status(b[0]).err()
+	}
+	var wait [waitBytes]byte
+	if _, err := io.ReadFull(r, wait[:]); err != nil {
+		return err
+	}
+	return &ClosedError{time.Duration(binary.BigEndian.Uint32(wait[:])) * time.Millisecond}
+}
+
+// reply returns the bytes of a status. wait counts for statusClosed.
+func (s status) reply(wait time.Duration) []byte {
+	if s != statusClosed {
+		return []byte{byte(s)}
+	}
+	return binary.BigEndian.AppendUint32([]byte{byte(s)}, uint32(min(wait.Milliseconds(), math.MaxUint32)))
+}
+
 // writeRequest sends the prefix and the request.
 func writeRequest(w io.Writer, q *wire.TunnelRequest) error {
 	message, err := proto.Marshal(q)
--- /dev/null
+++ b/internal/fleet/tunnel/head.go
@@ -0,0 +1,44 @@
+package tunnel
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+)
+
+// maxHeadBytes limits what is kept of a response to find the end of its head. A longer head is passed on
+// and not read.
+const maxHeadBytes = 16 << 10
+
+// responseHead collects the head of a response from the bytes that pass.
+type responseHead struct {
+	buffer []byte
+	done   bool
+}
+
+// add adds bytes of the response. It returns the head, once, when its end is among them. Interim
+// responses are skipped.
+func (h *responseHead) add(b []byte) *http.Response {
+	if h.done || len(b) == 0 {
+		return nil
+	}
+	h.buffer = append(h.buffer, b...)
+	for {
+		end := bytes.Index(h.buffer, []byte("\r\n\r\n"))
+		if end < 0 {
+			h.done = len(h.buffer) > maxHeadBytes
+			return nil
+		}
+		end += len("\r\n\r\n")
+		r, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(h.buffer[:end])), nil)
+		if err == nil && r.StatusCode < http.StatusOK {
+			h.buffer = h.buffer[end:]
+			continue
+		}
+		h.done, h.buffer = true, nil
+		if err != nil {
+			return nil // not a response; the instance that reads it will say so
+		}
+		return r
+	}
+}
--- a/internal/fleet/tunnel/server.go
+++ b/internal/fleet/tunnel/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -31,6 +32,17 @@
 // work on for nobody.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
+// Conditions are what upstreams state to this instance, whose connections tunnels use.
+type Conditions interface {
+	// Closed returns how long an upstream wants no requests of this instance; 0 if it takes some.
+	Closed(id string, born int64) time.Duration
+	// ReadResponse reads the head of a response to a request of another instance.
+	ReadResponse(id string, born int64, r *http.Response)
+	// Refusal returns the response to a request that is not sent, since the upstream has closed for
+	// some time after the tunnel was opened.
+	Refusal(wait time.Duration) []byte
+}
+
 // Options configures a server.
 type Options struct {
 	Token string
@@ -38,6 +50,7 @@
 	Address func(id string, born int64) (address string, ok bool)
 	// Partitioned reports whether this instance does not reach the upstreams itself.
 	Partitioned func() bool
+	Conditions  Conditions
 	// Dial opens a connection to an upstream.
 	Dial  func(ctx context.Context, address string) (net.Conn, error)
 	Timer timer.Service
@@ -85,6 +98,8 @@
 	server   *Server
 	instance net.Conn
 	upstream net.Conn
+	id       string // of the upstream
+	born     int64
 }
 
 // run opens the connection to the upstream and passes bytes on until either side ends it.
@@ -97,8 +112,12 @@
 		t.server.options.Log.Debug("tunnel", journal.Error(err))
 		return
 	}
-	st := t.dial(ctx, q)
-	if _, err := t.instance.Write([]byte{byte(st)}); err != nil || st != statusConnected {
+	t.id, t.born = q.GetId(), q.GetBorn()
+	st, wait := statusClosed, t.server.options.Conditions.Closed(t.id, t.born)
+	if wait == 0 {
+		st = t.dial(ctx)
+	}
+	if _, err := t.instance.Write(st.reply(wait)); err != nil || st != statusConnected {
 		if t.upstream != nil {
 			_ = t.upstream.Close()
 		}
@@ -132,9 +151,9 @@
 }
 
 // dial opens the connection to the upstream.
-func (t *tunnel) dial(ctx context.Context, q *wire.TunnelRequest) status {
+func (t *tunnel) dial(ctx context.Context) status {
 	s := t.server
-	address, ok := s.options.Address(q.GetId(), q.GetBorn())
+	address, ok := s.options.Address(t.id, t.born)
 	if !ok || s.closed.Load() || s.options.Partitioned() || s.active.Load() > maxTunnels {
 		return statusDeclined
 	}
@@ -142,7 +161,7 @@
 	defer cancel()
 	c, err := s.options.Dial(ctx, address)
 	if err != nil {
-		s.options.Log.Info("tunnel not opened", zap.String("upstream", q.GetId()), zap.String("address", address), journal.Error(err))
+		s.options.Log.Info("tunnel not opened", zap.String("upstream", t.id), zap.String("address", address), journal.Error(err))
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return statusRefused
 		}
@@ -161,11 +180,18 @@
 // requestCopier passes the bytes of the request on.
 type requestCopier struct{ *tunnel }
 
-// loop ends both connections when the instance ends its own, so that the upstream stops work.
+// loop ends both connections when the instance ends its own, so that the upstream stops work. It
+// answers a request whose first byte arrives when the upstream has closed.
 func (c *requestCopier) loop() {
 	buffer := make([]byte, blockBytes)
-	for {
+	for sent := false; ; sent = true {
 		n, err := c.instance.Read(buffer)
+		if n > 0 && !sent {
+			if wait := c.server.options.Conditions.Closed(c.id, c.born); wait > 0 {
+				c.refuse(wait)
+				break
+			}
+		}
 		if n > 0 {
 			if _, err := c.upstream.Write(buffer[:n]); err != nil {
 				break
@@ -178,13 +204,27 @@
 	c.abort()
 }
 
+// refuse answers the request in place of the upstream.
+func (c *requestCopier) refuse(wait time.Duration) {
+	c.server.options.Log.Info("request of another instance not passed on", zap.String("upstream", c.id), zap.Duration("closed", wait))
+	response := c.server.options.Conditions.Refusal(wait)
+	block := append(binary.BigEndian.AppendUint16(nil, uint16(len(response))), response...)
+	if _, err := c.instance.Write(append(block, make([]byte, lengthBytes)...)); err != nil {
+		c.server.options.Log.Debug("tunnel", journal.Error(err))
+	}
+}
+
 // copyResponse passes the bytes of the response on in blocks. It marks the end of the response
 // unless the connection to the upstream was interrupted.
 func (t *tunnel) copyResponse() {
 	defer t.abort()
 	buffer := make([]byte, lengthBytes+blockBytes)
+	head := responseHead{}
 	for {
 		n, err := t.upstream.Read(buffer[lengthBytes:])
+		if r := head.add(buffer[lengthBytes : lengthBytes+n]); r != nil {
+			t.server.options.Conditions.ReadResponse(t.id, t.born, r)
+		}
 		if n > 0 {
 			binary.BigEndian.PutUint16(buffer, uint16(n))
 			if _, err := t.instance.Write(buffer[:lengthBytes+n]); err != nil {
--- a/internal/fleet/tunnel/tunnel_test.go
+++ b/internal/fleet/tunnel/tunnel_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -27,13 +29,30 @@
 	token       string
 	zone        string
 	partitioned bool
-	hangs       bool   // it is partitioned and has not noticed yet
-	upstream    string // address; empty if it knows none
+	hangs       bool         // it is partitioned and has not noticed yet
+	upstream    string       // address; empty if it knows none
+	closed      atomic.Int64 // milliseconds for which the upstream wants no requests of the helper
+	heads       chan *http.Response
 	server      *Server
 	group       *group.Group
 	address     string
 }
 
+// Closed returns how long the upstream wants no requests of the helper.
+func (h *helper) Closed(string, int64) time.Duration {
+	return time.Duration(h.closed.Load()) * time.Millisecond
+}
+
+// ReadResponse records the head of a response.
+func (h *helper) ReadResponse(id string, born int64, r *http.Response) {
+	if id == "u" && born == 1 {
+		h.heads <- r
+	}
+}
+
+// Refusal returns the response to a request that the helper does not pass on.
+func (*helper) Refusal(wait time.Duration) []byte { return []byte("refused for " + wait.String()) }
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 }
@@ -54,9 +73,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.address = l.Addr().String()
+	h.address, h.heads = l.Addr().String(), make(chan *http.Response, 1)
 	h.server = NewServer(Options{
-		Token: h.token, Partitioned: func() bool { return h.partitioned }, Dial: h.dial, Timer: timer.NewSystem(), Log: zap.NewNop(),
+		Conditions: h,
+		Token:      h.token, Partitioned: func() bool { return h.partitioned }, Dial: h.dial, Timer: timer.NewSystem(), Log: zap.NewNop(),
 		Address: func(id string, born int64) (string, bool) {
 			return h.upstream, h.upstream != "" && id == "u" && born == 1
 		},
@@ -236,3 +256,76 @@
 		})
 	}
 }
+
+// Guards against a request through an instance that the upstream has asked for a pause, and against
+// giving up while another one may pass it on.
+func TestClosedUpstream(t *testing.T) {
+	is := is.New(t)
+	closed, open := &helper{name: "a", token: "t", zone: "z", upstream: startUpstream(t, func(*net.TCPConn) {})}, &helper{name: "b", token: "t"}
+	open.upstream = closed.upstream
+	closed.closed.Store(1500)
+	_, err := newTestClient(closed.start(t)).Dial(context.Background(), "u", 1)
+	var c *ClosedError
+	is.True(errors.As(err, &c))
+	is.Equal(c.Wait, 1500*time.Millisecond)
+	n, err := newTestClient(closed, open.start(t)).Dial(context.Background(), "u", 1)
+	is.NoErr(err)
+	is.NoErr(n.Close())
+}
+
+// Guards against a request whose tunnel was opened before the upstream asked for a pause.
+func TestUpstreamClosesBeforeRequest(t *testing.T) {
+	is := is.New(t)
+	h := &helper{name: "a", token: "t", upstream: startUpstream(t, func(c *net.TCPConn) {
+		if n, _ := c.Read(make([]byte, 1)); n > 0 {
+			t.Error("the upstream gets the request")
+		}
+	})}
+	n, err := newTestClient(h.start(t)).Dial(context.Background(), "u", 1)
+	is.NoErr(err)
+	h.closed.Store(2000)
+	_, err = io.WriteString(n, "ping")
+	is.NoErr(err)
+	response, err := io.ReadAll(n)
+	is.NoErr(err)
+	is.Equal(string(response), "refused for 2s")
+}
+
+// Guards against an instance that does not learn what upstreams state in responses that it passes on,
+// and against a response that is changed on the way.
+func TestReadResponse(t *testing.T) {
+	const head = "HTTP/1.1 503 x\r\nRetry-After: 7\r\nContent-Length: 2\r\n\r\n"
+	for _, c := range []struct {
+		name   string
+		blocks []string
+		value  string // of Retry-After as it was read; empty if nothing is read
+	}{
+		{"whole", []string{head + "ok"}, "7"},
+		{"in parts", []string{head[:9], head[9 : len(head)-3], head[len(head)-3:] + "o", "k"}, "7"},
+		{"after an interim response", []string{"HTTP/1.1 100 Continue\r\n\r\n", head + "ok"}, "7"},
+		{"no response", []string{"hello\r\n\r\n"}, ""},
+		{"endless head", []string{"HTTP/1.1 503 x\r\nA: " + strings.Repeat("x", 2*maxHeadBytes), "\r\nRetry-After: 7\r\n\r\n"}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := &helper{name: "a", token: "t", upstream: startUpstream(t, func(n *net.TCPConn) {
+				for _, b := range c.blocks {
+					_, _ = io.WriteString(n, b)
+					time.Sleep(5 * time.Millisecond)
+				}
+				_ = n.Close()
+			})}
+			n, err := newTestClient(h.start(t)).Dial(context.Background(), "u", 1)
+			is.NoErr(err)
+			response, err := io.ReadAll(n)
+			is.NoErr(err)
+			is.Equal(string(response), strings.Join(c.blocks, ""))
+			select {
+			case r := <-h.heads:
+				is.Equal(r.Header.Get("Retry-After"), c.value)
+			default:
+				is.Equal(c.value, "")
+			}
+		})
+	}
+}
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -13,6 +13,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/tunnel"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/canary"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/modelselect"
@@ -314,7 +315,13 @@
 	cause := context.Cause(e.ctx)
 	e.log("exchange broke off", zap.String("upstream", e.target.ID), zap.String("address", e.target.Address), journal.Error(err), journal.NamedError("cause", cause),
 		zap.Duration("sent", e.Timer.Now().Sub(e.sentAt)), zap.Duration("streamed", e.streamedFor()), zap.Array("parts", partList(e.sharedParts)))
+	var closed *tunnel.ClosedError
 	switch {
+	case errors.As(err, &closed) && cause == nil:
+		// The instances that could pass the request on must not.
+		e.Balancer.Pause(e.target.ID, e.target.Born, closed.Wait)
+		e.placeAgain = true
+		return actionRetryNotExecuted
 	case errors.Is(err, upstream.ErrNotSent):
 		if cause == nil && !errors.IsAny(err, errNotAdmitted...) {
 			e.outcome = balancer.Unreachable
--- a/internal/gateway/caller/partition_test.go
+++ b/internal/gateway/caller/partition_test.go
@@ -153,7 +153,7 @@
 	system := timer.NewSystem()
 	server := tunnel.NewServer(tunnel.Options{
 		Token: "t", Address: helper.view.UpstreamAddress, Partitioned: helper.handler.Upstream.Partitioned, Dial: dial,
-		Timer: system, Log: zap.NewNop(),
+		Conditions: helper.handler, Timer: system, Log: zap.NewNop(),
 	})
 	mux := drpcmigrate.NewListenMux(l, len(tunnel.Prefix))
 	listener := mux.Route(tunnel.Prefix)
