gateway/balancer: let instances return one after the other from a pause

Pauses end at the same moment on every instance that heard of one at the same time, and the ramp after a pause bounds each instance, not their sum: 90 instances sent 90 requests at once to an upstream with 16 slots. Change: each instance returns at a random moment, spread so that the first requests of all together fill a quarter of the slots in each 100 ms, within 2 s. Few instances return at once, as before.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -135,6 +135,9 @@
 	// Share returns how many of the slots of an upstream this instance may use while the upstream
 	// is brittle. If nil, it may use all.
 	Share func(upstream string, slots int) int
+	// Instances returns the number of instances that may have been asked for the same pause. It is not
+	// called with the mutex held. If nil, this is the only one.
+	Instances func() int
 
 	vacated   chan struct{} // closed and replaced when a request ends whose upstream may be short of room
 	timer     timer.Service
--- a/internal/gateway/balancer/pause.go
+++ b/internal/gateway/balancer/pause.go
@@ -11,6 +11,10 @@
 	// and another one at once for each pauseRampStep.
 	pauseRamp     = time.Second
 	pauseRampStep = 100 * time.Millisecond
+	// Instances that heard of a pause at the same time return one after the other, so that their
+	// first requests fill returnFill of the slots in each pauseRampStep, within maxReturnSpread.
+	returnFill      = 0.25
+	maxReturnSpread = 2 * time.Second
 )
 
 // pause is the time in which an incarnation of an upstream wants no requests of this instance.
@@ -18,13 +22,21 @@
 	born    int64
 	begin   timer.Instant
 	end     timer.Instant
-	endSeen bool // PauseOver has reported the end
+	// instances is the number of instances that may have been asked, and turn when this one returns
+	// after the end, as a fraction of the spread.
+	instances int
+	turn      float64
+	endSeen bool    // PauseOver has reported the end
 }
 
 // Pause stops requests to an incarnation of an upstream for some time, unless a longer pause has
 // begun or a later incarnation has asked for one. It returns for how long the incarnation has been
 // pausing.
 func (b *Balancer) Pause(id string, born int64, d time.Duration) (since time.Duration) {
+	instances := 1
+	if b.Instances != nil {
+		instances = b.Instances()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, now := b.state(id), b.timer.Now()
@@ -33,7 +45,7 @@
 		begin = p.begin
 	}
 	if p := s.pause; p == nil || p.born < born || p.born == born && p.end.Before(end) {
-		s.pause = &pause{born: born, begin: begin, end: end}
+		s.pause = &pause{born: born, begin: begin, end: end, instances: instances, turn: b.random.Float64()}
 	}
 	return now.Sub(begin)
 }
@@ -43,13 +55,23 @@
 	return s.pause != nil && s.pause.born == born && now.Before(s.pause.end)
 }
 
+// returnAt returns when requests of this instance return to the candidate that has asked for the pause.
+func (p *pause) returnAt(c Candidate) timer.Instant {
+	if p.instances < 2 {
+		return p.end
+	}
+	steps := float64(p.instances) / (returnFill * float64(max(c.Slots, 1)))
+	spread := min(time.Duration(steps*float64(pauseRampStep)), maxReturnSpread)
+	return p.end.Add(time.Duration(p.turn * float64(spread)))
+}
+
 // pauseAllows reports whether the pause of a candidate, if there was one, allows another request.
 // b.mu must be held.
 func (s *upstreamState) pauseAllows(c Candidate, now timer.Instant) bool {
 	if s.pause == nil || s.pause.born != c.Born {
 		return true
 	}
-	since := now.Sub(s.pause.end)
+	since := now.Sub(s.pause.returnAt(c))
 	if since >= pauseRamp {
 		if s.pause.endSeen {
 			s.pause = nil
@@ -82,11 +104,15 @@
 	defer b.mu.Unlock()
 	now := b.timer.Now()
 	for _, c := range candidates {
-		s := b.state(c.ID)
-		if !s.pausing(c.Born, now) {
+		p := b.state(c.ID).pause
+		if p == nil || p.born != c.Born {
+			return 0, false
+		}
+		left := p.returnAt(c).Sub(now)
+		if left <= 0 {
 			return 0, false
 		}
-		if left := s.pause.end.Sub(now); !ok || left < wait {
+		if !ok || left < wait {
 			wait, ok = left, true
 		}
 	}
@@ -98,7 +124,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.state(c.ID).pause
-	if p == nil || p.born != c.Born || p.endSeen || b.timer.Now().Before(p.end) {
+	if p == nil || p.born != c.Born || p.endSeen || b.timer.Now().Before(p.returnAt(c)) {
 		return false
 	}
 	p.endSeen = true
--- a/internal/gateway/balancer/pause_test.go
+++ b/internal/gateway/balancer/pause_test.go
@@ -109,3 +109,37 @@
 	is.Equal(fill(b, c), 0)
 	is.True(len(b.upstreams) <= 2*maxTracked)
 }
+
+// Guards against many instances that all return to an upstream at the end of the pause that it asked
+// them for, and against instances that do not return.
+func TestInstancesReturnAfterPause(t *testing.T) {
+	const length = 2 * time.Second
+	for _, c := range []struct {
+		name      string
+		instances int
+		after     time.Duration // since the end of the pause
+		least     int           // requests at once from all instances
+		most      int
+	}{
+		{"few instances", 3, 100 * time.Millisecond, 3, 16},
+		{"many instances, early", 90, 100 * time.Millisecond, 1, 16},
+		{"many instances, later", 90, maxReturnSpread, 90, 1000},
+		{"more than the spread holds", 840, 100 * time.Millisecond, 1, 100},
+		{"more than the spread holds, later", 840, maxReturnSpread, 840, 10000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			candidates, requests := newCandidates(1), 0
+			for n := range c.instances {
+				b, clock := newBalancer(uint64(n))
+				b.Instances = func() int { return c.instances }
+				b.Pause(candidates[0].ID, candidates[0].Born, length)
+				clock.Advance(length + c.after)
+				requests += min(fill(b, candidates), 10)
+			}
+			t.Logf("%d requests", requests)
+			is.True(requests >= c.least)
+			is.True(requests <= c.most)
+		})
+	}
+}
