--- a/internal/gateway/balancer/pause.go
+++ b/internal/gateway/balancer/pause.go
@@ -19,14 +19,14 @@
 
 // pause is the time in which an incarnation of an upstream wants no requests of this instance.
 type pause struct {
-	born    int64
-	begin   timer.Instant
-	end     timer.Instant
+	born  int64
+	begin timer.Instant
+	end   timer.Instant
 	// instances is the number of instances that may have been asked, and turn when this one returns
 	// after the end, as a fraction of the spread.
 	instances int
 	turn      float64
-	endSeen bool    // PauseOver has reported the end
+	endSeen   bool // PauseOver has reported the end
 }
 
 // Pause stops requests to an incarnation of an upstream for some time, unless a longer pause has
