entry/caller, entry/route: check pauses of upstreams right before the first byte

The second protocol had the same fault as the gateway: a request that waited for its connection while the upstream asked for a pause was sent to it all the same. Cause: the pause was checked at the choice of the upstream only. Change: checkDispatch, which runs right before the first byte, checks it. A completion selects another upstream; a call is refused as not run, with the end of the pause as Retry-After. Result: TestPauseBeginsBeforeRequestIsSent failed before (all three kinds were sent) and passes.

--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -26,8 +26,8 @@
 // request; 0 is the highest.
 const enginePriority = 5
 
-// errConfigChanged means that the configuration changed after an upstream was
-// selected.
+// errConfigChanged means that the configuration, or what the upstream asks for, changed after the
+// upstream was selected.
 var errConfigChanged = errors.New("the configuration changed")
 
 // placement is the version and the upstream selected for an attempt.
@@ -178,6 +178,9 @@
 	if !plan.Accepts(model, p.version, j.rolloutKey(), pinned) || !stillRegistered(c, p.selection.Upstream) || !trial && j.needsTrial(c) {
 		return errConfigChanged
 	}
+	if err := j.handler.pool.CheckPause(p.selection.Upstream); err != nil {
+		return errors.CombineErrors(errConfigChanged, err)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/entry/caller/pause_test.go
@@ -0,0 +1,48 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a request that waited for its connection while the upstream asked for a pause, and is
+// sent to it all the same.
+func TestPauseBeginsBeforeRequestIsSent(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path, body string
+		headers                  []string
+	}{
+		{"chat completion", "POST", "/v1/chat/completions", chatBody("small", false), nil},
+		{"call that may be repeated", "GET", "/v1/services/desk/bookings/1", "", nil},
+		{"call that may not be repeated", "POST", "/v1/services/desk/bookings", "{}", []string{"Idempotency-Key", "k1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeControl(poolDocument(), deskDocument())
+			engine := startEngine(t, f, "w1", "small", &fakeEngine{version: "v1", words: []string{"a"}, breakAfter: -1})
+			desk := startBookingService(t, f, "d1", nil)
+			var h *Handler
+			h, s := newHandler(t, f, func(o *Options) {
+				o.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+					for _, u := range f.config.Upstreams {
+						h.pool.Pause(u.Name, u.Incarnation, 30*time.Second)
+					}
+					return (&net.Dialer{}).DialContext(ctx, network, address)
+				}
+			})
+			r, body := send(t, c.method, s.URL+c.path, c.body, c.headers...)
+			is.Equal(r.StatusCode, 503)
+			is.True(strings.Contains(body, "not run"))
+			seconds, err := strconv.Atoi(r.Header.Get("Retry-After"))
+			is.NoErr(err)
+			is.True(seconds >= 29)
+			is.Equal(engine.requestCount()+desk.runs, 0)
+		})
+	}
+}
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -115,7 +115,7 @@
 	if !stillRegistered(c, u) {
 		return errors.Wrap(route.ErrNoUpstream, "the upstream has left")
 	}
-	return nil
+	return p.handler.pool.CheckPause(u)
 }
 
 // serveRetryable sends the call and retries on other upstreams as far as the retry
--- a/internal/entry/route/pool.go
+++ b/internal/entry/route/pool.go
@@ -235,6 +235,16 @@
 	s.ejectedUntil, s.rampUpUntil = max(s.ejectedUntil, end), max(s.rampUpUntil, end.Add(pauseRampUpTime))
 }
 
+// CheckPause returns a PausedError while an upstream that was selected before wants no requests.
+func (p *Pool) CheckPause(u *wire.Upstream) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, now := p.states[u.Name], p.timer.Now(); s != nil && s.incarnation == u.Incarnation && now < s.pausedUntil {
+		return &PausedError{s.pausedUntil.Sub(now)}
+	}
+	return nil
+}
+
 // ReportLoad records a load that an upstream reported to this entry, unless the
 // report is of another incarnation or older than the last one.
 func (p *Pool) ReportLoad(name string, incarnation uint64, load *wire.Load) {
