gateway/caller: report only text, and ignore upstreams without a start for the current version

An entry of another writer without a start counted as the first to start, so that its version was taken for the current one and all other upstreams of the service got no requests. Change: such texts are replaced by their hash, as long ones are; a start of 0 counts last.

--- a/internal/gateway/caller/candidates.go
+++ b/internal/gateway/caller/candidates.go
@@ -70,11 +70,12 @@
 }
 
 // currentVersion returns the version of the upstream that started first. Until a roll-out
-// is ordered, upstreams of any other version must not get requests.
+// is ordered, upstreams of any other version must not get requests. Upstreams that do not state
+// their start count last.
 func currentVersion(all []*wire.Upstream) string {
 	version, earliest := "", int64(0)
 	for i, u := range all {
-		if i == 0 || u.GetBorn() < earliest {
+		if i == 0 || u.GetBorn() > 0 && (earliest == 0 || u.GetBorn() < earliest) {
 			version, earliest = u.GetVersion(), u.GetBorn()
 		}
 	}
--- a/internal/gateway/caller/crashing_part_test.go
+++ b/internal/gateway/caller/crashing_part_test.go
@@ -15,6 +15,8 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/coordinator"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/peer"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/state"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/suspect"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -214,3 +216,23 @@
 	f.True(later <= allowedLater)
 	f.True(sound >= int(observation/soundInterval)/2)
 }
+
+// Guards against a prompt part that keeps an instance from reporting anything to the leader, since its
+// bytes are no text and the message with it can't be encoded.
+func TestReportOfPartThatIsNoText(t *testing.T) {
+	f := newFixture(t, nil, nil)
+	for _, c := range []struct{ name, part, reported string }{
+		{"text", "p1:100", "p1"},
+		{"no text", "\xff\xfe:100", ""},
+		{"long", strings.Repeat("p", 200) + ":100", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := &request{Handler: f.handler, sharedParts: []suspect.Part{promptPart(c.part)}}
+			k := (&exchange{request: q, outcome: balancer.Interrupted}).crash()
+			_, err := proto.Marshal(k)
+			f.NoErr(err)
+			f.True(len(k.GetParts()[0]) <= maxReportedBytes)
+			f.True(c.reported == "" || k.GetParts()[0] == c.reported)
+		})
+	}
+}
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -14,6 +14,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -43,8 +44,8 @@
 	maxLayoutWait = 900 * time.Millisecond
 	// crashProbeTimeout limits the check whether an upstream still accepts connections.
 	crashProbeTimeout = 300 * time.Millisecond
-	// maxPartBytes is the length of a prompt part's identifier above which its hash is used.
-	maxPartBytes = 64
+	// maxReportedBytes is the length of a caller's text above which its hash is reported.
+	maxReportedBytes = 64
 )
 
 // FleetView is the instance's view of the deployment. Requests read it, and their results
@@ -387,14 +388,16 @@
 	return balancer.Prefix{Key: xxhash.Sum64String(id), Tokens: tokens}
 }
 
-// promptPart returns the identifier of a prompt part by which crashes are attributed. A long one
-// is replaced by its hash, since it is sent to other instances.
-func promptPart(part string) suspect.Part {
-	id := promptPartID(part)
-	if len(id) > maxPartBytes {
-		id = strconv.FormatUint(xxhash.Sum64String(id), 16)
-	}
-	return suspect.Part(id)
+// promptPart returns the identifier of a prompt part by which crashes are attributed.
+func promptPart(part string) suspect.Part { return suspect.Part(reportedText(promptPartID(part))) }
+
+// reportedText returns a text of a caller as it is sent to other instances. A long one, or one that is not
+// UTF-8 and could not be encoded there, is replaced by its hash.
+func reportedText(text string) string {
+	if len(text) > maxReportedBytes || !utf8.ValidString(text) {
+		return strconv.FormatUint(xxhash.Sum64String(text), 16)
+	}
+	return text
 }
 
 // promptPartID returns the identifier of a prompt part, which ends at the first colon.
--- a/internal/gateway/caller/record.go
+++ b/internal/gateway/caller/record.go
@@ -81,7 +81,7 @@
 	if e.gatewaySelectsModel() {
 		o.Model = string(e.route.Models[e.modelIndex])
 	} else if e.route.SessionAffinity {
-		o.Model = string(e.model)
+		o.Model = reportedText(string(e.model))
 	}
 	for i, n := range s.Histogram {
 		o.Ranges[i] = uint32(n)
