entry/caller, entry/upstream: refuse identifiers that are no text and ports out of range

An identifier of a caller that is not UTF-8 can't be encoded in calls to the control group: the work was done, and the claim or the charge could not be recorded. An upstream with port 65536 was registered, and selected again and again. Change: 400 with the header's name, as not run; 400 for the announcement. Result: three cases of TestIdentifiers and two new ones of TestAnnouncements failed before and pass; deeply nested bodies and incarnations beyond 64 bits were refused before.

--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -47,8 +47,8 @@
 	if p.upstreamRequest.IdempotencyKey == "" {
 		return invalidRequest("idempotency_key", "this call needs the header %s", upstream.HeaderIdempotencyKey)
 	}
-	if len(p.upstreamRequest.IdempotencyKey) > maxIdentifierBytes {
-		return invalidRequest("idempotency_key", "%s is longer than %d bytes", upstream.HeaderIdempotencyKey, maxIdentifierBytes)
+	if err := checkIdentifier("idempotency_key", upstream.HeaderIdempotencyKey, p.upstreamRequest.IdempotencyKey); err != nil {
+		return err
 	}
 	o := p.handler.options
 	c := &claim{
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -113,6 +114,17 @@
 	}
 }
 
+// checkIdentifier checks an identifier of the caller, which is sent to the control group as text.
+func checkIdentifier(code, header, value string) error {
+	switch {
+	case len(value) > maxIdentifierBytes:
+		return invalidRequest(code, "%s is longer than %d bytes", header, maxIdentifierBytes)
+	case !utf8.ValidString(value):
+		return invalidRequest(code, "%s is not UTF-8", header)
+	}
+	return nil
+}
+
 // prepare reads the headers common to all requests and checks the credential.
 func (q *request) prepare() error {
 	h, header := q.handler, q.httpRequest.Header
@@ -120,8 +132,8 @@
 	if q.id == "" {
 		q.id = h.newRequestID()
 	}
-	if len(q.id) > maxIdentifierBytes {
-		return invalidRequest("request_id", "%s is longer than %d bytes", upstream.HeaderRequestID, maxIdentifierBytes)
+	if err := checkIdentifier("request_id", upstream.HeaderRequestID, q.id); err != nil {
+		return err
 	}
 	q.upstreamID = q.id + upstreamIDSeparator + h.newRequestID()
 	q.writer.Header().Set(upstream.HeaderRequestID, q.id)
@@ -136,8 +148,8 @@
 		}
 	}
 	q.session = header.Get(headerSession)
-	if len(q.session) > maxIdentifierBytes {
-		return invalidRequest("session", "%s is longer than %d bytes", headerSession, maxIdentifierBytes)
+	if err := checkIdentifier("session", headerSession, q.session); err != nil {
+		return err
 	}
 	timeout := h.options.DefaultTimeout
 	if t := header.Get(headerTimeout); t != "" {
--- a/internal/entry/upstream/announce.go
+++ b/internal/entry/upstream/announce.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -160,9 +161,13 @@
 			return errors.Newf("%s is longer than %d bytes", f.name, maxTextBytes)
 		}
 	}
-	if _, _, err := net.SplitHostPort(a.Address); err != nil {
+	_, port, err := net.SplitHostPort(a.Address)
+	if err != nil {
 		return errors.Newf("address %q is not host:port", a.Address)
 	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return errors.Newf("address %q: expected a port from 1 to 65535", a.Address)
+	}
 	if a.Incarnation == 0 {
 		return errors.New("incarnation is missing")
 	}
