gateway/upstream, entry/upstream: do not take a copy of an earlier refusal for an own one

A faulty upstream wrote an earlier refusal once more on a kept connection. Without the id of a request it was taken for the answer to the next one: its caller was told that it had not run though it ran, and it went to a second upstream. Cause: a refusal without an id was accepted on any connection. Change: it is accepted only on a connection that has carried no request before; on others the outcome is unknown.

--- a/internal/entry/upstream/client.go
+++ b/internal/entry/upstream/client.go
@@ -189,6 +189,8 @@
 	// connected is true once the request has a connection; from then on, bytes of it
 	// may have been sent.
 	connected atomic.Bool
+	// reused is true if the connection has carried another request.
+	reused atomic.Bool
 	// checkFailure is set once the pre-send check failed. It is kept here because
 	// net/http may report that the connection was closed instead of the write error.
 	checkFailure atomic.Pointer[Failure]
@@ -208,6 +210,7 @@
 	c.setDeadline(headerTimeout, ErrHeaderTimeout)
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c.connected.Store(true)
+		c.reused.Store(i.Reused)
 		if g, ok := i.Conn.(*checkedConn); ok {
 			g.setCheck(c.recordFailure(check))
 		}
@@ -284,7 +287,8 @@
 func (c *call) checkResponse(resp *http.Response, method, id string) error {
 	got := resp.Header.Get(HeaderRequestID)
 	rejected := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == string(NotRun)
-	if rejected && (got == id || got == "") {
+	// Without an id, a refusal on a connection in use again may be a copy of an earlier one.
+	if rejected && (got == id || got == "" && !c.reused.Load()) {
 		return &Failure{Outcome: NotRun, Reason: "upstream refused the call", Status: resp.StatusCode, Rejected: true}
 	}
 	if got != id {
--- a/internal/entry/upstream/client_test.go
+++ b/internal/entry/upstream/client_test.go
@@ -356,3 +356,27 @@
 		})
 	}
 }
+
+// Guards against a copy of an earlier refusal without an id, on a connection in use again, that is taken for
+// the refusal of a call that runs.
+func TestSecondCopyOfRefusal(t *testing.T) {
+	is := is.New(t)
+	first := true
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderOutcome, string(NotRun))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer s.Close()
+	cl := New(Options{Timer: timer.NewSystem()})
+	defer cl.Close()
+	for range 3 {
+		_, err := cl.SendPlain(context.Background(), upstreamOf(s), PlainRequest{Method: "GET", Path: "/", RequestID: "r"})
+		if first {
+			is.Equal(failure(err).Outcome, NotRun)
+			is.True(failure(err).Rejected)
+		} else {
+			is.Equal(failure(err).Outcome, Unknown)
+		}
+		first = false
+	}
+}
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -282,7 +282,8 @@
 		}
 		echo := res.Header.Get(r.client.protocol.RequestID)
 		notExecuted := res.Header.Get(r.client.protocol.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest
-		if echo == q.ID || (echo == "" && notExecuted) {
+		// Without an id, a refusal on a connection in use again may be a copy of an earlier one.
+		if echo == q.ID || (echo == "" && notExecuted && !r.conn.used) {
 			r.Status, r.Header, r.ContentLength, r.body = res.StatusCode, res.Header, res.ContentLength, res.Body
 			r.Framing = framingOf(res)
 			r.close = r.close || res.Close || r.Framing == FramingClose
@@ -386,6 +387,7 @@
 		discard(cn)
 		return
 	}
+	cn.used = true
 	r.client.pool.put(r.address, cn, idleTimeout)
 }
 
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -46,8 +46,8 @@
 	reader    *bufio.Reader
 	limit     *readLimit
 	expiresAt timer.Instant // when it may no longer be reused
-	used      bool
-	detour    bool // leads through another instance
+	used      bool          // has carried a request
+	detour    bool          // leads through another instance
 }
 
 // pool holds idle connections by address.
@@ -84,7 +84,6 @@
 // put makes a connection available for reuse during idleTimeout.
 func (p *pool) put(address string, c *conn, idleTimeout time.Duration) {
 	c.expiresAt = p.timer.Now().Add(idleTimeout)
-	c.used = true
 	p.mu.Lock()
 	list := p.idle[address]
 	if len(list) < maxIdlePerUpstream {
--- a/internal/gateway/upstream/duplicate_test.go
+++ b/internal/gateway/upstream/duplicate_test.go
@@ -1,10 +1,12 @@
 package upstream
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
@@ -86,3 +88,50 @@
 }
 
 func (d *delayed) run() { d.send(d.exchange) }
+
+// Guards against a refusal that an upstream writes once more on a connection in use again: the next
+// request, which runs, must not count as refused. A refusal without an id counts on a new connection.
+func TestSecondCopyOfRefusal(t *testing.T) {
+	for _, c := range []struct {
+		name, refusal string
+		reused        bool // the copy comes on a connection that carried the refusal
+		refused       bool // the second request counts as refused
+		answered      bool
+	}{
+		{"without an id", "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n", true, false, false},
+		{"of another upstream, without an id", "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", true, false, false},
+		{"with the id of the former request", "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: a\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n", true, false, true},
+		{"first of its connection", "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n", false, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+				e.Write(c.refusal)
+				if id := e.Request.Header.Get("Request-Id"); id != "a" {
+					time.Sleep(10 * time.Millisecond)
+					e.Write(response(id, "own answer of "+id))
+				}
+				return true
+			})
+			client := newClient()
+			first, err := client.Send(context.Background(), Target{Address: u.Address()}, newRequest("a"))
+			is.NoErr(err)
+			_, err = first.ReadAll()
+			is.NoErr(err)
+			first.Close()
+			q := newRequest("b")
+			q.NewConnection = !c.reused
+			r, err := client.Send(context.Background(), Target{Address: u.Address()}, q)
+			is.Equal(err == nil, c.refused || c.answered)
+			if err != nil {
+				is.True(errors.Is(err, ErrInterrupted))
+				return
+			}
+			defer r.Close()
+			is.Equal(r.Header.Get("Refused") != "" || r.Status == http.StatusMisdirectedRequest, c.refused)
+			body, err := r.ReadAll()
+			is.NoErr(err)
+			is.Equal(body != nil && string(body) == "own answer of b", c.answered)
+		})
+	}
+}
