gateway/caller, gateway/upstream: resume streams only with later events

A stream had begun and broke off; the next upstream answered with status 200 and an error in place of the events. Callers found the error's text or head in the middle of their stream, and the stream ended as if it were complete. An upstream that began again from the first event gave them twice. Cause: the response to a resumed stream was checked for its status alone if it had no length, and what stood between blank lines was taken for events. Change: such a response must be an event stream whose first id follows the last one of the caller, and each event must have a field or a comment; else the exchange counts as interrupted. Statuses other than 200 were never passed on.

--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -284,6 +284,9 @@
 	if e.response.Header.Get(e.Protocol.Signature) == "" || e.response.Header.Get("Content-Encoding") != "" {
 		return e.interrupted(errors.Wrap(upstream.ErrResponseMismatch, "response has no signature"))
 	}
+	if e.responseStarted && !e.response.IsEventStream() {
+		return e.interrupted(errors.Wrap(upstream.ErrResponseMismatch, "response to a resumed stream is not a stream"))
+	}
 	if e.escalate() {
 		e.outcome = balancer.Succeeded
 		return actionEscalate
@@ -385,10 +388,6 @@
 	if err != nil {
 		return e.interrupted(err)
 	}
-	if e.responseStarted {
-		// A resumed stream must continue as a stream.
-		return e.interrupted(errors.Wrap(upstream.ErrResponseMismatch, "response to a resumed stream is not a stream"))
-	}
 	e.outcome = balancer.Succeeded
 	e.writeResponse(e.response.Status, e.response.Header, body)
 	return actionDone
@@ -426,11 +425,17 @@
 	flusher, _ := e.writer.(http.Flusher)
 	events := upstream.NewEventReader(e.response)
 	firstID, firstAt := int64(-1), timer.Instant(0)
-	for {
+	for resumed := e.responseStarted; ; {
 		b, id, err := events.Next()
 		if err != nil && !errors.Is(err, io.EOF) {
 			return e.interrupted(err)
 		}
+		if resumed && id >= 0 {
+			if upstream.FirstID(b) <= e.lastEventID {
+				return e.interrupted(errors.Wrap(upstream.ErrResponseMismatch, "stream is not resumed after the last event"))
+			}
+			resumed = false
+		}
 		// The headers are sent with the first event. If the upstream fails before it, the
 		// request can go to another upstream without the caller noticing.
 		if !e.responseStarted && (len(b) > 0 || err != nil) {
--- a/internal/gateway/caller/interrupted_test.go
+++ b/internal/gateway/caller/interrupted_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
 )
@@ -72,3 +73,49 @@
 		}
 	}
 }
+
+// Guards against a stream that has begun, broke off and goes on with what is no part of it: the error of
+// the next upstream, its head, or events that the caller has. The caller must see the stream break off.
+func TestErrorAfterStreamBegan(t *testing.T) {
+	const (
+		identity = "Request-Id: r1\r\nSignature: t\r\n"
+		boom     = `{"error":"boom"}`
+		begun    = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	)
+	var cases []struct{ name, response string }
+	add := func(name, response string) { cases = append(cases, struct{ name, response string }{name, response}) }
+	for _, framing := range framings {
+		for _, status := range []string{"500 Internal Server Error", "503 Service Unavailable", "404 Not Found", "429 Too Many Requests"} {
+			add(status+"/"+framing.name, "HTTP/1.1 "+status+"\r\n"+identity+"Content-Type: application/json\r\n"+framing.encode(boom))
+		}
+		for _, header := range []string{"Content-Type: application/json\r\n", "Content-Type: text/plain\r\n", "Content-Type: text/event-stream\r\n", ""} {
+			add("200 with an error, "+header+framing.name, "HTTP/1.1 200 OK\r\n"+identity+header+framing.encode(boom))
+			add("200 with an error and a blank line, "+header+framing.name, "HTTP/1.1 200 OK\r\n"+identity+header+framing.encode(boom+"\n\n"))
+		}
+		add("head within the stream/"+framing.name, "HTTP/1.1 200 OK\r\n"+identity+"Content-Type: text/event-stream\r\n"+
+			framing.encode("HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nboom"))
+		add("events from the start/"+framing.name, "HTTP/1.1 200 OK\r\n"+identity+"Content-Type: text/event-stream\r\n"+framing.encode(begun))
+	}
+	add("refused", "HTTP/1.1 503 Service Unavailable\r\n"+identity+"Refused: 1\r\nRetry-After: 9\r\nContent-Length: 16\r\n\r\n"+boom)
+	add("another upstream", "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+	add("no response", "HTTP/1.1 500\r\n\r\n")
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			handle := func(e *upstreamtest.Exchange) bool {
+				if e.Request.Header.Get("Last-Event-Id") != "" {
+					e.Write(c.response)
+					return false
+				}
+				writeEvents(e, "Confidence: 99\r\nContent-Type: text/event-stream\r\n", begun)
+				time.Sleep(20 * time.Millisecond) // a reset may overtake the events
+				e.Reset()
+				return false
+			}
+			f := newFixture(t, nil, []*upstreamtest.Server{startUpstream(t, handle), startUpstream(t, handle)})
+			r := f.do("POST", "/draft/1", "body", "Model", "*")
+			f.True(r.err != nil)
+			f.Equal(r.status, 200)
+			f.Equal(r.body, begun)
+		})
+	}
+}
--- a/internal/gateway/upstream/client_test.go
+++ b/internal/gateway/upstream/client_test.go
@@ -260,3 +260,30 @@
 	is.Equal(len(u.Requests()), 1)
 	is.Equal(u.Requests()[0].Request.Header.Get("Deadline"), "7")
 }
+
+// Guards against an error response, or its head, that is passed on as an event of a stream.
+func TestBytesThatAreNoEvent(t *testing.T) {
+	for _, c := range []struct {
+		name, stream string
+		valid        bool
+	}{
+		{"events", "id: 1\ndata: a\n\ndata\n\n", true},
+		{"with carriage returns", "id: 1\r\rdata: a\r\r", true},
+		{"with both", "id: 1\r\ndata: a\r\n\r\n", true},
+		{"comment", ": keep-alive\n\n", true},
+		{"blank lines", "\n\n\n\n", true},
+		{"with a field of the protocol", "versions: 3\nid: 1\ndata: a\n\n", true},
+		{"other fields only", "versions: 3\n\n", false},
+		{"error", "{\"error\":\"boom\"}\n\n", false},
+		{"error after an event", "id: 1\ndata: a\n\nboom\n\n", false},
+		{"error before an event", "boom\n\nid: 1\ndata: a\n\n", false},
+		{"head of a response", "HTTP/1.1 500 x\r\nContent-Type: text/plain\r\n\r\n", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, _, err := NewEventReader(&chunkReader{list: []string{c.stream}, end: io.EOF}).Next()
+			is.Equal(errors.Is(err, ErrNoEvent), !c.valid)
+			is.Equal(err == nil, c.valid)
+		})
+	}
+}
--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -17,12 +18,15 @@
 // ErrPartialEvent means that a stream ended inside an event.
 var ErrPartialEvent = errors.New("stream ended inside an event")
 
+// ErrNoEvent means that a stream holds bytes that are no event, such as an error response.
+var ErrNoEvent = errors.New("stream holds bytes that are no event")
+
 // EventReader reads server-sent events from a stream. It returns complete events only, so
 // that a truncated one is never passed on.
 type EventReader struct {
 	source io.Reader
-	// verifyEnd requires the source to end between two events.
-	verifyEnd bool
+	// verify requires the source to hold events only and to end between two of them.
+	verify bool
 	// reserve, if set, accounts for the memory of a larger buffer.
 	reserve func(n int) error
 	buffer  []byte
@@ -32,9 +36,9 @@
 
 // NewEventReader returns a reader of the events of source.
 func NewEventReader(source io.Reader) *EventReader {
-	e := &EventReader{source: source, verifyEnd: true, buffer: make([]byte, initialBufferBytes)}
+	e := &EventReader{source: source, verify: true, buffer: make([]byte, initialBufferBytes)}
 	if r, ok := source.(*Response); ok {
-		e.reserve, e.verifyEnd = r.reserve, r.IsEventStream()
+		e.reserve, e.verify = r.reserve, r.IsEventStream()
 	}
 	return e
 }
@@ -42,12 +46,16 @@
 // Next returns the complete events that have arrived, at least one, and the last id among
 // them, or -1. At the end of the source it returns io.EOF and the remaining bytes as they
 // are, which are comments or the end of a body that is not a sequence of events. It fails with
-// ErrPartialEvent if the source ends inside an event. The bytes are valid until the next call.
+// ErrPartialEvent if the source ends inside an event, and with ErrNoEvent if it holds anything else.
+// The bytes are valid until the next call.
 func (e *EventReader) Next() (events []byte, id int64, err error) {
 	for {
 		if n := completeEvents(e.buffer[e.start:e.end]); n > 0 {
 			events = e.buffer[e.start : e.start+n]
 			e.start += n
+			if e.verify && !onlyEvents(events) {
+				return nil, 0, ErrNoEvent
+			}
 			return events, lastID(events), nil
 		}
 		if err := e.ensureSpace(); err != nil {
@@ -61,7 +69,7 @@
 		if errors.Is(err, io.EOF) {
 			remaining := e.buffer[e.start:e.end]
 			e.start = e.end
-			if e.verifyEnd && hasField(remaining) {
+			if e.verify && hasField(remaining) {
 				return nil, 0, ErrPartialEvent
 			}
 			return remaining, lastID(remaining), io.EOF
@@ -121,6 +129,57 @@
 	return false
 }
 
+// fields are the fields of events. Lines with other names are ignored by receivers.
+var fields = [][]byte{[]byte("data"), []byte("id"), []byte("event"), []byte("retry")}
+
+// onlyEvents reports whether each of the complete events has a field or a comment.
+func onlyEvents(events []byte) bool {
+	started, known := false, false
+	for len(events) > 0 {
+		end := bytes.IndexAny(events, "\r\n")
+		if end < 0 {
+			end = len(events)
+		}
+		line := events[:end]
+		events = events[min(end+len(lineEnd(events[end:])), len(events)):]
+		if len(line) > 0 {
+			started, known = true, known || isFieldOrComment(line)
+			continue
+		}
+		if started && !known {
+			return false
+		}
+		started, known = false, false
+	}
+	return !started || known
+}
+
+// lineEnd returns the line ending at the begin of a text.
+func lineEnd(text []byte) []byte {
+	if bytes.HasPrefix(text, []byte("\r\n")) {
+		return text[:2]
+	}
+	return text[:min(1, len(text))]
+}
+
+// isFieldOrComment reports whether a line of a stream is a comment or a field of an event.
+func isFieldOrComment(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return len(name) == 0 || slices.ContainsFunc(fields, func(f []byte) bool { return bytes.Equal(f, name) })
+}
+
+// FirstID returns the first event id among complete events, or -1.
+func FirstID(events []byte) int64 {
+	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
+				return id
+			}
+		}
+	}
+	return -1
+}
+
 // lastID returns the last event id, or -1.
 func lastID(events []byte) int64 {
 	for at := len(events); at > 0; {
