gateway/caller, fleet/tunnel: split the choice of an upstream, round short waits up

A wait under a millisecond was told as 0, so that the instance asked again at once, up to the limit of dispatches. The choice of an upstream and the exchange that it makes are two methods now.

--- a/internal/fleet/tunnel/conn.go
+++ b/internal/fleet/tunnel/conn.go
@@ -100,11 +100,13 @@
 	return &ClosedError{time.Duration(binary.BigEndian.Uint32(wait[:])) * time.Millisecond}
 }
 
-// reply returns the bytes of a status. wait counts for statusClosed.
+// reply returns the bytes of a status. wait counts for statusClosed; a fraction of a millisecond is
+// rounded up, so that it is never 0.
 func (s status) reply(wait time.Duration) []byte {
 	if s != statusClosed {
 		return []byte{byte(s)}
 	}
+	wait += time.Millisecond - 1
 	return binary.BigEndian.AppendUint32([]byte{byte(s)}, uint32(min(wait.Milliseconds(), math.MaxUint32)))
 }
 
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -181,18 +181,24 @@
 // nextExchange selects an upstream that is not excluded. It returns false if there is none.
 func (q *request) nextExchange(excluded []string) (e *exchange, ok bool) {
 	candidates, isCanary := q.candidates()
-	target, p, ok := q.pickPermitted(candidates, isCanary, excluded)
-	for lost := 0; !ok || !q.Balancer.TryRequest(target); {
-		// A selected upstream without room was filled or closed by another request meanwhile.
-		if lost++; (!ok || lost > maxDispatches) && !q.awaitRoom(candidates, excluded) {
+	for lost := 0; ; lost++ {
+		target, p, found := q.pickPermitted(candidates, isCanary, excluded)
+		if found && q.Balancer.TryRequest(target) {
+			return q.newExchange(target, p, candidates), true
+		}
+		// If another request has just filled or closed the selected upstream, choose again at once.
+		if (!found || lost >= maxDispatches) && !q.awaitRoom(candidates, excluded) {
 			return nil, false
 		}
-		target, p, ok = q.pickPermitted(candidates, isCanary, excluded)
 	}
+}
+
+// newExchange returns the dispatch of the request to one of the candidates.
+func (q *request) newExchange(target balancer.Candidate, p permit.Permit, candidates []balancer.Candidate) *exchange {
 	if q.Balancer.PauseOver(target) {
 		q.log("pause of an upstream is over", zap.String("upstream", target.ID))
 	}
-	e = &exchange{
+	e := &exchange{
 		request: q, target: target, permit: p,
 		limited: q.View.RateLimited(target.ID, target.Born), brittle: q.Balancer.Brittle(target.ID),
 	}
@@ -200,7 +206,7 @@
 		e.utilization = q.Balancer.Utilization(candidates)
 		q.upstreamHeader.Set(q.Protocol.Model, string(q.route.Models[q.modelIndex]))
 	}
-	return e, true
+	return e
 }
 
 // gatewaySelectsModel reports whether the caller leaves the choice of the model to the gateway.
