--- a/internal/gateway/caller/pause_test.go
+++ b/internal/gateway/caller/pause_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
 )
 
@@ -85,3 +86,30 @@
 		})
 	}
 }
+
+// Guards against a pause that is lost with the body of the response that asks for it.
+func TestPauseInBrokenResponse(t *testing.T) {
+	for _, c := range []struct{ name, lines, body string }{
+		{"short body of a refusal", "Refused: 1\r\nContent-Length: 100\r\n", "half"},
+		{"short body of a failure", "Signature: s\r\nContent-Length: 100\r\n", "half"},
+		{"broken chunk", "Refused: 1\r\nTransfer-Encoding: chunked\r\n", "64\r\nhalf"},
+		{"no body", "Refused: 1\r\nContent-Length: 100\r\n", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+				e.Write("HTTP/1.1 503 x\r\nRequest-Id: " + e.Request.Header.Get("Request-Id") + "\r\nRetry-After: 5\r\n" + c.lines + "\r\n" + c.body)
+				time.Sleep(10 * time.Millisecond) // a reset may overtake the head
+				e.Reset()
+				return false
+			})
+			f := newFixture(t, []*upstreamtest.Server{u}, nil)
+			f.do("GET", "/look/1", "")
+			r := f.do("GET", "/look/2", "")
+			f.Equal(r.status, 503)
+			seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			f.NoErr(err)
+			f.True(seconds > 4)
+			f.Equal(len(u.Requests()), 1)
+		})
+	}
+}
