--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,8 +42,15 @@
 	}
 }
 
+// addresses counts the IP addresses that this process has used.
+var addresses atomic.Uint32
+
+// freeAddress returns a free address. Its port is free until the instance listens there, since no other
+// process uses the IP address.
 func freeAddress(t *testing.T) peer.Address {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ip := net.IPv4(127, byte(1+pid>>8&0x7f), byte(pid), byte(1+addresses.Add(1)%250))
+	l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
