--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -23,6 +23,7 @@
 	cause string
 }{
 	{1, "instances that started at the same time did not bootstrap a control group"},
+	{30004, "a pause of 90 s that an upstream asked for was kept for half a second"},
 }
 
 // Guards against failures that callers must not see while processes, connections and disks fail:
