control/server: count the counters of a returning entry once

An entry that was frozen or cut off until its lease had expired goes on with the counters that it had; the leader had added them to those of removed entries, so that accounts seemed to have got twice as much. Cause: counters of a removed process were merged by account and could not be taken back. Change: they are kept by process, for the last 256, and dropped when the process renews again. Result: TestTalliesOfReturningEntry failed before (20 instead of 9, 17 instead of 10) and passes; TestTalliesOfManyEntries is new.

--- a/internal/control/server/softstate.go
+++ b/internal/control/server/softstate.go
@@ -27,7 +27,9 @@
 	// may only be paused and still hold a valid lease.
 	entries   map[process]*lease
 	upstreams map[string]*heardUpstream
-	// expiredTallies holds the counters of removed entries by account.
+	// expired holds the counters of processes that were removed and may return with them. Those of
+	// earlier ones are in expiredTallies, by account.
+	expired        map[process]expiredProcess
 	expiredTallies map[string]*wire.Tally
 	// version counts changes of the soft state and starts higher in each term;
 	// entriesVersion is its value at the last change of the list of entries.
@@ -47,6 +49,16 @@
 	epoch uint64
 }
 
+// maxExpiredProcesses limits the removed processes whose counters are kept apart. A process that was
+// frozen or cut off returns before so many others have ended.
+const maxExpiredProcesses = 256
+
+// expiredProcess is a process whose leases have expired.
+type expiredProcess struct {
+	at      timer.Instant // when it was removed
+	tallies []*wire.Tally
+}
+
 // lease holds what one process of an entry reported and was granted. It is valid as long
 // as any of its grants is.
 type lease struct {
@@ -80,7 +92,8 @@
 		return
 	}
 	s.term, s.termStart = term, s.timer.Now()
-	s.entries, s.upstreams, s.expiredTallies = map[process]*lease{}, map[string]*heardUpstream{}, map[string]*wire.Tally{}
+	s.entries, s.upstreams = map[process]*lease{}, map[string]*heardUpstream{}
+	s.expired, s.expiredTallies = map[process]expiredProcess{}, map[string]*wire.Tally{}
 	s.version = term << 32
 	s.markEntriesChanged()
 	s.notifyRenewal()
@@ -120,6 +133,7 @@
 	if isNew {
 		e = &lease{}
 		s.entries[p] = e
+		delete(s.expired, p) // its counters go on
 	}
 	entryChanged := isNew || !proto.Equal(e.instance, r.Instance)
 	reportChanged := len(r.Heard) > 0 || !slices.EqualFunc(e.tallies, r.Tallies, tallyEqual)
@@ -188,7 +202,7 @@
 			continue
 		}
 		delete(s.entries, p)
-		addTallies(s.expiredTallies, e.tallies)
+		s.keepTallies(p, expiredProcess{now, e.tallies})
 		removed = true
 	}
 	if removed {
@@ -196,6 +210,22 @@
 	}
 }
 
+// keepTallies keeps the counters of a removed process. The caller holds the lock.
+func (s *softState) keepTallies(p process, e expiredProcess) {
+	s.expired[p] = e
+	if len(s.expired) <= maxExpiredProcesses {
+		return
+	}
+	oldest := p
+	for o, x := range s.expired {
+		if x.at < s.expired[oldest].at {
+			oldest = o
+		}
+	}
+	addTallies(s.expiredTallies, s.expired[oldest].tallies)
+	delete(s.expired, oldest)
+}
+
 // oldestRevision returns the oldest revision that the process may still use under a lease.
 func (e *lease) oldestRevision(now timer.Instant) uint64 {
 	oldest := uint64(math.MaxUint64)
--- a/internal/control/server/softstate_reply.go
+++ b/internal/control/server/softstate_reply.go
@@ -73,6 +73,9 @@
 func (s *softState) sumTallies() []*wire.Tally {
 	total := map[string]*wire.Tally{}
 	addTallies(total, slices.Collect(maps.Values(s.expiredTallies)))
+	for _, e := range s.expired {
+		addTallies(total, e.tallies)
+	}
 	for _, e := range s.entries {
 		addTallies(total, e.tallies)
 	}
--- a/internal/control/server/softstate_test.go
+++ b/internal/control/server/softstate_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -108,3 +109,52 @@
 		}
 	})
 }
+
+// Guards against counters of an entry that count twice: it was frozen or cut off until its lease had
+// expired, and goes on with the counters that it had.
+func TestTalliesOfReturningEntry(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		epochs   []uint64 // of successive renewals, each after the lease of the one before has expired
+		requests []uint64
+		total    uint64
+	}{
+		{"goes on", []uint64{1, 1, 1}, []uint64{5, 6, 9}, 9},
+		{"restarted", []uint64{1, 2}, []uint64{5, 2}, 7},
+		{"restarted, and the former process goes on", []uint64{1, 2, 1, 2}, []uint64{5, 2, 6, 4}, 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.NewManual()
+			s := newSoftState(clock)
+			s.beginTerm(1)
+			for i, epoch := range c.epochs {
+				s.beginRenewal(1, &wire.RenewRequest{
+					Instance: &wire.Instance{Name: "e"}, Epoch: epoch, Tallies: []*wire.Tally{{Account: "a", Requests: c.requests[i]}},
+				}, clock.Now())
+				clock.Advance(2 * LeaseDuration)
+				s.removeExpired()
+			}
+			is.Equal(len(s.entries), 0)
+			total := s.sumTallies()
+			is.Equal(len(total), 1)
+			is.Equal(total[0].Requests, c.total)
+		})
+	}
+}
+
+// Guards against counters of removed entries that take memory without end, or are lost.
+func TestTalliesOfManyEntries(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewManual()
+	s := newSoftState(clock)
+	s.beginTerm(1)
+	const starts = 3 * maxExpiredProcesses
+	for epoch := range uint64(starts) {
+		s.beginRenewal(1, &wire.RenewRequest{Instance: &wire.Instance{Name: "e"}, Epoch: epoch, Tallies: []*wire.Tally{{Account: "a", Requests: 1}}}, clock.Now())
+		clock.Advance(2 * LeaseDuration)
+		s.removeExpired()
+	}
+	is.Equal(s.sumTallies()[0].Requests, uint64(starts))
+	is.True(len(s.expired) <= maxExpiredProcesses)
+}
