fleet, gateway/caller: send nothing to a version that was rolled back before

Cause: during a roll-out, every version but its target counted as the former one. Change: the record of a roll-out lists the versions that were rolled back since the last completed one. They get no requests, their responses are no part of the comparison, and sessions on them count as displaced.

--- a/internal/fleet/coordinator/rollout.go
+++ b/internal/fleet/coordinator/rollout.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,7 +68,7 @@
 // c.mu must be held.
 func (c *Coordinator) recordOutcome(o *wire.Outcome) {
 	r := c.active[o.GetService()]
-	if r == nil {
+	if r == nil || slices.Contains(r.record.GetRejected(), o.GetVersion()) {
 		return
 	}
 	s := canary.Stats{
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -18,6 +18,10 @@
 // which the oldest is dropped.
 const maxQuarantined = 1024
 
+// maxRejected is the number of versions of a service that were rolled back, above which the oldest is
+// dropped. Its upstreams have ended long before.
+const maxRejected = 16
+
 // Results of Apply for commands that were not carried out. An empty result acknowledges
 // the command.
 const (
@@ -113,12 +117,26 @@
 	case r != nil && r.GetPhase() == wire.Phase_PHASE_RUNNING:
 		return false, ConflictRolloutInProgress
 	}
-	r = proto.Clone(b).(*wire.Rollout)
-	r.Phase = wire.Phase_PHASE_RUNNING
-	s.rollouts[r.GetService()] = r
+	n := proto.Clone(b).(*wire.Rollout)
+	n.Phase, n.Rejected = wire.Phase_PHASE_RUNNING, rejectedVersions(r, b.GetTarget())
+	s.rollouts[n.GetService()] = n
 	return true, ""
 }
 
+// rejectedVersions returns the versions that were rolled back since the last completed roll-out when one
+// to target begins. former is the roll-out before, or nil.
+func rejectedVersions(former *wire.Rollout, target string) (out []string) {
+	if former.GetPhase() != wire.Phase_PHASE_BACK {
+		return nil
+	}
+	for _, v := range append(slices.Clone(former.GetRejected()), former.GetTarget()) {
+		if v != target {
+			out = append(out, v)
+		}
+	}
+	return out[max(len(out)-maxRejected, 0):]
+}
+
 // Layout returns the current layout, or nil before the first.
 func (s *State) Layout() *wire.Layout {
 	s.mu.Lock()
--- a/internal/fleet/view/sessions.go
+++ b/internal/fleet/view/sessions.go
@@ -62,7 +62,7 @@
 func (v *View) reportSessions(r *wire.Rollout) {
 	s := layout.Service(r.GetService())
 	h := &wire.Holding{Service: r.GetService(), Sessions: v.options.Sessions.Active(s, r.GetBucket())}
-	for _, d := range v.options.Sessions.Displaced(s, v.serves(s)) {
+	for _, d := range v.options.Sessions.Displaced(s, v.serves(r)) {
 		h.Displaced = append(h.Displaced, &wire.DisplacedSession{Session: d.Session, Remaining: uint32(d.Remaining.Milliseconds())})
 	}
 	v.holdSessions(h)
@@ -80,11 +80,11 @@
 	v.holdSessions(&wire.Holding{Service: string(s), Displaced: []*wire.DisplacedSession{{Session: id, Remaining: uint32(d.Milliseconds())}}})
 }
 
-// serves returns a predicate for the versions of a service that upstreams serve.
-func (v *View) serves(s layout.Service) func(version string) bool {
-	list := v.Table().Services[s]
+// serves returns a predicate for the versions that upstreams serve during a roll-out.
+func (v *View) serves(r *wire.Rollout) func(version string) bool {
+	list := v.Table().Services[layout.Service(r.GetService())]
 	return func(version string) bool {
-		return slices.ContainsFunc(list, func(u *wire.Upstream) bool { return u.GetVersion() == version })
+		return !slices.Contains(r.GetRejected(), version) && slices.ContainsFunc(list, func(u *wire.Upstream) bool { return u.GetVersion() == version })
 	}
 }
 
@@ -95,7 +95,7 @@
 	if r == nil || r.GetPhase() != wire.Phase_PHASE_RUNNING || v.options.Sessions == nil {
 		return 0
 	}
-	wait := v.options.Sessions.Remaining(s, id, v.serves(s))
+	wait := v.options.Sessions.Remaining(s, id, v.serves(r.Rollout))
 	if until, ok := r.displaced[id]; ok {
 		wait = max(wait, until.Sub(v.options.Timer.Now()))
 	}
--- a/internal/gateway/caller/candidates.go
+++ b/internal/gateway/caller/candidates.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"slices"
+
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
@@ -45,11 +47,15 @@
 	}
 	target := r.GetTarget()
 	isTarget := func(v string) bool { return v == target }
-	isFormer := func(v string) bool { return v != target }
-	targetCount := 0
+	// The upstreams of a version that was rolled back before may still drain.
+	isFormer := func(v string) bool { return v != target && !slices.Contains(r.GetRejected(), v) }
+	targetCount, formerCount := 0, 0
 	for _, u := range all {
-		if u.GetVersion() == target {
+		switch {
+		case isTarget(u.GetVersion()):
 			targetCount++
+		case isFormer(u.GetVersion()):
+			formerCount++
 		}
 	}
 	switch {
@@ -58,8 +64,8 @@
 	case r.GetPhase() == wire.Phase_PHASE_DONE && targetCount > 0:
 		return isTarget
 	case r.GetPhase() == wire.Phase_PHASE_DONE:
-		return func(string) bool { return true }
-	case targetCount == len(all):
+		return isFormer
+	case formerCount == 0:
 		return isTarget
 	case r.HeldSessions[q.sessionHash] && r.GetShare() <= r.GetBucket():
 		return isFormer
