--- a/internal/gateway/caller/crashing_part_test.go
+++ b/internal/gateway/caller/crashing_part_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -227,12 +228,13 @@
 		{"long", strings.Repeat("p", 200) + ":100", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
 			q := &request{Handler: f.handler, sharedParts: []suspect.Part{promptPart(c.part)}}
 			k := (&exchange{request: q, outcome: balancer.Interrupted}).crash()
 			_, err := proto.Marshal(k)
-			f.NoErr(err)
-			f.True(len(k.GetParts()[0]) <= maxReportedBytes)
-			f.True(c.reported == "" || k.GetParts()[0] == c.reported)
+			is.NoErr(err)
+			is.True(len(k.GetParts()[0]) <= maxReportedBytes)
+			is.True(c.reported == "" || k.GetParts()[0] == c.reported)
 		})
 	}
 }
