gateway/balancer: look up the pause of an incarnation in one place

Cause: five places compared the incarnation of a pause with that of a candidate, each in its own words. Change: pauseOf returns the pause of an incarnation or nil; Closed takes the longer of two times without comparing the clock itself. Behaviour is as before. Before and after: the tests of the package pass with the race detector on both. Conclusion: a rule on whose pause counts stands once.

--- a/internal/gateway/balancer/brittle.go
+++ b/internal/gateway/balancer/brittle.go
@@ -49,7 +49,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(c.ID)
-	return s.brittle != nil || s.pause != nil && s.pause.born == c.Born
+	return s.brittle != nil || s.pauseOf(c.Born) != nil
 }
 
 // Brittle reports whether an upstream is brittle.
--- a/internal/gateway/balancer/pause.go
+++ b/internal/gateway/balancer/pause.go
@@ -41,7 +41,7 @@
 	defer b.mu.Unlock()
 	s, now := b.state(id), b.timer.Now()
 	begin, end := now, now.Add(d)
-	if p := s.pause; p != nil && p.born == born && now.Before(p.end) {
+	if p := s.pauseOf(born); p != nil && now.Before(p.end) {
 		begin = p.begin
 	}
 	if p := s.pause; p == nil || p.born < born || p.born == born && p.end.Before(end) {
@@ -50,9 +50,12 @@
 	return now.Sub(begin)
 }
 
-// pausing reports whether an incarnation wants no requests now.
-func (s *upstreamState) pausing(born int64, now timer.Instant) bool {
-	return s.pause != nil && s.pause.born == born && now.Before(s.pause.end)
+// pauseOf returns the pause that an incarnation has asked for, or nil.
+func (s *upstreamState) pauseOf(born int64) *pause {
+	if s.pause == nil || s.pause.born != born {
+		return nil
+	}
+	return s.pause
 }
 
 // returnAt returns when requests of this instance return to the candidate that has asked for the pause.
@@ -68,12 +71,13 @@
 // pauseAllows reports whether the pause of a candidate, if there was one, allows another request.
 // b.mu must be held.
 func (s *upstreamState) pauseAllows(c Candidate, now timer.Instant) bool {
-	if s.pause == nil || s.pause.born != c.Born {
+	p := s.pauseOf(c.Born)
+	if p == nil {
 		return true
 	}
-	since := now.Sub(s.pause.returnAt(c))
+	since := now.Sub(p.returnAt(c))
 	if since >= pauseRamp {
-		if s.pause.endSeen {
+		if p.endSeen {
 			s.pause = nil
 		}
 		return true
@@ -88,11 +92,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, now := b.upstreams[id], b.timer.Now()
+	if s == nil {
+		return 0
+	}
 	left := time.Duration(0)
-	if s != nil && s.pausing(born, now) {
-		left = s.pause.end.Sub(now)
+	if p := s.pauseOf(born); p != nil {
+		left = max(left, p.end.Sub(now))
 	}
-	if s != nil && s.brittle != nil && now.Before(s.brittle.pausedUntil) {
+	if s.brittle != nil {
 		left = max(left, s.brittle.pausedUntil.Sub(now))
 	}
 	return left
@@ -104,8 +111,8 @@
 	defer b.mu.Unlock()
 	now := b.timer.Now()
 	for _, c := range candidates {
-		p := b.state(c.ID).pause
-		if p == nil || p.born != c.Born {
+		p := b.state(c.ID).pauseOf(c.Born)
+		if p == nil {
 			return 0, false
 		}
 		left := p.returnAt(c).Sub(now)
@@ -123,8 +130,8 @@
 func (b *Balancer) PauseOver(c Candidate) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.state(c.ID).pause
-	if p == nil || p.born != c.Born || p.endSeen || b.timer.Now().Before(p.returnAt(c)) {
+	p := b.state(c.ID).pauseOf(c.Born)
+	if p == nil || p.endSeen || b.timer.Now().Before(p.returnAt(c)) {
 		return false
 	}
 	p.endSeen = true
