gateway/upstream: split lines of a stream in one place

Cause: FirstID repeated the way in which hasField splits a stream into lines. Change: linesOf serves both. Behaviour is as before. Before and after: the tests of the package pass with the race detector on both. Conclusion: line endings are named once there; onlyEvents needs the blank lines and stays apart.

--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"iter"
 	"slices"
 	"strconv"
 
@@ -118,10 +119,15 @@
 	return n
 }
 
+// linesOf iterates over the lines that are not empty.
+func linesOf(text []byte) iter.Seq[[]byte] {
+	return bytes.FieldsFuncSeq(text, func(r rune) bool { return r == '\n' || r == '\r' })
+}
+
 // hasField reports whether an event that is not complete has a field or a part of one.
 // Comments and blank lines belong to no event.
 func hasField(event []byte) bool {
-	for line := range bytes.FieldsFuncSeq(event, func(r rune) bool { return r == '\n' || r == '\r' }) {
+	for line := range linesOf(event) {
 		if line[0] != ':' {
 			return true
 		}
@@ -170,7 +176,7 @@
 
 // FirstID returns the first event id among complete events, or -1.
 func FirstID(events []byte) int64 {
-	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
+	for line := range linesOf(events) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				return id
