gateway/caller: one predicate for quarantine, one branch for requests that are placed again

Cause: admission and the check before the first byte spelt out the same two conditions; dispatch tested placeAgain in two places; versionFilter counted upstreams to know whether there are any; what an upstream states, also to instances that pass requests on, stood in the file of waiting requests. Behaviour is as before. Conclusion: nothing but the order of reading has changed.

--- a/internal/gateway/caller/before_send.go
+++ b/internal/gateway/caller/before_send.go
@@ -32,15 +32,15 @@
 // beforeSend checks right before the first byte whatever may have changed since the request was
 // admitted and its upstream selected, and tells the upstream the time that is left. The request may have
 // waited for a connection, or the process may have been paused.
-func (e *exchange) beforeSend() (err error) {
+func (e *exchange) beforeSend() error {
 	remaining := e.remaining()
 	if remaining <= 0 {
 		return errTimeout
 	}
-	if err = e.checkPermission(); err != nil {
+	if err := e.checkPermission(); err != nil {
 		return err
 	}
-	if err = e.checkTarget(); err != nil {
+	if err := e.checkTarget(); err != nil {
 		return err
 	}
 	e.upstreamHeader.Set(e.Protocol.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
@@ -53,7 +53,7 @@
 		e.permissionExpired = true
 		return errPermissionExpired
 	}
-	if _, ok := e.View.QuarantinedPart(e.sharedParts); ok || e.View.Quarantined(e.fingerprint) {
+	if e.isQuarantined() {
 		e.quarantined = true
 		return errQuarantined
 	}
--- a/internal/gateway/caller/candidates.go
+++ b/internal/gateway/caller/candidates.go
@@ -49,27 +49,20 @@
 	isTarget := func(v string) bool { return v == target }
 	// The upstreams of a version that was rolled back before may still drain.
 	isFormer := func(v string) bool { return v != target && !slices.Contains(r.GetRejected(), v) }
-	targetCount, formerCount := 0, 0
-	for _, u := range all {
-		switch {
-		case isTarget(u.GetVersion()):
-			targetCount++
-		case isFormer(u.GetVersion()):
-			formerCount++
-		}
-	}
+	hasTarget := slices.ContainsFunc(all, func(u *wire.Upstream) bool { return isTarget(u.GetVersion()) })
+	hasFormer := slices.ContainsFunc(all, func(u *wire.Upstream) bool { return isFormer(u.GetVersion()) })
 	switch {
 	case r.GetPhase() == wire.Phase_PHASE_BACK:
 		return isFormer
-	case r.GetPhase() == wire.Phase_PHASE_DONE && targetCount > 0:
+	case r.GetPhase() == wire.Phase_PHASE_DONE && hasTarget:
 		return isTarget
 	case r.GetPhase() == wire.Phase_PHASE_DONE:
 		return isFormer
-	case formerCount == 0:
+	case !hasFormer:
 		return isTarget
 	case r.HeldSessions[q.sessionHash] && r.GetShare() <= r.GetBucket():
 		return isFormer
-	case targetCount > 0 && q.sessionHash%allTraffic < uint64(r.GetShare()):
+	case hasTarget && q.sessionHash%allTraffic < uint64(r.GetShare()):
 		return isTarget
 	}
 	return isFormer
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -100,9 +100,6 @@
 		if a == actionEscalate {
 			continue
 		}
-		if !e.placeAgain {
-			excluded = append(excluded, e.target.ID)
-		}
 		if e.failureStatus > 0 {
 			failed = e
 		}
@@ -117,6 +114,7 @@
 			q.log("placed again", zap.String("upstream", e.target.ID))
 			continue
 		}
+		excluded = append(excluded, e.target.ID)
 		q.log("sent again", zap.String("upstream", e.target.ID), zap.Int("ran", q.executions), zap.Int("full", refusals), zap.Int64("position", q.lastEventID))
 		q.metrics.Retries.Add(1)
 		if q.responseStarted {
--- a/internal/gateway/caller/error_response.go
+++ b/internal/gateway/caller/error_response.go
@@ -54,6 +54,12 @@
 	return q.reject(http.StatusServiceUnavailable, "a part of the prompt crashed several upstreams", retryAfterQuarantine)
 }
 
+// isQuarantined reports whether the request is in quarantine itself or because of a part of its prompt.
+func (q *request) isQuarantined() bool {
+	_, part := q.View.QuarantinedPart(q.sharedParts)
+	return part || q.View.Quarantined(q.fingerprint)
+}
+
 // rejectQuarantined answers a request that is in quarantine itself or because of a part of its prompt.
 // Like reject, it returns false.
 func (q *request) rejectQuarantined() bool {
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -266,7 +266,7 @@
 	q.service = q.route.PickService(q.randomFloat())
 	q.readRoutingHeaders()
 	q.fingerprint = q.computeFingerprint()
-	if _, ok := q.View.QuarantinedPart(q.sharedParts); ok || q.View.Quarantined(q.fingerprint) {
+	if q.isQuarantined() {
 		return q.rejectQuarantined()
 	}
 	if !q.checkSession() {
--- a/internal/gateway/caller/pause.go
+++ b/internal/gateway/caller/pause.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,38 +11,6 @@
 	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
 )
 
-// statement is the head of a response in which an upstream may state that it leaves or wants a pause.
-type statement struct {
-	*Handler
-	upstream string
-	born     int64
-	status   int
-	header   http.Header
-	log      func(message string, fields ...zap.Field)
-}
-
-// statement returns the head of the response.
-func (e *exchange) statement() *statement {
-	return &statement{e.Handler, e.target.ID, e.target.Born, e.response.Status, e.response.Header, e.log}
-}
-
-// ReadResponse reads what an upstream states in a response to a request of another instance, which uses
-// a connection of this one.
-func (h *Handler) ReadResponse(id string, born int64, r *http.Response) {
-	s := &statement{h, id, born, r.StatusCode, r.Header, h.Log.With(zap.Bool("tunnel", true)).Info}
-	s.readLeaving()
-	s.readPause()
-}
-
-// Closed returns how long an upstream wants no requests of this instance; 0 if it takes some.
-func (h *Handler) Closed(id string, born int64) time.Duration { return h.Balancer.Closed(id, born) }
-
-// Refusal returns the response to a request of another instance that was not sent to its upstream.
-func (h *Handler) Refusal(wait time.Duration) []byte {
-	return []byte("HTTP/1.1 503 Service Unavailable\r\n" + h.Protocol.NotExecuted + ": 1\r\nRetry-After: " +
-		strconv.FormatFloat(wait.Seconds(), 'f', 3, 64) + "\r\nContent-Length: 0\r\n\r\n")
-}
-
 // readPause reads how long an upstream that refused the request, or failed, wants no requests of this
 // instance.
 func (s *statement) readPause() {
