bench/soak: state that an upstream is brittle in one place

Cause: a refusal in a pause and the admission both added the header and both took the address of the instance apart; the test for a partitioned instance stood twice; three methods had the name undisturbedSince. Change: stateBrittle beside the other statements, the address is read once, isPartitioned uses contains, and the method of Soak is instanceUndisturbedSince. Checks and bounds are as before. Conclusion: nothing but the order of reading has changed.

--- a/internal/bench/soak/brittle.go
+++ b/internal/bench/soak/brittle.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -53,18 +52,26 @@
 	}
 }
 
-// enter states whether the upstream is brittle and reports whether it has room for the request.
-// The returned function must be called at the end of the request.
-func (u *simulatedUpstream) enter(h http.Header, remote string) (leave func(), ok bool) {
+// stateBrittle adds to the header of a response whether the upstream is brittle.
+func (u *simulatedUpstream) stateBrittle(h http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.brittle != nil {
+		h.Set(u.soak.options.Dialect.Protocol().Brittle, strconv.Itoa(u.brittle.tolerated))
+	}
+}
+
+// enter reports whether the upstream has room for a request of the instance at an IP address. The
+// returned function must be called at the end of the request.
+func (u *simulatedUpstream) enter(ip string) (leave func(), ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	b := u.brittle
 	if b == nil {
 		return func() {}, true
 	}
-	h.Set(u.soak.options.Dialect.Protocol().Brittle, strconv.Itoa(b.tolerated))
 	if b.running >= b.room {
-		u.refuse(b, remote)
+		u.refuse(b, ip)
 		return nil, false
 	}
 	b.running++
@@ -77,11 +84,10 @@
 
 // refuse records a refusal. The upstream falls if there were too many in a second; the fall counts if most
 // of them came from instances in contact. u.mu must be held.
-func (u *simulatedUpstream) refuse(b *brittleness, remote string) {
+func (u *simulatedUpstream) refuse(b *brittleness, ip string) {
 	s, now := u.soak, u.soak.options.Timer.Now()
 	s.recorder.count("refused by brittle upstreams")
-	ip, _, _ := net.SplitHostPort(remote)
-	b.refused = append(b.refused, refusal{now, s.undisturbedSince(ip, now.Add(-reconnectTime))})
+	b.refused = append(b.refused, refusal{now, s.instanceUndisturbedSince(ip, now.Add(-reconnectTime))})
 	n, inContact := 0, 0
 	for _, r := range b.refused {
 		if now.Sub(r.at) >= time.Second {
--- a/internal/bench/soak/partition.go
+++ b/internal/bench/soak/partition.go
@@ -208,11 +208,7 @@
 
 // isPartitioned reports whether the connection comes from a partitioned instance.
 func (pc *proxiedConn) isPartitioned(p *partition) bool {
-	if p == nil {
-		return false
-	}
-	source := pc.instanceConn.RemoteAddr().(*net.TCPAddr).IP
-	return slices.ContainsFunc(p.addresses(), source.Equal)
+	return p != nil && p.contains(pc.instanceConn.RemoteAddr().(*net.TCPAddr).IP.String())
 }
 
 // hangs reports whether the connection must pass nothing on.
--- a/internal/bench/soak/pause.go
+++ b/internal/bench/soak/pause.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -41,9 +40,9 @@
 	u.pause = requestedPause{end: u.soak.options.Timer.Now().Add(d), told: map[string]*toldInstance{}}
 }
 
-// refuseInPause refuses a request of the instance at a remote address during a pause and tells how
-// long that lasts. It returns false without a pause.
-func (u *simulatedUpstream) refuseInPause(h http.Header, remote string) bool {
+// refuseInPause refuses a request of the instance at an IP address during a pause and tells how long
+// that lasts. It returns false without a pause.
+func (u *simulatedUpstream) refuseInPause(h http.Header, ip string) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s, now := u.soak, u.soak.options.Timer.Now()
@@ -51,16 +50,12 @@
 		return false
 	}
 	h.Set("Retry-After", strconv.FormatFloat(u.pause.end.Sub(now).Seconds(), 'f', 3, 64))
-	if u.brittle != nil {
-		h.Set(s.options.Dialect.Protocol().Brittle, strconv.Itoa(u.brittle.tolerated))
-	}
-	ip, _, _ := net.SplitHostPort(remote)
 	t := u.pause.told[ip]
 	if t == nil {
 		u.pause.told[ip] = &toldInstance{at: now}
 		return true
 	}
-	if now < t.at.Add(pauseDelay) || !s.undisturbedSince(ip, t.at) || !u.proxy.undisturbedSince(ip, t.at) {
+	if now < t.at.Add(pauseDelay) || !s.instanceUndisturbedSince(ip, t.at) || !u.proxy.undisturbedSince(ip, t.at) {
 		return true
 	}
 	s.recorder.count("requests in pauses")
@@ -70,9 +65,9 @@
 	return true
 }
 
-// undisturbedSince reports whether there was no fault and no planned work on the instance at an IP
+// instanceUndisturbedSince reports whether there was no fault and no planned work on the instance at an IP
 // address since an instant.
-func (s *Soak) undisturbedSince(ip string, since timer.Instant) bool {
+func (s *Soak) instanceUndisturbedSince(ip string, since timer.Instant) bool {
 	for _, i := range s.instances {
 		if i.ip == ip {
 			i.mu.Lock()
--- a/internal/bench/soak/upstream.go
+++ b/internal/bench/soak/upstream.go
@@ -181,12 +181,14 @@
 	u.checkLimit()
 	u.stateLimit(w.Header())
 	u.stateLeaving(w.Header())
-	if u.refuseInPause(w.Header(), r.RemoteAddr) {
+	u.stateBrittle(w.Header())
+	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
+	if u.refuseInPause(w.Header(), ip) {
 		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	leave, ok := u.enter(w.Header(), r.RemoteAddr)
+	leave, ok := u.enter(ip)
 	if !ok {
 		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
