gateway/caller: log the load behind a refusal of an upstream

Cause: the line "upstream refused" did not tell whether an upstream is full of requests that the instances count, or of others, so the hypotheses on falls of brittle upstreams could not be told apart. Change: the line states the requests of this instance at the upstream and the load that the upstream states. Measured: nothing; fields of a log line.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -449,6 +449,13 @@
 	s.pending++
 }
 
+// Inflight returns the number of requests of this instance that an upstream has not done.
+func (b *Balancer) Inflight(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state(id).inflight
+}
+
 // ResponseStarted records that the response to a request has started.
 func (b *Balancer) ResponseStarted(id string) {
 	b.mu.Lock()
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -358,7 +358,8 @@
 		e.outcome = balancer.Unreachable
 	}
 	e.discardBody()
-	e.log("upstream refused", zap.String("upstream", e.target.ID), zap.Int("status", e.response.Status))
+	e.log("upstream refused", zap.String("upstream", e.target.ID), zap.Int("status", e.response.Status),
+		zap.Int("own", e.Balancer.Inflight(e.target.ID)), zap.String("load", e.response.Header.Get(e.Protocol.Load)))
 	return actionRetryNotExecuted
 }
 
