--- a/internal/gateway/caller/brittle_test.go
+++ b/internal/gateway/caller/brittle_test.go
@@ -77,15 +77,57 @@
 	}
 }
 
+// brittleService is a service whose upstreams are brittle, before instances with one leader.
+type brittleService struct {
+	upstreams []*brittleUpstream
+	instances []*fixture
+}
+
+// startBrittleService starts the upstreams, which are copies of the given one with other places.
+func startBrittleService(t *testing.T, instances, upstreams int, u *brittleUpstream) *brittleService {
+	s := &brittleService{}
+	var desk []*upstreamtest.Server
+	for range upstreams {
+		n := &brittleUpstream{slots: u.slots, room: u.room, tolerated: u.tolerated, work: u.work, turn: make(chan struct{}, u.slots)}
+		n.server = startUpstream(t, n.handle)
+		s.upstreams, desk = append(s.upstreams, n), append(desk, n.server)
+	}
+	for range instances {
+		s.instances = append(s.instances, newFixture(t, desk, nil))
+	}
+	linkLeader(s.instances...)
+	return s
+}
+
+// counts returns how many requests the upstreams have served, and how often they fell since an instant.
+func (s *brittleService) counts(since time.Time) (served, falls int) {
+	for _, u := range s.upstreams {
+		u.mu.Lock()
+		served += u.served
+		for _, at := range u.falls {
+			if at.After(since) {
+				falls++
+			}
+		}
+		u.mu.Unlock()
+	}
+	return served, falls
+}
+
+// Rule on the falls of brittle upstreams: from brittleContactTime after the first statement on, they may
+// fall allowedFalls times and as often as a tenth of their number.
+const (
+	brittleContactTime = 3 * time.Second
+	brittleObservation = 8 * time.Second
+	allowedFalls       = 2
+)
+
 // Guards against refusals that topple brittle upstreams one after the other when there is more
 // load than they can take.
 func TestBrittleUpstreams(t *testing.T) {
 	const (
-		instances   = 4
-		upstreams   = 4
-		contactTime = 3 * time.Second
-		observation = 8 * time.Second
-		allowed     = 2 // and a tenth of the upstreams
+		instances = 4
+		upstreams = 4
 	)
 	for _, c := range []struct {
 		name      string
@@ -100,46 +142,74 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			var list []*brittleUpstream
-			var desk []*upstreamtest.Server
-			for range upstreams {
-				u := &brittleUpstream{slots: 4, room: c.room, tolerated: c.tolerated, work: 100 * time.Millisecond, turn: make(chan struct{}, 4)}
-				u.server = startUpstream(t, u.handle)
-				list, desk = append(list, u), append(desk, u.server)
-			}
-			var fixtures []*fixture
-			for range instances {
-				fixtures = append(fixtures, newFixture(t, desk, nil))
-			}
-			linkLeader(fixtures...)
+			s := startBrittleService(t, instances, upstreams, &brittleUpstream{slots: 4, room: c.room, tolerated: c.tolerated, work: 100 * time.Millisecond})
 			g := group.New(context.Background())
-			since := time.Now().Add(contactTime)
-			for _, f := range fixtures {
+			since := time.Now().Add(brittleContactTime)
+			for _, f := range s.instances {
 				g.Go("load", lookups(f, c.interval).loop)
 			}
-			time.Sleep(contactTime)
-			before := 0
-			for _, u := range list {
-				u.mu.Lock()
-				before += u.served
-				u.mu.Unlock()
-			}
-			time.Sleep(observation)
-			fixtures[0].NoErr(g.Stop())
-			falls, served := 0, -before
-			for _, u := range list {
-				u.mu.Lock()
-				for _, at := range u.falls {
-					if at.After(since) {
-						falls++
-					}
+			time.Sleep(brittleContactTime)
+			before, _ := s.counts(since)
+			time.Sleep(brittleObservation)
+			s.instances[0].NoErr(g.Stop())
+			served, falls := s.counts(since)
+			t.Logf("%d falls, %d requests served", falls, served-before)
+			s.instances[0].True(falls <= allowedFalls+upstreams/10)
+			s.instances[0].True(served-before >= c.served)
+		})
+	}
+}
+
+// Guards against instances that topple brittle upstreams because there are more of them than slots, each
+// with a request of its own, and against instances that refuse callers while slots are free elsewhere.
+func TestManyInstancesBeforeBrittleUpstreams(t *testing.T) {
+	const (
+		upstreams = 6
+		slots     = 4
+		work      = 60 * time.Millisecond
+		fits      = upstreams * slots * int(time.Second/work) // requests a second
+	)
+	for _, c := range []struct {
+		name      string
+		instances int
+		rate      int  // of all callers, requests a second
+		together  bool // all instances get their requests at the same moment
+		served    float64
+	}{
+		{"12 instances, half of what fits", 12, fits / 2, false, 0.95},
+		{"69 instances, half of what fits", 69, fits / 2, false, 0.95},
+		{"69 instances, a tenth at the same moment", 69, fits / 10, true, 0.9},
+		{"69 instances, double", 69, 2 * fits, false, 0.8},
+		{"200 instances, half of what fits", 200, fits / 2, false, 0.95},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := startBrittleService(t, c.instances, upstreams, &brittleUpstream{slots: slots, room: 2, tolerated: 3, work: work})
+			interval := time.Duration(c.instances) * time.Second / time.Duration(c.rate)
+			start := time.Now().Truncate(interval).Add(interval)
+			since, end := start.Add(brittleContactTime), start.Add(brittleContactTime+brittleObservation)
+			g := group.New(context.Background())
+			var counts []*returning
+			for i, f := range s.instances {
+				r := &returning{fixture: f, since: since, end: end}
+				counts = append(counts, r)
+				first := start
+				if !c.together {
+					first = start.Add(interval * time.Duration(i) / time.Duration(c.instances))
 				}
-				served += u.served
-				u.mu.Unlock()
+				g.Go("load", (&delayedLoad{first, &load{interval: interval, send: r.send}}).loop)
+			}
+			time.Sleep(time.Until(end))
+			s.instances[0].NoErr(g.Stop())
+			_, falls := s.counts(since)
+			sent, served := 0, 0
+			for _, r := range counts {
+				sent, served = sent+r.sent, served+r.served
 			}
-			t.Logf("%d falls, %d requests served", falls, served)
-			fixtures[0].True(falls <= allowed+upstreams/10)
-			fixtures[0].True(served >= c.served)
+			due := min(float64(sent), float64(fits)*brittleObservation.Seconds())
+			t.Logf("%d falls, %d of %d requests served, %.2f of what fits", falls, served, sent, float64(served)/due)
+			s.instances[0].True(falls <= allowedFalls+upstreams/10)
+			s.instances[0].True(float64(served) >= c.served*due)
 		})
 	}
 }
--- a/internal/gateway/caller/caller_test.go
+++ b/internal/gateway/caller/caller_test.go
@@ -65,6 +65,9 @@
 	return c.Dial(ctx, id, born)
 }
 
+// testTimeout is the time limit of all routes but the one for streams.
+const testTimeout = time.Second
+
 // testLayout returns a layout with one route of each kind and a public one.
 func testLayout() *layout.Layout {
 	return &layout.Layout{
@@ -72,9 +75,9 @@
 		Pools:   []*layout.Pool{{Name: "desk"}, {Name: "pool"}},
 		Clients: []*layout.Client{{Name: "hill", Keys: []string{"k1"}, Priority: -1}},
 		Routes: []*layout.Route{
-			{Name: "book", Host: "h", Prefix: "/book/", Kind: layout.NonIdempotent, Timeout: time.Second, MaxAttempts: 3, Shares: []layout.Share{{Service: "desk", Weight: 1}}},
-			{Name: "look", Host: "h", Prefix: "/look/", Kind: layout.Idempotent, Timeout: time.Second, MaxAttempts: 2, Shares: []layout.Share{{Service: "desk", Weight: 1}}},
-			{Name: "open", Host: "h", Prefix: "/open/", Kind: layout.Idempotent, Timeout: time.Second, MaxAttempts: 2, Public: true, Shares: []layout.Share{{Service: "desk", Weight: 1}}},
+			{Name: "book", Host: "h", Prefix: "/book/", Kind: layout.NonIdempotent, Timeout: testTimeout, MaxAttempts: 3, Shares: []layout.Share{{Service: "desk", Weight: 1}}},
+			{Name: "look", Host: "h", Prefix: "/look/", Kind: layout.Idempotent, Timeout: testTimeout, MaxAttempts: 2, Shares: []layout.Share{{Service: "desk", Weight: 1}}},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: layout.Idempotent, Timeout: testTimeout, MaxAttempts: 2, Public: true, Shares: []layout.Share{{Service: "desk", Weight: 1}}},
 			{
 				Name: "draft", Host: "h", Prefix: "/draft/", Kind: layout.Stream, Timeout: 3 * time.Second, MaxAttempts: 3, Resumable: true, SessionAffinity: true,
 				Models: []layout.Model{"small", "large"}, Shares: []layout.Share{{Service: "pool", Weight: 1}},
--- a/internal/gateway/caller/load_test.go
+++ b/internal/gateway/caller/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -47,6 +48,54 @@
 	}
 }
 
+// delayedLoad is a load whose first interval begins at an instant.
+type delayedLoad struct {
+	start time.Time
+	*load
+}
+
+func (d *delayedLoad) loop(ctx context.Context) error {
+	if timer.Sleep(ctx, timer.NewSystem(), time.Until(d.start)) != nil {
+		return nil
+	}
+	return d.load.loop(ctx)
+}
+
+// returning counts the requests of callers that come back once after a refusal, as late as they are told
+// to but by a third of the time that they have left.
+type returning struct {
+	*fixture
+	since, end time.Time // requests sent from since until end count
+
+	mu           sync.Mutex
+	sent, served int
+}
+
+// send sends a request until it is served, and once more after a refusal.
+func (r *returning) send(number int) {
+	start, status := time.Now(), 0
+	for try := range 2 {
+		left := testTimeout - time.Since(start)
+		a := r.do("GET", "/look/"+strconv.Itoa(number), "", "Request-Id", r.name+"-"+strconv.Itoa(number)+"-"+strconv.Itoa(try),
+			"Deadline", strconv.FormatInt(left.Milliseconds(), 10))
+		if status = a.status; status != http.StatusServiceUnavailable {
+			break
+		}
+		pause, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		r.NoErr(err)
+		time.Sleep(min(time.Duration(pause*float64(time.Second)), (testTimeout-time.Since(start))/3))
+	}
+	if start.Before(r.since) || start.After(r.end) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	if status == http.StatusOK {
+		r.served++
+	}
+}
+
 type loadRequest struct {
 	*load
 	number int
