--- a/internal/kernel/timer/manual.go
+++ b/internal/kernel/timer/manual.go
@@ -1,6 +1,7 @@
 package timer
 
 import (
+	"container/heap"
 	"sync"
 	"time"
 )
@@ -10,18 +11,39 @@
 	mu      sync.Mutex
 	now     Instant
 	lastID  uint64
-	pending map[uint64]*callback
+	pending callbacks
 }
 
 // callback is a call scheduled by AfterFunc.
 type callback struct {
 	due Instant
 	id  uint64 // ascending; orders the callbacks that are due at the same instant
-	run func()
+	run func() // nil once it was stopped
+}
+
+// callbacks is a heap of callbacks by the time when they are due.
+type callbacks []*callback
+
+func (c callbacks) Len() int      { return len(c) }
+func (c callbacks) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+
+func (c callbacks) Less(i, j int) bool {
+	return c[i].due < c[j].due || c[i].due == c[j].due && c[i].id < c[j].id
+}
+
+// Push appends a callback; see heap.Interface.
+func (c *callbacks) Push(x any) { *c = append(*c, x.(*callback)) }
+
+// Pop removes the last callback; see heap.Interface.
+func (c *callbacks) Pop() any {
+	last := (*c)[len(*c)-1]
+	(*c)[len(*c)-1] = nil
+	*c = (*c)[:len(*c)-1]
+	return last
 }
 
 // NewManual returns a Manual at instant zero.
-func NewManual() *Manual { return &Manual{pending: map[uint64]*callback{}} }
+func NewManual() *Manual { return &Manual{} }
 
 // Now returns the current instant of the manual clock.
 func (m *Manual) Now() Instant {
@@ -39,12 +61,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastID++
-	id := m.lastID
-	m.pending[id] = &callback{due: m.now.Add(d), id: id, run: f}
+	c := &callback{due: m.now.Add(d), id: m.lastID, run: f}
+	heap.Push(&m.pending, c)
 	return func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		delete(m.pending, id)
+		c.run = nil
 	}
 }
 
@@ -76,23 +98,18 @@
 // time to end and returns false.
 func (m *Manual) runNext(end Instant) bool {
 	m.mu.Lock()
-	var next *callback
-	for _, c := range m.pending {
-		if c.due > end {
-			continue
-		}
-		if next == nil || c.due < next.due || (c.due == next.due && c.id < next.id) {
-			next = c
-		}
+	for len(m.pending) > 0 && m.pending[0].run == nil {
+		heap.Pop(&m.pending)
 	}
-	if next == nil {
+	if len(m.pending) == 0 || m.pending[0].due > end {
 		m.now = end
 		m.mu.Unlock()
 		return false
 	}
-	delete(m.pending, next.id)
+	next := heap.Pop(&m.pending).(*callback)
 	m.now = max(m.now, next.due)
+	run := next.run
 	m.mu.Unlock()
-	next.run()
+	run()
 	return true
 }
