fleet/slot, gateway: the leader leases the slots of brittle upstreams

Seen: with 69 instances before 6 brittle upstreams these fell again and again under the requests that they had to refuse (LIMIT), and most requests that would have fit were refused. Cause: the sum of what the instances send was not bounded. Shares of a few slots leave most instances without one; each of them might send one request all the same, so the sum grew with the number of instances. Change: the leader leases each slot to one request (fleet/slot, calls over a stream). A lease counts as in use until it is returned or the time limit of its request has passed; it is checked right before the first byte. Instances of earlier programs keep their shares, and the leader leases the rest. Upstreams of a service with a brittle one need a lease until they have responded. The one request of instances without a share is gone.

--- a/internal/fleet/coordinator/conditions.go
+++ b/internal/fleet/coordinator/conditions.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
 
@@ -28,6 +29,9 @@
 		if old == nil || old.record.GetBrittle() != n.GetBrittle() {
 			c.options.Log.Info("condition of an upstream", zap.String("upstream", n.GetId()), zap.Bool("brittle", n.GetBrittle()), zap.Uint32("tolerated", n.GetTolerated()))
 		}
+		if u := c.records[o.GetId()]; u != nil && o.GetRefusals() > 0 {
+			c.slots.Pause(slot.Upstream{ID: u.GetId(), Born: u.GetBorn()}, c.options.Timer.Now())
+		}
 		c.conditions[o.GetId()] = &condition{record: n, revision: c.nextRevision()}
 	}
 }
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/state"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -83,6 +84,8 @@
 	loads         map[string]*load
 	limits        map[string]*limit // by upstream id
 	lender        *permit.Lender
+	slots         *slot.Lender
+	sessions      map[string]*SlotSession             // by name of the instance
 	conditions    map[string]*condition               // by upstream id
 	crashes       map[uint64]map[string]timer.Instant // last crash by fingerprint and upstream id
 	parts         *suspect.Tracker                    // parts of prompts in requests that ran on crashed upstreams
@@ -126,6 +129,7 @@
 	c.upstreams, c.records = map[string]*upstream{}, map[string]*wire.Upstream{}
 	c.instances, c.loads = map[string]*instance{}, map[string]*load{}
 	c.limits, c.lender = map[string]*limit{}, permit.NewLender()
+	c.resetSlots()
 	c.conditions = map[string]*condition{}
 	c.crashes = map[uint64]map[string]timer.Instant{}
 	c.parts = suspect.New(func(p suspect.Part) bool { return c.options.State.PartQuarantined(string(p)) })
@@ -264,7 +268,7 @@
 
 // reply returns the changes that the caller of a poll does not know. c.mu must be held.
 func (c *Coordinator) reply(q *wire.SyncRequest) *wire.SyncReply {
-	r := &wire.SyncReply{Term: c.period, Cursor: c.revision}
+	r := &wire.SyncReply{Term: c.period, Cursor: c.revision, LeasesSlots: true}
 	since := q.GetCursor()
 	if q.GetTerm() != c.period {
 		since = 0
@@ -411,6 +415,7 @@
 	}
 	c.dropLimits()
 	c.dropConditions()
+	c.answerWants(c.slots.Advance(now))
 	c.parts.Expire(now)
 	if revision := c.parts.Revision(); revision != c.partsListed {
 		c.partsListed, c.partsRevision = revision, c.nextRevision()
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -205,7 +205,7 @@
 	o := i.options
 	w := &wire.Instance{
 		Name: o.Name, Zone: o.Zone, Region: o.Region, Peer: string(o.PeerAddress), Caller: o.CallerAddress,
-		Epoch: i.epoch, Ready: i.Ready(), Partitioned: o.Partitioned(),
+		Epoch: i.epoch, Ready: i.Ready(), Partitioned: o.Partitioned(), LeasesSlots: true,
 	}
 	if i.replica != nil {
 		w.Identity = i.replica.Identity()
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -97,6 +97,7 @@
 	g.Go("poll", p.loop)
 	g.Go("report", r.loop)
 	g.Go("borrow", (&borrower{c}).loop)
+	g.Go("slots", (&slotLeaser{c}).loop)
 	g.Go("fetch", (&fetcher{c}).loop)
 	return errors.CombineErrors(g.Wait(), c.connections.Close())
 }
--- a/internal/fleet/view/conditions.go
+++ b/internal/fleet/view/conditions.go
@@ -1,9 +1,11 @@
 package view
 
 import (
-	"hash/fnv"
+	"context"
 	"slices"
+	"time"
 
+	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
 
@@ -65,19 +67,27 @@
 	v.rank.Store(&rank{index, len(names)})
 }
 
-// SlotShare returns how many of the slots of an upstream this instance may use, so that all
-// instances together use no more than there are. Which of them get one more than others depends on
-// the upstream.
+// Slots returns the leases of slots of brittle upstreams.
+func (v *View) Slots() *slot.Stock { return v.slots }
+
+// LeasesSlots reports whether the leader leases the slots of brittle upstreams. One of an earlier program does
+// not; then each instance uses its share.
+func (v *View) LeasesSlots() bool { return v.leasesSlots.Load() }
+
+// AcquireSlot waits for a lease of a slot of one of the upstreams, and ReturnSlot ends it; see slot.Stock.
+func (v *View) AcquireSlot(ctx context.Context, upstreams []slot.Upstream, remaining, patience time.Duration) (l slot.Lease, wait time.Duration, ok bool) {
+	return v.slots.Acquire(ctx, upstreams, remaining, patience)
+}
+
+// ReturnSlot ends a lease.
+func (v *View) ReturnSlot(l slot.Lease, use slot.Use) { v.slots.Return(l, use) }
+
+// SlotShare returns how many of the slots of an upstream this instance may use if the leader does not
+// lease them.
 func (v *View) SlotShare(upstream string, slots int) int {
 	r := v.rank.Load()
 	if r == nil {
 		return slots
 	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(upstream)) // never fails
-	share := slots / r.count
-	if (r.index+int(h.Sum32()%uint32(r.count)))%r.count < slots%r.count {
-		share++
-	}
-	return share
+	return slot.Share(upstream, slots, r.index, r.count)
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -14,6 +14,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
@@ -73,8 +74,10 @@
 
 	quarantinedParts atomic.Pointer[map[suspect.Part]bool]
 
-	permits *permit.Stock
-	rank    atomic.Pointer[rank]
+	permits     *permit.Stock
+	slots       *slot.Stock
+	leasesSlots atomic.Bool // the leader leases slots
+	rank        atomic.Pointer[rank]
 
 	mu           sync.Mutex
 	upstreams    map[string]*wire.Upstream // by id
@@ -101,7 +104,7 @@
 // New returns a view without a layout, upstreams or instances.
 func New(o Options) *View {
 	v := &View{
-		options: o, permits: permit.NewStock(o.Timer), upstreams: map[string]*wire.Upstream{}, instances: map[string]*instance{},
+		options: o, permits: permit.NewStock(o.Timer), slots: slot.NewStock(o.Timer), upstreams: map[string]*wire.Upstream{}, instances: map[string]*instance{},
 		conditions: map[string]*wire.Condition{}, quarantined: map[uint64]bool{}, responses: suspect.NewResponses(), pending: newPendingReport(), urgent: make(chan struct{}, 1),
 		layoutLoaded: make(chan struct{}), layoutWanted: make(chan struct{}, 1),
 	}
@@ -190,6 +193,7 @@
 		}
 		v.queueLimits()
 		v.queueConditions()
+		v.slots.LeaderChanged()
 		v.signalUrgent()
 	}
 	changed := false
@@ -211,6 +215,7 @@
 			v.options.OnLoad(l.GetId(), int(l.GetRunning()), int(l.GetWaiting()))
 		}
 	}
+	v.leasesSlots.Store(r.GetLeasesSlots())
 	v.updateRank()
 	v.applyLimits(r.GetLimits())
 	v.applyConditions(r.GetConditions())
--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -124,6 +124,7 @@
 	connectFailures  int // failed connections in a row
 	backoffUntil     timer.Instant
 	brittle          *brittleState // nil unless the upstream is brittle
+	soundAt          timer.Instant // last response without that statement while others made it
 	pause            *pause        // nil unless the upstream asked for one recently
 }
 
@@ -135,6 +136,9 @@
 	// Share returns how many of the slots of an upstream this instance may use while the upstream
 	// is brittle. If nil, it may use all.
 	Share func(upstream string, slots int) int
+	// Leased reports whether the leader leases the slots of brittle upstreams, so that the shares do not
+	// count. If nil, it does not.
+	Leased func() bool
 	// Instances returns the number of instances that may have been asked for the same pause. It is not
 	// called with the mutex held. If nil, this is the only one.
 	Instances func() int
@@ -144,7 +148,9 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	upstreams map[string]*upstreamState
-	evictAt   int // number of tracked upstreams at which the idle ones are evicted
+	// brittleCount is the number of brittle upstreams.
+	brittleCount int
+	evictAt      int // number of tracked upstreams at which the idle ones are evicted
 }
 
 // New returns a balancer, which must be the only user of random.
@@ -355,9 +361,6 @@
 			usable = append(usable, c)
 		}
 	}
-	if len(usable)+len(backedOff) == 0 && len(excluded) == 0 {
-		usable = b.spare(candidates, now)
-	}
 	return usable, backedOff
 }
 
@@ -428,7 +431,7 @@
 func (b *Balancer) TryRequest(c Candidate) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now := b.timer.Now(); !b.hasRoom(c, now) && !b.isSpare(c, now) {
+	if !b.hasRoom(c, b.timer.Now()) {
 		return false
 	}
 	b.requestSent(c.ID)
--- a/internal/gateway/balancer/brittle.go
+++ b/internal/gateway/balancer/brittle.go
@@ -7,9 +7,13 @@
 )
 
 // A brittle upstream fails if it has to refuse more than a few requests in a second, over all
-// instances. Each instance therefore keeps to its share of the slots, so that all of them together
-// do not fill the upstream, and a refusal stops all of them for a while.
+// instances. The leader leases its slots, one for each request (package slot). If the leader does not, each
+// instance keeps to its share of the slots, so that all of them together do not fill the upstream, and a
+// refusal stops all of them for a while.
 const (
+	// leasedPause is how long no request is sent after a refusal if slots are leased: leases from before
+	// the refusal expire then, and the leader waits for longer before it grants others.
+	leasedPause = 500 * time.Millisecond
 	// refusalPause is how long no request is sent to a brittle upstream after a refusal, and
 	// refusalJitter the largest random addition, so that instances do not return at once.
 	refusalPause  = time.Second
@@ -24,7 +28,8 @@
 
 // brittleState is what an instance knows about a brittle upstream.
 type brittleState struct {
-	factor      float64 // of the share, at reducedAt
+	since       timer.Instant // when the instance learned of it
+	factor      float64       // of the share, at reducedAt
 	reducedAt   timer.Instant
 	pausedUntil timer.Instant
 }
@@ -37,13 +42,65 @@
 	if (s.brittle != nil) == brittle {
 		return false
 	}
-	s.brittle = nil
 	if brittle {
-		s.brittle = &brittleState{factor: 1}
+		s.brittle = &brittleState{since: b.timer.Now(), factor: 1}
+		b.brittleCount++
+	} else {
+		s.brittle = nil
+		b.brittleCount--
 	}
 	return true
 }
 
+// ReportSound records a response of an upstream that does not state that it is brittle.
+func (b *Balancer) ReportSound(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.brittleCount > 0 {
+		b.state(id).soundAt = b.timer.Now()
+	}
+}
+
+// NeedsLease reports whether a request to a candidate needs a lease of one of its slots: if it is brittle, or
+// if it has not responded since another one of the service, all of which are among the candidates, became
+// brittle. All upstreams of a service are brittle at the same time, and a new one has the lowest load of all.
+func (b *Balancer) NeedsLease(c Candidate, all []Candidate) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.brittleCount == 0 || !b.leased() {
+		return false
+	}
+	s := b.state(c.ID)
+	if s.brittle != nil {
+		return true
+	}
+	for _, o := range all {
+		if r := b.upstreams[o.ID]; r != nil && r.brittle != nil && (s.soundAt == 0 || s.soundAt.Before(r.brittle.since)) {
+			return true
+		}
+	}
+	return false
+}
+
+// leased reports whether the leader leases the slots of brittle upstreams.
+func (b *Balancer) leased() bool { return b.Leased != nil && b.Leased() }
+
+// Available returns the candidates, without the excluded ones, to which requests may be sent if they have a
+// slot, the preferred one first, the others in a random order.
+func (b *Balancer) Available(preferred Candidate, candidates []Candidate, excluded []string) (out []Candidate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	usable, _ := b.partition(candidates, excluded, b.timer.Now())
+	b.random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	out = append(out, preferred)
+	for _, c := range usable {
+		if c.ID != preferred.ID {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // ShortOfRoom reports whether a candidate is brittle or returns from a pause.
 func (b *Balancer) ShortOfRoom(c Candidate) bool {
 	b.mu.Lock()
@@ -73,6 +130,10 @@
 // reduce pauses a brittle upstream and reduces the share of this instance. b.mu must be held.
 func (b *Balancer) reduce(s *brittleState) {
 	now := b.timer.Now()
+	if b.leased() {
+		s.pausedUntil = max(s.pausedUntil, now.Add(leasedPause))
+		return
+	}
 	s.pausedUntil = max(s.pausedUntil, now.Add(refusalPause+time.Duration(b.random.Int64N(int64(refusalJitter)))))
 	if s.reducedAt == 0 || now.Sub(s.reducedAt) >= minReduction {
 		s.factor, s.reducedAt = s.currentFactor(now)*refusalFactor, now
@@ -84,8 +145,8 @@
 	return min(1, s.factor+(1-s.factor)*float64(now.Sub(s.reducedAt))/float64(shareRecovery))
 }
 
-// hasRoom reports whether this instance may send another request to a candidate. The share is
-// rounded up, so that some instance always finds out whether there is room again. b.mu must be held.
+// hasRoom reports whether this instance may send another request to a candidate, with a lease if slots are
+// leased. b.mu must be held.
 func (b *Balancer) hasRoom(c Candidate, now timer.Instant) bool {
 	u := b.state(c.ID)
 	if !u.pauseAllows(c, now) {
@@ -97,6 +158,9 @@
 	if now.Before(u.brittle.pausedUntil) {
 		return false
 	}
+	if b.leased() {
+		return true
+	}
 	share := c.Slots
 	if b.Share != nil {
 		share = b.Share(c.ID, c.Slots)
@@ -104,37 +168,6 @@
 	return share > 0 && u.inflight < max(1, int(u.brittle.currentFactor(now)*float64(share)))
 }
 
-// spare returns the candidate for an instance that has no share of any, because there are more
-// instances than slots: a random one, for one request at a time. b.mu must be held.
-func (b *Balancer) spare(candidates []Candidate, now timer.Instant) (out []Candidate) {
-	for _, c := range candidates {
-		if !b.hasNoShare(c) || b.state(c.ID).inflight > 0 {
-			return nil
-		}
-		if b.isSpare(c, now) {
-			out = append(out, c)
-		}
-	}
-	if len(out) == 0 {
-		return nil
-	}
-	i := b.random.IntN(len(out))
-	return out[i : i+1]
-}
-
-// hasNoShare reports whether a candidate is brittle and this instance has no share of it. b.mu must
-// be held.
-func (b *Balancer) hasNoShare(c Candidate) bool {
-	return b.state(c.ID).brittle != nil && b.Share != nil && b.Share(c.ID, c.Slots) <= 0
-}
-
-// isSpare reports whether a candidate takes the one request of an instance without a share of it.
-// b.mu must be held.
-func (b *Balancer) isSpare(c Candidate, now timer.Instant) bool {
-	u := b.state(c.ID)
-	return b.hasNoShare(c) && u.inflight == 0 && !now.Before(u.brittle.pausedUntil) && u.pauseAllows(c, now)
-}
-
 // Vacated returns a channel that is closed when a request ends whose upstream is brittle or has asked
 // for a pause.
 func (b *Balancer) Vacated() <-chan struct{} {
--- a/internal/gateway/caller/before_send.go
+++ b/internal/gateway/caller/before_send.go
@@ -24,9 +24,12 @@
 // errNoPermit means that the upstream has stated a limit since it was selected.
 var errNoPermit = errors.New("no permit for an upstream with a limit")
 
+// errNoLease means that the upstream is brittle and the request has no valid lease of a slot.
+var errNoLease = errors.New("no lease of a slot of a brittle upstream")
+
 // errNotAdmitted lists the errors of beforeSend, which say nothing about the upstream.
 var errNotAdmitted = []error{
-	errTimeout, errPermissionExpired, errQuarantined, errUpstreamLeft, errUpstreamClosed, errNoPermit, errPermitExpired,
+	errTimeout, errPermissionExpired, errQuarantined, errUpstreamLeft, errUpstreamClosed, errNoPermit, errPermitExpired, errNoLease,
 }
 
 // beforeSend checks right before the first byte whatever may have changed since the request was
@@ -77,7 +80,7 @@
 	if !e.permit.Valid(e.Timer.Now()) {
 		return errPermitExpired
 	}
-	return nil
+	return e.checkLease()
 }
 
 // keyValid reports whether the key of the request is still valid in the current layout.
--- a/internal/gateway/caller/before_send_test.go
+++ b/internal/gateway/caller/before_send_test.go
@@ -41,6 +41,11 @@
 		{"brittle and has refused a request", func(f *fixture) {
 			f.handler.Balancer.ReportCondition("desk0", true, true)
 		}, 0, "full"},
+		{"brittle, slots are leased", func(f *fixture) {
+			f.view.ApplySync(&wire.SyncReply{Term: 1, LeasesSlots: true}, f.clock.Now())
+			f.handler.Balancer.ReportCondition("desk0", true, false)
+			f.view.Slots().Fail()
+		}, 0, "slots"},
 		{"limit", func(f *fixture) { f.view.RecordLimit("desk0", permit.Limit{Born: 1, Rate: 1}) }, 0, "limit"},
 		{"leave", func(f *fixture) { f.view.RecordLeaving("desk0", 1) }, 0, "upstream"},
 		{"request is quarantined", func(f *fixture) {
--- a/internal/gateway/caller/brittle.go
+++ b/internal/gateway/caller/brittle.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
 )
 
@@ -18,8 +20,71 @@
 	// maxWaitingForRoom limits the requests of this instance that wait so: each of them looks for
 	// room again whenever a request ends.
 	maxWaitingForRoom = 32
+	// maxLeaseCandidates limits the upstreams that a request names to the leader, which chooses one with a
+	// free slot.
+	maxLeaseCandidates = 8
 )
 
+// leaseSlot waits for a lease of a slot, of the selected upstream or of another one that needs one too, if the
+// upstream is brittle. Without a lease, an upstream that needs none is selected if there is one.
+func (q *request) leaseSlot(target balancer.Candidate, p permit.Permit, candidates []balancer.Candidate, isCanary bool, excluded []string) (
+	c balancer.Candidate, granted permit.Permit, l slot.Lease, ok bool,
+) {
+	if !q.Balancer.NeedsLease(target, candidates) {
+		return target, p, slot.Lease{}, true
+	}
+	short, sound := q.leaseCandidates(target, p, candidates, excluded)
+	patience := min(q.roomPatience(), slot.MaxPatience)
+	defer q.waitingForRoom.Add(-1)
+	if q.waitingForRoom.Add(1) <= maxWaitingForRoom && patience > 0 {
+		upstreams := make([]slot.Upstream, 0, len(short))
+		for _, c := range short {
+			upstreams = append(upstreams, slot.Upstream{ID: c.ID, Born: c.Born})
+		}
+		if l, q.leaseWait, ok = q.View.AcquireSlot(q.ctx, upstreams, q.remaining(), patience); ok {
+			i := slices.IndexFunc(short, func(c balancer.Candidate) bool { return c.ID == l.Upstream.ID })
+			return short[i], p, l, true
+		}
+	}
+	q.noRoom = true
+	if c, ok = q.pick(sound, isCanary, excluded); ok {
+		granted, ok = q.View.TakePermit(c.ID, c.Born)
+	}
+	return c, granted, slot.Lease{}, ok
+}
+
+// leaseCandidates returns the selected upstream and others with slots to lease, and those that need no lease. A
+// permit is for the selected upstream alone.
+func (q *request) leaseCandidates(target balancer.Candidate, p permit.Permit, candidates []balancer.Candidate, excluded []string) (short, sound []balancer.Candidate) {
+	for _, c := range q.Balancer.Available(target, candidates, excluded) {
+		switch {
+		case !q.Balancer.NeedsLease(c, candidates):
+			sound = append(sound, c)
+		case c.ID == target.ID, len(short) < maxLeaseCandidates && !p.Limited() && !q.View.RateLimited(c.ID, c.Born):
+			short = append(short, c)
+		}
+	}
+	return short, sound
+}
+
+// roomPatience returns how long the request still waits for room at brittle upstreams.
+func (q *request) roomPatience() time.Duration {
+	now := q.Timer.Now()
+	if q.roomDeadline == 0 {
+		q.roomDeadline = now.Add(min(maxRoomWait, q.remaining()/4))
+	}
+	return q.roomDeadline.Sub(now)
+}
+
+// checkLease checks that the request has a lease that is still valid if its upstream is brittle.
+func (e *exchange) checkLease() error {
+	if e.lease.Valid(e.Timer.Now()) && (e.lease.Held() || !e.Balancer.NeedsLease(e.target, e.candidates)) {
+		return nil
+	}
+	e.placeAgain = true
+	return errNoLease
+}
+
 // awaitRoom waits until a request to an upstream that is short of room has ended, or until the first
 // upstream takes requests again if all pause. It returns false if there is nothing to wait for or
 // the request has waited long enough.
@@ -34,16 +99,13 @@
 		return false
 	}
 	q.noRoom = true
-	now := q.Timer.Now()
-	if q.roomDeadline == 0 {
-		q.roomDeadline = now.Add(min(maxRoomWait, q.remaining()/4))
-	}
+	patience := q.roomPatience()
 	defer q.waitingForRoom.Add(-1)
-	if q.waitingForRoom.Add(1) > maxWaitingForRoom || !now.Before(q.roomDeadline) {
+	if q.waitingForRoom.Add(1) > maxWaitingForRoom || patience <= 0 {
 		return false
 	}
 	vacated, expired := q.Balancer.Vacated(), make(chan struct{})
-	stop := q.Timer.AfterFunc(q.roomDeadline.Sub(now), func() { close(expired) })
+	stop := q.Timer.AfterFunc(patience, func() { close(expired) })
 	defer stop()
 	select {
 	case <-vacated:
@@ -62,6 +124,9 @@
 	}
 	value := e.response.Header.Get(e.Protocol.Brittle)
 	if value == "" {
+		if e.response.Header.Get(e.Protocol.Signature) != "" {
+			e.Balancer.ReportSound(e.target.ID)
+		}
 		if e.brittle && e.response.Header.Get(e.Protocol.Signature) != "" && e.Balancer.SetBrittle(e.target.ID, false) {
 			e.log("upstream is no longer brittle", zap.String("upstream", e.target.ID))
 			e.View.RecordCondition(e.target.ID, false, 0, 0)
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -13,6 +13,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/tunnel"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/canary"
@@ -58,9 +59,12 @@
 type exchange struct {
 	*request
 	target         balancer.Candidate
-	permit         permit.Permit // to send the request to the target
-	limited        bool          // the target had stated a limit when it was selected
-	brittle        bool          // the target was brittle when it was selected
+	candidates     []balancer.Candidate // among which the target was selected
+	permit         permit.Permit        // to send the request to the target
+	lease          slot.Lease           // of a slot of the target
+	notSent        bool                 // nothing was sent to the target
+	limited        bool                 // the target had stated a limit when it was selected
+	brittle        bool                 // the target was brittle when it was selected
 	sentAt         timer.Instant
 	outcome        balancer.Outcome
 	headerReceived bool // status line and headers
@@ -167,6 +171,8 @@
 		q.reject(http.StatusServiceUnavailable, "time limit passed before an upstream took the request", 0)
 	case q.permitWait > 0:
 		q.reject(http.StatusServiceUnavailable, "upstreams limit their requests", max(q.permitWait, minPermitRetry))
+	case q.leaseWait > 0:
+		q.reject(http.StatusServiceUnavailable, "all slots of brittle upstreams are in use", max(q.leaseWait, minPermitRetry))
 	case q.pauseWait > 0:
 		q.reject(http.StatusServiceUnavailable, "all upstreams asked for a pause", q.pauseWait)
 	case refused || q.noRoom:
@@ -181,8 +187,15 @@
 	candidates, isCanary := q.candidates()
 	for lost := 0; ; lost++ {
 		target, p, found := q.pickPermitted(candidates, isCanary, excluded)
-		if found && q.Balancer.TryRequest(target) {
-			return q.newExchange(target, p, candidates), true
+		if found {
+			var l slot.Lease
+			if target, p, l, found = q.leaseSlot(target, p, candidates, isCanary, excluded); !found {
+				return nil, false
+			}
+			if q.Balancer.TryRequest(target) {
+				return q.newExchange(target, p, l, candidates), true
+			}
+			q.View.ReturnSlot(l, slot.Unused)
 		}
 		// If another request has just filled or closed the selected upstream, choose again at once.
 		if (!found || lost >= maxDispatches) && !q.awaitRoom(candidates, excluded) {
@@ -192,12 +205,12 @@
 }
 
 // newExchange returns the dispatch of the request to one of the candidates.
-func (q *request) newExchange(target balancer.Candidate, p permit.Permit, candidates []balancer.Candidate) *exchange {
+func (q *request) newExchange(target balancer.Candidate, p permit.Permit, l slot.Lease, candidates []balancer.Candidate) *exchange {
 	if q.Balancer.PauseOver(target) {
 		q.log("pause of an upstream is over", zap.String("upstream", target.ID))
 	}
 	e := &exchange{
-		request: q, target: target, permit: p,
+		request: q, target: target, candidates: candidates, permit: p, lease: l,
 		limited: q.View.RateLimited(target.ID, target.Born), brittle: q.Balancer.Brittle(target.ID),
 	}
 	if q.gatewaySelectsModel() {
@@ -327,9 +340,10 @@
 	case errors.As(err, &closed) && cause == nil:
 		// The instances that could pass the request on must not.
 		e.Balancer.Pause(e.target.ID, e.target.Born, closed.Wait)
-		e.placeAgain = true
+		e.placeAgain, e.notSent = true, true
 		return actionRetryNotExecuted
 	case errors.Is(err, upstream.ErrNotSent):
+		e.notSent = true
 		if cause == nil && !errors.IsAny(err, errNotAdmitted...) {
 			e.outcome = balancer.Unreachable
 		}
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -22,6 +22,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/view"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
@@ -90,6 +91,10 @@
 	// any more.
 	RecordLimit(id string, limit permit.Limit)
 	LiftLimit(id string, born int64)
+	// AcquireSlot waits for a lease of a slot of one of several brittle upstreams, and ReturnSlot ends it;
+	// see slot.Stock.
+	AcquireSlot(ctx context.Context, upstreams []slot.Upstream, remaining, patience time.Duration) (l slot.Lease, wait time.Duration, ok bool)
+	ReturnSlot(l slot.Lease, use slot.Use)
 	// RecordCondition reports whether an upstream is brittle, and how many requests it has refused.
 	RecordCondition(id string, brittle bool, tolerated, refusals int)
 	// RecordLeaving records that an upstream stated that it leaves, and UpstreamAddress returns
@@ -210,6 +215,9 @@
 	// permitWait is when the first of the upstreams with a limit may have a permit again, counted
 	// from the last choice of an upstream; 0 if none is short of permits.
 	permitWait time.Duration
+	// leaseWait is when a brittle upstream may have a slot again, counted from the last choice of an
+	// upstream; 0 if that is not known.
+	leaseWait time.Duration
 	// noRoom is true if a brittle upstream had no room for the request, which waits for it until
 	// roomDeadline; 0 before it waits.
 	noRoom       bool
--- a/internal/gateway/caller/record.go
+++ b/internal/gateway/caller/record.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/canary"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -18,6 +19,7 @@
 		e.response.Close()
 	}
 	e.Balancer.RequestDone(e.target.ID, e.outcome, e.headerReceived)
+	e.View.ReturnSlot(e.lease, e.slotUse(discarded))
 	if e.hasSession && e.headerReceived {
 		e.Sessions.RecordEnd(e.service, e.sessionHash, e.target.Version)
 		e.View.RecordSessionEnd(e.service, e.sessionHash)
@@ -37,6 +39,22 @@
 	e.View.RecordOutcome(o)
 }
 
+// slotUse tells how the request ended at the upstream. One whose response was dropped, or has no end, may
+// still run.
+func (e *exchange) slotUse(discarded bool) slot.Use {
+	switch {
+	case e.notSent:
+		return slot.Unused
+	case e.outcome == balancer.Refused:
+		return slot.Refused
+	case e.outcome == balancer.Unreachable: // another upstream responded
+		return slot.Unused
+	case !discarded && (e.outcome == balancer.Succeeded || e.outcome == balancer.Failed):
+		return slot.Ended
+	}
+	return slot.Abandoned
+}
+
 // logAnswered records and logs the completion of a request that an upstream answered.
 func (e *exchange) logAnswered(dispatched int) {
 	e.metrics.TimeToLastByte.record(e.Timer.Now().Sub(e.arrived))
