fleet/slot: lease one slot fewer after a refusal

Cause: the leader halved the capacity at a refusal, closed the upstream for 1 to 8 s and grew back to all slots within 10 s, so that it spent most of the time closed; instances closed it for another 500 ms. Change: the capacity is one less than what was in use, and another slot is tried each 2 to 16 s. Only half of the tolerated refusals in a second close the upstream. A lease from before a refusal is checked before the first byte instead of a pause at all instances.

--- a/internal/fleet/coordinator/slots.go
+++ b/internal/fleet/coordinator/slots.go
@@ -178,18 +178,22 @@
 	}
 	c.sessions = map[string]*SlotSession{}
 	c.slots = slot.NewLender(slot.Options{
-		Slots: c.slotsToLease, NewID: c.options.Random, OpenAt: c.options.Timer.Now().Add(slot.TakeoverDelay),
+		Upstream: c.slotInfo, NewID: c.options.Random, OpenAt: c.options.Timer.Now().Add(slot.TakeoverDelay),
 	})
 }
 
-// slotsToLease returns how many slots of an upstream may be leased: those that are not the fixed share of an
-// instance that leases none. c.mu must be held.
-func (c *Coordinator) slotsToLease(u slot.Upstream) (slots int, ok bool) {
+// slotInfo returns what an upstream states. The slots that are the fixed shares of instances that lease none
+// may not be leased. c.mu must be held.
+func (c *Coordinator) slotInfo(u slot.Upstream) (info slot.Info, ok bool) {
 	r := c.records[u.ID]
 	if r == nil || r.GetBorn() != u.Born || r.GetStage() == wire.Stage_STAGE_LEFT {
-		return 0, false
+		return info, false
 	}
-	return int(r.GetSlots()) - c.fixedShares(u.ID, int(r.GetSlots())), true
+	info.Slots = int(r.GetSlots()) - c.fixedShares(u.ID, int(r.GetSlots()))
+	if o := c.conditions[u.ID]; o != nil {
+		info.Tolerated = int(o.record.GetTolerated())
+	}
+	return info, true
 }
 
 // fixedShares returns how many slots of an upstream the instances use that do not lease them. c.mu must be held.
--- a/internal/fleet/slot/lender.go
+++ b/internal/fleet/slot/lender.go
@@ -21,16 +21,16 @@
 	// TakeoverDelay is how long a new leader leases nothing: leases of the former one may be unused
 	// until then, and instances report those that are in use.
 	TakeoverDelay = Lifetime + MaxPatience
-	// refusalPause is how long slots are not leased after a refusal. It doubles with each further one of a
-	// request with a lease, up to maxRefusalPause, until there was none for capacityRecovery.
-	refusalPause    = time.Second
-	maxRefusalPause = 8 * time.Second
-	// refusalFactor scales the capacity after the refusal of a request with a lease. It grows back to the
-	// number of slots in capacityRecovery: some upstreams have memory for fewer requests than they have slots.
-	refusalFactor    = 0.5
-	capacityRecovery = 10 * time.Second
-	// minReduction is the time between two reductions, since requests refused together have one cause.
+	// An upstream that refuses a request with a lease has room for fewer requests than it has slots: for one
+	// fewer than it had. Another slot is tried after probeInterval, doubled after each refusal that follows
+	// such a trial, up to maxProbeInterval.
+	probeInterval    = 2 * time.Second
+	maxProbeInterval = 16 * time.Second
+	// minReduction is the time between two refusals that do not have the same cause.
 	minReduction = 500 * time.Millisecond
+	// refusalWindow is the time in which refusals count towards those that an upstream tolerates. Half of
+	// these close the upstream for as long.
+	refusalWindow = time.Second
 	// initialDuration is the assumed duration of a request before one has ended, and durationSmoothing
 	// the weight of the newest one in their moving average.
 	initialDuration   = 100 * time.Millisecond
@@ -109,16 +109,23 @@
 type state struct {
 	leased      int
 	duration    time.Duration // of requests, a moving average
-	factor      float64       // of the slots, at reducedAt
-	reducedAt   timer.Instant
-	pause       time.Duration // the last one, 0 without a recent refusal
+	limit       int           // of the slots in use, at limitedAt; 0 if all may be used
+	limitedAt   timer.Instant
+	interval    time.Duration   // between two trials of another slot
+	refusals    []timer.Instant // in the last refusalWindow
 	pausedUntil timer.Instant
 }
 
+// Info is what an upstream states.
+type Info struct {
+	Slots     int // that may be leased
+	Tolerated int // requests that it may have to refuse in a second
+}
+
 // Options configures a lender.
 type Options struct {
-	// Slots returns how many slots of an upstream may be leased, or false if it takes no requests.
-	Slots func(u Upstream) (slots int, ok bool)
+	// Upstream returns what an upstream states, or false if it takes no requests.
+	Upstream func(u Upstream) (info Info, ok bool)
 	// NewID returns a new random identifier.
 	NewID func() uint64
 	// OpenAt is when leases are granted for the first time.
@@ -143,31 +150,23 @@
 func (l *Lender) state(u Upstream) *state {
 	s := l.states[u]
 	if s == nil {
-		s = &state{duration: initialDuration, factor: 1}
+		s = &state{duration: initialDuration, interval: probeInterval}
 		l.states[u] = s
 	}
 	return s
 }
 
-// currentFactor returns the factor of the slots, grown since the last reduction.
-func (s *state) currentFactor(now timer.Instant) float64 {
-	if s.reducedAt == 0 {
-		return 1
-	}
-	return min(1, s.factor+(1-s.factor)*float64(now.Sub(s.reducedAt))/float64(capacityRecovery))
-}
-
 // capacity returns how many slots of an upstream may be in use.
 func (l *Lender) capacity(u Upstream, now timer.Instant) int {
-	slots, ok := l.options.Slots(u)
-	if !ok || slots <= 0 {
-		return 0
-	}
+	info, ok := l.options.Upstream(u)
 	s := l.state(u)
-	if now.Before(s.pausedUntil) {
+	switch {
+	case !ok || info.Slots <= 0 || now.Before(s.pausedUntil):
 		return 0
+	case s.limit == 0:
+		return info.Slots
 	}
-	return max(1, int(s.currentFactor(now)*float64(slots)))
+	return min(s.limit+int(now.Sub(s.limitedAt)/s.interval), info.Slots)
 }
 
 // Ask answers a want at once or queues it. The answers may include those of other wants.
@@ -253,7 +252,7 @@
 	case resume < math.MaxInt64:
 		return max(closed, resume.Sub(now))
 	}
-	return max(closed, refusalPause)
+	return max(closed, refusalWindow)
 }
 
 // Advance drops leases whose requests have ended and wants that wait no more, and answers wants for which
@@ -285,7 +284,7 @@
 		}
 	}
 	for u, s := range l.states {
-		if _, ok := l.options.Slots(u); !ok && s.leased == 0 {
+		if _, ok := l.options.Upstream(u); !ok && s.leased == 0 {
 			delete(l.states, u)
 		}
 	}
@@ -322,7 +321,7 @@
 		n.Until = min(n.Until, now.Add(s.duration))
 		return nil
 	case Refused:
-		s.reduce(now)
+		l.reduce(n.Upstream, now)
 	case Ended:
 		s.duration += time.Duration(durationSmoothing * float64(now.Sub(n.begun)-s.duration))
 	case Unused:
@@ -364,21 +363,26 @@
 // Pause grants no leases of an upstream for a while, since it refused requests that had none.
 func (l *Lender) Pause(u Upstream, now timer.Instant) {
 	s := l.state(u)
-	s.pausedUntil = max(s.pausedUntil, now.Add(refusalPause))
+	s.pausedUntil = max(s.pausedUntil, now.Add(refusalWindow))
 }
 
-// reduce records that the upstream refused a request with a lease: no slots are leased for a while, and fewer
-// than before after that.
-func (s *state) reduce(now timer.Instant) {
-	if s.reducedAt != 0 && now.Sub(s.reducedAt) < minReduction {
-		return
+// reduce records that the upstream refused a request with a lease, which still counts as in use.
+func (l *Lender) reduce(u Upstream, now timer.Instant) {
+	s := l.state(u)
+	info, _ := l.options.Upstream(u)
+	limit := max(min(l.capacity(u, now), s.leased)-1, 1)
+	if s.limit == 0 || now.Sub(s.limitedAt) >= minReduction {
+		// A refusal after a longer time than the trials take has another cause.
+		if s.interval *= 2; s.limit == 0 || now.Sub(s.limitedAt) > s.interval {
+			s.interval = probeInterval
+		}
+		s.interval = min(s.interval, maxProbeInterval)
 	}
-	if s.reducedAt == 0 || now.Sub(s.reducedAt) >= capacityRecovery {
-		s.pause = 0
+	s.limit, s.limitedAt = limit, now
+	s.refusals = slices.DeleteFunc(s.refusals, func(at timer.Instant) bool { return now.Sub(at) >= refusalWindow })
+	if s.refusals = append(s.refusals, now); len(s.refusals) >= max(info.Tolerated/2, 1) {
+		s.pausedUntil = max(s.pausedUntil, now.Add(refusalWindow))
 	}
-	s.factor, s.reducedAt = s.currentFactor(now)*refusalFactor, now
-	s.pause = min(max(2*s.pause, refusalPause), maxRefusalPause)
-	s.pausedUntil = now.Add(s.pause)
 }
 
 // Upstream returns the upstream of a lease and how many of its slots are in use.
--- a/internal/gateway/balancer/brittle.go
+++ b/internal/gateway/balancer/brittle.go
@@ -11,9 +11,6 @@
 // instance keeps to its share of the slots, so that all of them together do not fill the upstream, and a
 // refusal stops all of them for a while.
 const (
-	// leasedPause is how long no request is sent after a refusal if slots are leased: leases from before
-	// the refusal expire then, and the leader waits for longer before it grants others.
-	leasedPause = 500 * time.Millisecond
 	// refusalPause is how long no request is sent to a brittle upstream after a refusal, and
 	// refusalJitter the largest random addition, so that instances do not return at once.
 	refusalPause  = time.Second
@@ -29,6 +26,7 @@
 // brittleState is what an instance knows about a brittle upstream.
 type brittleState struct {
 	since       timer.Instant // when the instance learned of it
+	refusedAt   timer.Instant // when the instance learned of the last refusal
 	factor      float64       // of the share, at reducedAt
 	reducedAt   timer.Instant
 	pausedUntil timer.Instant
@@ -82,6 +80,14 @@
 	return false
 }
 
+// RefusedSince reports whether a brittle upstream has refused a request since an instant.
+func (b *Balancer) RefusedSince(id string, since timer.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id).brittle
+	return s != nil && since.Before(s.refusedAt)
+}
+
 // leased reports whether the leader leases the slots of brittle upstreams.
 func (b *Balancer) leased() bool { return b.Leased != nil && b.Leased() }
 
@@ -130,9 +136,8 @@
 // reduce pauses a brittle upstream and reduces the share of this instance. b.mu must be held.
 func (b *Balancer) reduce(s *brittleState) {
 	now := b.timer.Now()
-	if b.leased() {
-		s.pausedUntil = max(s.pausedUntil, now.Add(leasedPause))
-		return
+	if s.refusedAt = now; b.leased() {
+		return // the leader leases fewer slots
 	}
 	s.pausedUntil = max(s.pausedUntil, now.Add(refusalPause+time.Duration(b.random.Int64N(int64(refusalJitter)))))
 	if s.reducedAt == 0 || now.Sub(s.reducedAt) >= minReduction {
--- a/internal/gateway/caller/brittle.go
+++ b/internal/gateway/caller/brittle.go
@@ -76,9 +76,15 @@
 	return q.roomDeadline.Sub(now)
 }
 
-// checkLease checks that the request has a lease that is still valid if its upstream is brittle.
+// checkLease checks that the request has a lease that is still valid if its upstream is brittle. After a refusal
+// the leader leases fewer slots, so that a lease from before may be one too many.
 func (e *exchange) checkLease() error {
-	if e.lease.Valid(e.Timer.Now()) && (e.lease.Held() || !e.Balancer.NeedsLease(e.target, e.candidates)) {
+	switch {
+	case !e.lease.Held():
+		if !e.Balancer.NeedsLease(e.target, e.candidates) {
+			return nil
+		}
+	case e.lease.Valid(e.Timer.Now()) && !e.Balancer.RefusedSince(e.target.ID, e.sentAt):
 		return nil
 	}
 	e.placeAgain = true
