--- a/cmd/bench/soak.go
+++ b/cmd/bench/soak.go
@@ -22,12 +22,18 @@
 }
 
 type soakCommand struct {
-	out    io.Writer
-	Binary string        `long:"binary" default:"bin/wisteriakeel" description:"path of wisteriakeel"`
-	Seed   uint64        `long:"seed" default:"1" description:"first seed"`
-	Seeds  int           `long:"seeds" default:"1" description:"number of seeds, one after the other"`
-	Length time.Duration `long:"length" default:"36s" description:"how long faults come with each seed"`
-	Folder string        `long:"folder" description:"where settings, disks and logs are kept; default: a temporary directory"`
+	out       io.Writer
+	Binary    string        `long:"binary" default:"bin/wisteriakeel" description:"path of wisteriakeel"`
+	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds     int           `long:"seeds" default:"1" description:"number of seeds, one after the other"`
+	Length    time.Duration `long:"length" default:"36s" description:"how long faults come with each seed"`
+	Faults    []string      `long:"fault" description:"name of a fault or of planned work to inject, once for each; default: all"`
+	Instances int           `long:"instances" default:"5" description:"number of instances, three of them with a disk"`
+	Upstreams int           `long:"upstreams" default:"3" description:"number of upstreams of the plain service"`
+	Callers   int           `long:"callers" default:"12" description:"number of callers"`
+	Slots     int           `long:"slots" default:"16" description:"slots that an upstream announces"`
+	Room      int           `long:"brittle-room" default:"2" description:"least number of requests that a brittle upstream runs"`
+	Folder    string        `long:"folder" description:"where settings, disks and logs are kept; default: a temporary directory"`
 }
 
 // Execute runs the seeds one after the other. It keeps the directories of failed seeds and prints their paths.
@@ -36,6 +42,10 @@
 	if err != nil {
 		return err
 	}
+	size := soak.Size{Instances: c.Instances, DeskUpstreams: c.Upstreams, Callers: c.Callers, Slots: c.Slots, BrittleRoom: c.Room}
+	if err := size.Check(); err != nil {
+		return err
+	}
 	ctx, cancel := signalContext()
 	defer cancel()
 	var failed error
@@ -46,7 +56,7 @@
 			return err
 		}
 		err = soak.Run(ctx, soak.Options{
-			Dialect: dialect.Dialect{}, Binary: binary, Directory: directory, Seed: seed, FaultDuration: c.Length,
+			Dialect: dialect.Dialect{}, Binary: binary, Directory: directory, Seed: seed, Size: size, Faults: c.Faults, FaultDuration: c.Length,
 			Timer: timer.NewSystem(), Out: c.out,
 		})
 		if ctx.Err() != nil {
--- a/internal/bench/soak/brittle.go
+++ b/internal/bench/soak/brittle.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,6 +18,10 @@
 	allowedFalls = 2
 	// fallDuration is how long an upstream that fell refuses connections.
 	fallDuration = 1500 * time.Millisecond
+	// brittleServed is the least part of the requests that must be served if all of them fit, out of
+	// minBrittleRequests or more.
+	brittleServed      = 0.9
+	minBrittleRequests = 100
 )
 
 // brittleTime is a time in which the upstreams of a service are brittle.
@@ -25,7 +30,9 @@
 	tolerated int           // requests that it may have to refuse in a second
 	since     timer.Instant // when the time began
 	upstreams int
-	falls     int // guarded by Soak.mu
+	// The rest is guarded by Soak.mu.
+	falls        int
+	sent, served int // requests without a disturbance, from brittleDelay on
 }
 
 // brittleness is the part of a brittle upstream in such a time.
@@ -120,15 +127,65 @@
 	}
 }
 
-// makeBrittle makes all upstreams of a service brittle for a while.
+// makeBrittle makes all upstreams of a service brittle for a while, those that start meanwhile too.
 func (in *injector) makeBrittle(ctx context.Context, r *rand.Rand) {
-	list := in.upstreamsOf(in.randomUpstream(r).service)
-	b := &brittleTime{room: 2 + r.IntN(3), tolerated: 3 + r.IntN(5), since: in.options.Timer.Now(), upstreams: len(list)}
+	service := in.randomUpstream(r).service
+	list := in.upstreamsOf(service)
+	b := &brittleTime{room: in.options.Size.BrittleRoom + r.IntN(3), tolerated: 3 + r.IntN(5), since: in.options.Timer.Now(), upstreams: len(list)}
+	in.mu.Lock()
+	busy := in.brittle[service] != nil
+	if !busy {
+		in.brittle[service] = b
+	}
+	in.mu.Unlock()
+	if busy {
+		return
+	}
 	for _, u := range list {
 		u.setBrittle(b)
 	}
 	in.sleepRandom(ctx, r, 2*brittleDelay, 4*brittleDelay)
-	for _, u := range list {
+	in.mu.Lock()
+	delete(in.brittle, service)
+	in.mu.Unlock()
+	for _, u := range in.upstreamsOf(service) {
 		u.setBrittle(nil)
 	}
+	in.checkBrittleService(service, b)
+}
+
+// countBrittle counts a request to a service whose upstreams have been brittle for some time, unless there was
+// a disturbance.
+func (s *Soak) countBrittle(service string, begin timer.Instant, served bool) {
+	s.mu.Lock()
+	b := s.brittle[service]
+	s.mu.Unlock()
+	if b == nil || begin < b.since.Add(brittleDelay) || !s.recorder.undisturbedSince(begin) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b.sent++
+	if served {
+		b.served++
+	}
+}
+
+// checkBrittleService checks that requests to brittle upstreams are served if there are no more callers than
+// these have room for and nothing else limits the upstreams.
+func (in *injector) checkBrittleService(service string, b *brittleTime) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	size := in.options.Size
+	fits := size.Callers <= b.upstreams*min(b.room, size.Slots)
+	for _, f := range in.faults {
+		fits = fits && !slices.Contains([]string{"limit", "partition", "pause of an upstream"}, f.name)
+	}
+	if b.sent > 0 {
+		in.recorder.countMany("sent while brittle", b.sent)
+		in.recorder.countMany("served while brittle", b.served)
+	}
+	if fits && b.sent >= minBrittleRequests && float64(b.served) < brittleServed*float64(b.sent) {
+		in.recorder.violation("%d of %d requests to the brittle upstreams of %s are served", b.served, b.sent, service)
+	}
 }
--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -108,6 +108,7 @@
 	defer func() {
 		if !revoked {
 			c.soak.countAttempt(p, c.instance, begin, served)
+			c.soak.countBrittle(serviceOf(path), begin, served)
 		}
 	}()
 	r, err := c.client.Do(q)
--- a/internal/bench/soak/injector.go
+++ b/internal/bench/soak/injector.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
@@ -18,6 +20,7 @@
 // without faults are checked too.
 type injector struct {
 	*Soak
+	faults       []fault
 	random       *rand.Rand
 	active       sync.WaitGroup
 	replacements int // upstreams started in place of others so far
@@ -51,8 +54,26 @@
 	{"document", 4, true, (*injector).replaceDocument},
 }
 
-func newInjector(s *Soak) *injector {
-	return &injector{Soak: s, random: rand.New(rand.NewPCG(s.options.Seed, 3))}
+// newInjector returns an injector of the chosen faults.
+func newInjector(s *Soak) (*injector, error) {
+	in := &injector{Soak: s, faults: faults, random: rand.New(rand.NewPCG(s.options.Seed, 3))}
+	if len(s.options.Faults) == 0 {
+		return in, nil
+	}
+	in.faults = nil
+	planned := false
+	for _, name := range s.options.Faults {
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		if i < 0 {
+			return nil, errors.Newf("no fault has the name %q", name)
+		}
+		in.faults = append(in.faults, faults[i])
+		planned = planned || faults[i].planned
+	}
+	if !planned {
+		return nil, errors.New("quiet phases need planned work")
+	}
+	return in, nil
 }
 
 // run injects faults for the configured duration and waits until all of them have ended.
@@ -83,7 +104,7 @@
 // chooseFault draws the next fault, or only planned work.
 func (in *injector) chooseFault(plannedOnly bool) fault {
 	var candidates []fault
-	for _, f := range faults {
+	for _, f := range in.faults {
 		if f.planned || !plannedOnly {
 			candidates = append(candidates, slices.Repeat([]fault{f}, f.weight)...)
 		}
--- a/internal/bench/soak/partition.go
+++ b/internal/bench/soak/partition.go
@@ -102,7 +102,7 @@
 		for range partitionCallers {
 			in.mu.Lock()
 			in.extraCallers++
-			number := callerCount + in.extraCallers
+			number := in.options.Size.Callers + in.extraCallers
 			in.mu.Unlock()
 			c := &caller{soak: in.Soak, number: number, random: rand.New(rand.NewPCG(r.Uint64(), uint64(number))), instance: i, until: until}
 			in.group.Go("caller", c.run)
--- a/internal/bench/soak/recorder.go
+++ b/internal/bench/soak/recorder.go
@@ -73,10 +73,13 @@
 }
 
 // count counts an event for the report.
-func (r *recorder) count(name string) {
+func (r *recorder) count(name string) { r.countMany(name, 1) }
+
+// countMany counts several events.
+func (r *recorder) countMany(name string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.counts[name]++
+	r.counts[name] += n
 }
 
 // recordSent records a request before its first byte is sent.
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -58,12 +58,9 @@
 
 // Sizes and phases of a run.
 const (
-	// controlInstances have a data directory and form the control group, otherInstances have none.
+	// controlInstances have a data directory and form the control group, the others have none.
 	controlInstances = 3
-	otherInstances   = 2
-	deskUpstreams    = 3
 	poolUpstreams    = 4
-	callerCount      = 12
 	// Phases with faults and planned work alternate with phases of planned work only.
 	faultPhase = 6 * time.Second
 	quietPhase = 12 * time.Second
@@ -96,6 +93,7 @@
 // Announcement is what an upstream announces to an instance.
 type Announcement struct {
 	ID, Service, Address, Zone string
+	Slots                      int
 	// Incarnation is the start time of the upstream. Sequence increases with each announcement
 	// of an incarnation.
 	Incarnation            time.Time
@@ -126,12 +124,42 @@
 	DrainDelay() time.Duration
 }
 
+// Size is the size of a run.
+type Size struct {
+	Instances     int
+	DeskUpstreams int
+	Callers       int
+	// Slots is the number of requests that an upstream announces to run at once, and BrittleRoom the least
+	// number that it runs while it is brittle.
+	Slots, BrittleRoom int
+}
+
+// DefaultSize is the size of a run on a machine with few cores.
+var DefaultSize = Size{Instances: 5, DeskUpstreams: 3, Callers: 12, Slots: 16, BrittleRoom: 2}
+
+// maxInstances bounds the instances, each of which has its own address and process.
+const maxInstances = 200
+
+// Check checks that the size can be run.
+func (s Size) Check() error {
+	switch {
+	case s.Instances < controlInstances+2 || s.Instances > maxInstances:
+		return errors.Newf("expected %d to %d instances, found %d", controlInstances+2, maxInstances, s.Instances)
+	case s.DeskUpstreams < 2 || s.Callers < 1 || s.Slots < 1 || s.BrittleRoom < 1:
+		return errors.New("expected at least 2 upstreams, and at least 1 caller, slot and request at a brittle upstream")
+	}
+	return nil
+}
+
 // Options configures a run.
 type Options struct {
 	Dialect   Dialect
 	Binary    string // absolute path of wisteriakeel
 	Directory string // for settings, data directories and logs
 	Seed      uint64
+	Size      Size
+	// Faults are the names of the faults and the planned work that are injected; all if empty.
+	Faults []string
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	Timer         timer.Service
@@ -154,6 +182,7 @@
 	upstreams       []*simulatedUpstream
 	running         map[*simulatedUpstream]struct{} // including those that drain or have left
 	partition       *partition                      // nil without one
+	brittle         map[string]*brittleTime         // by service, while its upstreams are brittle
 	documents       []acknowledgedDocument
 	documentPending bool // a document was sent and is not acknowledged yet
 }
@@ -169,7 +198,7 @@
 func Run(ctx context.Context, o Options) (err error) {
 	s := &Soak{
 		options: o, directory: o.Directory, recorder: newRecorder(o.Timer), client: &http.Client{},
-		random: rand.New(rand.NewPCG(o.Seed, 7)), group: group.New(ctx), running: map[*simulatedUpstream]struct{}{},
+		random: rand.New(rand.NewPCG(o.Seed, 7)), group: group.New(ctx), running: map[*simulatedUpstream]struct{}{}, brittle: map[string]*brittleTime{},
 	}
 	s.launcher = cluster.NewLauncher(s.directory)
 	defer func() { err = errors.CombineErrors(err, s.launcher.Close()) }()
@@ -177,7 +206,10 @@
 	if err := s.start(ctx); err != nil {
 		return errors.Wrapf(err, "seed %d", o.Seed)
 	}
-	in := newInjector(s)
+	in, err := newInjector(s)
+	if err != nil {
+		return err
+	}
 	if err := in.run(ctx); err != nil {
 		return errors.Wrapf(err, "seed %d", o.Seed)
 	}
@@ -197,7 +229,7 @@
 	zones := []string{"a", "b", "c"}
 	// Each process has its own loopback address, so that all can use the same ports.
 	block := fmt.Sprintf("127.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
-	for i := range controlInstances + otherInstances {
+	for i := range s.options.Size.Instances {
 		n := &instance{soak: s, name: fmt.Sprint("gateway-", i+1), ip: fmt.Sprintf("%s.%d", block, 10+i), zone: zones[i%len(zones)]}
 		if i < controlInstances {
 			n.dataDirectory = filepath.Join(s.directory, n.name+".disk")
@@ -213,9 +245,9 @@
 	if !s.applyDocument(ctx, s.nextDocument()) {
 		return errors.New("the initial configuration document was not acknowledged")
 	}
-	for i := range deskUpstreams + poolUpstreams {
+	for i := range s.options.Size.DeskUpstreams + poolUpstreams {
 		service := DeskService
-		if i >= deskUpstreams {
+		if i >= s.options.Size.DeskUpstreams {
 			service = PoolService
 		}
 		u, err := s.startUpstream(fmt.Sprint(service, "-", i+1), service, zones[i%len(zones)], s.options.Seed+uint64(i))
@@ -230,7 +262,7 @@
 		}
 	}
 	_ = timer.Sleep(ctx, s.options.Timer, 2*announceInterval) // until all instances know the upstreams
-	for i := range callerCount {
+	for i := range s.options.Size.Callers {
 		c := &caller{soak: s, number: i, random: rand.New(rand.NewPCG(s.options.Seed, uint64(100+i)))}
 		s.group.Go("caller", c.run)
 	}
@@ -343,7 +375,7 @@
 	_ = timer.Sleep(ctx, s.options.Timer, max(end.Sub(s.options.Timer.Now()), 0))
 	before := s.countOf("answered")
 	_ = timer.Sleep(ctx, s.options.Timer, 2*time.Second)
-	if s.countOf("answered") < before+callerCount {
+	if s.countOf("answered") < before+s.options.Size.Callers {
 		s.recorder.violation("callers get hardly any answers after the last fault")
 	}
 	s.mu.Lock()
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -19,11 +19,18 @@
 
 // seeds are the seeds that the test runs, each with the failure that it once showed.
 var seeds = []struct {
-	seed  uint64
-	cause string
+	seed   uint64
+	cause  string
+	size   soak.Size
+	faults []string
 }{
-	{1, "instances that started at the same time did not bootstrap a control group"},
-	{30004, "a pause of 90 s that an upstream asked for was kept for half a second"},
+	{1, "instances that started at the same time did not bootstrap a control group", soak.DefaultSize, nil},
+	{30004, "a pause of 90 s that an upstream asked for was kept for half a second", soak.DefaultSize, nil},
+	{
+		70002, "69 instances, most of them without a share of the slots, toppled brittle upstreams",
+		soak.Size{Instances: 69, DeskUpstreams: 6, Callers: 36, Slots: 6, BrittleRoom: 6},
+		[]string{"brittle", "document"},
+	},
 }
 
 // Guards against failures that callers must not see while processes, connections and disks fail:
@@ -42,7 +49,7 @@
 			directory := t.TempDir()
 			var report bytes.Buffer
 			err := soak.Run(context.Background(), soak.Options{
-				Dialect: dialect.Dialect{}, Binary: binary, Directory: directory, Seed: s.seed, FaultDuration: 10 * time.Second,
+				Dialect: dialect.Dialect{}, Binary: binary, Directory: directory, Seed: s.seed, Size: s.size, Faults: s.faults, FaultDuration: 10 * time.Second,
 				Timer: timer.NewSystem(), Out: &report,
 			})
 			t.Log(report.String())
--- a/internal/bench/soak/upstream.go
+++ b/internal/bench/soak/upstream.go
@@ -69,8 +69,9 @@
 	}
 	s.mu.Lock()
 	s.running[u] = struct{}{}
-	p := s.partition
+	p, b := s.partition, s.brittle[service]
 	s.mu.Unlock()
+	u.setBrittle(b)
 	if err = u.proxy.setPartition(p); err != nil {
 		return nil, err
 	}
@@ -120,7 +121,7 @@
 func (u *simulatedUpstream) announce(ctx context.Context) {
 	u.mu.Lock()
 	u.sequence++
-	a := Announcement{ID: u.id, Service: u.service, Address: u.proxy.address(), Zone: u.zone, Incarnation: u.incarnation, Sequence: u.sequence, Draining: u.draining, Deregistered: u.deregistered}
+	a := Announcement{ID: u.id, Service: u.service, Address: u.proxy.address(), Zone: u.zone, Slots: u.soak.options.Size.Slots, Incarnation: u.incarnation, Sequence: u.sequence, Draining: u.draining, Deregistered: u.deregistered}
 	u.mu.Unlock()
 	for range 4 {
 		n := u.soak.instances[u.soak.randomInt(len(u.soak.instances))]
@@ -251,9 +252,8 @@
 // for the right service and account.
 func (u *simulatedUpstream) checkRequest(r *http.Request, id, body string) {
 	names, rec := u.soak.options.Dialect.Protocol(), u.soak.recorder
-	streamed := strings.HasPrefix(r.URL.Path, StreamPath)
 	switch {
-	case streamed != (u.service == PoolService):
+	case serviceOf(r.URL.Path) != u.service:
 		rec.violation("%s of %s gets %s", u.id, u.service, r.URL.Path)
 	case r.Method != methodOf(r.URL.Path) || r.URL.RawQuery != "q="+id || body != requestBody(r.Method, id):
 		rec.violation("%s gets request %s changed: %s %s %q", u.id, id, r.Method, r.URL, body)
@@ -272,6 +272,14 @@
 	return http.MethodGet
 }
 
+// serviceOf returns the service that gets the requests to a path.
+func serviceOf(path string) string {
+	if strings.HasPrefix(path, StreamPath) {
+		return PoolService
+	}
+	return DeskService
+}
+
 // requestBody returns the body of the request with that method and ID.
 func requestBody(method, id string) string {
 	if method == http.MethodGet {
