gateway: final answers to all requests in a planned stop

Seen: reports from elsewhere: requests that came late in the grace of a planned stop were passed on and cut without an answer at its end, among them such as may not be repeated (LOST). Cause: new requests were rejected after a fixed 2.8 s whatever the grace is, and the end of the grace closed the connections of requests that ran or waited. Change: the phases are parts of the grace: new requests are rejected after 0.35 of it (2.8 s at most), after five sixths nothing is sent to upstreams any more and requests that wait (body, room, pause, permit, lease, second attempt) are refused as not run, and before the end the others get a final answer: 503 if they certainly have not run, else 502 with an unknown outcome.

--- a/internal/gateway/caller/before_send.go
+++ b/internal/gateway/caller/before_send.go
@@ -29,7 +29,7 @@
 
 // errNotAdmitted lists the errors of beforeSend, which say nothing about the upstream.
 var errNotAdmitted = []error{
-	errTimeout, errPermissionExpired, errQuarantined, errUpstreamLeft, errUpstreamClosed, errNoPermit, errPermitExpired, errNoLease,
+	errTimeout, errStopping, errPermissionExpired, errQuarantined, errUpstreamLeft, errUpstreamClosed, errNoPermit, errPermitExpired, errNoLease,
 }
 
 // beforeSend checks right before the first byte whatever may have changed since the request was
@@ -40,6 +40,10 @@
 	if remaining <= 0 {
 		return errTimeout
 	}
+	e.request.sent.Store(true)
+	if e.finishing.Load() {
+		return errStopping
+	}
 	if err := e.checkPermission(); err != nil {
 		return err
 	}
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -98,6 +98,7 @@
 			e.logAnswered(dispatched)
 			return
 		}
+		q.sent.Store(false)
 		if a != actionRetryNotExecuted {
 			q.executions++
 		}
@@ -131,7 +132,7 @@
 // the number of dispatches before e. It may spend retry budget.
 func (q *request) canRetry(a action, e *exchange, dispatched int) bool {
 	switch {
-	case q.ctx.Err() != nil || q.remaining() < minRemaining || dispatched+1 >= maxDispatches || q.permissionExpired || q.quarantined:
+	case q.ctx.Err() != nil || q.remaining() < minRemaining || dispatched+1 >= maxDispatches || q.permissionExpired || q.quarantined || q.finishing.Load():
 		return false
 	case a == actionRetryExecuted && !q.route.Retryable():
 		return false
@@ -159,6 +160,10 @@
 	case failed != nil:
 		q.log("failure of the upstream passed on", zap.Int("status", failed.failureStatus), zap.String("upstream", failed.target.ID))
 		q.writeResponse(failed.failureStatus, failed.failureHeader, failed.failureBody)
+	case q.finishing.Load() && q.executions > 0:
+		q.failRequest(http.StatusBadGateway, "the instance stops before the upstream has answered")
+	case q.finishing.Load():
+		q.reject(http.StatusServiceUnavailable, "instance is stopping", retryOtherInstance)
 	case q.executions > 0 && q.remaining() < minRemaining:
 		q.failRequest(http.StatusGatewayTimeout, "no answer within the time limit")
 	case q.executions > 0:
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -139,16 +139,16 @@
 	invalidLeaving sync.Map
 	draining       atomic.Bool
 	rejecting      atomic.Bool
+	finishing      atomic.Bool // no request is sent to an upstream any more
+
+	progressMu sync.Mutex
+	inProgress map[*request]struct{}
 }
 
 // New returns a handler that publishes the metrics of the process.
-func New(o Options) *Handler { return &Handler{Options: o, metrics: processMetrics} }
-
-// Drain closes each connection after its next response.
-func (h *Handler) Drain() { h.draining.Store(true) }
-
-// RejectNew rejects all new requests; their responses say that the request was not executed.
-func (h *Handler) RejectNew() { h.rejecting.Store(true) }
+func New(o Options) *Handler {
+	return &Handler{Options: o, metrics: processMetrics, inProgress: map[*request]struct{}{}}
+}
 
 // Running returns the number of requests in progress.
 func (h *Handler) Running() int64 { return h.running.Load() }
@@ -162,21 +162,19 @@
 
 // ServeHTTP admits a request and dispatches it to an upstream within its time limit.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.running.Add(1)
-	defer h.running.Add(-1)
 	h.metrics.Requests.Add(1)
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{Handler: h, writer: w, httpRequest: r, arrived: h.Timer.Now(), id: r.Header.Get(h.Protocol.RequestID)}
+	q.ctx, q.cancel = context.WithCancelCause(r.Context())
+	defer q.cancel(nil)
+	defer q.begin()()
 	if !q.admit() {
 		return
 	}
-	ctx, cancel := context.WithCancelCause(r.Context())
-	defer cancel(nil)
-	stop := h.Timer.AfterFunc(q.remaining(), func() { cancel(errTimeout) })
+	stop := h.Timer.AfterFunc(q.remaining(), func() { q.cancel(errTimeout) })
 	defer stop()
-	q.ctx = ctx
 	q.dispatch()
 }
 
@@ -184,6 +182,9 @@
 type request struct {
 	*Handler
 	ctx         context.Context
+	cancel      context.CancelCauseFunc
+	readingBody atomic.Bool
+	sent        atomic.Bool // to an upstream, or about to be
 	writer      http.ResponseWriter
 	httpRequest *http.Request
 	arrived     timer.Instant
@@ -295,7 +296,7 @@
 	if ms, err := strconv.ParseInt(q.httpRequest.Header.Get(q.Protocol.Deadline), 10, 64); err == nil {
 		wait = min(wait, time.Duration(ms)*time.Millisecond/2)
 	}
-	ctx, cancel := timer.WithTimeout(q.httpRequest.Context(), q.Timer, wait)
+	ctx, cancel := timer.WithTimeout(q.ctx, q.Timer, wait)
 	defer cancel()
 	select {
 	case <-q.View.LayoutLoaded():
@@ -338,6 +339,11 @@
 	if q.httpRequest.ContentLength == 0 {
 		return true
 	}
+	q.readingBody.Store(true)
+	defer q.readingBody.Store(false)
+	if q.finishing.Load() {
+		return q.reject(http.StatusServiceUnavailable, "instance is stopping", retryOtherInstance)
+	}
 	body, err := io.ReadAll(io.LimitReader(q.httpRequest.Body, limit+1))
 	if int64(len(body)) > limit {
 		// A caller that is still sending would see a closed connection instead of the response.
@@ -346,6 +352,9 @@
 		}
 		return q.reject(http.StatusRequestEntityTooLarge, "body too large", 0)
 	}
+	if err != nil && errors.Is(context.Cause(q.ctx), errStopping) {
+		return q.reject(http.StatusServiceUnavailable, "instance is stopping", retryOtherInstance)
+	}
 	if err != nil {
 		q.log("cannot read the request body", journal.Error(err))
 		return q.reject(http.StatusBadRequest, "body cannot be read", 0)
--- a/internal/gateway/httpserver/server.go
+++ b/internal/gateway/httpserver/server.go
@@ -27,18 +27,22 @@
 
 // Times of a graceful shutdown, since its start.
 const (
-	// rejectAfter is when new requests are rejected: callers have had time to fetch a new list
-	// of instances. Together with pollInterval it stays below 3 s, since a request accepted
-	// later must be answered completely before the shutdown ends, and a stream may take
-	// longer than that.
-	rejectAfter = 2800 * time.Millisecond
+	// rejectPart is the part of the grace period after which new requests are rejected: callers have had time to
+	// fetch a new list of instances, and requests accepted before have time to end.
+	rejectPart = 0.35
+	// maxRejectAfter together with pollInterval stays below 3 s, since a request accepted later must be
+	// answered completely before the shutdown ends, and a stream may take longer than that.
+	maxRejectAfter = 2800 * time.Millisecond
+	// waitingPart is the part of the grace period after which no request is sent to an upstream any more.
+	waitingPart = 5.0 / 6
 	// minShutdown is when an instance without requests in progress may exit.
 	minShutdown = 4 * time.Second
 	// pollInterval is how often the number of requests in progress is checked.
 	pollInterval = 100 * time.Millisecond
-	// exitReserve is the part of the grace period reserved for closing connections and for
-	// the exit of the process.
-	exitReserve = 500 * time.Millisecond
+	// answerReserve is the part of the grace period reserved for the final answers to requests in progress,
+	// and exitReserve that for closing connections and for the exit of the process, a quarter at most.
+	answerReserve = 200 * time.Millisecond
+	exitReserve   = 500 * time.Millisecond
 )
 
 // Endpoint is an address and the handler that serves it.
@@ -54,6 +58,10 @@
 	Drain()
 	// RejectNew makes new requests fail without being executed.
 	RejectNew()
+	// RejectWaiting rejects the requests that were not sent to an upstream yet.
+	RejectWaiting()
+	// AnswerAll ends all other requests with a final answer, if their response has not started.
+	AnswerAll()
 	// Running returns the number of requests in progress.
 	Running() int64
 }
@@ -138,14 +146,15 @@
 	o.Log.Info("stopping", zap.Int64("running", o.Drainer.Running()))
 	o.Deregister()
 	o.Drainer.Drain()
-	rejecting := false
+	phases, reserve := o.phases(), min(exitReserve, o.GracePeriod/4)
+	end := o.GracePeriod - reserve
 	for {
 		elapsed := o.Timer.Now().Sub(start)
-		if elapsed >= rejectAfter && !rejecting {
-			rejecting = true
-			o.Drainer.RejectNew()
+		for len(phases) > 0 && elapsed >= phases[0].after {
+			phases[0].begin()
+			phases = phases[1:]
 		}
-		if (elapsed >= minShutdown && o.Drainer.Running() == 0) || elapsed >= o.GracePeriod-exitReserve {
+		if (elapsed >= minShutdown && o.Drainer.Running() == 0) || elapsed >= end {
 			break
 		}
 		if timer.Sleep(ctx, o.Timer, pollInterval) != nil {
@@ -153,7 +162,7 @@
 		}
 	}
 	o.Log.Info("closing", zap.Int64("running", o.Drainer.Running()), zap.Duration("after", o.Timer.Now().Sub(start)))
-	closeCtx, cancel := timer.WithTimeout(context.WithoutCancel(ctx), o.Timer, exitReserve/2)
+	closeCtx, cancel := timer.WithTimeout(context.WithoutCancel(ctx), o.Timer, reserve/2)
 	defer cancel()
 	for _, e := range d.endpoints {
 		if shutdownErr := e.server.Shutdown(closeCtx); shutdownErr != nil {
@@ -167,6 +176,23 @@
 	return err
 }
 
+// phase is a part of the shutdown that begins some time after its start.
+type phase struct {
+	after time.Duration
+	begin func()
+}
+
+// phases returns the phases of the shutdown in their order.
+func (o *Options) phases() []phase {
+	part := func(f float64) time.Duration { return time.Duration(f * float64(o.GracePeriod)) }
+	answer := o.GracePeriod - min(exitReserve, o.GracePeriod/4) - min(answerReserve, o.GracePeriod/8)
+	return []phase{
+		{min(maxRejectAfter, part(rejectPart)), o.Drainer.RejectNew},
+		{min(answer, part(waitingPart)), o.Drainer.RejectWaiting},
+		{answer, o.Drainer.AnswerAll},
+	}
+}
+
 // stopper stops a group from outside its members, since Stop waits for all of them.
 type stopper struct{ group *group.Group }
 
