fleet, gateway: details of slot leases at size and with a slow leader

Cause: found by reading. Change: one pass for all candidates; only polls decide that a leader has failed; such answers are queued; one slot at least.

--- a/internal/fleet/coordinator/slots.go
+++ b/internal/fleet/coordinator/slots.go
@@ -107,10 +107,12 @@
 
 // answerWants queues answers for their instances. c.mu must be held.
 func (c *Coordinator) answerWants(answers []slot.Answer) {
-	for _, a := range answers {
+	for len(answers) > 0 {
+		a := answers[0]
+		answers = answers[1:]
 		s := c.sessions[a.Want.Holder.Instance]
 		if s == nil || s.holder != a.Want.Holder {
-			c.slots.Return(a.Lease, slot.Unused, c.options.Timer.Now())
+			answers = append(answers, c.slots.Return(a.Lease, slot.Unused, c.options.Timer.Now())...)
 			continue
 		}
 		m := &wire.SlotAnswer{Number: a.Want.Number, Wait: uint32(a.Wait.Milliseconds())}
@@ -189,7 +191,8 @@
 	if r == nil || r.GetBorn() != u.Born || r.GetStage() == wire.Stage_STAGE_LEFT {
 		return info, false
 	}
-	info.Slots = int(r.GetSlots()) - c.fixedShares(u.ID, int(r.GetSlots()))
+	slots := max(int(r.GetSlots()), 1)
+	info.Slots = slots - c.fixedShares(u.ID, slots)
 	if o := c.conditions[u.ID]; o != nil {
 		info.Tolerated = int(o.record.GetTolerated())
 	}
--- a/internal/fleet/peer/slots.go
+++ b/internal/fleet/peer/slots.go
@@ -22,7 +22,7 @@
 	// slotIdleTimeout is how long the stream stays open while nothing is leased or wanted.
 	slotIdleTimeout = 5 * time.Second
 	// slotCheckInterval is the interval between checks of both.
-	slotCheckInterval = 50 * time.Millisecond
+	slotCheckInterval = 100 * time.Millisecond
 )
 
 // slotLeaser keeps a stream to the leader while slots of upstreams are wanted or leased.
@@ -66,12 +66,7 @@
 // leader answered.
 func (l *slotLeaser) exchange(ctx context.Context, stock *slot.Stock) (served bool, err error) {
 	to := l.finder.target()
-	defer func() {
-		if err != nil && !served {
-			l.finder.markFailed(to)
-		}
-		err = errors.Wrapf(err, "slots from %s", string(to))
-	}()
+	defer func() { err = errors.Wrapf(err, "slots from %s", string(to)) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dialCtx, cancelDial := timer.WithTimeout(ctx, l.options.Timer, slotReplyTimeout)
--- a/internal/gateway/balancer/brittle.go
+++ b/internal/gateway/balancer/brittle.go
@@ -65,19 +65,43 @@
 func (b *Balancer) NeedsLease(c Candidate, all []Candidate) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.brittleCount == 0 || !b.leased() {
-		return false
+	since, ok := b.brittleSince(all)
+	return ok && b.needsLease(c, since)
+}
+
+// SplitByLease returns which of some candidates need a lease, and which do not.
+func (b *Balancer) SplitByLease(some, all []Candidate) (needed, notNeeded []Candidate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	since, ok := b.brittleSince(all)
+	for _, c := range some {
+		if ok && b.needsLease(c, since) {
+			needed = append(needed, c)
+		} else {
+			notNeeded = append(notNeeded, c)
+		}
 	}
-	s := b.state(c.ID)
-	if s.brittle != nil {
-		return true
+	return needed, notNeeded
+}
+
+// brittleSince returns when the last of the candidates became brittle, or false if none is or slots are not
+// leased. b.mu must be held.
+func (b *Balancer) brittleSince(all []Candidate) (since timer.Instant, ok bool) {
+	if b.brittleCount == 0 || !b.leased() {
+		return 0, false
 	}
-	for _, o := range all {
-		if r := b.upstreams[o.ID]; r != nil && r.brittle != nil && (s.soundAt == 0 || s.soundAt.Before(r.brittle.since)) {
-			return true
+	for _, c := range all {
+		if s := b.upstreams[c.ID]; s != nil && s.brittle != nil {
+			since, ok = max(since, s.brittle.since), true
 		}
 	}
-	return false
+	return since, ok
+}
+
+// needsLease reports whether a candidate is brittle or has not responded since an instant. b.mu must be held.
+func (b *Balancer) needsLease(c Candidate, since timer.Instant) bool {
+	s := b.state(c.ID)
+	return s.brittle != nil || s.soundAt == 0 || s.soundAt.Before(since)
 }
 
 // RefusedSince reports whether a brittle upstream has refused a request since an instant.
--- a/internal/gateway/caller/brittle.go
+++ b/internal/gateway/caller/brittle.go
@@ -56,11 +56,9 @@
 // leaseCandidates returns the selected upstream and others with slots to lease, and those that need no lease. A
 // permit is for the selected upstream alone.
 func (q *request) leaseCandidates(target balancer.Candidate, p permit.Permit, candidates []balancer.Candidate, excluded []string) (short, sound []balancer.Candidate) {
-	for _, c := range q.Balancer.Available(target, candidates, excluded) {
-		switch {
-		case !q.Balancer.NeedsLease(c, candidates):
-			sound = append(sound, c)
-		case c.ID == target.ID, len(short) < maxLeaseCandidates && !p.Limited() && !q.View.RateLimited(c.ID, c.Born):
+	needed, sound := q.Balancer.SplitByLease(q.Balancer.Available(target, candidates, excluded), candidates)
+	for _, c := range needed {
+		if c.ID == target.ID || len(short) < maxLeaseCandidates && !p.Limited() && !q.View.RateLimited(c.ID, c.Born) {
 			short = append(short, c)
 		}
 	}
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -190,6 +190,7 @@
 // nextExchange selects an upstream that is not excluded. It returns false if there is none.
 func (q *request) nextExchange(excluded []string) (e *exchange, ok bool) {
 	candidates, isCanary := q.candidates()
+	q.leaseWait = 0
 	for lost := 0; ; lost++ {
 		target, p, found := q.pickPermitted(candidates, isCanary, excluded)
 		if found {
