--- a/internal/gateway/caller/leaving_test.go
+++ b/internal/gateway/caller/leaving_test.go
@@ -74,6 +74,7 @@
 		{"success", 200, []string{"Leaving: 1"}, true},
 		{"error", 500, []string{"Leaving: 1", "Signature: s"}, true},
 		{"refusal", 503, []string{"Leaving: 1", "Refused: 1"}, true},
+		{"misdirected, of another upstream at the address", 421, []string{"Leaving: 1"}, false},
 		{"another value", 200, []string{"Leaving: soon"}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
