gateway/upstream: search only new bytes of an event for its end, ids after carriage returns

Cause: each read searched the whole buffer of the event reader for a blank line, so that a long event in small pieces cost the square of its length; an id at the begin of a line that follows a carriage return alone was not seen, so that such a stream could not be resumed. Change: the reader remembers how far it has searched; lastID takes both line endings, as FirstID does. Tests: rows of TestEventReader for carriage returns failed before; one for a blank line that is split between reads.

--- a/internal/gateway/upstream/client_test.go
+++ b/internal/gateway/upstream/client_test.go
@@ -187,6 +187,10 @@
 		{"one event per chunk", []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, []int64{1, 2}, io.EOF},
 		{"event split between chunks", []string{"id: 1\nda", "ta: a\n\nid: 2"}, []string{"id: 1\ndata: a\n\n"}, []int64{1}, io.ErrUnexpectedEOF},
 		{"two events in one chunk", []string{"id: 1\n\nid: 2\n\n"}, []string{"id: 1\n\nid: 2\n\n"}, []int64{2}, io.EOF},
+		{"carriage returns", []string{"id: 1\rdata: a\r\r", "id: 2\rdata: b\r\r"}, []string{"id: 1\rdata: a\r\r", "id: 2\rdata: b\r\r"}, []int64{1, 2}, io.EOF},
+		{"carriage returns and line feeds", []string{"id: 1\r\ndata: a\r\n\r\nid: 2\r\n", "\r\n"}, []string{"id: 1\r\ndata: a\r\n\r\n", "id: 2\r\n\r\n"}, []int64{1, 2}, io.EOF},
+		{"blank line split between chunks", []string{"id: 1\r\n\r", "\nid: 2\n", "\n"}, []string{"id: 1\r\n\r\n", "id: 2\n\n"}, []int64{1, 2}, io.EOF},
+		{"id in the data after a carriage return", []string{"data: 3\rid: 4\rdata: id: 9\r\r"}, []string{"data: 3\rid: 4\rdata: id: 9\r\r"}, []int64{4}, io.EOF},
 		{"id in the data", []string{"id: 7\ndata: id: 9\n\n"}, []string{"id: 7\ndata: id: 9\n\n"}, []int64{7}, io.EOF},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -232,6 +236,21 @@
 	}
 }
 
+// BenchmarkLongEvent measures the cost of reading a long event in small pieces.
+func BenchmarkLongEvent(b *testing.B) {
+	piece := strings.Repeat("x", 64)
+	for b.Loop() {
+		c := &chunkReader{end: io.EOF, list: []string{"data: "}}
+		for range 4000 {
+			c.list = append(c.list, piece)
+		}
+		c.list = append(c.list, "\n\n")
+		if _, _, err := NewEventReader(c).Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // endlessReader returns the same event with each read.
 type endlessReader struct{ event string }
 
--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -31,8 +31,9 @@
 	// reserve, if set, accounts for the memory of a larger buffer.
 	reserve func(n int) error
 	buffer  []byte
-	// start and end are the bounds of the bytes that were read and not returned yet.
-	start, end int
+	// start and end are the bounds of the bytes that were read and not returned yet, and searched is the end
+	// of those that hold no complete event.
+	start, end, searched int
 }
 
 // NewEventReader returns a reader of the events of source.
@@ -51,14 +52,17 @@
 // The bytes are valid until the next call.
 func (e *EventReader) Next() (events []byte, id int64, err error) {
 	for {
-		if n := completeEvents(e.buffer[e.start:e.end]); n > 0 {
-			events = e.buffer[e.start : e.start+n]
-			e.start += n
+		// A blank line may have begun before the new bytes.
+		from := max(e.start, e.searched-maxBlankLine+1)
+		if n := completeEvents(e.buffer[from:e.end]); n > 0 {
+			events = e.buffer[e.start : from+n]
+			e.start, e.searched = from+n, from+n
 			if e.verify && !onlyEvents(events) {
 				return nil, 0, ErrNoEvent
 			}
 			return events, lastID(events), nil
 		}
+		e.searched = e.end
 		if err := e.ensureSpace(); err != nil {
 			return nil, 0, err
 		}
@@ -85,7 +89,7 @@
 func (e *EventReader) ensureSpace() error {
 	if e.start > 0 {
 		copy(e.buffer, e.buffer[e.start:e.end])
-		e.start, e.end = 0, e.end-e.start
+		e.start, e.end, e.searched = 0, e.end-e.start, e.searched-e.start
 	}
 	if e.end < len(e.buffer) {
 		return nil
@@ -105,6 +109,9 @@
 // blankLines are the line endings before and of the blank line that ends an event.
 var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
 
+// maxBlankLine is the length of the longest of blankLines.
+const maxBlankLine = 3
+
 // completeEvents returns the length of the complete events at the begin of a stream.
 func completeEvents(stream []byte) (n int) {
 	// Most reads end with an event, and most streams use line feeds only.
@@ -193,8 +200,11 @@
 		if begin < 0 {
 			return -1
 		}
-		if begin == 0 || events[begin-1] == '\n' {
-			line, _, _ := bytes.Cut(events[begin+3:], []byte("\n"))
+		if begin == 0 || events[begin-1] == '\n' || events[begin-1] == '\r' {
+			line := events[begin+3:]
+			if end := bytes.IndexAny(line, "\r\n"); end >= 0 {
+				line = line[:end]
+			}
 			if id, err := strconv.ParseInt(string(bytes.TrimSpace(line)), 10, 64); err == nil {
 				return id
 			}
