gateway/caller: a second attempt gets a free slot whatever the request has waited before

Cause: found by reading. The time that a request may wait for room counts over all its attempts. A second attempt after a long wait did not ask for a lease at all, and was refused although slots were free. Change: each attempt waits 30 ms at least for the leader's answer. Tests: TestFreeSlotAfterWait, which fails on the code before.

--- a/internal/gateway/caller/brittle.go
+++ b/internal/gateway/caller/brittle.go
@@ -20,6 +20,9 @@
 	// maxWaitingForRoom limits the requests of this instance that wait so: each of them looks for
 	// room again whenever a request ends.
 	maxWaitingForRoom = 32
+	// minLeaseWait is how long a request waits for a lease at least, whatever it has waited before: the leader
+	// takes a few milliseconds to answer even if a slot is free.
+	minLeaseWait = 30 * time.Millisecond
 	// maxLeaseCandidates limits the upstreams that a request names to the leader, which chooses one with a
 	// free slot.
 	maxLeaseCandidates = 8
@@ -34,9 +37,9 @@
 		return target, p, slot.Lease{}, true
 	}
 	short, sound := q.leaseCandidates(target, p, candidates, excluded)
-	patience := min(q.roomPatience(), slot.MaxPatience)
+	patience := min(max(q.roomPatience(), minLeaseWait), slot.MaxPatience)
 	defer q.waitingForRoom.Add(-1)
-	if q.waitingForRoom.Add(1) <= maxWaitingForRoom && patience > 0 {
+	if q.waitingForRoom.Add(1) <= maxWaitingForRoom {
 		upstreams := make([]slot.Upstream, 0, len(short))
 		for _, c := range short {
 			upstreams = append(upstreams, slot.Upstream{ID: c.ID, Born: c.Born})
--- a/internal/gateway/caller/brittle_test.go
+++ b/internal/gateway/caller/brittle_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
 )
@@ -212,3 +213,21 @@
 		})
 	}
 }
+
+// Guards against a request that is refused at its second attempt, because it has waited before, although slots are
+// free.
+func TestFreeSlotAfterWait(t *testing.T) {
+	u := startUpstream(t, func(e *upstreamtest.Exchange) bool { return respondSigned(e, "ok") })
+	f := newFixture(t, []*upstreamtest.Server{u}, nil)
+	linkLeader(f)
+	f.handler.Balancer.SetBrittle("desk0", true)
+	time.Sleep(slot.TakeoverDelay + 200*time.Millisecond)
+	now := f.handler.Timer.Now()
+	q := &request{
+		Handler: f.handler, ctx: context.Background(), arrived: now, timeout: time.Second, service: "desk",
+		route: f.view.Layout().Match("h", "/look/1"), roomDeadline: now.Add(-time.Millisecond),
+	}
+	e, ok := q.nextExchange(nil)
+	f.True(ok)
+	f.True(e.lease.Held())
+}
