fleet, gateway: names and one place for what stood twice

Behaviour is meant to be as before. Measured: tests of the packages, those of brittle upstreams, pauses and planned stops with the race detector.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -84,7 +84,7 @@
 	loads         map[string]*load
 	limits        map[string]*limit // by upstream id
 	lender        *permit.Lender
-	slots         *slot.Lender
+	slots         *slot.Lender                        // of brittle upstreams; lender lends permits
 	sessions      map[string]*SlotSession             // by name of the instance
 	conditions    map[string]*condition               // by upstream id
 	crashes       map[uint64]map[string]timer.Instant // last crash by fingerprint and upstream id
--- a/internal/fleet/peer/slots.go
+++ b/internal/fleet/peer/slots.go
@@ -81,14 +81,14 @@
 	if err != nil {
 		return false, err
 	}
-	r := &slotReceiver{slotLeaser: l, stock: stock, stream: stream, to: to, done: make(chan error, 1)}
+	r := &slotStream{slotLeaser: l, stock: stock, stream: stream, to: to, done: make(chan error, 1)}
 	go r.run()
 	err = r.send(ctx)
 	return r.served.Load(), err
 }
 
-// slotReceiver receives the replies of one stream.
-type slotReceiver struct {
+// slotStream is one stream to the leader. run receives, and send sends until the stream is of no more use.
+type slotStream struct {
 	*slotLeaser
 	stock  *slot.Stock
 	stream wire.DRPCFleet_SlotsClient
@@ -99,7 +99,7 @@
 	awaitedSince atomic.Int64
 }
 
-func (r *slotReceiver) run() {
+func (r *slotStream) run() {
 	for {
 		m, err := r.stream.Recv()
 		if err != nil {
@@ -118,7 +118,7 @@
 }
 
 // send sends messages until the stream fails, is idle or there is another leader.
-func (r *slotReceiver) send(ctx context.Context) error {
+func (r *slotStream) send(ctx context.Context) error {
 	ticks := r.options.Timer.Subscribe(slotCheckInterval)
 	defer ticks.Stop()
 	self, usedAt := r.options.DescribeInstance(), r.options.Timer.Now()
--- a/internal/fleet/slot/lender.go
+++ b/internal/fleet/slot/lender.go
@@ -71,7 +71,7 @@
 // Want is a request that waits for a slot.
 type Want struct {
 	Holder Holder
-	Number uint64 // chosen by the holder
+	Number uint64 // identifies the want among those of the holder
 	// Upstreams are the possible ones, the preferred one first.
 	Upstreams []Upstream
 	// Until is when the request has certainly ended.
--- a/internal/fleet/slot/stock.go
+++ b/internal/fleet/slot/stock.go
@@ -36,13 +36,14 @@
 
 // waiter is a request that waits for a lease.
 type waiter struct {
-	number          uint64
-	upstreams       []Upstream
-	until, patience timer.Instant // ends of the request and of its patience
-	sent            bool
-	answered        chan struct{} // closed with the answer
-	lease           Lease
-	wait            time.Duration
+	number      uint64
+	upstreams   []Upstream
+	until       timer.Instant // when the request has certainly ended
+	patienceEnd timer.Instant
+	sent        bool
+	answered    chan struct{} // closed with the answer
+	lease       Lease
+	wait        time.Duration
 }
 
 // Stock holds the leases of an instance and the requests that wait for one. It is safe for concurrent use.
@@ -128,7 +129,7 @@
 		return nil, s.noLeader.Sub(now)
 	}
 	s.number++
-	w = &waiter{number: s.number, upstreams: upstreams, until: now.Add(remaining), patience: now.Add(patience), answered: make(chan struct{})}
+	w = &waiter{number: s.number, upstreams: upstreams, until: now.Add(remaining), patienceEnd: now.Add(patience), answered: make(chan struct{})}
 	s.waiting[w.number] = w
 	signal(s.wake)
 	return w, 0
@@ -170,7 +171,7 @@
 			continue
 		}
 		w.sent = true
-		n := &wire.SlotWant{Number: w.number, Remaining: milliseconds(w.until.Sub(now)), Patience: milliseconds(w.patience.Sub(now))}
+		n := &wire.SlotWant{Number: w.number, Remaining: milliseconds(w.until.Sub(now)), Patience: milliseconds(w.patienceEnd.Sub(now))}
 		for _, u := range w.upstreams {
 			n.Upstreams = append(n.Upstreams, &wire.SlotUpstream{Id: u.ID, Born: u.Born})
 		}
@@ -212,7 +213,7 @@
 		if g := a.GetLease(); g != nil {
 			w.lease = Lease{
 				ID: LeaseID(g.GetId()), Upstream: Upstream{g.GetUpstream().GetId(), g.GetUpstream().GetBorn()},
-				until: w.until, expires: w.patience.Add(Lifetime),
+				until: w.until, expires: w.patienceEnd.Add(Lifetime),
 			}
 			s.held[w.lease.ID] = w.lease
 		}
--- a/internal/gateway/caller/brittle.go
+++ b/internal/gateway/caller/brittle.go
@@ -36,17 +36,17 @@
 	if !q.Balancer.NeedsLease(target, candidates) {
 		return target, p, slot.Lease{}, true
 	}
-	short, sound := q.leaseCandidates(target, p, candidates, excluded)
+	leasable, sound := q.leaseCandidates(target, p, candidates, excluded)
 	patience := min(max(q.roomPatience(), minLeaseWait), slot.MaxPatience)
 	defer q.waitingForRoom.Add(-1)
 	if q.waitingForRoom.Add(1) <= maxWaitingForRoom {
-		upstreams := make([]slot.Upstream, 0, len(short))
-		for _, c := range short {
+		upstreams := make([]slot.Upstream, 0, len(leasable))
+		for _, c := range leasable {
 			upstreams = append(upstreams, slot.Upstream{ID: c.ID, Born: c.Born})
 		}
 		if l, q.leaseWait, ok = q.View.AcquireSlot(q.ctx, upstreams, q.remaining(), patience); ok {
-			i := slices.IndexFunc(short, func(c balancer.Candidate) bool { return c.ID == l.Upstream.ID })
-			return short[i], p, l, true
+			i := slices.IndexFunc(leasable, func(c balancer.Candidate) bool { return c.ID == l.Upstream.ID })
+			return leasable[i], p, l, true
 		}
 	}
 	q.noRoom = true
@@ -58,14 +58,14 @@
 
 // leaseCandidates returns the selected upstream and others with slots to lease, and those that need no lease. A
 // permit is for the selected upstream alone.
-func (q *request) leaseCandidates(target balancer.Candidate, p permit.Permit, candidates []balancer.Candidate, excluded []string) (short, sound []balancer.Candidate) {
+func (q *request) leaseCandidates(target balancer.Candidate, p permit.Permit, candidates []balancer.Candidate, excluded []string) (leasable, sound []balancer.Candidate) {
 	needed, sound := q.Balancer.SplitByLease(q.Balancer.Available(target, candidates, excluded), candidates)
 	for _, c := range needed {
-		if c.ID == target.ID || len(short) < maxLeaseCandidates && !p.Limited() && !q.View.RateLimited(c.ID, c.Born) {
-			short = append(short, c)
+		if c.ID == target.ID || len(leasable) < maxLeaseCandidates && !p.Limited() && !q.View.RateLimited(c.ID, c.Born) {
+			leasable = append(leasable, c)
 		}
 	}
-	return short, sound
+	return leasable, sound
 }
 
 // roomPatience returns how long the request still waits for room at brittle upstreams.
--- a/internal/gateway/httpserver/server.go
+++ b/internal/gateway/httpserver/server.go
@@ -146,8 +146,7 @@
 	o.Log.Info("stopping", zap.Int64("running", o.Drainer.Running()))
 	o.Deregister()
 	o.Drainer.Drain()
-	phases, reserve := o.phases(), min(exitReserve, o.GracePeriod/4)
-	end := o.GracePeriod - reserve
+	phases, end := o.phases(), o.end()
 	for {
 		elapsed := o.Timer.Now().Sub(start)
 		for len(phases) > 0 && elapsed >= phases[0].after {
@@ -162,7 +161,7 @@
 		}
 	}
 	o.Log.Info("closing", zap.Int64("running", o.Drainer.Running()), zap.Duration("after", o.Timer.Now().Sub(start)))
-	closeCtx, cancel := timer.WithTimeout(context.WithoutCancel(ctx), o.Timer, reserve/2)
+	closeCtx, cancel := timer.WithTimeout(context.WithoutCancel(ctx), o.Timer, (o.GracePeriod-end)/2)
 	defer cancel()
 	for _, e := range d.endpoints {
 		if shutdownErr := e.server.Shutdown(closeCtx); shutdownErr != nil {
@@ -182,10 +181,13 @@
 	begin func()
 }
 
+// end returns when connections are closed, since the start of the shutdown.
+func (o *Options) end() time.Duration { return o.GracePeriod - min(exitReserve, o.GracePeriod/4) }
+
 // phases returns the phases of the shutdown in their order.
 func (o *Options) phases() []phase {
 	part := func(f float64) time.Duration { return time.Duration(f * float64(o.GracePeriod)) }
-	answer := o.GracePeriod - min(exitReserve, o.GracePeriod/4) - min(answerReserve, o.GracePeriod/8)
+	answer := o.end() - min(answerReserve, o.GracePeriod/8)
 	return []phase{
 		{min(maxRejectAfter, part(rejectPart)), o.Drainer.RejectNew},
 		{min(answer, part(waitingPart)), o.Drainer.RejectWaiting},
