consensus: remove the vote of a lost disk before its successor gets one

Cause: the new identity of a machine with an empty disk was promoted before the lost identity was removed, so the group passed through four voters of which one was gone for good. A second loss of the same disk left two of four. The promotion did not even need a reply of the learner: an empty one counted as caught up with a short log, and a poll counts as contact for 1.6 s.

Change: a voter whose address belongs to another identity is removed first; a learner must have acknowledged a message in the last 0.4 s and hold the log up to the leader's term; a promotion that raises the majority needs a learner in contact for 1 s; the steps follow each other at once. Removing first is never worse, since that vote can't be given.

--- a/internal/control/replica/member.go
+++ b/internal/control/replica/member.go
@@ -10,9 +10,14 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/replica"
 )
 
-// maxPromotionLag is how many entries a learner may be behind the commit index when it is
-// promoted.
-const maxPromotionLag = 256
+const (
+	// maxPromotionLag is how many entries a learner may be behind the commit index when it is
+	// promoted.
+	maxPromotionLag = 256
+	// maxPromotionSilence is how long ago the last message that a learner acknowledged may
+	// have been sent when it is promoted. The leader sends one per HeartbeatInterval.
+	maxPromotionSilence = 4 * HeartbeatInterval
+)
 
 // errNotCaughtUp is returned while a learner is too far behind to be promoted.
 var errNotCaughtUp = errors.New("learner has not caught up")
@@ -89,13 +94,35 @@
 	if members[at].Voter {
 		return nil, nil
 	}
-	if p, ok := n.peers[i]; !ok || p.matchIndex+maxPromotionLag < n.commitIndex {
+	if !n.caughtUp(i) {
 		return nil, errNotCaughtUp
 	}
 	members[at].Voter = true
 	return members, nil
 }
 
+// caughtUp reports whether a learner acknowledges messages and stores the log at least up to
+// the first entry of this term. An empty learner thus never counts as caught up, however
+// short the log is.
+func (n *Node) caughtUp(i Identity) bool {
+	p, ok := n.peers[i]
+	return ok && p.matchIndex >= n.noopIndex && p.matchIndex+maxPromotionLag >= n.commitIndex &&
+		n.timer.Now().Sub(p.ackedSentAt) <= maxPromotionSilence
+}
+
+// CaughtUpLearners returns the learners that could be promoted now.
+func (n *Node) CaughtUpLearners(ctx context.Context) (map[Identity]bool, error) {
+	return runInLoop(ctx, n, func(reply func(map[Identity]bool)) {
+		out := map[Identity]bool{}
+		for _, m := range n.raftLog.latestMembership().members {
+			if !m.Voter && n.role == leader && n.caughtUp(m.Identity) {
+				out[m.Identity] = true
+			}
+		}
+		reply(out)
+	})
+}
+
 // replicatedTo reports whether a member is known to store the log up to an index.
 func (n *Node) replicatedTo(ctx context.Context, i Identity, index Index) (bool, error) {
 	type answer struct{ leader, stored bool }
--- a/internal/control/replica/member_test.go
+++ b/internal/control/replica/member_test.go
@@ -228,6 +228,36 @@
 	})
 }
 
+// Guards against a learner that is promoted although it never replied: while the log is
+// short, an empty one is only a few entries behind. Its vote could never be given.
+func TestSilentLearner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 9, 2).bootstrap()
+		l := c.leader().node
+		c.propose("a")
+		is.NoErr(l.AddLearner(t.Context(), replica.Member{Identity: "x", Address: "nowhere"}))
+		learner := c.add("learner")
+		c.start(learner)
+		is.NoErr(l.AddLearner(t.Context(), learner.self))
+		c.sleep(time.Second)
+		ready, err := l.CaughtUpLearners(t.Context())
+		is.NoErr(err)
+		is.Equal(ready, map[replica.Identity]bool{learner.self.Identity: true})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		is.True(l.PromoteLearner(ctx, "x") != nil)
+		c.stop(learner, true)
+		c.sleep(time.Second)
+		ready, err = l.CaughtUpLearners(t.Context())
+		is.NoErr(err)
+		is.Equal(len(ready), 0) // it no longer replies
+		for _, m := range l.Status().Members {
+			is.Equal(m.Voter, m.Identity != "x" && m.Identity != learner.self.Identity)
+		}
+	})
+}
+
 // Guards against a member that can't be reached after its address has changed.
 func TestAddressChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/consensus/membership.go
+++ b/internal/fleet/consensus/membership.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"slices"
 	"time"
 
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
@@ -14,6 +15,12 @@
 	voterTimeout = 1500 * time.Millisecond
 	// learnerTimeout is how long a learner may be out of contact before it is removed.
 	learnerTimeout = 20 * time.Second
+	// minContact is how long a learner must have been in contact before it becomes an
+	// additional voter of an odd group. Such a promotion raises the number of votes that a
+	// majority needs, and a process that restarts again and again would take one away with
+	// it. It is shorter than the time in which a replaced instance must count again (4 s on
+	// the smallest deployments).
+	minContact = time.Second
 )
 
 // Action is a kind of membership change.
@@ -37,56 +44,127 @@
 	Reason string
 }
 
-// NextChange returns the next membership change that the leader self should make. Every
-// live instance with a disk becomes a member, the number of voters is odd and as large as
-// possible, and a live learner replaces a voter that is out of contact or whose address
-// belongs to another identity now. unreachable holds for how long members have been out of
-// contact.
-func NextChange(
-	self replica.Identity, members []replica.Member, live map[replica.Identity]replica.Address,
-	unreachable map[replica.Identity]time.Duration,
-) Change {
+// Observation is what the leader knows when it decides on a membership change.
+type Observation struct {
+	// Self is the leader.
+	Self    replica.Identity
+	Members []replica.Member
+	// Live holds the addresses of the instances in contact that have a disk, and Contact for
+	// how long they have been in contact.
+	Live    map[replica.Identity]replica.Address
+	Contact map[replica.Identity]time.Duration
+	// Unreachable holds for how long other members have been out of contact.
+	Unreachable map[replica.Identity]time.Duration
+	// CaughtUp holds the learners that acknowledge messages and hold the log.
+	CaughtUp map[replica.Identity]bool
+}
+
+// NextChange returns the next membership change that the leader should make. Every live
+// instance with a disk becomes a member, the number of voters is odd and as large as
+// possible, and a live learner replaces a voter that is out of contact.
+//
+// A voter whose address belongs to another identity has lost its disk and never returns. It
+// is removed before anything else: its vote counts for the size of a majority and can't be
+// given, and the instance may lose its disk again at any later step. A voter that is only
+// out of contact may return with what it acknowledged, so it keeps its vote until a learner
+// has been promoted.
+func NextChange(o Observation) Change {
 	known := map[replica.Identity]replica.Member{}
-	identityAt := map[replica.Address]replica.Identity{}
-	voters := 0
-	var learner, failed *replica.Member
-	for identity, address := range live {
-		identityAt[address] = identity
-	}
-	for _, m := range members {
+	var voters, learners []replica.Member
+	for _, m := range o.Members {
 		known[m.Identity] = m
-		_, alive := live[m.Identity]
-		current, taken := identityAt[m.Address]
-		superseded := taken && current != m.Identity
-		switch {
-		case m.Voter:
-			voters++
-			if m.Identity != self && !alive && (superseded || unreachable[m.Identity] >= voterTimeout) && (failed == nil || superseded) {
-				failed = &m
-			}
-		case alive:
-			if learner == nil || m.Identity < learner.Identity {
-				learner = &m
-			}
-		case superseded || unreachable[m.Identity] >= learnerTimeout:
-			return Change{Remove, m, "learner is out of contact or was replaced"}
+		if m.Voter {
+			voters = append(voters, m)
+		} else {
+			learners = append(learners, m)
 		}
 	}
-	if change, ok := nextAddition(known, live); ok {
+	if lost, ok := o.replacedVoter(voters); ok {
+		return Change{Remove, lost, "voter has lost its disk"}
+	}
+	if lost, ok := o.lostLearner(learners); ok {
+		return Change{Remove, lost, "learner is out of contact or has lost its disk"}
+	}
+	if change, ok := nextAddition(known, o.Live); ok {
 		return change
 	}
+	failed, hasFailed := o.failedVoter(voters)
 	// A voter that is out of contact keeps its vote until it is replaced, so the target is
 	// never below the current number of voters.
-	target := max(largestOdd(min(maxVoters, len(live))), largestOdd(voters))
-	switch {
-	case learner != nil && (voters < target || (failed != nil && voters <= target)):
-		return Change{Promote, *learner, "live learner can become a voter"}
-	case failed != nil && voters > target:
-		return Change{Remove, *failed, "voter was replaced"}
+	target := max(largestOdd(min(maxVoters, len(o.Live))), largestOdd(len(voters)))
+	if len(voters) < target || (hasFailed && len(voters) <= target) {
+		if learner, ok := o.nextVoter(voters, learners); ok {
+			return Change{Promote, learner, "live learner can become a voter"}
+		}
+	}
+	if hasFailed && len(voters) > target {
+		return Change{Remove, failed, "voter was replaced"}
 	}
 	return Change{}
 }
 
+// hasLostDisk reports whether the address of a member that is out of contact belongs to an
+// instance with another identity.
+func (o *Observation) hasLostDisk(m replica.Member) bool {
+	if _, live := o.Live[m.Identity]; live || m.Identity == o.Self {
+		return false
+	}
+	for _, address := range o.Live {
+		if address == m.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// replacedVoter returns a voter that has lost its disk. The last voter stays.
+func (o *Observation) replacedVoter(voters []replica.Member) (lost replica.Member, ok bool) {
+	at := slices.IndexFunc(voters, o.hasLostDisk)
+	if at < 0 || len(voters) == 1 {
+		return lost, false
+	}
+	return voters[at], true
+}
+
+// lostLearner returns a learner that has lost its disk or is out of contact for too long.
+func (o *Observation) lostLearner(learners []replica.Member) (lost replica.Member, ok bool) {
+	at := slices.IndexFunc(learners, func(m replica.Member) bool {
+		return o.hasLostDisk(m) || o.Unreachable[m.Identity] >= learnerTimeout
+	})
+	if at < 0 {
+		return lost, false
+	}
+	return learners[at], true
+}
+
+// failedVoter returns a voter that is out of contact for too long.
+func (o *Observation) failedVoter(voters []replica.Member) (failed replica.Member, ok bool) {
+	at := slices.IndexFunc(voters, func(m replica.Member) bool {
+		return m.Identity != o.Self && o.Unreachable[m.Identity] >= voterTimeout
+	})
+	if at < 0 {
+		return failed, false
+	}
+	return voters[at], true
+}
+
+// nextVoter returns the learner to promote, the one with the lowest identity of several.
+func (o *Observation) nextVoter(voters, learners []replica.Member) (next replica.Member, ok bool) {
+	// In a group of one every loss of the voter loses the group, so nothing is gained by
+	// a delay.
+	raisesMajority := len(voters)%2 == 1 && len(voters) > 1
+	for _, m := range learners {
+		_, live := o.Live[m.Identity]
+		if !live || !o.CaughtUp[m.Identity] || (raisesMajority && o.Contact[m.Identity] < minContact) {
+			continue
+		}
+		if !ok || m.Identity < next.Identity {
+			next, ok = m, true
+		}
+	}
+	return next, ok
+}
+
 // largestOdd returns the largest odd number that does not exceed n.
 func largestOdd(n int) int { return n - 1 + n%2 }
 
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"path/filepath"
 	"time"
@@ -68,7 +69,9 @@
 	transport *replica.DRPCTransport
 	server    *replica.Server
 	identity  replica.Identity
-	// unreachableSince holds when members lost contact. Only the goroutine of loop uses it.
+	// liveSince holds when instances came into contact, and unreachableSince when members
+	// lost contact. Only the goroutine of loop uses them.
+	liveSince        map[replica.Identity]timer.Instant
 	unreachableSince map[replica.Identity]timer.Instant
 }
 
@@ -102,7 +105,7 @@
 // open opens the directory at path, creating it if necessary, and loads the replica from it.
 func open(o Options, path string) (r *Replica, err error) {
 	r = &Replica{
-		options: o, unreachableSince: map[replica.Identity]timer.Instant{},
+		options: o, liveSince: map[replica.Identity]timer.Instant{}, unreachableSince: map[replica.Identity]timer.Instant{},
 		transport: replica.NewTransport(replica.TransportOptions{Timer: o.Timer, PeerToken: o.PeerToken}),
 	}
 	directory, err := disk.Open(o.Files, path, reserveBytes)
@@ -152,8 +155,10 @@
 			if err := r.bootstrap(ctx); err != nil {
 				return err
 			}
-		default:
-			r.adjustMembership(ctx)
+		case r.adjustMembership(ctx):
+			// The steps of a replacement follow each other at once: between them the group
+			// may survive fewer losses than before and after.
+			pause = 0
 		}
 		if err := timer.Sleep(ctx, r.options.Timer, pause); err != nil {
 			return nil
@@ -175,22 +180,24 @@
 	return err
 }
 
-// adjustMembership makes the next membership change if this replica leads.
-func (r *Replica) adjustMembership(ctx context.Context) {
+// adjustMembership makes the next membership change if this replica leads. It returns
+// whether a change was made.
+func (r *Replica) adjustMembership(ctx context.Context) bool {
 	if _, ok := r.node.HoldsLease(); !ok {
+		r.liveSince = map[replica.Identity]timer.Instant{}
 		r.unreachableSince = map[replica.Identity]timer.Instant{}
-		return
-	}
-	members := r.Members()
-	live := r.options.LiveReplicas()
-	live[r.identity] = replica.Address(r.options.Address)
-	change := NextChange(r.identity, members, live, r.unreachableFor(members, live))
-	if change.Action == NoChange {
-		return
+		return false
 	}
 	ctx, cancel := timer.WithTimeout(ctx, r.options.Timer, changeTimeout)
 	defer cancel()
-	var err error
+	caughtUp, err := r.node.CaughtUpLearners(ctx)
+	if err != nil {
+		return false
+	}
+	change := NextChange(r.observe(caughtUp))
+	if change.Action == NoChange {
+		return false
+	}
 	switch change.Action {
 	case Add:
 		err = r.node.AddLearner(ctx, change.Member)
@@ -202,23 +209,42 @@
 	r.options.Log.Info("membership of the control group", zap.String("action", change.Action.String()),
 		zap.String("identity", string(change.Member.Identity)), zap.String("address", string(change.Member.Address)),
 		zap.String("reason", change.Reason), journal.Error(err))
+	return err == nil
 }
 
-// unreachableFor returns how long each member that is not live has been out of contact.
-func (r *Replica) unreachableFor(members []replica.Member, live map[replica.Identity]replica.Address) map[replica.Identity]time.Duration {
+// observe returns what this replica knows about the members and the instances in contact.
+func (r *Replica) observe(caughtUp map[replica.Identity]bool) Observation {
 	now := r.options.Timer.Now()
-	out := map[replica.Identity]time.Duration{}
+	live := r.options.LiveReplicas()
+	live[r.identity] = replica.Address(r.options.Address)
+	members := r.Members()
+	unreachable := map[replica.Identity]bool{}
 	for _, m := range members {
-		if _, ok := live[m.Identity]; ok {
-			delete(r.unreachableSince, m.Identity)
-			continue
+		if _, ok := live[m.Identity]; !ok {
+			unreachable[m.Identity] = true
 		}
-		since, ok := r.unreachableSince[m.Identity]
-		if !ok {
-			since = now
-			r.unreachableSince[m.Identity] = now
+	}
+	return Observation{
+		Self: r.identity, Members: members, Live: live, CaughtUp: caughtUp,
+		Contact: updateSince(r.liveSince, live, now), Unreachable: updateSince(r.unreachableSince, unreachable, now),
+	}
+}
+
+// updateSince removes the identities that are not in current from since, adds those that are
+// new with the time now, and returns for how long each of them has been in it.
+func updateSince[T any](
+	since map[replica.Identity]timer.Instant, current map[replica.Identity]T, now timer.Instant,
+) map[replica.Identity]time.Duration {
+	maps.DeleteFunc(since, func(i replica.Identity, _ timer.Instant) bool {
+		_, ok := current[i]
+		return !ok
+	})
+	out := map[replica.Identity]time.Duration{}
+	for i := range current {
+		if _, ok := since[i]; !ok {
+			since[i] = now
 		}
-		out[m.Identity] = now.Sub(since)
+		out[i] = now.Sub(since[i])
 	}
 	return out
 }
--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -215,6 +215,29 @@
 	d.eventually("layout 5 with two of three", d.layoutConfirmed(5))
 }
 
+// Guards against a control group that loses its majority for good because one instance loses
+// its disk again and again, soon after each start, while no other one is disturbed.
+func TestDiskLostRepeatedly(t *testing.T) {
+	d := newDeployment(t, 3, 4)
+	d.proposeLayout(3, 3)
+	d.eventually("three voters", func() bool { return d.voterCount() == 3 })
+	lost := 0
+	if _, leads := d.running[lost].instance.replica.HoldsLease(); leads {
+		lost = 1
+	}
+	for _, up := range []time.Duration{250, 300, 350, 400, 300, 500, 350, 700, 0} {
+		d.stop(lost)
+		d.NoErr(os.RemoveAll(d.options[lost].DataDirectory))
+		d.start(lost)
+		time.Sleep(up * time.Millisecond)
+	}
+	d.proposeLayout(3, 4)
+	d.eventually("layout 4 everywhere", d.layoutConfirmed(4))
+	d.eventually("three voters again", func() bool {
+		return d.voterCount() == 3 && len(d.running[2].instance.replica.Members()) == 3
+	})
+}
+
 // Guards against a leave of an upstream that is lost with the instance that heard it: the
 // instance is stopped right after the leader is said to know of the leave.
 func TestLeaveOutlivesInstance(t *testing.T) {
