fleet: commit a leave before it is acknowledged

Cause: the acknowledgement rested on the leader's memory. No other process had heard of the leave, and the next leader was told by the instances that the upstream is ready. A second call through an instance that had heard of the leave from the leader was acknowledged without asking anybody.

Change: leaves are commands of the replicated log, bounded by 4096. The leader confirms a report after the commit; a new leader starts with the committed leaves. An instance reports a leave whenever it is called, whether or not it has heard of it. The order of records moves from view to the package registry, since the state machine needs it too.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -1,7 +1,7 @@
 // Package coordinator holds the soft state of the deployment's leader: which instances
 // are in contact, which upstreams are registered, their loads, and the progress of
-// roll-outs. A new leader starts without it and rebuilds it from the polls and reports of
-// the instances.
+// roll-outs. A new leader starts with what is committed and rebuilds the rest from the polls
+// and reports of the instances.
 package coordinator
 
 import (
@@ -93,12 +93,16 @@
 	partsListed   uint64                              // number of the last list of watched parts
 	active        map[string]*rollout                 // running roll-outs by service
 	stateRevision uint64                              // revision of the last change of the state machine
+
+	committingLeaves chan struct{} // holds a value while leaves are proposed
 }
 
 // upstream is what the leader knows about an upstream besides its record.
 type upstream struct {
 	revision      uint64 // revision of its last change
 	lastHeartbeat timer.Instant
+	// drainingSince is the sequence number with which it began to drain.
+	drainingSince uint64
 }
 
 // instance is an instance that has polled in this period.
@@ -117,12 +121,13 @@
 
 // New returns an empty coordinator.
 func New(o Options) *Coordinator {
-	c := &Coordinator{options: o, changed: make(chan struct{}), applied: make(chan struct{}), active: map[string]*rollout{}}
+	c := &Coordinator{options: o, changed: make(chan struct{}), applied: make(chan struct{}), active: map[string]*rollout{}, committingLeaves: make(chan struct{}, 1)}
 	c.reset(0)
 	return c
 }
 
-// reset starts a new period of leadership without soft state. Roll-outs are still tracked.
+// reset starts a new period of leadership with the committed leaves as the only records of
+// upstreams. Roll-outs are still tracked.
 // c.mu must be held.
 func (c *Coordinator) reset(term uint64) {
 	c.leaderTerm, c.period, c.revision, c.wakeRevision = term, c.options.Random(), 1, 1
@@ -135,6 +140,7 @@
 	c.parts = suspect.New(func(p suspect.Part) bool { return c.options.State.PartQuarantined(string(p)) })
 	c.partsRevision, c.partsListed = 1, 0
 	c.stateRevision = 1
+	c.applyLeaves()
 }
 
 // checkLeadership reports whether this instance leads, and starts a new period if the term
@@ -173,6 +179,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.trackRollouts()
+	c.applyLeaves()
 	c.stateRevision = c.nextRevision()
 }
 
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -17,17 +17,23 @@
 
 // fakeReplica leads in the term that a test sets and applies commands without a log.
 type fakeReplica struct {
-	term  uint64
-	state *state.State
+	term     uint64
+	state    *state.State
+	commands int   // number of commands that were applied
+	err      error // of all proposals, if set
 }
 
 func (r *fakeReplica) HoldsLease() (uint64, bool) { return r.term, r.term > 0 }
 
 func (r *fakeReplica) Propose(_ context.Context, command *wire.Command) (string, error) {
+	if r.err != nil {
+		return "", r.err
+	}
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return "", err
 	}
+	r.commands++
 	return string(r.state.Apply(1, data)), nil
 }
 
--- a/internal/fleet/coordinator/upstreams.go
+++ b/internal/fleet/coordinator/upstreams.go
@@ -3,7 +3,7 @@
 import (
 	"google.golang.org/protobuf/proto"
 
-	"wisteriakeel.example/wisteriakeel/internal/fleet/view"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/registry"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
@@ -12,14 +12,14 @@
 // counts as a heartbeat, unless the upstream is silent. c.mu must be held.
 func (c *Coordinator) applyUpstream(u *wire.Upstream, now timer.Instant) {
 	old := c.records[u.GetId()]
-	if !view.Newer(u, old) {
+	if !registry.Newer(u, old) {
 		if known := c.upstreams[u.GetId()]; known != nil && old.GetStage() != wire.Stage_STAGE_SILENT {
 			known.lastHeartbeat = now
 		}
 		return
 	}
-	u = view.KeepLeaving(u, old)
-	same := view.Equivalent(u, old)
+	u = registry.KeepLeaving(u, old)
+	same := registry.Equivalent(u, old)
 	c.records[u.GetId()] = u
 	known := c.upstreams[u.GetId()]
 	if known == nil {
@@ -27,10 +27,13 @@
 		c.upstreams[u.GetId()] = known
 	}
 	known.lastHeartbeat = now
+	if u.GetStage() == wire.Stage_STAGE_DRAINING && (old.GetStage() != wire.Stage_STAGE_DRAINING || old.GetBorn() != u.GetBorn()) {
+		known.drainingSince = u.GetSequence()
+	}
 	if !same {
 		known.revision = c.nextRevision()
 	}
-	for _, id := range view.RetireReplaced(c.records, u) {
+	for _, id := range registry.RetireReplaced(c.records, u) {
 		c.upstreams[id].revision = c.nextRevision()
 	}
 }
--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -269,3 +269,57 @@
 	d.running[3].instance.View.HoldSessions("s", 1)
 	d.True(d.running[3].instance.Client.WaitReported(ctx) != nil)
 }
+
+// leader returns the index of the instance that leads, or -1.
+func (d *deployment) leader() int {
+	for i, r := range d.running {
+		if r != nil && r.instance.replica != nil {
+			if _, ok := r.instance.replica.HoldsLease(); ok {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// Guards against an acknowledged leave that is lost with the leader, before any other instance
+// has heard of it, and against one that is lost with all instances: a late announcement must
+// not bring the upstream back.
+func TestLeaveOutlivesLeader(t *testing.T) {
+	d := newDeployment(t, 3, 5)
+	d.proposeLayout(4, 7)
+	d.eventually("layout 7 everywhere", d.layoutConfirmed(7))
+	d.eventually("three voters", func() bool { return d.voterCount() == 3 })
+	inUse := func(i int) bool { return len(d.running[i].instance.View.Table().Services["s"]) > 0 }
+	announce := func(i int, sequence uint64, stage wire.Stage) {
+		d.running[i].instance.View.ApplyAnnouncement(&wire.Upstream{Id: "u", Born: 1, Sequence: sequence, Address: "10.0.0.1:1", Service: "s", Stage: stage})
+	}
+	announce(3, 1, wire.Stage_STAGE_READY)
+	for i := range d.running {
+		d.eventually("upstream known", func() bool { return inUse(i) })
+	}
+	former := d.leader()
+	d.True(former >= 0)
+	announce(former, 2, wire.Stage_STAGE_LEFT)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	d.NoErr(d.running[former].instance.Client.WaitReported(ctx))
+	d.stop(former)
+	for i, r := range d.running {
+		if r != nil {
+			d.eventually("upstream left", func() bool { return !inUse(i) })
+		}
+	}
+	for i := range d.running {
+		d.stop(i)
+	}
+	for i := range d.running {
+		d.start(i)
+	}
+	d.eventually("layout 7 after the restart", d.layoutConfirmed(7))
+	announce(4, 9, wire.Stage_STAGE_READY)
+	d.NoErr(d.running[4].instance.Client.WaitReported(ctx))
+	for i := range d.running {
+		d.True(!inUse(i))
+	}
+}
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -193,8 +193,8 @@
 type reporter struct{ *Client }
 
 // WaitReported sends the pending report at once and waits until the leader has everything that
-// was queued in the view before the call. Otherwise the knowledge of this instance is lost
-// with its process.
+// was queued in the view before the call and has committed the leaves among it. Otherwise the
+// knowledge of this instance, or that of the leader, is lost with its process.
 func (c *Client) WaitReported(ctx context.Context) error {
 	delivered := make(chan struct{})
 	c.mu.Lock()
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -93,13 +93,17 @@
 	return &wire.SyncReply{Guide: s.leaderInfo()}, nil
 }
 
-// Tell applies a report, or redirects the caller if this instance is not the leader.
+// Tell applies a report, or redirects the caller if this instance is not the leader. It returns
+// once the leaves in the report are committed.
 func (s *Server) Tell(ctx context.Context, q *wire.TellRequest) (*wire.TellReply, error) {
 	if err := replica.CheckPeerToken(ctx, s.PeerToken); err != nil {
 		return nil, err
 	}
 	if s.isLeader() {
 		if term, ok := s.Coordinator.ApplyReport(ctx, q); ok {
+			if err := s.Coordinator.CommitLeaves(ctx, q.GetUpstreams()); err != nil {
+				return nil, err
+			}
 			return &wire.TellReply{Guide: &wire.Guide{Served: true}, Term: term}, nil
 		}
 	}
--- a/internal/fleet/view/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -1,7 +1,6 @@
-// Package view holds one instance's local copy of the state of its deployment: the
-// current layout and its lease, upstreams, other instances and roll-outs. It also
-// collects what the instance reports to the leader.
-package view
+// Package registry orders the records of upstreams: which of two records counts, and which
+// upstreams are gone because another one has their address.
+package registry
 
 import (
 	"google.golang.org/protobuf/proto"
@@ -44,6 +43,12 @@
 	return n
 }
 
+// Leaves reports whether an upstream must get no more requests for good: it drains or has
+// left. One that is only silent may return.
+func Leaves(u *wire.Upstream) bool {
+	return u.GetLeaving() || u.GetStage() == wire.Stage_STAGE_DRAINING || u.GetStage() == wire.Stage_STAGE_LEFT
+}
+
 // Equivalent reports whether two records of one upstream differ only in fields that
 // other instances do not need, such as the sequence number.
 func Equivalent(a, b *wire.Upstream) bool {
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -1,5 +1,6 @@
 // Package state implements the replicated state machine of a deployment. It holds the
-// layout, the roll-outs, the quarantined requests and the quarantined parts of prompts.
+// layout, the roll-outs, the upstreams that leave, the quarantined requests and the
+// quarantined parts of prompts.
 package state
 
 import (
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/registry"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
 
@@ -18,6 +20,10 @@
 // which the oldest is dropped.
 const maxQuarantined = 1024
 
+// maxLeaves is the number of upstreams that drain or have left above which the first is
+// dropped. It is as large as the number of records that an instance keeps.
+const maxLeaves = 4096
+
 // maxRejected is the number of versions of a service that were rolled back, above which the oldest is
 // dropped. Its upstreams have ended long before.
 const maxRejected = 16
@@ -43,6 +49,7 @@
 	rollouts    map[string]*wire.Rollout // the most recent one of each service
 	quarantined []uint64                 // fingerprints of requests, oldest first
 	parts       []string                 // quarantined parts of prompts, oldest first
+	leaves      []*wire.Upstream         // upstreams that drain or have left, oldest first
 }
 
 // New returns an empty state.
@@ -91,6 +98,11 @@
 		return addQuarantined(&s.quarantined, b.Quarantine), ""
 	case *wire.Command_QuarantinePart:
 		return addQuarantined(&s.parts, b.QuarantinePart), ""
+	case *wire.Command_Leaves:
+		for _, u := range b.Leaves.GetUpstreams() {
+			changed = s.addLeave(u) || changed
+		}
+		return changed, ""
 	}
 	return false, ConflictUndecodable
 }
@@ -107,6 +119,31 @@
 	return true
 }
 
+// addLeave stores the record of an upstream that drains or has left. It returns false if the
+// stored one is as new. s.mu must be held.
+func (s *State) addLeave(u *wire.Upstream) (added bool) {
+	at := slices.IndexFunc(s.leaves, func(o *wire.Upstream) bool { return o.GetId() == u.GetId() })
+	if at >= 0 {
+		if !registry.Newer(u, s.leaves[at]) {
+			return false
+		}
+		u = registry.KeepLeaving(u, s.leaves[at])
+		s.leaves = slices.Delete(s.leaves, at, at+1)
+	}
+	s.leaves = append(s.leaves, u)
+	if len(s.leaves) > maxLeaves {
+		s.leaves = s.leaves[1:]
+	}
+	return true
+}
+
+// Leaves returns the upstreams that drain or have left, oldest first.
+func (s *State) Leaves() []*wire.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.leaves)
+}
+
 // beginRollout starts a roll-out. It acknowledges a repeated command for the same target
 // without effect. s.mu must be held.
 func (s *State) beginRollout(b *wire.Rollout) (changed bool, conflict string) {
@@ -186,7 +223,7 @@
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return proto.Marshal(&wire.Snapshot{Layout: s.layout, Rollouts: s.sortedRollouts(), Quarantined: s.quarantined, QuarantinedParts: s.parts})
+	return proto.Marshal(&wire.Snapshot{Layout: s.layout, Rollouts: s.sortedRollouts(), Quarantined: s.quarantined, QuarantinedParts: s.parts, Leaves: s.leaves})
 }
 
 // Restore replaces the state with that of a snapshot.
@@ -196,7 +233,7 @@
 		return errors.Wrap(err, "decode fleet snapshot")
 	}
 	s.mu.Lock()
-	s.layout, s.quarantined, s.parts = d.GetLayout(), d.GetQuarantined(), d.GetQuarantinedParts()
+	s.layout, s.quarantined, s.parts, s.leaves = d.GetLayout(), d.GetQuarantined(), d.GetQuarantinedParts(), d.GetLeaves()
 	s.rollouts = map[string]*wire.Rollout{}
 	for _, r := range d.GetRollouts() {
 		s.rollouts[r.GetService()] = r
--- a/internal/fleet/state/state_test.go
+++ b/internal/fleet/state/state_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 
@@ -50,3 +51,34 @@
 		})
 	}
 }
+
+// Guards against leaves that a snapshot loses, that an older record replaces, or that pile up
+// without a bound.
+func TestLeaves(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	leave := func(id string, born int64, sequence uint64, stage wire.Stage) {
+		data, err := proto.Marshal(&wire.Command{Body: &wire.Command_Leaves{Leaves: &wire.Leaves{Upstreams: []*wire.Upstream{
+			{Id: id, Born: born, Sequence: sequence, Stage: stage},
+		}}}})
+		is.NoErr(err)
+		is.Equal(string(s.Apply(1, data)), "")
+	}
+	leave("a", 1, 5, wire.Stage_STAGE_DRAINING)
+	leave("a", 1, 4, wire.Stage_STAGE_DRAINING)
+	is.Equal(s.Leaves()[0].GetSequence(), uint64(5))
+	leave("a", 1, 0, wire.Stage_STAGE_LEFT)
+	leave("a", 1, 9, wire.Stage_STAGE_DRAINING)
+	is.Equal(s.Leaves()[0].GetStage(), wire.Stage_STAGE_LEFT)
+	is.Equal(len(s.Leaves()), 1)
+	for i := range maxLeaves {
+		leave(strconv.Itoa(i), 1, 1, wire.Stage_STAGE_LEFT)
+	}
+	is.Equal(len(s.Leaves()), maxLeaves)
+	is.Equal(s.Leaves()[0].GetId(), "0")
+	snapshot, err := s.Snapshot()
+	is.NoErr(err)
+	restored := New()
+	is.NoErr(restored.Restore(snapshot))
+	is.Equal(len(restored.Leaves()), maxLeaves)
+}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -1,3 +1,6 @@
+// Package view holds one instance's local copy of the state of its deployment: the
+// current layout and its lease, upstreams, other instances and roll-outs. It also
+// collects what the instance reports to the leader.
 package view
 
 import (
@@ -14,6 +17,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/registry"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -256,11 +260,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := v.upstreams[u.GetId()]
-	if !Newer(u, old) {
+	if !registry.Newer(u, old) {
 		return
 	}
-	u = KeepLeaving(u, old)
-	same := Equivalent(u, old)
+	u = registry.KeepLeaving(u, old)
+	same := registry.Equivalent(u, old)
 	v.merge(u)
 	if same {
 		v.pending.heartbeats[u.GetId()] = &wire.Beat{Id: u.GetId(), Born: u.GetBorn(), Sequence: u.GetSequence()}
@@ -274,6 +278,16 @@
 		zap.Int64("born", u.GetBorn()), zap.Uint64("sequence", u.GetSequence()))
 }
 
+// ReportUpstream queues the record of an upstream for the leader, whether or not the leader has
+// it already.
+func (v *View) ReportUpstream(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if u := v.upstreams[id]; u != nil {
+		v.pending.upstreams[id] = u
+	}
+}
+
 // Deregister marks an incarnation of an upstream as left; incarnation 0 stands for the known
 // one. For an unknown upstream the service and address are not known either and stay empty.
 func (v *View) Deregister(id string, incarnation int64, sequence uint64) {
@@ -311,12 +325,12 @@
 // be held.
 func (v *View) merge(u *wire.Upstream) (changed bool) {
 	old := v.upstreams[u.GetId()]
-	if !Newer(u, old) {
+	if !registry.Newer(u, old) {
 		return false
 	}
-	u = KeepLeaving(u, old)
+	u = registry.KeepLeaving(u, old)
 	v.upstreams[u.GetId()] = u
-	retired := RetireReplaced(v.upstreams, u)
+	retired := registry.RetireReplaced(v.upstreams, u)
 	if old != nil && (old.GetBorn() != u.GetBorn() || u.GetStage() == wire.Stage_STAGE_LEFT) {
 		v.permits.Lift(u.GetId(), old.GetBorn())
 	}
@@ -326,7 +340,7 @@
 	if len(v.upstreams) > maxRecords {
 		v.pruneLeft()
 	}
-	return !Equivalent(u, old) || len(retired) > 0
+	return !registry.Equivalent(u, old) || len(retired) > 0
 }
 
 // pruneLeft deletes the records of upstreams that have left.
