coordinator: propose a quarantine again after its proposal failed

A request that crashes upstreams stayed unquarantined if the control group could not commit when its third crash was reported, for example for want of a majority: only the report that reached the threshold made a proposal.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -356,10 +356,7 @@
 	c.recordParts(q, now)
 	term = c.period
 	c.mu.Unlock()
-	for _, f := range fingerprints {
-		_, err := c.options.Replica.Propose(ctx, &wire.Command{Body: &wire.Command_Quarantine{Quarantine: f}})
-		c.options.Log.Warn("request quarantined", zap.Uint64("fingerprint", f), journal.Error(err))
-	}
+	c.quarantine(ctx, fingerprints)
 	return term, true
 }
 
@@ -378,6 +375,7 @@
 		}
 		ends := c.check()
 		c.quarantinePart(ctx)
+		c.quarantineRequests(ctx)
 		for _, end := range ends {
 			if _, err := c.options.Replica.Propose(ctx, &wire.Command{Body: &wire.Command_End{End: end}}); err != nil {
 				c.options.Log.Warn("could not commit the end of a roll-out", zap.String("service", end.GetService()), journal.Error(err))
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -203,6 +204,28 @@
 	is.Equal(f.replica.state.Quarantined(), []uint64{42})
 }
 
+// Guards against a request that is never quarantined because the proposal failed when its last
+// crash was reported.
+func TestQuarantineIsProposedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.replica.err = errors.New("no majority")
+	for _, upstream := range []string{"x", "y", "z"} {
+		_, ok := f.coordinator.ApplyReport(context.Background(), &wire.TellRequest{
+			Crashes: []*wire.Crash{{Fingerprint: 42, Upstream: upstream}},
+		})
+		is.True(ok)
+	}
+	f.coordinator.quarantineRequests(context.Background())
+	is.Equal(len(f.replica.state.Quarantined()), 0)
+	f.replica.err = nil
+	f.coordinator.quarantineRequests(context.Background())
+	is.Equal(f.replica.state.Quarantined(), []uint64{42})
+	before := f.replica.commands
+	f.coordinator.quarantineRequests(context.Background())
+	is.Equal(f.replica.commands, before)
+}
+
 // Guards against a poll position of one period of leadership that is used in the next, so
 // that the poll waits for changes that it has already missed.
 func TestNewPeriod(t *testing.T) {
--- a/internal/fleet/coordinator/crashes.go
+++ b/internal/fleet/coordinator/crashes.go
@@ -54,6 +54,30 @@
 	}
 }
 
+// quarantineRequests commits the quarantine of requests that crashed enough upstreams, where
+// that failed when the last crash was reported.
+func (c *Coordinator) quarantineRequests(ctx context.Context) {
+	c.mu.Lock()
+	var due []uint64
+	if c.checkLeadership() {
+		for f, crashed := range c.crashes {
+			if len(crashed) >= quarantineThreshold && !c.options.State.RequestQuarantined(f) {
+				due = append(due, f)
+			}
+		}
+	}
+	c.mu.Unlock()
+	c.quarantine(ctx, due)
+}
+
+// quarantine commits the quarantine of requests.
+func (c *Coordinator) quarantine(ctx context.Context, fingerprints []uint64) {
+	for _, f := range fingerprints {
+		_, err := c.options.Replica.Propose(ctx, &wire.Command{Body: &wire.Command_Quarantine{Quarantine: f}})
+		c.options.Log.Warn("request quarantined", zap.Uint64("fingerprint", f), journal.Error(err))
+	}
+}
+
 // asStrings returns parts as they are sent.
 func asStrings(parts []suspect.Part) []string {
 	out := make([]string, 0, len(parts))
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -205,6 +205,13 @@
 	return slices.Clone(s.quarantined)
 }
 
+// RequestQuarantined reports whether the requests with a fingerprint are in quarantine.
+func (s *State) RequestQuarantined(fingerprint uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.quarantined, fingerprint)
+}
+
 // QuarantinedParts returns the quarantined parts of prompts, oldest first.
 func (s *State) QuarantinedParts() []string {
 	s.mu.Lock()
