gateway/caller: one gate for sending a request again, escalations included

Cause: retries and resumed streams asked whether the route allows a second run, the escalation only whether an attempt was left.

Change: mayRunAgain decides for all ways. What can't escalate starts at the model that it ends with, by the load: the largest while there is room. Requests that may run once, streams too, get new connections, so that none is lost on an idle one that the upstream is closing.

--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -49,7 +49,7 @@
 	// actionRetryNotExecuted: the request was not executed and may go to another upstream.
 	actionRetryNotExecuted
 	// actionRetryExecuted: the request may have been executed and may go to another upstream
-	// only if its route allows retries.
+	// only if it may run again.
 	actionRetryExecuted
 	// actionEscalate: the response was discarded, and the request goes to a larger model.
 	actionEscalate
@@ -111,7 +111,7 @@
 		if e.outcome == balancer.Refused {
 			refusals++
 		}
-		if !q.canRetry(a, e, dispatched) {
+		if !q.canRetry(e, dispatched) {
 			q.giveUp(failed, refusals > 0)
 			return
 		}
@@ -128,19 +128,24 @@
 	}
 }
 
+// mayRunAgain reports whether the request may be sent to an upstream once more after it has run,
+// or may have run, the given number of times. Every way to send a request again asks this: a retry,
+// the resumption of a stream and the escalation to a larger model.
+func (q *request) mayRunAgain(executions int) bool {
+	return executions == 0 || (q.route.Retryable() && executions < max(q.route.MaxAttempts, 1))
+}
+
 // canRetry reports whether the request may go to another upstream after e. dispatched is
 // the number of dispatches before e. It may spend retry budget.
-func (q *request) canRetry(a action, e *exchange, dispatched int) bool {
+func (q *request) canRetry(e *exchange, dispatched int) bool {
 	switch {
 	case q.ctx.Err() != nil || q.remaining() < minRemaining || dispatched+1 >= maxDispatches || q.permissionExpired || q.quarantined || q.finishing.Load():
 		return false
-	case a == actionRetryExecuted && !q.route.Retryable():
+	case !q.mayRunAgain(q.executions):
 		return false
 	case q.responseStarted && q.lastEventID < 0:
 		// Without an event id, another upstream cannot resume the stream.
 		return false
-	case q.executions >= max(q.route.MaxAttempts, 1):
-		return false
 	case e.outcome == balancer.Unreachable || e.placeAgain:
 		return true
 	}
@@ -221,6 +226,9 @@
 	}
 	if q.gatewaySelectsModel() {
 		e.utilization = q.Balancer.Utilization(candidates)
+		if !q.mayRunAgain(1) {
+			q.modelIndex = modelselect.Only(len(q.route.Models), e.utilization)
+		}
 		q.upstreamHeader.Set(q.Protocol.Model, string(q.route.Models[q.modelIndex]))
 	}
 	return e
@@ -231,13 +239,10 @@
 	return string(q.model) == q.Protocol.AutoModel && len(q.route.Models) > 0
 }
 
-// hasAttemptLeft reports whether the route allows another execution after this exchange.
-func (e *exchange) hasAttemptLeft() bool { return e.executions+1 < max(e.route.MaxAttempts, 1) }
-
 // escalate selects a larger model and returns true if the response should be discarded for
 // one of that model. Nothing has been sent to the caller yet in that case.
 func (e *exchange) escalate() bool {
-	if !e.gatewaySelectsModel() || e.responseStarted || e.remaining() < minRemaining || !e.hasAttemptLeft() {
+	if !e.gatewaySelectsModel() || e.responseStarted || e.remaining() < minRemaining || !e.mayRunAgain(e.executions+1) {
 		return false
 	}
 	confidence := modelselect.Unreported
@@ -270,7 +275,7 @@
 	}
 	return &upstream.Request{
 		ID: e.id, Method: e.request.httpRequest.Method, URI: e.request.httpRequest.RequestURI, Host: e.request.httpRequest.Host,
-		Header: h, Body: e.request.body, NewConnection: e.route.Kind == layout.NonIdempotent,
+		Header: h, Body: e.request.body, NewConnection: !e.route.Retryable(),
 		BeforeSend: e.beforeSend,
 	}
 }
--- a/internal/gateway/modelselect/modelselect.go
+++ b/internal/gateway/modelselect/modelselect.go
@@ -2,9 +2,12 @@
 // the gateway. The upstreams cannot run every request on the largest model. Since the
 // smallest answers most requests well, each request starts there and escalates if the
 // model's confidence, which arrives with the response header, is low. At that point
-// nothing has been passed on to the caller.
+// nothing has been passed on to the caller. A request that may run only once can't escalate:
+// its model is selected by the load alone.
 package modelselect
 
+import "math"
+
 // Confidence is a model's rating of its own answer, 0 to 100.
 type Confidence int
 
@@ -40,3 +43,12 @@
 	}
 	return models - 1, true
 }
+
+// Only returns the index of the model for a request that can't escalate, since it may run only
+// once: the largest one while the upstreams have capacity for it, and a smaller one the busier
+// they are. models is the number of models, and utilization the mean load per slot of the
+// upstreams.
+func Only(models int, utilization float64) int {
+	spare := (saturatedUtilization - utilization) / (saturatedUtilization - busyUtilization)
+	return int(math.Round(float64(models-1) * min(max(spare, 0), 1)))
+}
--- a/internal/gateway/modelselect/modelselect_test.go
+++ b/internal/gateway/modelselect/modelselect_test.go
@@ -65,3 +65,22 @@
 	is.True(totalCost < 0.7*requests*cost[2])
 	is.True(answeredWell > 0.9*requests)
 }
+
+// Guards against a request that may run only once and gets the smallest model although the
+// upstreams have capacity, or the largest one although they have none.
+func TestOnly(t *testing.T) {
+	for _, c := range []struct {
+		models      int
+		utilization float64
+		index       int
+	}{
+		{3, 0, 2},
+		{3, busyUtilization, 2},
+		{3, (busyUtilization + saturatedUtilization) / 2, 1},
+		{3, saturatedUtilization, 0},
+		{3, 9, 0},
+		{1, 0, 0},
+	} {
+		is.New(t).Equal(Only(c.models, c.utilization), c.index)
+	}
+}
