control/replica: elections and leases no longer depend on the speed of the disks

Cause: a vote was awaited for 250 ms although candidate and voter sync first, and followers replied to heartbeats only after their pending writes. With syncs of 250 ms no election succeeds, and with longer ones the lease ends while a change is written.

--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -37,6 +37,8 @@
 	if n.role == leader {
 		n.failProposals(ErrOutcomeUnknown)
 		n.failReads()
+	}
+	if n.role == leader || n.role == candidate {
 		n.resetElectionTimeout()
 	}
 	if n.role != follower {
@@ -61,33 +63,40 @@
 	if preVote {
 		n.role = preCandidate
 		n.requestVotes(round, n.term+1, true)
+		n.recordVote(round, n.self.Identity)
 		return
 	}
 	n.role = candidate
 	n.term, n.votedFor = n.term+1, n.self.Identity
-	// The vote for itself must be durable before the requests are sent. Otherwise the
-	// replica could vote a second time in this term after a restart.
+	// The vote for itself counts once it is durable. Otherwise the replica could vote a second
+	// time in this term after a restart. The others sync their votes meanwhile. How long that
+	// takes here is how long it may take there.
+	start := n.timer.Now()
+	n.electionDeadline = start.Add(maxVoteSync)
 	n.saveHardState(func() {
-		if n.electionRound == round {
-			n.requestVotes(round, n.term, false)
+		if n.electionRound != round {
+			return
 		}
+		n.resetElectionTimeout()
+		n.electionDeadline = n.electionDeadline.Add(n.timer.Now().Sub(start))
+		n.recordVote(round, n.self.Identity)
 	})
+	n.requestVotes(round, n.term, false)
 }
 
-// requestVotes sends the vote requests of a round and records the vote for itself.
+// requestVotes sends the vote requests of a round.
 func (n *Node) requestVotes(round uint64, term Term, preVote bool) {
 	for _, m := range n.raftLog.latestMembership().members {
 		p, ok := n.peers[m.Identity]
 		if !ok || !m.Voter {
 			continue
 		}
-		p.requestVote(&voteRequest{round: round, request: &wire.VoteRequest{
+		p.requestVote(newVoteRequest(round, &wire.VoteRequest{
 			Group: uint32(n.group), Term: uint64(term), Candidate: memberToWire(n.self),
 			Lastindex: uint64(n.raftLog.lastIndex()), Lastterm: uint64(n.raftLog.lastTerm()),
 			Prevote: preVote, Target: string(m.Identity),
-		}})
+		}))
 	}
-	n.recordVote(round, n.self.Identity)
 }
 
 // recordVote records a granted vote. With a majority, a pre-candidate starts the election
@@ -163,7 +172,19 @@
 	return runInLoop(ctx, n, func(answer func(*wire.VoteReply)) {
 		granted := n.decideVote(r)
 		reply := &wire.VoteReply{Term: uint64(n.term), Granted: granted, Identity: string(n.self.Identity)}
-		n.whenDurable(func() { answer(reply) })
+		if r.GetPrevote() {
+			// A pre-vote binds to nothing, so nothing has to be durable.
+			answer(reply)
+			return
+		}
+		n.whenDurable(func() {
+			if granted && n.term == Term(r.GetTerm()) && n.role == follower && n.leader.Identity == "" {
+				// The candidate gets the time of the sync on top.
+				n.votedAt = n.timer.Now()
+				n.resetElectionTimeout()
+			}
+			answer(reply)
+		})
 	})
 }
 
@@ -176,7 +197,10 @@
 	last, lastTerm := Index(r.GetLastindex()), Term(r.GetLastterm())
 	upToDate := lastTerm > n.raftLog.lastTerm() || (lastTerm == n.raftLog.lastTerm() && last >= n.raftLog.lastIndex())
 	if r.GetPrevote() {
-		return term > n.term && upToDate
+		// While an election is in progress, another one would only split the votes.
+		electing := n.votedFor != "" && n.votedFor != candidateID && n.leader.Identity == "" &&
+			(n.unsyncedHardStates > 0 || n.timer.Now().Sub(n.votedAt) < MinElectionTimeout)
+		return term > n.term && upToDate && !electing
 	}
 	if term < n.term {
 		return false
--- a/internal/control/replica/follower.go
+++ b/internal/control/replica/follower.go
@@ -27,8 +27,9 @@
 	return true
 }
 
-// Append handles entries or a heartbeat from a leader (AppendEntries in Raft). The reply is
-// sent once everything that it acknowledges is durable.
+// Append handles entries or a heartbeat from a leader (AppendEntries in Raft). The reply
+// acknowledges only what is durable. If the disk is slow, it is sent after maxReplyDelay all the
+// same, since it also confirms the leadership.
 func (n *Node) Append(ctx context.Context, r *wire.AppendRequest) (*wire.AppendReply, error) {
 	if Identity(r.GetTarget()) != n.self.Identity {
 		return nil, ErrWrongTarget
@@ -40,7 +41,14 @@
 			reply.Success, reply.Match = success, uint64(match)
 		}
 		reply.Term = uint64(n.term)
-		n.whenDurable(func() { answer(reply) })
+		n.whenDurableOrLate(func(durable bool) {
+			if !durable && reply.GetSuccess() {
+				// In a later term the log may have been replaced since.
+				reply.Success = reply.GetTerm() == uint64(n.term)
+				reply.Match = min(reply.GetMatch(), uint64(n.stableIndex))
+			}
+			answer(reply)
+		})
 	})
 }
 
--- a/internal/control/replica/leader.go
+++ b/internal/control/replica/leader.go
@@ -283,8 +283,9 @@
 	}
 	previous, match := Index(m.request.GetPrevindex()), Index(r.GetMatch())
 	if r.GetSuccess() {
-		match = min(match, previous+Index(len(m.request.GetEntries())))
-		p.matchIndex, p.nextIndex, p.stalled = max(p.matchIndex, match), match+1, false
+		// The follower has received the last entry sent, and stores those up to match.
+		last := previous + Index(len(m.request.GetEntries()))
+		p.matchIndex, p.nextIndex, p.stalled = max(p.matchIndex, min(match, last)), last+1, false
 		n.advanceCommit()
 		n.stepDownIfRemoved()
 		return
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -72,11 +72,16 @@
 	stableIndex      Index // last entry that is durable on this replica
 	pendingWrites    int   // writes submitted and not completed
 	unsyncedBytes    int   // entry bytes submitted and not synced
-	pendingProposals map[Index]*proposal
-	snapshotIndex    Index
-	incoming         *incomingSnapshot
-	restoring        bool // a received snapshot is being restored; meanwhile the replica neither votes nor appends
-	fatalErr         error
+	// unsyncedHardStates is the number of terms and votes submitted and not durable, and
+	// lateReplies are replies to a leader that wait for the disk.
+	unsyncedHardStates int
+	lateReplies        []lateReply
+	votedAt            timer.Instant // when the last vote for another replica became durable
+	pendingProposals   map[Index]*proposal
+	snapshotIndex      Index
+	incoming           *incomingSnapshot
+	restoring          bool // a received snapshot is being restored; meanwhile the replica neither votes nor appends
+	fatalErr           error
 
 	peerMembers []Member // the members for which peers was built
 
@@ -126,7 +131,7 @@
 		// offers to these two queues always succeed.
 		writes: fifo.New[*diskWrite](4 * queueSize), completedWrites: fifo.New[*diskWrite](4 * queueSize),
 		applyQueue: fifo.New[*applyTask](applyQueueSize), progress: make(chan struct{}, 1), stopped: make(chan struct{}),
-		raftLog: l, term: hard.Term, votedFor: hard.Vote, peers: map[Identity]*peer{}, lastContact: never,
+		raftLog: l, term: hard.Term, votedFor: hard.Vote, peers: map[Identity]*peer{}, lastContact: never, votedAt: never,
 		commitIndex: meta.Index, enqueuedIndex: meta.Index, stableIndex: l.lastIndex(), snapshotIndex: meta.Index,
 		pendingProposals: map[Index]*proposal{}, compaction: o.Compaction.withDefaults(),
 	}
@@ -235,6 +240,7 @@
 // tick handles the timeouts of elections and of the leadership.
 func (n *Node) tick() {
 	now := n.timer.Now()
+	n.answerLate(now)
 	switch {
 	case n.role == leader:
 		if now.Sub(max(n.lastQuorumContact(), n.electedAt)) > MinElectionTimeout {
--- a/internal/control/replica/peer.go
+++ b/internal/control/replica/peer.go
@@ -28,6 +28,7 @@
 	lastSequence  uint64 // sequence number of the last message sent
 	inFlight      bool   // a message awaits its reply
 	stalled       bool   // the last message failed: send only heartbeats until one succeeds
+	lastVote      *voteRequest
 }
 
 // message is an append request, or a request to send the stored snapshot.
@@ -39,10 +40,19 @@
 	installSnapshot bool
 }
 
-// voteRequest is a vote or pre-vote request of an election round.
+// voteRequest is a vote or pre-vote request of an election round. It is superseded by that of
+// the next round.
 type voteRequest struct {
-	round   uint64
-	request *wire.VoteRequest
+	round      uint64
+	request    *wire.VoteRequest
+	superseded context.Context
+	supersede  context.CancelFunc
+}
+
+func newVoteRequest(round uint64, r *wire.VoteRequest) *voteRequest {
+	q := &voteRequest{round: round, request: r}
+	q.superseded, q.supersede = context.WithCancel(context.Background())
+	return q
 }
 
 // reconcilePeers starts and stops peers to match the latest membership.
@@ -76,8 +86,13 @@
 // send passes a message to the replication goroutine. No other message may be in flight.
 func (p *peer) send(m *message) { p.outgoing <- m }
 
-// requestVote queues a vote request and drops an older one that was not sent yet.
+// requestVote queues a vote request and drops an older one that was not sent yet. It also ends
+// the wait for a vote of a former round, which may take long. A pre-vote ends by itself.
 func (p *peer) requestVote(q *voteRequest) {
+	if p.lastVote != nil && !p.lastVote.request.GetPrevote() {
+		p.lastVote.supersede()
+	}
+	p.lastVote = q
 	select {
 	case <-p.voteRequests:
 	default:
@@ -190,10 +205,19 @@
 	}
 }
 
+// voteTimeout returns how long the reply to a vote request is awaited.
+func voteTimeout(r *wire.VoteRequest) time.Duration {
+	if r.GetPrevote() {
+		return preVoteTimeout
+	}
+	return maxVoteSync
+}
+
 // sendVoteRequest sends a vote request. It returns nil if the call fails.
 func (p *peer) sendVoteRequest(ctx context.Context, q *voteRequest) *wire.VoteReply {
-	ctx, cancel := p.withTimeout(ctx, voteTimeout)
+	ctx, cancel := p.withTimeout(ctx, voteTimeout(q.request))
 	defer cancel()
+	defer context.AfterFunc(q.superseded, cancel)()
 	r, err := p.node.transport.Vote(ctx, p.member.Address, q.request)
 	if err != nil {
 		return nil
--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
 // maxSyncBatchBytes bounds the size of entries that share one sync.
@@ -21,6 +24,11 @@
 	done         func() // runs on the loop goroutine after the write
 }
 
+// isBarrier reports whether the write changes nothing.
+func (w *diskWrite) isBarrier() bool {
+	return w.hardState == nil && len(w.entries) == 0 && w.truncateFrom == 0 && w.resetTo == 0 && w.compactTo == 0
+}
+
 // submitWrite queues a write for the disk goroutine, which does them in order.
 func (n *Node) submitWrite(w *diskWrite) {
 	n.pendingWrites++
@@ -37,9 +45,53 @@
 	n.submitWrite(&diskWrite{done: f})
 }
 
+// lateReply is a reply to a leader that waits for the disk.
+type lateReply struct {
+	deadline timer.Instant
+	answer   func(durable bool)
+}
+
+// whenDurableOrLate calls f(true) once all writes submitted so far are durable, or f(false) if
+// they are not after maxReplyDelay. The term is durable in both cases.
+func (n *Node) whenDurableOrLate(f func(durable bool)) {
+	if n.pendingWrites == 0 {
+		f(true)
+		return
+	}
+	answered := false
+	answer := func(durable bool) {
+		if !answered {
+			answered = true
+			f(durable)
+		}
+	}
+	n.lateReplies = append(n.lateReplies, lateReply{n.timer.Now().Add(maxReplyDelay), answer})
+	n.whenDurable(func() { answer(true) })
+}
+
+// answerLate gives the late replies that are due. While the term is not durable, none is given.
+func (n *Node) answerLate(now timer.Instant) {
+	if n.unsyncedHardStates > 0 {
+		return
+	}
+	n.lateReplies = slices.DeleteFunc(n.lateReplies, func(l lateReply) bool {
+		if now.Before(l.deadline) {
+			return false
+		}
+		l.answer(false)
+		return true
+	})
+}
+
 // saveHardState submits the current term and vote.
 func (n *Node) saveHardState(done func()) {
-	n.submitWrite(&diskWrite{hardState: &HardState{Term: n.term, Vote: n.votedFor}, done: done})
+	n.unsyncedHardStates++
+	n.submitWrite(&diskWrite{hardState: &HardState{Term: n.term, Vote: n.votedFor}, done: func() {
+		n.unsyncedHardStates--
+		if done != nil {
+			done()
+		}
+	}})
 }
 
 // appendEntries adds entries to the log in memory and submits them to the disk goroutine.
@@ -101,7 +153,7 @@
 }
 
 // writeBatch does the first write of the batch and the following ones that can share its
-// sync. It returns how many were done. Of several hard states only the last is written.
+// sync, barriers between them included. It returns how many were done. Of several hard states only the last is written.
 func (n *Node) writeBatch(batch []*diskWrite) (done int, err error) {
 	w := batch[0]
 	if w.hardState != nil {
@@ -116,6 +168,9 @@
 	entries, size := w.entries[:len(w.entries):len(w.entries)], w.size
 	for done = 1; done < len(batch); done++ {
 		next := batch[done]
+		if next.isBarrier() {
+			continue
+		}
 		if len(next.entries) == 0 || size+next.size > maxSyncBatchBytes {
 			break
 		}
--- a/internal/control/replica/transport.go
+++ b/internal/control/replica/transport.go
@@ -68,7 +68,7 @@
 
 // Vote sends a vote request.
 func (t *DRPCTransport) Vote(ctx context.Context, to Address, r *wire.VoteRequest) (*wire.VoteReply, error) {
-	return invoke(ctx, t, connKey{to, "vote", r.GetGroup()}, voteTimeout, wire.DRPCReplicaClient.Vote, r)
+	return invoke(ctx, t, connKey{to, "vote", r.GetGroup()}, voteTimeout(r), wire.DRPCReplicaClient.Vote, r)
 }
 
 // Install sends one chunk of a snapshot.
--- a/internal/control/replica/types.go
+++ b/internal/control/replica/types.go
@@ -68,12 +68,19 @@
 	MaxElectionTimeout = 1200 * time.Millisecond
 	LeaseDuration      = 500 * time.Millisecond
 	tickInterval       = 20 * time.Millisecond
+	// maxReplyDelay is how long a follower waits for its disk before it replies to a leader. A
+	// leader needs replies of a majority within LeaseDuration, however slow the disks are.
+	maxReplyDelay = HeartbeatInterval / 2
+	// maxVoteSync is how long a candidate waits for its own vote to become durable before it
+	// starts another election.
+	maxVoteSync = 10 * time.Second
 )
 
-// Timeouts of calls to peers.
+// Timeouts of calls to peers. preVoteTimeout bounds requests for pre-votes only: a vote is
+// awaited until the election ends, since the voter syncs it first.
 const (
 	appendTimeout  = 400 * time.Millisecond
-	voteTimeout    = 250 * time.Millisecond
+	preVoteTimeout = 250 * time.Millisecond
 	installTimeout = 2 * time.Second
 )
 
