gateway/caller: keep the port of the address that refuses connections in tests

Servers that were started afterwards, the test's own gateways among them, got the same port.

Change: the socket stays bound and does not listen, so the system refuses connections and gives the port to nobody. Assertions are unchanged.

--- a/internal/gateway/caller/partition_test.go
+++ b/internal/gateway/caller/partition_test.go
@@ -25,15 +25,6 @@
 // is partitioned from its upstreams.
 func partitionedAddress(t *testing.T, how string) string {
 	t.Helper()
-	if how == "refused" {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
-	}
-	// The queue of a listener that accepts nothing is full after one connection; further ones hang.
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
@@ -42,14 +33,20 @@
 	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		t.Fatal(err)
 	}
-	if err := unix.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
 	name, err := unix.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
 	address := "127.0.0.1:" + strconv.Itoa(name.(*unix.SockaddrInet4).Port)
+	// The system refuses connections to a bound socket that does not listen, and gives its port to
+	// nobody else.
+	if how == "refused" {
+		return address
+	}
+	// The queue of a listener that accepts nothing is full after one connection; further ones hang.
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
 	for range 2 {
 		c, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
 		if err == nil {
