fleet, gateway/caller: a change is in force in time by construction

Reported from real processes: a route that a change had added was refused later than 2 s after the acknowledgement, while there was no leader.

Cause: an instance that did not hear of a change went on with the layout before it: without a limit for requests without a key, 404 and 401, and for up to 4 s with a key. The acknowledgement waited 0.7 s at most, and not for instances out of contact, those whose reply was lost and those that only a former leader knew.

Change: without a lease everything is refused as not run. The leader acknowledges a change once no instance can use an older layout for more than config_apply_ms, judged by when it was last told. The lease is bounded so that this takes half of ack_ms at most.

Two assertions required that public routes go on without a lease, which is the fault; they are replaced by ones that require 503.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -35,8 +35,6 @@
 	// all instances of a deployment look for a new leader, each of them is a change for all
 	// others: without the delay the number of replies grows with the square of the instances.
 	wakeDelay = 40 * time.Millisecond
-	// applyTimeout bounds the wait until all instances have applied a layout.
-	applyTimeout = 700 * time.Millisecond
 	// quarantineThreshold is the number of different upstreams that a request must crash
 	// to be quarantined.
 	quarantineThreshold = 3
@@ -60,8 +58,13 @@
 	Exposure float64
 	// HeartbeatInterval is the interval at which upstreams send heartbeats.
 	HeartbeatInterval time.Duration
-	Timer             timer.Service
-	Log               *zap.Logger
+	// ConfirmationLag is how long after the last confirmation of an older layout to an instance
+	// a change may be acknowledged although that instance may still use the older one. It is
+	// what a layout may be used without a confirmation beyond the time in which an acknowledged
+	// change must be in force.
+	ConfirmationLag time.Duration
+	Timer           timer.Service
+	Log             *zap.Logger
 	// Random returns the identifier of a new period of leadership.
 	Random func() uint64
 }
@@ -72,6 +75,7 @@
 
 	mu            sync.Mutex
 	leaderTerm    uint64                    // log term in which the current period began
+	periodStart   timer.Instant             // when the current period began
 	period        uint64                    // random identifier of the period; the term on the wire
 	revision      uint64                    // revision of the last change; the cursor on the wire
 	wakeRevision  uint64                    // revision of the last change that waiting polls return for
@@ -111,6 +115,7 @@
 	revision      uint64
 	lastPoll      timer.Instant
 	layoutVersion uint64 // version of the layout that it has applied
+	told          toldVersion
 }
 
 // load is the last load that an upstream reported.
@@ -131,6 +136,7 @@
 // c.mu must be held.
 func (c *Coordinator) reset(term uint64) {
 	c.leaderTerm, c.period, c.revision, c.wakeRevision = term, c.options.Random(), 1, 1
+	c.periodStart = c.options.Timer.Now()
 	c.upstreams, c.records = map[string]*upstream{}, map[string]*wire.Upstream{}
 	c.instances, c.loads = map[string]*instance{}, map[string]*load{}
 	c.limits, c.lender = map[string]*limit{}, permit.NewLender()
@@ -249,11 +255,18 @@
 	name := q.GetInstance().GetName()
 	known := c.instances[name]
 	if known == nil || !proto.Equal(known.record, q.GetInstance()) {
-		known = &instance{record: q.GetInstance(), layoutVersion: q.GetLayout()}
+		told := toldVersion{at: c.periodStart, olderAt: c.periodStart}
+		if known != nil {
+			told = known.told
+		}
+		known = &instance{record: q.GetInstance(), layoutVersion: q.GetLayout(), told: told}
 		c.instances[name] = known
 		known.revision = c.nextRevision()
 	}
 	known.lastPoll = c.options.Timer.Now()
+	if q.GetTerm() == c.period && q.GetCursor() >= known.told.cursor {
+		known.told.heard = known.told.version
+	}
 	c.recordApplied(known, q.GetLayout())
 }
 
@@ -280,9 +293,13 @@
 	if q.GetTerm() != c.period {
 		since = 0
 	}
-	if l := c.options.State.Layout(); l.GetVersion() > q.GetLayout() {
+	l := c.options.State.Layout()
+	if l.GetVersion() > q.GetLayout() {
 		r.Layout = &wire.Layout{Version: l.GetVersion(), Digest: l.GetDigest()}
 	}
+	if i := c.instances[q.GetInstance().GetName()]; i != nil {
+		i.told.tell(l.GetVersion(), c.revision, c.options.Timer.Now())
+	}
 	for id, u := range c.upstreams {
 		if u.revision > since {
 			r.Upstreams = append(r.Upstreams, c.records[id])
@@ -437,36 +454,3 @@
 	}
 	return c.advanceRollouts(now)
 }
-
-// WaitLayoutApplied waits until every instance in contact has applied a version of the
-// layout, at most for applyTimeout.
-func (c *Coordinator) WaitLayoutApplied(ctx context.Context, version uint64) {
-	ctx, cancel := timer.WithTimeout(ctx, c.options.Timer, applyTimeout)
-	defer cancel()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for !c.layoutApplied(version) {
-		applied := c.applied
-		c.mu.Unlock()
-		select {
-		case <-applied:
-		case <-ctx.Done():
-		}
-		c.mu.Lock()
-		if ctx.Err() != nil {
-			return
-		}
-	}
-}
-
-// layoutApplied reports whether every instance in contact has applied a version of the layout.
-// c.mu must be held.
-func (c *Coordinator) layoutApplied(version uint64) bool {
-	now := c.options.Timer.Now()
-	for _, i := range c.instances {
-		if !i.record.GetGone() && now.Sub(i.lastPoll) < instanceTimeout && i.layoutVersion < version {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -55,7 +55,10 @@
 	// be used after a newer one is known; see view.Options.
 	LeaseDuration time.Duration
 	MaxLayoutLag  time.Duration
-	Decode        view.Decoder
+	// ConfirmationLag is how much longer than an acknowledged change may take a layout counts as
+	// confirmed; see coordinator.Options.
+	ConfirmationLag time.Duration
+	Decode          view.Decoder
 	// Sessions knows the recent sessions; see view.Options.
 	Sessions view.Sessions
 	// OnLoad is called with the load that an upstream reported to another instance.
@@ -126,7 +129,7 @@
 	o := i.options
 	st := state.New()
 	i.coordinator = coordinator.New(coordinator.Options{
-		Replica: lazyReplica{i}, State: st, Exposure: o.Exposure, HeartbeatInterval: o.HeartbeatInterval, Timer: o.Timer, Log: o.Log.Named("hub"), Random: rand.Uint64,
+		Replica: lazyReplica{i}, State: st, Exposure: o.Exposure, HeartbeatInterval: o.HeartbeatInterval, ConfirmationLag: o.ConfirmationLag, Timer: o.Timer, Log: o.Log.Named("hub"), Random: rand.Uint64,
 	})
 	st.OnChange = func() {
 		i.coordinator.StateChanged()
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -27,8 +27,9 @@
 	requestTimeout = 400 * time.Millisecond
 	// reportInterval is the interval of reports without urgent changes.
 	reportInterval = 500 * time.Millisecond
-	// proposeTimeout bounds a proposal, including the wait until it takes effect.
-	proposeTimeout = 1500 * time.Millisecond
+	// proposeTimeout bounds a proposal, including the wait until a layout is in force, which
+	// takes up to half of the time in which changes must be acknowledged (4 s as a rule).
+	proposeTimeout = 2500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the pause between two attempts to reach the leader.
 	minRetryDelay = 20 * time.Millisecond
 	maxRetryDelay = 120 * time.Millisecond
@@ -316,6 +317,8 @@
 		to := c.finder.target()
 		reply, err = call(ctx, c.connections, to, classRequest, timeout, f)
 		switch {
+		case ctx.Err() != nil:
+			// The caller has left, which says nothing about the leader.
 		case err != nil:
 			c.finder.markFailed(to)
 		case reply.GetGuide().GetServed():
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -110,8 +110,8 @@
 	return &wire.TellReply{Guide: s.leaderInfo()}, nil
 }
 
-// Propose commits a command. It returns once all instances in contact have applied a new
-// layout, or after a timeout.
+// Propose commits a command. It returns once a new layout may be acknowledged; see
+// coordinator.WaitLayoutApplied.
 func (s *Server) Propose(ctx context.Context, q *wire.ProposeRequest) (*wire.ProposeReply, error) {
 	if err := replica.CheckPeerToken(ctx, s.PeerToken); err != nil {
 		return nil, err
@@ -126,8 +126,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if l := q.GetCommand().GetLayout(); l != nil && conflict == "" {
-		s.Coordinator.WaitLayoutApplied(ctx, l.GetVersion())
+	if l := q.GetCommand().GetLayout(); l != nil && conflict == "" && !s.Coordinator.WaitLayoutApplied(ctx, l.GetVersion()) {
+		return nil, errors.Wrap(context.Cause(ctx), "layout is not in force everywhere")
 	}
 	return &wire.ProposeReply{Guide: &wire.Guide{Served: true}, Conflict: conflict}, nil
 }
--- a/internal/fleet/view/current.go
+++ b/internal/fleet/view/current.go
@@ -22,7 +22,7 @@
 func (v *View) LayoutLoaded() <-chan struct{} { return v.layoutLoaded }
 
 // LayoutConfirmed reports whether a layout is the current one and the lease on it is still
-// valid. Without that the API keys in the layout may be out of date.
+// valid. Without that a newer one may be in force.
 func (v *View) LayoutConfirmed(l *layout.Layout) bool {
 	return v.options.Timer.Now().Before(timer.Instant(v.leaseExpiry.Load())) && v.Layout() == l
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -41,8 +41,7 @@
 	// Name is that of this instance.
 	Name   string
 	Decode Decoder
-	// LeaseDuration is how long after its confirmation a layout may be used for requests
-	// with an API key.
+	// LeaseDuration is how long after its confirmation a layout may be used.
 	LeaseDuration time.Duration
 	// MaxLayoutLag is how long an older layout may be used after a newer one is known.
 	MaxLayoutLag time.Duration
--- a/internal/gateway/caller/before_send.go
+++ b/internal/gateway/caller/before_send.go
@@ -87,15 +87,16 @@
 	return e.checkLease()
 }
 
-// keyValid reports whether the key of the request is still valid in the current layout.
+// keyValid reports whether the current layout is confirmed and the key of the request, if it has
+// one, is still valid in it.
 func (q *request) keyValid() bool {
-	if q.client == nil {
-		return true
-	}
 	current := q.View.Layout()
 	if !q.View.LayoutConfirmed(current) {
 		return false
 	}
+	if q.client == nil {
+		return true
+	}
 	holder := current.Client(q.key)
 	return holder != nil && holder.Name == q.client.Name
 }
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -57,7 +57,7 @@
 	// LayoutLoaded returns a channel that is closed when the first layout has been received.
 	LayoutLoaded() <-chan struct{}
 	// LayoutConfirmed reports whether a layout is the current one and was confirmed recently
-	// enough to accept keys.
+	// enough to be used.
 	LayoutConfirmed(l *layout.Layout) bool
 	// LayoutOutdated reports whether the current layout must not be used, since a newer one
 	// has been known for some time.
@@ -248,6 +248,11 @@
 	if q.View.LayoutOutdated() {
 		return q.reject(http.StatusServiceUnavailable, "newer configuration is not loaded yet", retryOtherInstance)
 	}
+	// Without a recent confirmation of the layout, the route or the key may have been added,
+	// changed or removed since. That holds for rejections too.
+	if !q.layoutConfirmed() {
+		return q.reject(http.StatusServiceUnavailable, "configuration not confirmed", retryAfterLeaderChange)
+	}
 	host := q.httpRequest.Host
 	if name, _, err := net.SplitHostPort(host); err == nil && q.layout.Match(host, q.httpRequest.URL.Path) == nil {
 		host = name
@@ -306,6 +311,16 @@
 	return q.layout != nil
 }
 
+// layoutConfirmed reports whether the layout of the request is confirmed. It replaces the layout
+// by one that has come into force since.
+func (q *request) layoutConfirmed() bool {
+	if q.View.LayoutConfirmed(q.layout) {
+		return true
+	}
+	q.layout = q.View.Layout()
+	return q.View.LayoutConfirmed(q.layout)
+}
+
 // authenticate looks up the client account of the key and sets the priority of the request.
 func (q *request) authenticate() bool {
 	q.priority = q.route.Priority
@@ -316,10 +331,6 @@
 	if !strings.EqualFold(scheme, q.Protocol.AuthScheme) || key == "" {
 		return q.reject(http.StatusUnauthorized, "no key", 0)
 	}
-	// Without a recent confirmation of the layout, the key may have been revoked.
-	if !q.View.LayoutConfirmed(q.layout) {
-		return q.reject(http.StatusServiceUnavailable, "configuration not confirmed", retryAfterLeaderChange)
-	}
 	if q.client = q.layout.Client(key); q.client == nil {
 		return q.reject(http.StatusUnauthorized, "key is not known", 0)
 	}
--- a/internal/gateway/caller/permission_test.go
+++ b/internal/gateway/caller/permission_test.go
@@ -12,19 +12,6 @@
 // revokingVersion is a version of the test layout without the key of the account hill.
 const revokingVersion = 2
 
-// Guards against a revoked key that keeps working at an instance that is partitioned from the
-// leader and can no longer confirm its layout.
-func TestUnconfirmedLayout(t *testing.T) {
-	u := startUpstream(t, func(e *upstreamtest.Exchange) bool { return respondSigned(e, "ok") })
-	f := newFixture(t, []*upstreamtest.Server{u}, nil)
-	f.Equal(f.do("GET", "/look/1", "").status, 200)
-	f.clock.Advance(4 * time.Second)
-	r := f.do("GET", "/look/1", "")
-	f.Equal(r.status, 503)
-	f.True(r.header.Get("Retry-After") != "")
-	f.Equal(f.do("GET", "/open/1", "").status, 200)
-}
-
 // Guards against a request that is sent although its permission ran out after its admission,
 // because the process was paused or an upstream took long to refuse it.
 func TestPermissionIsCheckedBeforeEachDispatch(t *testing.T) {
@@ -38,7 +25,7 @@
 	}{
 		{"nothing changes", func(*fixture) {}, "/look/1", 200, 2},
 		{"lease ends", func(f *fixture) { f.clock.Advance(4 * time.Second) }, "/look/1", 503, 1},
-		{"lease ends, public route", func(f *fixture) { f.clock.Advance(4 * time.Second) }, "/open/1", 200, 2},
+		{"lease ends, public route", func(f *fixture) { f.clock.Advance(4 * time.Second) }, "/open/1", 503, 1},
 		{"key is withdrawn", func(f *fixture) { f.NoErr(f.view.ApplyLayout(revokingVersion, nil)) }, "/look/1", 503, 1},
 		{"other layout with the key", func(f *fixture) { f.NoErr(f.view.ApplyLayout(revokingVersion+1, nil)) }, "/look/1", 200, 2},
 		{"newer layout does not arrive", func(f *fixture) {
@@ -75,3 +62,30 @@
 		})
 	}
 }
+
+// Guards against requests and rejections that rest on a layout which may have been replaced: an
+// instance that has not heard from a leader for the length of its lease can tell neither an added
+// route from an unknown one nor a removed route or key from one in force.
+func TestUnconfirmedLayout(t *testing.T) {
+	u := startUpstream(t, func(e *upstreamtest.Exchange) bool { return respondSigned(e, "ok") })
+	f := newFixture(t, []*upstreamtest.Server{u}, nil)
+	paths := []struct {
+		name, path, key string
+		status          int
+	}{
+		{"public route", "/open/1", "Token k1", 200},
+		{"route with a key", "/look/1", "Token k1", 200},
+		{"unknown route", "/added/1", "Token k1", 404},
+		{"unknown key", "/look/1", "Token k2", 401},
+		{"no key", "/look/1", "", 401},
+	}
+	for _, c := range paths {
+		f.Equal(f.do("GET", c.path, "", "Authorization", c.key).status, c.status)
+	}
+	f.clock.Advance(4 * time.Second)
+	for _, c := range paths {
+		r := f.do("GET", c.path, "", "Authorization", c.key)
+		f.Equal(r.status, 503)
+		f.True(r.header.Get("Retry-After") != "")
+	}
+}
