gateway/upstream: endless bytes take no memory or time from other requests

Reported by other operators: endless bytes of a worker took the memory of the machine that had called it. That could not be shown here, two related faults could: upstreams that send 3 MB and then a byte now and then held the memory for bodies until their time limits, so that larger responses of sound upstreams failed; and a refusal with an endless body kept its request until the time limit.

Change: if the memory is short, the response that holds the most is aborted instead of the one that asks. A body that is not needed is read for 100 ms and up to 16 KB. A tunnel drops the bytes of a head that is too long to be read.

--- a/internal/fleet/tunnel/head.go
+++ b/internal/fleet/tunnel/head.go
@@ -30,7 +30,9 @@
 	for {
 		at := bytes.Index(h.buffer[searched:], headEnd)
 		if at < 0 {
-			h.done = len(h.buffer) > maxHeadBytes
+			if len(h.buffer) > maxHeadBytes {
+				h.done, h.buffer = true, nil
+			}
 			return nil
 		}
 		end := searched + at + len(headEnd)
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -388,9 +388,9 @@
 	return actionRetryNotExecuted
 }
 
-// discardBody reads a response that is not relayed to its end, so that its connection can be reused.
+// discardBody reads a short body that is not relayed to its end, so that its connection can be reused.
 func (e *exchange) discardBody() {
-	if _, err := e.response.ReadAll(); err != nil {
+	if err := e.response.Discard(); err != nil {
 		e.Log.Debug("cannot read the body of a refusal", journal.Error(err))
 	}
 }
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +38,10 @@
 	// that of a response to another request.
 	maxBodyBytes      = 4 << 20
 	maxDiscardedBytes = 256 << 10
+	// maxUnneededBytes and maxDiscardTime limit the reading of a body that is not needed. A new
+	// connection costs less than a longer wait.
+	maxUnneededBytes = 16 << 10
+	maxDiscardTime   = 100 * time.Millisecond
 	// maxHeaderBytes limits what is read until the header of the response is complete,
 	// including interim responses.
 	maxHeaderBytes = 64 << 10
@@ -77,8 +80,8 @@
 	pool      *pool
 	connector *connector
 	timer     timer.Service
-	buffered  atomic.Int64 // bytes that responses have reserved
-	blocks    sync.Pool    // of *block
+	buffers   buffers
+	blocks    sync.Pool // of *block
 }
 
 // block is a part of a body. Blocks are reused, since the garbage of many long bodies would
@@ -163,7 +166,8 @@
 	// stopAbort keeps the context from aborting the exchange. It returns false if that has begun.
 	stopAbort func() bool
 	complete  bool // the body was read to its end
-	reserved  int64
+	// abort makes all reads fail. The buffers call it if other responses need the memory.
+	abort func()
 }
 
 // IsEventStream reports whether the body is a sequence of events. A body without a content type
@@ -190,7 +194,7 @@
 			return nil, errors.Mark(err, ErrNotSent)
 		}
 	}
-	response := &Response{client: c, address: t.Address, conn: cn, close: cn.detour}
+	response := &Response{client: c, address: t.Address, conn: cn, close: cn.detour, abort: cn.abort}
 	response.stopAbort = context.AfterFunc(ctx, cn.abort)
 	defer func() {
 		if err != nil {
@@ -358,15 +362,30 @@
 	return out
 }
 
-// reserve accounts for memory that the response takes beyond one block until Close. It
-// fails if all responses together hold too much.
-func (r *Response) reserve(n int) error {
-	if r.client.buffered.Add(int64(n)) > maxBufferedBytes {
-		r.client.buffered.Add(-int64(n))
-		return errors.Newf("responses hold more than %d bytes", maxBufferedBytes)
+// reserve accounts for memory that the response takes beyond one block until Close. It fails if
+// this response holds the most of all and there is too little.
+func (r *Response) reserve(n int) error { return r.client.buffers.reserve(r, n) }
+
+// Discard reads the rest of a short body that is not needed, so that the connection can be reused.
+// It gives up, and the connection is closed, if the body is long or late.
+func (r *Response) Discard() error {
+	if r.complete {
+		return nil
 	}
-	r.reserved += int64(n)
-	return nil
+	stop := r.client.timer.AfterFunc(maxDiscardTime, r.abort)
+	defer stop()
+	var b [1024]byte
+	for size := 0; size <= maxUnneededBytes; {
+		n, err := r.Read(b[:])
+		size += n
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "discard response body")
+		}
+	}
+	return errors.Newf("response body exceeds %d bytes", maxUnneededBytes)
 }
 
 // Close ends the exchange. The connection is reused if the response was read to its end,
@@ -377,7 +396,7 @@
 	}
 	cn := r.conn
 	r.conn = nil
-	r.client.buffered.Add(-r.reserved)
+	r.client.buffers.release(r)
 	notAborted := r.stopAbort()
 	idleTimeout := defaultIdleTimeout
 	if r.Header != nil {
--- a/internal/gateway/upstream/endless_test.go
+++ b/internal/gateway/upstream/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -144,8 +145,103 @@
 			is.True(succeeded == 0 || c.name == "long body announced") // that one has an end
 			is.True(succeeded+interrupted >= endlessUpstreams/2)       // the others found no connection in time
 			is.True(w.largest < maxTestMemory)
-			is.Equal(client.buffered.Load(), int64(0))
+			is.Equal(client.buffers.held(), 0)
 			t.Logf("largest heap %d MB", w.largest>>20)
 		})
 	}
 }
+
+// Guards against sound responses that fail because upstreams in trouble hold the memory for
+// bodies and events: each sends much, then a byte now and then.
+func TestEndlessBytesBesideSoundResponses(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+	for _, c := range []struct {
+		name  string
+		bytes int // that are sent at once
+		read  exchangeReader
+	}{{"body", maxBodyBytes * 3 / 4, readBody}, {"event", maxEventBytes * 3 / 4, readEvents}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			endless := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+				e.Write(head + "\r\n" + strings.Repeat("x", c.bytes))
+				for {
+					if _, err := e.Conn.Write([]byte("x")); err != nil {
+						return false
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+			body := strings.Repeat("y", 200<<10)
+			sound := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+				e.Write(head + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+				return true
+			})
+			client := newClient()
+			ctx, stop := context.WithCancel(t.Context())
+			var done sync.WaitGroup
+			for range endlessUpstreams {
+				done.Go(func() {
+					r, err := client.Send(ctx, Target{Address: endless.Address()}, newRequest("a"))
+					if err != nil {
+						return
+					}
+					defer r.Close()
+					_ = c.read(r)
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			for range 20 {
+				var one sync.WaitGroup
+				one.Add(1)
+				e := &exchange{client: client, address: sound.Address(), read: readBody, done: &one}
+				e.run()
+				is.NoErr(e.err)
+			}
+			stop()
+			done.Wait()
+			is.Equal(client.buffers.held(), 0)
+		})
+	}
+}
+
+// Guards against a refusal whose body never ends: what comes after the head is not needed, and
+// must not keep the request from going elsewhere.
+func TestDiscardEndlessBody(t *testing.T) {
+	for _, c := range []struct {
+		name, framing, body string
+		pause               time.Duration
+		fails               bool
+	}{
+		{"short", "Content-Length: 4\r\n\r\n", "full", 0, false},
+		{"none", "Content-Length: 0\r\n\r\n", "", 0, false},
+		{"without end", "\r\n", strings.Repeat("x", 4096), 0, true},
+		{"a byte now and then", "\r\n", "x", 10 * time.Millisecond, true},
+		{"silent", "Content-Length: 4\r\n\r\n", "", time.Hour, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan struct{})
+			u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+				e.Write("HTTP/1.1 503 x\r\nRequest-Id: a\r\n" + c.framing + c.body)
+				for c.fails {
+					select {
+					case <-ended:
+						return false
+					case <-time.After(c.pause):
+					}
+					if _, err := e.Conn.Write([]byte(c.body)); err != nil {
+						return false
+					}
+				}
+				return true
+			})
+			defer close(ended)
+			r, err := newClient().Send(t.Context(), Target{Address: u.Address()}, newRequest("a"))
+			is.NoErr(err)
+			defer r.Close()
+			start := time.Now()
+			is.Equal(r.Discard() != nil, c.fails)
+			is.True(time.Since(start) < time.Second)
+		})
+	}
+}
