fleet/view: an announcement for an unknown service displaces no upstream

Cause: of two upstreams at one address the later one counts, whatever its service; the other is marked as left for good.

Change: an announcement for a service that the layout does not name waits at the instance that heard it until a layout names the service, 1024 at most. The end of an upstream always counts.

TestUnnamedService fails without the change.

--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -70,7 +70,10 @@
 		o := Options{
 			Name: "n" + strconv.Itoa(i), Zone: "z", PeerAddress: a, CallerAddress: string(a), Seeds: addresses[size-3:], AllowBootstrap: true,
 			PeerToken: "t", HeartbeatInterval: time.Second, LeaseDuration: 4 * time.Second, MaxLayoutLag: time.Second, Partitioned: func() bool { return false }, Timer: timer.NewSystem(), Log: zap.NewNop(),
-			Decode: func(v layout.Version, _ []byte) (*layout.Layout, error) { return &layout.Layout{Version: v}, nil },
+			Decode: func(v layout.Version, _ []byte) (*layout.Layout, error) {
+				l := &layout.Layout{Version: v, Pools: []*layout.Pool{{Name: "s"}}}
+				return l, l.Prepare()
+			},
 		}
 		if i < disks {
 			o.DataDirectory = filepath.Join(t.TempDir(), o.Name)
--- a/internal/fleet/view/current.go
+++ b/internal/fleet/view/current.go
@@ -106,6 +106,7 @@
 	if confirmed {
 		v.extendLease()
 	}
+	v.applyNamed()
 	if first {
 		close(v.layoutLoaded)
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -31,6 +31,8 @@
 	// maxRecords is the number of upstream records above which those of upstreams that
 	// left are dropped.
 	maxRecords = 4096
+	// maxUnnamed limits the announcements that are kept until the layout names their service.
+	maxUnnamed = 1024
 )
 
 // Decoder decodes the text of a layout.
@@ -84,6 +86,7 @@
 
 	mu           sync.Mutex
 	upstreams    map[string]*wire.Upstream // by id
+	unnamed      map[string]*wire.Upstream // announced, of services that the layout does not name
 	instances    map[string]*instance      // by name
 	term         uint64                    // period of leadership of the last reply to a poll
 	termStart    timer.Instant             // when the first reply of the term was applied
@@ -107,7 +110,7 @@
 // New returns a view without a layout, upstreams or instances.
 func New(o Options) *View {
 	v := &View{
-		options: o, permits: permit.NewStock(o.Timer), slots: slot.NewStock(o.Timer), upstreams: map[string]*wire.Upstream{}, instances: map[string]*instance{},
+		options: o, permits: permit.NewStock(o.Timer), slots: slot.NewStock(o.Timer), upstreams: map[string]*wire.Upstream{}, unnamed: map[string]*wire.Upstream{}, instances: map[string]*instance{},
 		conditions: map[string]*wire.Condition{}, quarantined: map[uint64]bool{}, responses: suspect.NewResponses(), pending: newPendingReport(), urgent: make(chan struct{}, 1),
 		layoutLoaded: make(chan struct{}), layoutWanted: make(chan struct{}, 1),
 	}
@@ -254,10 +257,41 @@
 }
 
 // ApplyAnnouncement applies the announcement of an upstream and queues it for the leader:
-// as a heartbeat if nothing changed that other instances need, else as an urgent change.
+// as a heartbeat if nothing changed that other instances need, else as an urgent change. That
+// of an upstream whose service the layout does not name waits until it does: such an upstream gets
+// no requests, and must not displace another one at its address.
 func (v *View) ApplyAnnouncement(u *wire.Upstream) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.isNamed(u) {
+		if known := v.unnamed[u.GetId()]; registry.Newer(u, known) && (known != nil || len(v.unnamed) < maxUnnamed) {
+			v.unnamed[u.GetId()] = u
+		}
+		return
+	}
+	v.applyAnnouncement(u)
+}
+
+// isNamed reports whether an upstream is known, or the layout names its service. The end of any
+// upstream counts, and before the first layout any service may be named. v.mu must be held.
+func (v *View) isNamed(u *wire.Upstream) bool {
+	l := v.Layout()
+	return l == nil || l.Pool(layout.Service(u.GetService())) != nil || v.upstreams[u.GetId()] != nil || u.GetStage() == wire.Stage_STAGE_LEFT
+}
+
+// applyNamed applies the announcements that waited for the current layout. v.mu must be held.
+func (v *View) applyNamed() {
+	for id, u := range v.unnamed {
+		if v.isNamed(u) {
+			delete(v.unnamed, id)
+			v.applyAnnouncement(u)
+		}
+	}
+}
+
+// applyAnnouncement is ApplyAnnouncement for upstreams that count. v.mu must be held.
+func (v *View) applyAnnouncement(u *wire.Upstream) {
+	delete(v.unnamed, u.GetId())
 	old := v.upstreams[u.GetId()]
 	if !registry.Newer(u, old) {
 		return
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,6 +100,38 @@
 	is.Equal(len(v.Table().Services["b"]), 1)
 }
 
+// Guards against an upstream that is taken out of use by an announcement for a service that no
+// layout names, from its address, and against one that stays unknown once a layout names its service.
+func TestUnnamedService(t *testing.T) {
+	is := is.New(t)
+	v := New(Options{
+		Decode: func(version layout.Version, text []byte) (*layout.Layout, error) {
+			l := &layout.Layout{Version: version}
+			for _, name := range strings.Fields(string(text)) {
+				l.Pools = append(l.Pools, &layout.Pool{Name: layout.Service(name)})
+			}
+			return l, l.Prepare()
+		},
+		LeaseDuration: time.Second, MaxLayoutLag: testLag, Timer: timer.NewManual(), Log: zap.NewNop(),
+	})
+	is.NoErr(v.ApplyLayout(1, []byte("a")))
+	v.ApplyAnnouncement(&wire.Upstream{Id: "sound", Born: 1, Sequence: 1, Address: "1", Service: "a"})
+	v.ApplyAnnouncement(&wire.Upstream{Id: "foreign", Born: 2, Sequence: 1, Address: "1", Service: "b"})
+	v.ApplyAnnouncement(&wire.Upstream{Id: "draining", Born: 2, Sequence: 1, Address: "1", Service: "b", Stage: wire.Stage_STAGE_DRAINING})
+	is.Equal(len(v.Table().Services["a"]), 1)
+	is.Equal(len(v.TakeReport().GetUpstreams()), 1) // the leader does not hear of them
+	v.Deregister("draining", 2, 2)
+	is.Equal(len(v.TakeReport().GetUpstreams()), 1) // the end of an upstream counts
+	for i := range 2 * maxUnnamed {
+		v.ApplyAnnouncement(&wire.Upstream{Id: fmt.Sprint(i), Born: 2, Sequence: 1, Address: "9", Service: "c"})
+	}
+	is.Equal(len(v.unnamed), maxUnnamed)
+	is.NoErr(v.ApplyLayout(2, []byte("a b")))
+	is.Equal(len(v.Table().Services["a"]), 0) // the later upstream at the address counts
+	is.Equal(v.Table().Services["b"][0].GetId(), "foreign")
+	is.Equal(len(v.Table().Services["b"]), 1)
+}
+
 // Guards against changes that are lost when a report cannot be delivered, and against a
 // new leader that is never sent the known upstreams.
 func TestReport(t *testing.T) {
