consensus: a new group acknowledges nothing before it has three voters

Cause: a group of one voter acknowledged, although the other two machines with disks were about to become voters.

Change: the leader of a new group waits with acknowledgements until it has three voters, as long as three instances with disks are in contact.

--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,9 @@
 	bootstrapInterval = 150 * time.Millisecond
 	// membershipInterval is the pause between two checks of the membership.
 	membershipInterval = 200 * time.Millisecond
+	// minVoters is the number of voters of a new group before which it acknowledges nothing, if
+	// so many instances with disks are in contact. With fewer the loss of one disk ends the group.
+	minVoters = 3
 	// changeTimeout bounds a single membership change.
 	changeTimeout = 2 * time.Second
 )
@@ -69,6 +73,8 @@
 	transport *replica.DRPCTransport
 	server    *replica.Server
 	identity  replica.Identity
+	// formed is true once the group has had minVoters voters.
+	formed atomic.Bool
 	// liveSince holds when instances came into contact, and unreachableSince when members
 	// lost contact. Only the goroutine of loop uses them.
 	liveSince        map[replica.Identity]timer.Instant
@@ -249,6 +255,38 @@
 	return out
 }
 
+// WaitFormed waits while the group is new and has fewer voters than it is about to get. What is
+// committed until then could be lost with one disk.
+func (r *Replica) WaitFormed(ctx context.Context) error {
+	for r.isForming() {
+		if err := timer.Sleep(ctx, r.options.Timer, membershipInterval/4); err != nil {
+			return errors.Wrap(err, "the control group is not complete")
+		}
+	}
+	return nil
+}
+
+// isForming reports whether the group is new, and instances that are in contact are to become
+// voters.
+func (r *Replica) isForming() bool {
+	if !r.options.AllowBootstrap || r.formed.Load() {
+		return false
+	}
+	voters := 0
+	for _, m := range r.Members() {
+		if m.Voter {
+			voters++
+		}
+	}
+	if voters >= minVoters {
+		r.formed.Store(true)
+		return false
+	}
+	live := r.options.LiveReplicas()
+	live[r.identity] = replica.Address(r.options.Address)
+	return len(live) >= minVoters
+}
+
 // Members returns the members of the group as known to this replica.
 func (r *Replica) Members() []replica.Member { return r.node.Status().Members }
 
--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -218,6 +218,18 @@
 	d.eventually("layout 5 with two of three", d.layoutConfirmed(5))
 }
 
+// Guards against a first configuration that depends on one disk: it must not be acknowledged before
+// the group has as many voters as it is about to get.
+func TestFirstAcknowledgement(t *testing.T) {
+	d := newDeployment(t, 3, 3)
+	d.eventually("all with a disk are in contact", func() bool {
+		l := d.leader()
+		return l >= 0 && len(d.running[l].instance.coordinator.LiveReplicas()) == 3
+	})
+	d.proposeLayout(0, 1)
+	d.Equal(d.voterCount(), 3)
+}
+
 // Guards against a control group that loses its majority for good because one instance loses
 // its disk again and again, soon after each start, while no other one is disturbed.
 func TestDiskLostRepeatedly(t *testing.T) {
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -126,6 +126,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.Replica.WaitFormed(ctx); err != nil {
+		return nil, err
+	}
 	if l := q.GetCommand().GetLayout(); l != nil && conflict == "" && !s.Coordinator.WaitLayoutApplied(ctx, l.GetVersion()) {
 		return nil, errors.Wrap(context.Cause(ctx), "layout is not in force everywhere")
 	}
