--- a/internal/control/replica/peer.go
+++ b/internal/control/replica/peer.go
@@ -25,10 +25,10 @@
 	ackedSentAt   timer.Instant // send time of the latest acknowledged message
 	ackedSequence uint64        // sequence number of the latest acknowledged message
 	lastSentAt    timer.Instant
-	lastSequence  uint64 // sequence number of the last message sent
-	inFlight      bool   // a message awaits its reply
-	stalled       bool   // the last message failed: send only heartbeats until one succeeds
-	lastVote      *voteRequest
+	lastSequence  uint64       // sequence number of the last message sent
+	inFlight      bool         // a message awaits its reply
+	stalled       bool         // the last message failed: send only heartbeats until one succeeds
+	lastVote      *voteRequest // the last vote request, which may still await its reply
 }
 
 // message is an append request, or a request to send the stored snapshot.
--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -153,7 +153,8 @@
 }
 
 // writeBatch does the first write of the batch and the following ones that can share its
-// sync, barriers between them included. It returns how many were done. Of several hard states only the last is written.
+// sync, barriers between them included. It returns how many were done. Of several hard states
+// only the last is written.
 func (n *Node) writeBatch(batch []*diskWrite) (done int, err error) {
 	w := batch[0]
 	if w.hardState != nil {
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -59,9 +59,9 @@
 	// HeartbeatInterval is the interval at which upstreams send heartbeats.
 	HeartbeatInterval time.Duration
 	// ConfirmationLag is how long after the last confirmation of an older layout to an instance
-	// a change may be acknowledged although that instance may still use the older one. It is
-	// what a layout may be used without a confirmation beyond the time in which an acknowledged
-	// change must be in force.
+	// a change may be acknowledged although that instance may still use the older one: the time
+	// for which a layout may be used without a confirmation, less the time in which an
+	// acknowledged change must be in force.
 	ConfirmationLag time.Duration
 	Timer           timer.Service
 	Log             *zap.Logger
