consensus, gateway/caller, tests: one place for what stood twice, a name that says both checks

The instances in contact were completed by the leader itself in two places of consensus; keyValid had come to check the layout as well; two tests of leaves had the same two closures, and voterCount repeated the search for the leader.

Change: liveReplicas, layoutAndKeyValid, and methods of the test deployment. Behaviour and assertions are as before.

--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -221,8 +221,7 @@
 // observe returns what this replica knows about the members and the instances in contact.
 func (r *Replica) observe(caughtUp map[replica.Identity]bool) Observation {
 	now := r.options.Timer.Now()
-	live := r.options.LiveReplicas()
-	live[r.identity] = replica.Address(r.options.Address)
+	live := r.liveReplicas()
 	members := r.Members()
 	unreachable := map[replica.Identity]bool{}
 	for _, m := range members {
@@ -282,9 +281,14 @@
 		r.formed.Store(true)
 		return false
 	}
+	return len(r.liveReplicas()) >= minVoters
+}
+
+// liveReplicas returns the addresses of the instances in contact that have a disk, this one included.
+func (r *Replica) liveReplicas() map[replica.Identity]replica.Address {
 	live := r.options.LiveReplicas()
 	live[r.identity] = replica.Address(r.options.Address)
-	return len(live) >= minVoters
+	return live
 }
 
 // Members returns the members of the group as known to this replica.
--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -151,23 +151,40 @@
 	}
 }
 
+// leader returns the index of the instance that leads, or -1.
+func (d *deployment) leader() int {
+	for i, r := range d.running {
+		if r != nil && r.instance.replica != nil {
+			if _, ok := r.instance.replica.HoldsLease(); ok {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
 // voterCount returns the number of voters as known to the leader, or 0 without a leader.
 func (d *deployment) voterCount() (n int) {
-	for _, r := range d.running {
-		if r == nil || r.instance.replica == nil {
-			continue
-		}
-		if _, ok := r.instance.replica.HoldsLease(); !ok {
-			continue
-		}
-		for _, m := range r.instance.replica.Members() {
-			if m.Voter {
-				n++
-			}
+	l := d.leader()
+	if l < 0 {
+		return 0
+	}
+	for _, m := range d.running[l].instance.replica.Members() {
+		if m.Voter {
+			n++
 		}
-		return n
 	}
-	return 0
+	return n
+}
+
+// announce lets an instance hear an announcement of the upstream u, and inUse reports whether an
+// instance sends requests to it.
+func (d *deployment) announce(i int, sequence uint64, stage wire.Stage) {
+	d.running[i].instance.View.ApplyAnnouncement(&wire.Upstream{Id: "u", Born: 1, Sequence: sequence, Address: "10.0.0.1:1", Service: "s", Stage: stage})
+}
+
+func (d *deployment) inUse(i int) bool {
+	return len(d.running[i].instance.View.Table().Services["s"]) > 0
 }
 
 // Guards against instances that do not find the leader through seeds without a disk, and
@@ -259,21 +276,17 @@
 	d := newDeployment(t, 3, 5)
 	d.proposeLayout(4, 7)
 	d.eventually("layout 7 everywhere", d.layoutConfirmed(7))
-	inUse := func(i int) bool { return len(d.running[i].instance.View.Table().Services["s"]) > 0 }
-	announce := func(i int, sequence uint64, stage wire.Stage) {
-		d.running[i].instance.View.ApplyAnnouncement(&wire.Upstream{Id: "u", Born: 1, Sequence: sequence, Address: "10.0.0.1:1", Service: "s", Stage: stage})
-	}
-	announce(3, 1, wire.Stage_STAGE_READY)
+	d.announce(3, 1, wire.Stage_STAGE_READY)
 	for i := range d.running {
-		d.eventually("upstream known", func() bool { return inUse(i) })
+		d.eventually("upstream known", func() bool { return d.inUse(i) })
 	}
-	announce(4, 2, wire.Stage_STAGE_LEFT)
+	d.announce(4, 2, wire.Stage_STAGE_LEFT)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	d.NoErr(d.running[4].instance.Client.WaitReported(ctx))
 	d.stop(4)
 	for i := range 4 {
-		d.eventually("upstream left", func() bool { return !inUse(i) })
+		d.eventually("upstream left", func() bool { return !d.inUse(i) })
 	}
 	// Without a leader nothing is confirmed.
 	for i := range 3 {
@@ -285,18 +298,6 @@
 	d.True(d.running[3].instance.Client.WaitReported(ctx) != nil)
 }
 
-// leader returns the index of the instance that leads, or -1.
-func (d *deployment) leader() int {
-	for i, r := range d.running {
-		if r != nil && r.instance.replica != nil {
-			if _, ok := r.instance.replica.HoldsLease(); ok {
-				return i
-			}
-		}
-	}
-	return -1
-}
-
 // Guards against an acknowledged leave that is lost with the leader, before any other instance
 // has heard of it, and against one that is lost with all instances: a late announcement must
 // not bring the upstream back.
@@ -305,24 +306,20 @@
 	d.proposeLayout(4, 7)
 	d.eventually("layout 7 everywhere", d.layoutConfirmed(7))
 	d.eventually("three voters", func() bool { return d.voterCount() == 3 })
-	inUse := func(i int) bool { return len(d.running[i].instance.View.Table().Services["s"]) > 0 }
-	announce := func(i int, sequence uint64, stage wire.Stage) {
-		d.running[i].instance.View.ApplyAnnouncement(&wire.Upstream{Id: "u", Born: 1, Sequence: sequence, Address: "10.0.0.1:1", Service: "s", Stage: stage})
-	}
-	announce(3, 1, wire.Stage_STAGE_READY)
+	d.announce(3, 1, wire.Stage_STAGE_READY)
 	for i := range d.running {
-		d.eventually("upstream known", func() bool { return inUse(i) })
+		d.eventually("upstream known", func() bool { return d.inUse(i) })
 	}
 	former := d.leader()
 	d.True(former >= 0)
-	announce(former, 2, wire.Stage_STAGE_LEFT)
+	d.announce(former, 2, wire.Stage_STAGE_LEFT)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	d.NoErr(d.running[former].instance.Client.WaitReported(ctx))
 	d.stop(former)
 	for i, r := range d.running {
 		if r != nil {
-			d.eventually("upstream left", func() bool { return !inUse(i) })
+			d.eventually("upstream left", func() bool { return !d.inUse(i) })
 		}
 	}
 	for i := range d.running {
@@ -332,9 +329,9 @@
 		d.start(i)
 	}
 	d.eventually("layout 7 after the restart", d.layoutConfirmed(7))
-	announce(4, 9, wire.Stage_STAGE_READY)
+	d.announce(4, 9, wire.Stage_STAGE_READY)
 	d.NoErr(d.running[4].instance.Client.WaitReported(ctx))
 	for i := range d.running {
-		d.True(!inUse(i))
+		d.True(!d.inUse(i))
 	}
 }
--- a/internal/gateway/caller/before_send.go
+++ b/internal/gateway/caller/before_send.go
@@ -56,7 +56,7 @@
 
 // checkPermission checks that the request may run at all.
 func (e *exchange) checkPermission() error {
-	if !e.keyValid() || e.View.LayoutOutdated() {
+	if !e.layoutAndKeyValid() || e.View.LayoutOutdated() {
 		e.permissionExpired = true
 		return errPermissionExpired
 	}
@@ -87,9 +87,9 @@
 	return e.checkLease()
 }
 
-// keyValid reports whether the current layout is confirmed and the key of the request, if it has
+// layoutAndKeyValid reports whether the current layout is confirmed and the key of the request, if it has
 // one, is still valid in it.
-func (q *request) keyValid() bool {
+func (q *request) layoutAndKeyValid() bool {
 	current := q.View.Layout()
 	if !q.View.LayoutConfirmed(current) {
 		return false
