fleet: connections between instances and the data directory can be replaced

Cause: a test of an instance could neither cut the network between two instances nor lose what was not synced, since both were fixed to TCP and the operating system.

Change: instance.Options has DialPeer and Files, which are passed to the replica and to the client for other instances. Without them nothing changes.

--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -6,6 +6,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"path/filepath"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,8 @@
 	// Files is the file system of the data directory. If it is nil, the replica uses that of
 	// the operating system.
 	Files disk.FileSystem
+	// Dial opens a connection to another replica. If it is nil, the replica connects over TCP.
+	Dial func(ctx context.Context, to string) (net.Conn, error)
 	// AllowBootstrap is true if the control group may not exist yet.
 	AllowBootstrap bool
 	// RequestBootstrap asks a seed whether this instance may bootstrap the group.
@@ -110,9 +113,13 @@
 
 // open opens the directory at path, creating it if necessary, and loads the replica from it.
 func open(o Options, path string) (r *Replica, err error) {
+	transport := replica.TransportOptions{Timer: o.Timer, PeerToken: o.PeerToken}
+	if o.Dial != nil {
+		transport.Dial = func(ctx context.Context, to replica.Address) (net.Conn, error) { return o.Dial(ctx, string(to)) }
+	}
 	r = &Replica{
 		options: o, liveSince: map[replica.Identity]timer.Instant{}, unreachableSince: map[replica.Identity]timer.Instant{},
-		transport: replica.NewTransport(replica.TransportOptions{Timer: o.Timer, PeerToken: o.PeerToken}),
+		transport: replica.NewTransport(transport),
 	}
 	directory, err := disk.Open(o.Files, path, reserveBytes)
 	if err != nil {
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/disk"
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/consensus"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/coordinator"
@@ -71,8 +72,14 @@
 	// Conditions are what upstreams state to this instance.
 	Conditions   tunnel.Conditions
 	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
-	Timer        timer.Service
-	Log          *zap.Logger
+	// DialPeer opens a connection to the peer address of another instance. If it is nil, the
+	// instance connects over TCP.
+	DialPeer func(ctx context.Context, to string) (net.Conn, error)
+	// Files is the file system of the data directory. If it is nil, the instance uses that of the
+	// operating system.
+	Files disk.FileSystem
+	Timer timer.Service
+	Log   *zap.Logger
 }
 
 // Instance is one process of a deployment.
@@ -103,7 +110,7 @@
 	i.View = view.New(view.Options{Name: o.Name, OnCondition: o.OnCondition, Decode: o.Decode, Sessions: o.Sessions, OnLoad: o.OnLoad, LeaseDuration: o.LeaseDuration, MaxLayoutLag: o.MaxLayoutLag, Timer: o.Timer, Log: o.Log.Named("view")})
 	layouts := relay.NewStore(o.Timer, o.Log.Named("layouts"))
 	i.Client = peer.NewClient(peer.Options{
-		Self: o.PeerAddress, Seeds: o.Seeds, PeerToken: o.PeerToken, View: i.View, DescribeInstance: i.describe,
+		Self: o.PeerAddress, Dial: o.DialPeer, Seeds: o.Seeds, PeerToken: o.PeerToken, View: i.View, DescribeInstance: i.describe,
 		Layouts: layouts, CommittedLayout: i.committedLayout, KnownLeader: i.knownLeader, Timer: o.Timer, Random: random.New(), Log: o.Log.Named("peer"),
 	})
 	i.Detour = tunnel.NewClient(tunnel.ClientOptions{
@@ -137,7 +144,7 @@
 	}
 	i.state = st
 	i.replica, err = consensus.New(consensus.Options{
-		DataDirectory: o.DataDirectory, Address: string(o.PeerAddress), PeerToken: o.PeerToken, State: st, Timer: o.Timer,
+		DataDirectory: o.DataDirectory, Files: o.Files, Dial: o.DialPeer, Address: string(o.PeerAddress), PeerToken: o.PeerToken, State: st, Timer: o.Timer,
 		Random: random.New(), Log: o.Log.Named("core"), AllowBootstrap: o.AllowBootstrap,
 		RequestBootstrap: func(ctx context.Context, identity string) bool {
 			return i.Client.RequestBootstrap(ctx, o.Seeds[0], identity)
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -59,6 +60,8 @@
 	// as known to the replica of this instance. They are empty on an instance without a disk.
 	KnownLeader func() (leader string, members []string)
 	Timer       timer.Service
+	// Dial opens a connection to another instance. If it is nil, the client connects over TCP.
+	Dial func(ctx context.Context, to string) (net.Conn, error)
 	// Random must not be used elsewhere.
 	Random *rand.Rand
 	Log    *zap.Logger
@@ -81,7 +84,7 @@
 // NewClient returns a client. It starts to poll and report in Run.
 func NewClient(o Options) *Client {
 	return &Client{
-		options: o, connections: newConnections(o.Timer, o.PeerToken),
+		options: o, connections: newConnections(o.Timer, o.PeerToken, o.Dial),
 		finder: newFinder(o.Self, o.Seeds, o.Timer), layoutCommitted: make(chan struct{}, 1),
 		reportNow: make(chan struct{}, 1),
 	}
--- a/internal/fleet/peer/connection.go
+++ b/internal/fleet/peer/connection.go
@@ -39,7 +39,7 @@
 type connections struct {
 	timer timer.Service
 	token string
-	dial  func(ctx context.Context, to Address) (net.Conn, error)
+	dial  func(ctx context.Context, to string) (net.Conn, error)
 
 	mu    sync.Mutex
 	conns map[connectionKey]*connection
@@ -57,12 +57,16 @@
 	conn *drpcconn.Conn
 }
 
-func newConnections(t timer.Service, token string) *connections {
-	return &connections{timer: t, token: token, dial: dialTCP, conns: map[connectionKey]*connection{}}
+// newConnections returns connections that dial opens, or TCP connections if it is nil.
+func newConnections(t timer.Service, token string, dial func(ctx context.Context, to string) (net.Conn, error)) *connections {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &connections{timer: t, token: token, dial: dial, conns: map[connectionKey]*connection{}}
 }
 
-func dialTCP(ctx context.Context, to Address) (net.Conn, error) {
-	return tcp.NewDialer(ackTimeout).DialContext(ctx, "tcp", string(to))
+func dialTCP(ctx context.Context, to string) (net.Conn, error) {
+	return tcp.NewDialer(ackTimeout).DialContext(ctx, "tcp", to)
 }
 
 // call makes a call with a timeout, which includes the wait for the connection. It closes the
@@ -120,7 +124,7 @@
 			return nil
 		}
 	}
-	conn, err := cs.dial(ctx, to)
+	conn, err := cs.dial(ctx, string(to))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/peer/slots.go
+++ b/internal/fleet/peer/slots.go
@@ -71,7 +71,7 @@
 	defer cancel()
 	dialCtx, cancelDial := timer.WithTimeout(ctx, l.options.Timer, slotReplyTimeout)
 	defer cancelDial()
-	conn, err := l.connections.dial(dialCtx, to)
+	conn, err := l.connections.dial(dialCtx, string(to))
 	if err != nil {
 		return false, err
 	}
