control/disk: a loss of power during a compaction leaves no gap in the log

A voter that lost power while it compacted its log could take its data directory for corrupt, set it aside and join with a new identity. If another voter loses its disk at the same moment, the group is gone.

Cause: Compact removed several segments and synced the directory once. Of several removals that are not synced a loss of power may keep any, so an older segment may be there while a younger one is gone, which Load reports as "segment before ... is missing".

Change: the directory is synced after each removal, so at most the removal of the oldest segment is in doubt. A missing segment stays corruption.

The file system for tests can lose power so that each name and each write that was not synced is kept or lost by itself, and writes are torn or leave holes. The size of a segment is a field of the store, so that tests can make it small.

--- a/internal/control/disk/directory.go
+++ b/internal/control/disk/directory.go
@@ -31,6 +31,7 @@
 	files        FileSystem
 	path         string
 	reserveBytes uint64
+	segmentBytes int // see Store
 	identity     replica.Identity
 
 	mu     sync.Mutex
@@ -56,7 +57,7 @@
 	if err != nil {
 		return nil, markFatal(err)
 	}
-	d = &Directory{files: f, path: path, reserveBytes: reserveBytes}
+	d = &Directory{files: f, path: path, reserveBytes: reserveBytes, segmentBytes: maxSegmentBytes}
 	if isUninitialized(names) {
 		return d, d.generateIdentity()
 	}
@@ -126,7 +127,7 @@
 	defer d.mu.Unlock()
 	name := fmt.Sprintf("group-%d", g)
 	dir := filepath.Join(d.path, name)
-	s = &Store{files: d.files, dir: dir, reserveBytes: d.reserveBytes}
+	s = &Store{files: d.files, dir: dir, reserveBytes: d.reserveBytes, segmentBytes: d.segmentBytes}
 	// A listed group is not created again: if its files were lost, it must not vote as if it were new.
 	if slices.Contains(d.groups, name) {
 		return s, nil
--- a/internal/control/disk/faulty/faulty.go
+++ b/internal/control/disk/faulty/faulty.go
@@ -26,6 +26,9 @@
 	random            *rand.Rand
 	files             map[string]*inode // files that the running process sees
 	durableFiles      map[string]*inode // files that are left after a crash
+	dirs              map[string]bool   // directories that were created
+	changes           []change          // changes of names that were not synced, in order
+	afterChange       func()            // called after each change or sync by a process; may be nil
 	freeBytes         uint64
 	generation        int // number of crashes
 	syncsUntilFailure int // syncs that succeed before one fails; negative if none is to fail
@@ -38,8 +41,52 @@
 	data       []byte // what the running process reads
 	synced     []byte // what a crash leaves at least
 	syncFailed bool   // later syncs succeed without storing anything
+	writeEnds  []int  // where each write that was not synced ends in data
 }
 
+// changeKind is the kind of a change of names.
+type changeKind int
+
+const (
+	createFile changeKind = iota
+	createDir
+	renameFile // or a directory
+	removeFile
+)
+
+// change is a change of names in one directory.
+type change struct {
+	kind  changeKind
+	name  string
+	to    string // new name, for renameFile
+	inode *inode // the file that has the name; nil for a directory
+}
+
+// apply applies the change to a set of files, which may lack earlier changes.
+func (c *change) apply(files map[string]*inode) {
+	switch {
+	case c.kind == createFile:
+		files[c.name] = c.inode
+	case c.kind == renameFile && c.inode == nil:
+		for _, n := range sortedNames(files) {
+			if isUnder(c.name, n) {
+				files[c.to+strings.TrimPrefix(n, c.name)] = files[n]
+				delete(files, n)
+			}
+		}
+	case c.kind == renameFile:
+		if files[c.name] == c.inode {
+			delete(files, c.name)
+		}
+		files[c.to] = c.inode
+	case c.kind == removeFile && files[c.name] == c.inode:
+		delete(files, c.name)
+	}
+}
+
+// isUnder reports whether a file is in a directory or one of its subdirectories.
+func isUnder(dir, name string) bool { return strings.HasPrefix(name, dir+"/") }
+
 // Process gives one process access to the files until the next crash.
 type Process struct {
 	fileSystem *FileSystem
@@ -59,6 +106,7 @@
 func New(seed uint64) *FileSystem {
 	return &FileSystem{
 		random: rand.New(rand.NewPCG(seed, 0)), files: map[string]*inode{}, durableFiles: map[string]*inode{},
+		dirs:      map[string]bool{},
 		freeBytes: 1 << 40, syncsUntilFailure: -1,
 	}
 }
@@ -125,6 +173,12 @@
 	defer f.mu.Unlock()
 	f.generation++
 	f.syncsUntilFailure = -1
+	for _, c := range f.changes {
+		if c.kind == createDir {
+			f.loseDir(c.name, f.durableFiles)
+		}
+	}
+	f.changes = nil
 	f.files = map[string]*inode{}
 	for _, n := range sortedNames(f.durableFiles) {
 		i := f.durableFiles[n]
@@ -137,13 +191,151 @@
 	}
 }
 
+// loseDir removes a directory whose name was not synced, with all files in it.
+func (f *FileSystem) loseDir(dir string, files map[string]*inode) {
+	delete(f.dirs, dir)
+	for _, n := range sortedNames(files) {
+		if isUnder(dir, n) {
+			delete(files, n)
+		}
+	}
+}
+
+// Kill ends the access of the running process. All that it did stays visible to the next
+// process, and what was not synced may still be lost with the power.
+func (f *FileSystem) Kill() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.generation++
+	f.syncsUntilFailure = -1
+}
+
+// LosePower ends the access of the running process. For each change of a name that was not
+// synced, choose decides whether it is lost (0) or kept (1), and for each write that was not
+// synced, whether it is missing (0), present (1), or only its first (2) or second half (3) is.
+// choose gets the number of outcomes. What is missing before later data reads as zeros.
+func (f *FileSystem) LosePower(choose func(outcomes int) int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.generation++
+	f.syncsUntilFailure = -1
+	files := f.durableFiles
+	var lostDirs []string
+	for _, c := range f.changes {
+		switch kept := choose(2) == 1; {
+		case kept:
+			c.apply(files)
+		case c.kind == createDir:
+			lostDirs = append(lostDirs, c.name)
+		}
+	}
+	for _, d := range lostDirs {
+		f.loseDir(d, files)
+	}
+	f.changes = nil
+	f.files, f.durableFiles = map[string]*inode{}, map[string]*inode{}
+	for _, n := range sortedNames(files) {
+		data := files[n].afterLoss(choose)
+		f.files[n] = &inode{data: data, synced: slices.Clone(data)}
+		f.durableFiles[n] = f.files[n]
+	}
+}
+
+// afterLoss returns what a loss of power leaves of the content.
+func (i *inode) afterLoss(choose func(outcomes int) int) []byte {
+	data := slices.Clone(i.synced)
+	start := len(i.synced)
+	for _, end := range i.writeEnds {
+		from, to := start, end
+		switch choose(4) {
+		case 0:
+			to = start
+		case 2:
+			to = start + (end-start)/2
+		case 3:
+			from = start + (end-start)/2
+		}
+		if from < to {
+			data = append(data, make([]byte, from-len(data))...)
+			data = append(data, i.data[from:to]...)
+		}
+		start = end
+	}
+	return data
+}
+
+// Clone returns an independent copy, in which nothing that was not synced is durable either.
+// It has no running process.
+func (f *FileSystem) Clone() *FileSystem {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := New(0)
+	c.freeBytes = f.freeBytes
+	copies := map[*inode]*inode{nil: nil}
+	copyOf := func(i *inode) *inode {
+		if _, ok := copies[i]; !ok {
+			// The content of an inode only grows, so the copies share it.
+			copies[i] = &inode{
+				data: slices.Clip(i.data), synced: slices.Clip(i.synced), syncFailed: i.syncFailed,
+				writeEnds: slices.Clone(i.writeEnds),
+			}
+		}
+		return copies[i]
+	}
+	for n, i := range f.files {
+		c.files[n] = copyOf(i)
+	}
+	for n, i := range f.durableFiles {
+		c.durableFiles[n] = copyOf(i)
+	}
+	for _, o := range f.changes {
+		o.inode = copyOf(o.inode)
+		c.changes = append(c.changes, o)
+	}
+	for d := range f.dirs {
+		c.dirs[d] = true
+	}
+	return c
+}
+
+// Dump returns the names and contents of all files.
+func (f *FileSystem) Dump() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var b strings.Builder
+	for _, n := range sortedNames(f.files) {
+		b.WriteString(n + "=")
+		b.Write(f.files[n].data)
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// AfterChange sets a function that is called after each change or sync by a process, on the
+// goroutine that made it.
+func (f *FileSystem) AfterChange(call func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.afterChange = call
+}
+
+// notify calls the function set by AfterChange.
+func (f *FileSystem) notify() {
+	f.mu.Lock()
+	call := f.afterChange
+	f.mu.Unlock()
+	if call != nil {
+		call()
+	}
+}
+
 // Corrupt changes the stored content of a file, as a defective disk would.
 func (f *FileSystem) Corrupt(name string, edit func(data []byte) []byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	i := f.files[name]
 	i.data = edit(slices.Clone(i.data))
-	i.synced = slices.Clone(i.data)
+	i.synced, i.writeEnds = slices.Clone(i.data), nil
 }
 
 // Names returns the sorted names of the files that begin with a prefix.
@@ -219,9 +411,11 @@
 	if err != nil {
 		return nil, err
 	}
+	defer p.fileSystem.notify()
 	defer unlock()
 	f := p.fileSystem
 	f.files[name] = &inode{}
+	f.changes = append(f.changes, change{kind: createFile, name: name, inode: f.files[name]})
 	return &handle{process: p, inode: f.files[name]}, nil
 }
 
@@ -261,14 +455,12 @@
 	if err != nil {
 		return err
 	}
+	defer p.fileSystem.notify()
 	defer unlock()
 	f := p.fileSystem
-	for _, n := range sortedNames(f.files) {
-		if n == from || strings.HasPrefix(n, from+"/") {
-			f.files[to+strings.TrimPrefix(n, from)] = f.files[n]
-			delete(f.files, n)
-		}
-	}
+	c := change{kind: renameFile, name: from, to: to, inode: f.files[from]}
+	f.changes = append(f.changes, c)
+	c.apply(f.files)
 	return nil
 }
 
@@ -278,9 +470,12 @@
 	if err != nil {
 		return err
 	}
+	defer p.fileSystem.notify()
 	defer unlock()
 	f := p.fileSystem
-	delete(f.files, name)
+	c := change{kind: removeFile, name: name, inode: f.files[name]}
+	f.changes = append(f.changes, c)
+	c.apply(f.files)
 	return nil
 }
 
@@ -303,8 +498,21 @@
 	return names, nil
 }
 
-// MkdirAll does nothing: a directory exists once it contains a file.
-func (*Process) MkdirAll(string) error { return nil }
+// MkdirAll creates a directory. Its parent is taken to exist.
+func (p *Process) MkdirAll(dir string) error {
+	unlock, err := p.lock()
+	if err != nil {
+		return err
+	}
+	defer p.fileSystem.notify()
+	defer unlock()
+	f := p.fileSystem
+	if !f.dirs[dir] {
+		f.dirs[dir] = true
+		f.changes = append(f.changes, change{kind: createDir, name: dir})
+	}
+	return nil
+}
 
 // SyncDir makes creations, renames and removals in a directory durable.
 func (p *Process) SyncDir(dir string) error {
@@ -312,6 +520,7 @@
 	if err != nil {
 		return err
 	}
+	defer p.fileSystem.notify()
 	defer unlock()
 	f := p.fileSystem
 	if err := f.countSync(); err != nil {
@@ -331,6 +540,7 @@
 		}
 	}
 	f.durableFiles = durable
+	f.changes = slices.DeleteFunc(f.changes, func(c change) bool { return filepath.Dir(c.name) == dir })
 	return nil
 }
 
@@ -350,8 +560,10 @@
 	if err != nil {
 		return 0, err
 	}
+	defer h.process.fileSystem.notify()
 	defer unlock()
 	h.inode.data = append(h.inode.data, b...)
+	h.inode.writeEnds = append(h.inode.writeEnds, len(h.inode.data))
 	return len(b), nil
 }
 
@@ -361,6 +573,7 @@
 	if err != nil {
 		return err
 	}
+	defer h.process.fileSystem.notify()
 	defer unlock()
 	if err := h.process.fileSystem.countSync(); err != nil {
 		h.inode.syncFailed = true
@@ -371,6 +584,7 @@
 	}
 	// A handle only appends, so the synced data is a prefix of the data.
 	h.inode.synced = append(h.inode.synced, h.inode.data[len(h.inode.synced):]...)
+	h.inode.writeEnds = nil
 	return nil
 }
 
--- /dev/null
+++ b/internal/control/disk/power_loss_test.go
@@ -0,0 +1,349 @@
+package disk_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/disk"
+	"wisteriakeel.example/wisteriakeel/internal/control/disk/faulty"
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
+)
+
+// testSegmentBytes makes almost every record start a new segment.
+const testSegmentBytes = 40
+
+// stored is what one opening of a data directory yields.
+type stored struct {
+	identity replica.Identity
+	hard     replica.HardState
+	meta     replica.SnapshotMeta
+	entries  []replica.Entry // those that the snapshot does not cover
+}
+
+// lossCheck runs operations on a store. After each change of a file or a name it ends the
+// process, with and without a loss of power, and checks every state that may be left.
+type lossCheck struct {
+	t     *testing.T
+	files *faulty.FileSystem
+	store *disk.Store
+	// What may be stored: the acknowledged value, followed by that of an operation in progress.
+	identity replica.Identity // "" while the directory is being created
+	hard     []replica.HardState
+	logs     [][]replica.Entry
+	metas    []replica.SnapshotMeta
+
+	seen    map[string]bool // states that were checked since the expectations last changed
+	checked int
+	failed  bool
+}
+
+func newLossCheck(t *testing.T) *lossCheck {
+	t.Helper()
+	c := &lossCheck{
+		t: t, files: faulty.New(1), seen: map[string]bool{},
+		hard: []replica.HardState{{}}, logs: [][]replica.Entry{nil}, metas: []replica.SnapshotMeta{{}},
+	}
+	c.files.AfterChange(c.onChange)
+	c.open()
+	return c
+}
+
+// eachOutcome calls visit with every sequence of choices that it can make.
+func eachOutcome(visit func(choose func(outcomes int) int)) {
+	var path, limits []int
+	for {
+		used := 0
+		visit(func(outcomes int) int {
+			if used == len(path) {
+				path, limits = append(path, 0), append(limits, outcomes)
+			}
+			used++
+			return path[used-1]
+		})
+		for len(path) > 0 && path[len(path)-1]+1 == limits[len(path)-1] {
+			path, limits = path[:len(path)-1], limits[:len(path)-1]
+		}
+		if len(path) == 0 {
+			return
+		}
+		path[len(path)-1]++
+	}
+}
+
+func load(f *faulty.FileSystem) (out stored, s *disk.Store, err error) {
+	d, err := disk.Open(f.Process(), "data", 0)
+	if err != nil {
+		return out, nil, err
+	}
+	d.SetSegmentBytes(testSegmentBytes)
+	if s, err = d.OpenGroup(0); err != nil {
+		return out, nil, err
+	}
+	out.identity = d.Identity()
+	if out.hard, out.entries, out.meta, err = s.Load(); err != nil {
+		return out, nil, err
+	}
+	if len(out.entries) > 0 && out.entries[0].Index > out.meta.Index+1 {
+		s.Close()
+		return out, nil, disk.ErrCorrupt
+	}
+	out.entries = slices.DeleteFunc(slices.Clone(out.entries), func(e replica.Entry) bool { return e.Index <= out.meta.Index })
+	return out, s, nil
+}
+
+func (a stored) equal(b stored) bool {
+	return a.identity == b.identity && a.hard == b.hard && a.meta.Index == b.meta.Index && a.meta.Term == b.meta.Term &&
+		slices.EqualFunc(a.entries, b.entries, func(x, y replica.Entry) bool {
+			return x.Index == y.Index && x.Term == y.Term && string(x.Data) == string(y.Data)
+		})
+}
+
+// combine returns what a directory yields that stores the given hard state, log and snapshot.
+func combine(i replica.Identity, h replica.HardState, log []replica.Entry, m replica.SnapshotMeta) stored {
+	out := stored{identity: i, hard: h, meta: m}
+	for _, e := range log {
+		if e.Index == m.Index && e.Term != m.Term {
+			return out
+		}
+	}
+	for _, e := range log {
+		if e.Index > m.Index {
+			out.entries = append(out.entries, e)
+		}
+	}
+	return out
+}
+
+// allows reports whether a directory may yield that state now.
+func (c *lossCheck) allows(s stored) bool {
+	identity := c.identity
+	if identity == "" {
+		identity = s.identity
+	}
+	for _, h := range c.hard {
+		for _, l := range c.logs {
+			for _, m := range c.metas {
+				if s.equal(combine(identity, h, l, m)) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func (c *lossCheck) onChange() {
+	if c.failed {
+		return
+	}
+	killed := c.files.Clone()
+	killed.Kill()
+	c.check(killed, 1, "killed")
+	c.checkLosses(c.files, 1)
+}
+
+// checkLosses checks all states that a loss of power may leave now. depth is the number of
+// further losses during each reopening.
+func (c *lossCheck) checkLosses(f *faulty.FileSystem, depth int) {
+	eachOutcome(func(choose func(int) int) {
+		lost := f.Clone()
+		lost.LosePower(choose)
+		if dump := fmt.Sprintln(depth, "more losses:") + lost.Dump(); !c.seen[dump] {
+			c.seen[dump] = true
+			c.check(lost, depth, dump)
+		}
+	})
+}
+
+// check opens the directory and checks what it yields, also after losses of power while it is
+// opened and right after it.
+func (c *lossCheck) check(f *faulty.FileSystem, depth int, description string) {
+	if c.failed {
+		return
+	}
+	c.checked++
+	if depth > 0 {
+		f.AfterChange(func() { c.checkLosses(f, depth-1) })
+	}
+	got, _, err := load(f)
+	f.AfterChange(nil)
+	if err != nil || !c.allows(got) {
+		c.failed = true
+		c.t.Errorf("loaded %+v, error %v;\nidentity %s, hard states %v, snapshots %v, logs %v;\n%q",
+			got, err, c.identity, c.hard, c.metas, c.logs, description)
+		return
+	}
+	eachOutcome(func(choose func(int) int) {
+		again := f.Clone()
+		again.LosePower(choose)
+		if next, _, err := load(again); !c.failed && (err != nil || !got.equal(next)) {
+			c.failed = true
+			c.t.Errorf("loaded %+v, and %+v after another loss of power, error %v;\n%q", got, next, err, description)
+		}
+	})
+}
+
+// do runs an operation that must succeed, and forgets the states seen before and during it.
+func (c *lossCheck) do(operation func() error) {
+	c.t.Helper()
+	c.seen = map[string]bool{}
+	if err := operation(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.seen = map[string]bool{}
+}
+
+// open opens the directory as a new process.
+func (c *lossCheck) open() {
+	c.t.Helper()
+	c.files.Kill()
+	c.do(func() error {
+		var got stored
+		var err error
+		if got, c.store, err = load(c.files); err == nil && !c.allows(got) {
+			c.t.Fatalf("loaded %+v after a kill", got)
+		}
+		c.identity = got.identity
+		return err
+	})
+}
+
+func (c *lossCheck) saveHardState(h replica.HardState) {
+	c.t.Helper()
+	c.hard = append(c.hard, h)
+	c.do(func() error { return c.store.SaveHardState(h) })
+	c.hard = []replica.HardState{h}
+}
+
+func (c *lossCheck) setLog(log []replica.Entry, operation func() error) {
+	c.t.Helper()
+	c.logs = append(c.logs, log)
+	c.do(operation)
+	c.logs = [][]replica.Entry{log}
+}
+
+func (c *lossCheck) append(from, to replica.Index, term replica.Term) {
+	c.t.Helper()
+	added := entries(from, to, term)
+	c.setLog(append(slices.Clone(c.logs[0]), added...), func() error { return c.store.Append(added) })
+}
+
+func (c *lossCheck) truncate(from replica.Index) {
+	c.t.Helper()
+	kept := slices.DeleteFunc(slices.Clone(c.logs[0]), func(e replica.Entry) bool { return e.Index >= from })
+	c.setLog(kept, func() error { return c.store.Truncate(from) })
+}
+
+func (c *lossCheck) saveSnapshot(i replica.Index, term replica.Term) {
+	c.t.Helper()
+	m := replica.SnapshotMeta{Index: i, Term: term}
+	c.metas = append(c.metas, m)
+	c.do(func() error { return c.store.SaveSnapshot(m, []byte("state")) })
+	c.metas = []replica.SnapshotMeta{m}
+}
+
+func (c *lossCheck) compact(upTo replica.Index) {
+	c.t.Helper()
+	c.do(func() error { return c.store.Compact(upTo) })
+}
+
+// reset replaces the log by a snapshot, as after an installation.
+func (c *lossCheck) reset(upTo replica.Index) {
+	c.t.Helper()
+	c.truncate(1)
+	c.compact(upTo)
+}
+
+// Guards against a data directory that is taken for damaged, changes its identity, or lacks an
+// acknowledged entry, term or vote, after a loss of power that kept some of the names and
+// writes that were not synced and lost others.
+func TestLossOfPower(t *testing.T) {
+	fill := func(c *lossCheck) {
+		c.saveHardState(replica.HardState{Term: 3, Vote: "x"})
+		for i := replica.Index(1); i <= 9; i += 2 {
+			c.append(i, i+1, 3)
+		}
+	}
+	tests := []struct {
+		name string
+		run  func(c *lossCheck)
+	}{
+		{"founding and appends", fill},
+		{"new terms and votes", func(c *lossCheck) {
+			fill(c)
+			c.saveHardState(replica.HardState{Term: 4})
+			c.saveHardState(replica.HardState{Term: 4, Vote: "y"})
+		}},
+		{"truncation", func(c *lossCheck) {
+			fill(c)
+			c.truncate(6)
+			c.saveHardState(replica.HardState{Term: 4})
+			c.append(6, 7, 4)
+			c.truncate(2)
+			c.append(2, 9, 4)
+		}},
+		{"restarts", func(c *lossCheck) {
+			fill(c)
+			c.open()
+			c.append(11, 12, 3)
+			c.open()
+			c.open()
+			c.append(13, 14, 3)
+		}},
+		{"compaction", func(c *lossCheck) {
+			fill(c)
+			c.saveSnapshot(9, 3)
+			c.compact(8)
+			c.append(11, 12, 3)
+			c.open()
+			c.saveSnapshot(12, 3)
+			c.compact(12)
+			c.append(13, 14, 3)
+		}},
+		{"compaction after a truncation", func(c *lossCheck) {
+			fill(c)
+			c.saveHardState(replica.HardState{Term: 4})
+			c.truncate(5)
+			c.append(5, 6, 4)
+			c.append(7, 8, 4)
+			c.saveSnapshot(7, 4)
+			c.compact(6)
+			c.append(9, 12, 4)
+			c.saveSnapshot(11, 4)
+			c.compact(10)
+		}},
+		{"installed snapshot", func(c *lossCheck) {
+			fill(c)
+			c.saveHardState(replica.HardState{Term: 5})
+			c.saveSnapshot(20, 4)
+			c.reset(20)
+			c.append(21, 22, 5)
+			c.open()
+			c.append(23, 24, 5)
+		}},
+		{"installed snapshot that conflicts with the log", func(c *lossCheck) {
+			fill(c)
+			c.saveHardState(replica.HardState{Term: 5})
+			c.saveSnapshot(5, 4)
+			c.reset(5)
+			c.append(6, 7, 5)
+			c.append(8, 9, 5)
+			c.saveSnapshot(8, 5)
+			c.compact(7)
+		}},
+		{"snapshot after the end of the log", func(c *lossCheck) {
+			fill(c)
+			c.saveSnapshot(14, 3)
+			c.append(11, 16, 3)
+			c.compact(12)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newLossCheck(t)
+			tt.run(c)
+			t.Logf("%d states", c.checked)
+		})
+	}
+}
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -27,6 +27,7 @@
 	files        FileSystem
 	dir          string
 	reserveBytes uint64
+	segmentBytes int // size at which a new segment is started; maxSegmentBytes except in tests
 
 	logMu       sync.Mutex    // guards the log
 	active      File          // the last segment, open for appending; nil while there is none
@@ -162,7 +163,7 @@
 // appendRecord appends a record to the active segment and syncs it. It starts a new
 // segment if there is none or it is full.
 func (s *Store) appendRecord(record []byte) error {
-	if s.active == nil || s.activeBytes >= maxSegmentBytes {
+	if s.active == nil || s.activeBytes >= s.segmentBytes {
 		if err := s.startSegment(); err != nil {
 			return err
 		}
@@ -199,7 +200,7 @@
 }
 
 // Compact deletes the segments whose entries all have an index of at most upTo. It
-// starts with the oldest, so that a crash in between leaves no gap in the log.
+// starts with the oldest and syncs each removal, so that a crash leaves no gap in the log.
 func (s *Store) Compact(upTo replica.Index) error {
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
@@ -218,18 +219,17 @@
 		}
 		s.firstIndex, s.lastIndex = 0, 0
 	}
-	removed := 0
-	for removed < len(s.segments)-1 && s.segments[removed].highestIndex <= upTo {
-		if err := s.files.Remove(s.segmentPath(s.segments[removed].sequence)); err != nil {
+	for len(s.segments) > 1 && s.segments[0].highestIndex <= upTo {
+		if err := s.files.Remove(s.segmentPath(s.segments[0].sequence)); err != nil {
 			return err
 		}
-		removed++
-	}
-	if removed == 0 {
-		return nil
+		// Of several removals that are not synced, a loss of power may keep any.
+		if err := s.files.SyncDir(s.dir); err != nil {
+			return err
+		}
+		s.segments = s.segments[1:]
 	}
-	s.segments = s.segments[removed:]
-	return s.files.SyncDir(s.dir)
+	return nil
 }
 
 // Close closes the active segment. Everything written before is already durable.
