--- a/internal/control/disk/directory.go
+++ b/internal/control/disk/directory.go
@@ -127,7 +127,9 @@
 	defer d.mu.Unlock()
 	name := fmt.Sprintf("group-%d", g)
 	dir := filepath.Join(d.path, name)
-	s = &Store{files: d.files, dir: dir, reserveBytes: d.reserveBytes, segmentBytes: d.segmentBytes}
+	s = &Store{
+		files: d.files, dir: dir, identity: d.identity, reserveBytes: d.reserveBytes, segmentBytes: d.segmentBytes,
+	}
 	// A listed group is not created again: if its files were lost, it must not vote as if it were new.
 	if slices.Contains(d.groups, name) {
 		return s, nil
--- a/internal/control/disk/load.go
+++ b/internal/control/disk/load.go
@@ -45,10 +45,23 @@
 	if entries, err = s.loadLog(names); err != nil {
 		return h, nil, m, err
 	}
-	entries, err = s.checkConsistency(h, entries)
+	if entries, err = s.checkConsistency(h, entries); err != nil {
+		return h, nil, m, err
+	}
+	if h.Term < s.snapshotMeta.Term {
+		h, err = s.adoptSnapshotTerm()
+	}
 	return h, entries, s.snapshotMeta, err
 }
 
+// adoptSnapshotTerm stores the term of a snapshot that was saved before the hard state of its
+// term: a follower applies and saves what others committed while its own disk is behind. In
+// that term a leader has been elected, so this replica gives its vote to nobody else.
+func (s *Store) adoptSnapshotTerm() (replica.HardState, error) {
+	h := replica.HardState{Term: s.snapshotMeta.Term, Vote: s.identity}
+	return h, s.SaveHardState(h)
+}
+
 // removeTempFiles removes temporary files and syncs the directory: the previous process
 // may have ended after a rename and before the sync of the directory.
 func (s *Store) removeTempFiles(names []string) (kept []string, err error) {
@@ -179,13 +192,11 @@
 	return nil, errors.Wrapf(ErrCorrupt, "unexpected record type %d in a log segment", t)
 }
 
-// checkConsistency checks hard state, log and snapshot against each other. It discards a
-// log that ends before the snapshot or conflicts with its last entry, which is left
-// behind by a crash while a snapshot is installed.
+// checkConsistency checks the log against hard state and snapshot. A term is always stored
+// before the entries that have it, but not always before the snapshot. It discards a log that
+// ends before the snapshot or conflicts with its last entry, which is left behind by a crash
+// while a snapshot is installed.
 func (s *Store) checkConsistency(h replica.HardState, entries []replica.Entry) ([]replica.Entry, error) {
-	if h.Term < s.snapshotMeta.Term {
-		return nil, errors.Wrapf(ErrCorrupt, "snapshot has term %d, hard state has term %d", s.snapshotMeta.Term, h.Term)
-	}
 	if len(entries) == 0 {
 		return nil, nil
 	}
--- a/internal/control/disk/power_loss_test.go
+++ b/internal/control/disk/power_loss_test.go
@@ -101,6 +101,9 @@
 
 // combine returns what a directory yields that stores the given hard state, log and snapshot.
 func combine(i replica.Identity, h replica.HardState, log []replica.Entry, m replica.SnapshotMeta) stored {
+	if h.Term < m.Term {
+		h = replica.HardState{Term: m.Term, Vote: i}
+	}
 	out := stored{identity: i, hard: h, meta: m}
 	for _, e := range log {
 		if e.Index == m.Index && e.Term != m.Term {
@@ -338,6 +341,19 @@
 			c.append(11, 16, 3)
 			c.compact(12)
 		}},
+		{"snapshot of a term that is not stored yet", func(c *lossCheck) {
+			fill(c)
+			c.saveSnapshot(14, 4)
+			c.saveHardState(replica.HardState{Term: 4, Vote: "y"})
+		}},
+		{"snapshot of a term that was not stored before a restart", func(c *lossCheck) {
+			fill(c)
+			c.saveSnapshot(14, 4)
+			c.open()
+			c.append(15, 16, 4)
+			c.open()
+			c.saveHardState(replica.HardState{Term: 5, Vote: "y"})
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -26,6 +26,7 @@
 type Store struct {
 	files        FileSystem
 	dir          string
+	identity     replica.Identity
 	reserveBytes uint64
 	segmentBytes int // size at which a new segment is started; maxSegmentBytes except in tests
 
