control/replica: a candidate leads only once its own term is durable

Found while the order of writes was checked for losses of power; not seen on a running group.

Cause: with the votes of enough others a candidate became the leader while its own term and vote were not stored yet, for example on a disk that hangs. If it is killed or loses power then, it starts again in the former term, and those who voted for it grant it the same term once more. It can then propose other entries with the index and term of entries that a follower has stored from its first time as leader, and that follower takes them for the same.

Change: the majority that elects a leader includes the leader's own vote, which counts once it is durable, as before. A candidate whose disk hangs no longer leads; the others elect one of them after their usual timeout.

Measured: TestLeaderStoresTermFirst fails on (the role is leader with the hard state in the queue) and passes now.

--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -100,7 +100,8 @@
 }
 
 // recordVote records a granted vote. With a majority, a pre-candidate starts the election
-// and a candidate becomes the leader.
+// and a candidate becomes the leader. The majority must include the replica itself: a candidate
+// whose term is not durable could be elected in the same term again after a restart.
 func (n *Node) recordVote(round uint64, from Identity) {
 	if round != n.electionRound || (n.role != preCandidate && n.role != candidate) {
 		return
@@ -115,7 +116,7 @@
 			}
 		}
 	}
-	if votes <= voters/2 {
+	if votes <= voters/2 || !n.votesGranted[n.self.Identity] {
 		return
 	}
 	if n.role == preCandidate {
--- a/internal/control/replica/rules_test.go
+++ b/internal/control/replica/rules_test.go
@@ -223,6 +223,28 @@
 	is.True(n.fatalErr != nil) // a committed entry is never replaced
 }
 
+// Guards against a leader that has not stored its term. After a restart it would forget the
+// term, could be elected in it a second time, since the others have voted for it already, and
+// would replace entries by others of the same index and term.
+func TestLeaderStoresTermFirst(t *testing.T) {
+	is := is.New(t)
+	n, _ := leadingNode(t)
+	for _, p := range n.peers {
+		p.voteRequests = make(chan *voteRequest, 1)
+	}
+	n.becomeFollower(4, Member{})
+	n.campaign(false)
+	for _, m := range []Identity{"b", "c"} {
+		p := n.peers[m]
+		n.onVoteReply(p, p.lastVote, &wire.VoteReply{Term: 5, Granted: true, Identity: string(m)})
+	}
+	is.Equal(n.role, candidate)
+	is.Equal(n.raftLog.lastIndex(), Index(3))
+	n.completeWrite(<-n.writes.C())
+	is.Equal(n.role, leader)
+	is.Equal(n.raftLog.lastIndex(), Index(4))
+}
+
 // Guards against a membership that stays in effect after its entry was truncated.
 func TestTruncatedMembership(t *testing.T) {
 	is := is.New(t)
