control/disk: a reset truncates a log whose compaction kept a segment

Compacting the whole log kept a segment that had held higher entries before a truncation, but the store then took its log for empty.

Change: the log counts as empty only if all its segments were removed.

--- a/internal/control/disk/power_loss_test.go
+++ b/internal/control/disk/power_loss_test.go
@@ -354,6 +354,19 @@
 			c.open()
 			c.saveHardState(replica.HardState{Term: 5, Vote: "y"})
 		}},
+		{"installed snapshot after the whole log was compacted", func(c *lossCheck) {
+			fill(c)
+			c.append(11, 20, 3)
+			c.saveHardState(replica.HardState{Term: 4})
+			c.truncate(7)
+			c.append(7, 8, 4)
+			c.saveSnapshot(8, 4)
+			c.compact(8)
+			c.saveSnapshot(15, 4)
+			c.reset(15)
+			c.append(16, 17, 4)
+			c.open()
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -214,11 +214,11 @@
 // removeSegments deletes segments for Compact. If all entries may be deleted, it starts a
 // new segment first, since the active one is never deleted.
 func (s *Store) removeSegments(upTo replica.Index) error {
-	if s.lastIndex <= upTo && s.activeBytes > 0 {
+	removeAll := s.lastIndex <= upTo && s.activeBytes > 0
+	if removeAll {
 		if err := s.startSegment(); err != nil {
 			return err
 		}
-		s.firstIndex, s.lastIndex = 0, 0
 	}
 	for len(s.segments) > 1 && s.segments[0].highestIndex <= upTo {
 		if err := s.files.Remove(s.segmentPath(s.segments[0].sequence)); err != nil {
@@ -230,6 +230,11 @@
 		}
 		s.segments = s.segments[1:]
 	}
+	// A segment is kept if it held higher entries before a truncation. Then the log still begins
+	// before upTo, and a later reset has to truncate it.
+	if removeAll && len(s.segments) == 1 {
+		s.firstIndex, s.lastIndex = 0, 0
+	}
 	return nil
 }
 
