replica: a leader not heard for an election timeout is unknown on every replica

Cause: only campaign cleared the leader.

Change: tick forgets the leader at the election deadline, whoever the replica is, and logs it once. Votes, terms and leases don't depend on the known leader: canVote goes by the time of the last message, and a pre-vote can only be denied once more, never granted once more.

--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -52,6 +52,16 @@
 	n.leader = newLeader
 }
 
+// forgetLeader makes the leader unknown after an election timeout without a message from it,
+// also on a replica that may not campaign.
+func (n *Node) forgetLeader() {
+	if n.leader.Identity == "" {
+		return
+	}
+	n.log.Info("leader lost", zap.String("leader", string(n.leader.Identity)), zap.Uint64("term", uint64(n.term)))
+	n.leader = Member{}
+}
+
 // campaign starts an election, or the pre-vote before it. A pre-vote changes no term or
 // vote on any replica. Only a replica with a majority of pre-votes starts an election, so
 // that one that returns from a partition doesn't depose a working leader.
--- a/internal/control/replica/member_test.go
+++ b/internal/control/replica/member_test.go
@@ -275,3 +275,47 @@
 		}
 	})
 }
+
+// Guards against a replica that names a lost leader for as long as it is cut off, because it
+// may not campaign. The instance would then look for the leader at that address only.
+func TestLostLeaderIsForgotten(t *testing.T) {
+	tests := []struct {
+		name   string
+		member func(c *cluster, l *instance) *instance // returns a member that may not campaign
+	}{
+		{"learner", func(c *cluster, l *instance) *instance {
+			learner := c.add("learner")
+			c.start(learner)
+			c.must(l.node.AddLearner(c.t.Context(), learner.self))
+			return learner
+		}},
+		{"voter that was removed and is a learner again", func(c *cluster, l *instance) *instance {
+			removed := c.others(l)[0]
+			c.must(l.node.RemoveMember(c.t.Context(), removed.self.Identity))
+			c.must(l.node.AddLearner(c.t.Context(), removed.self))
+			return removed
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 11, 3).bootstrap()
+				l := c.leader()
+				i := tt.member(c, l)
+				c.converge()
+				_, _, known := i.node.Leader()
+				is.True(known)
+				c.isolate(i, true)
+				c.sleep(replica.MaxElectionTimeout + replica.HeartbeatInterval)
+				_, _, known = i.node.Leader()
+				is.True(!known)
+				c.isolate(i, false)
+				c.sleep(2 * replica.MaxElectionTimeout)
+				m, _, known := i.node.Leader()
+				is.True(known)
+				is.Equal(m.Identity, c.leader().self.Identity)
+			})
+		})
+	}
+}
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -249,6 +249,7 @@
 		}
 	case !now.Before(n.electionDeadline):
 		n.resetElectionTimeout()
+		n.forgetLeader()
 		if n.canCampaign() && n.pendingWrites < queueSize {
 			n.campaign(true)
 		}
