--- a/internal/control/replica/leader.go
+++ b/internal/control/replica/leader.go
@@ -244,8 +244,10 @@
 	n.pendingReads = nil
 }
 
-// replicate sends the next entries, a heartbeat or a snapshot to a peer that has no
-// message in flight. Pending reads cause a heartbeat without delay.
+// replicate sends the next entries, a heartbeat or a snapshot to a peer that has no append
+// request in flight. Pending reads cause a heartbeat without delay. While a snapshot is being
+// sent, heartbeats go on: its last chunk is acknowledged after several syncs, and a leader that
+// depends on this peer for its majority would lose its lease meanwhile.
 func (n *Node) replicate(p *peer, now timer.Instant) {
 	if p.inFlight {
 		return
@@ -255,18 +257,25 @@
 	if !hasEntries && !readPending && now.Sub(p.lastSentAt) < HeartbeatInterval {
 		return
 	}
+	previous := p.nextIndex - 1
+	t, ok := n.raftLog.termAt(previous)
+	if !ok && p.installing && !readPending && now.Sub(p.lastSentAt) < HeartbeatInterval {
+		return
+	}
 	n.sequence++
-	p.inFlight, p.lastSentAt, p.lastSequence = true, now, n.sequence
+	p.lastSentAt, p.lastSequence = now, n.sequence
 	m := &message{term: n.term, sentAt: now, sequence: n.sequence}
-	t, ok := n.raftLog.termAt(p.nextIndex - 1)
-	if !ok {
-		m.installSnapshot = true
-		p.send(m)
+	if !ok && !p.installing {
+		p.install(m)
 		return
 	}
+	if !ok {
+		m.heartbeatOnly, hasEntries = true, false
+		previous, t = n.raftLog.baseIndex, n.raftLog.baseTerm
+	}
 	m.request = &wire.AppendRequest{
 		Group: uint32(n.group), Term: uint64(n.term), Leader: memberToWire(n.self),
-		Previndex: uint64(p.nextIndex - 1), Prevterm: uint64(t), Commit: uint64(n.commitIndex),
+		Previndex: uint64(previous), Prevterm: uint64(t), Commit: uint64(n.commitIndex),
 		Target: string(p.member.Identity),
 	}
 	if hasEntries {
@@ -278,7 +287,7 @@
 // onAppendReply handles the result of an append call; r is nil if the call failed.
 func (n *Node) onAppendReply(p *peer, m *message, r *wire.AppendReply) {
 	p.inFlight = false
-	if !n.acceptReply(p, m, Term(r.GetTerm()), Identity(r.GetIdentity()), r == nil) {
+	if !n.acceptReply(p, m, Term(r.GetTerm()), Identity(r.GetIdentity()), r == nil) || m.heartbeatOnly {
 		return
 	}
 	previous, match := Index(m.request.GetPrevindex()), Index(r.GetMatch())
@@ -301,7 +310,7 @@
 // onInstallReply handles the reply to one chunk of a snapshot; r is nil if the call failed.
 // done is true after the last chunk and after a failure.
 func (n *Node) onInstallReply(p *peer, m *message, r *wire.InstallReply, index Index, done bool) {
-	p.inFlight = !done
+	p.installing = !done
 	if !n.acceptReply(p, m, Term(r.GetTerm()), Identity(r.GetIdentity()), r == nil) || !done {
 		return
 	}
--- a/internal/control/replica/peer.go
+++ b/internal/control/replica/peer.go
@@ -9,13 +9,15 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/replica"
 )
 
-// peer is another replica of the group. One goroutine sends it entries and snapshots and
-// another sends vote requests, so that a vote request never waits behind a large append.
+// peer is another replica of the group. One goroutine sends it entries and heartbeats, one
+// snapshots and one vote requests. So a vote request never waits behind a large append, nor a
+// heartbeat behind a snapshot, which is acknowledged only once it is restored.
 // The fields below the first block are owned by the goroutine of loop.
 type peer struct {
 	node         *Node
 	member       Member
 	outgoing     chan *message     // holds at most one, guarded by inFlight
+	snapshots    chan *message     // holds at most one, guarded by installing
 	voteRequests chan *voteRequest // holds the latest request that is not sent yet
 	removed      context.Context   // done once the member is removed or has another address
 	remove       context.CancelFunc
@@ -26,18 +28,21 @@
 	ackedSequence uint64        // sequence number of the latest acknowledged message
 	lastSentAt    timer.Instant
 	lastSequence  uint64       // sequence number of the last message sent
-	inFlight      bool         // a message awaits its reply
+	inFlight      bool         // an append request awaits its reply
+	installing    bool         // a snapshot is being sent
 	stalled       bool         // the last message failed: send only heartbeats until one succeeds
 	lastVote      *voteRequest // the last vote request, which may still await its reply
 }
 
 // message is an append request, or a request to send the stored snapshot.
 type message struct {
-	term            Term
-	sentAt          timer.Instant // taken before the message is built, since the lease counts from it
-	sequence        uint64
-	request         *wire.AppendRequest
-	installSnapshot bool
+	term     Term
+	sentAt   timer.Instant // taken before the message is built, since the lease counts from it
+	sequence uint64
+	request  *wire.AppendRequest // nil if a snapshot is to be sent
+	// heartbeatOnly is set while the peer receives a snapshot: the reply says nothing about
+	// its log.
+	heartbeatOnly bool
 }
 
 // voteRequest is a vote or pre-vote request of an election round. It is superseded by that of
@@ -68,11 +73,12 @@
 		if _, ok := n.peers[m.Identity]; ok || m.Identity == n.self.Identity {
 			continue
 		}
-		p := &peer{node: n, member: m, outgoing: make(chan *message, 1), voteRequests: make(chan *voteRequest, 1)}
+		p := &peer{node: n, member: m, outgoing: make(chan *message, 1), snapshots: make(chan *message, 1), voteRequests: make(chan *voteRequest, 1)}
 		p.removed, p.remove = context.WithCancel(context.Background())
 		p.reset(n.raftLog.lastIndex() + 1)
 		n.peers[m.Identity] = p
 		n.tasks.Go("replicate to "+string(m.Address), p.runReplication)
+		n.tasks.Go("install on "+string(m.Address), p.runInstallation)
 		n.tasks.Go("request votes from "+string(m.Address), p.runVoteRequests)
 	}
 	n.peerMembers = slices.Clone(members)
@@ -83,8 +89,18 @@
 	p.nextIndex, p.matchIndex, p.ackedSentAt, p.ackedSequence, p.lastSentAt, p.stalled = next, 0, never, 0, never, false
 }
 
-// send passes a message to the replication goroutine. No other message may be in flight.
-func (p *peer) send(m *message) { p.outgoing <- m }
+// send passes an append request to the replication goroutine. No other may be in flight.
+func (p *peer) send(m *message) {
+	p.inFlight = true
+	p.outgoing <- m
+}
+
+// install passes the order to send the stored snapshot to the goroutine that does so. None may
+// be under way.
+func (p *peer) install(m *message) {
+	p.installing = true
+	p.snapshots <- m
+}
 
 // requestVote queues a vote request and drops an older one that was not sent yet. It also ends
 // the wait for a vote of a former round, which may take long. A pre-vote ends by itself.
@@ -110,8 +126,7 @@
 	}
 }
 
-// runReplication sends append requests and snapshots and passes the replies to the loop
-// goroutine.
+// runReplication sends append requests and passes the replies to the loop goroutine.
 func (p *peer) runReplication(ctx context.Context) error {
 	ctx, cancel := p.withRemoval(ctx)
 	defer cancel()
@@ -120,10 +135,6 @@
 		case <-ctx.Done():
 			return nil
 		case m := <-p.outgoing:
-			if m.installSnapshot {
-				p.sendSnapshot(ctx, m)
-				continue
-			}
 			r := p.sendAppend(ctx, m)
 			if err := p.node.events.Put(ctx, func() { p.node.onAppendReply(p, m, r) }); err != nil {
 				return nil
@@ -132,6 +143,20 @@
 	}
 }
 
+// runInstallation sends snapshots and passes the replies to the loop goroutine.
+func (p *peer) runInstallation(ctx context.Context) error {
+	ctx, cancel := p.withRemoval(ctx)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-p.snapshots:
+			p.sendSnapshot(ctx, m)
+		}
+	}
+}
+
 // withTimeout returns a context that ends after d by the timer of the node.
 func (p *peer) withTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	return timer.WithTimeout(ctx, p.node.timer, d)
--- a/internal/control/replica/slow_sync_test.go
+++ b/internal/control/replica/slow_sync_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 )
 
 // Guards against a group that elects no leader, or loses it again and again, because each sync
@@ -65,3 +67,35 @@
 		}
 	}
 }
+
+// Guards against a leader that loses its majority, and with it its lease, while one of the
+// voters that it depends on restores a snapshot on a slow disk.
+func TestLeaseDuringInstallation(t *testing.T) {
+	for _, sync := range []time.Duration{30 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(fmt.Sprint(sync), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 12, 3)
+				c.configure = func(n *replica.Node) { replica.SetCompaction(n, 20, 5) }
+				c.bootstrap()
+				l := c.leader()
+				behind, lost := c.others(l)[0], c.others(l)[1]
+				c.stop(behind, true)
+				for k := range 100 {
+					c.propose(fmt.Sprint(k))
+				}
+				is.True(l.node.Status().FirstIndex > 2)
+				c.start(behind)
+				behind.files.SetSyncDelay(sync)
+				c.waitFor("contact", func() bool { _, _, known := behind.node.Leader(); return known })
+				c.stop(lost, true)
+				for behind.node.Status().AppliedIndex < l.node.Status().CommitIndex {
+					_, leads := l.node.HoldsLease()
+					is.True(leads)
+					c.sleep(10 * time.Millisecond)
+				}
+				c.propose("after")
+			})
+		})
+	}
+}
