consensus: a voter that acknowledges messages is in contact

Cause: contact was judged by polls alone. A leader that has just been elected has heard none, and an instance may look for the leader at a wrong address for seconds. After 1.5 s its voter counted as lost although it acknowledged each heartbeat: a learner took its place and it lost its vote. With another voter really lost, the first of the list went, not the lost one.

Change: a member is unreachable only while it neither polls nor acknowledges. The check of lost disks is as before: acknowledgements carry the identity, so a lost one gives none. Elections, commits and leases are not touched.

--- a/internal/control/replica/member.go
+++ b/internal/control/replica/member.go
@@ -123,6 +123,20 @@
 	})
 }
 
+// Acknowledging returns the other members that have acknowledged a message which this leader
+// sent lately.
+func (n *Node) Acknowledging(ctx context.Context) (map[Identity]bool, error) {
+	return runInLoop(ctx, n, func(reply func(map[Identity]bool)) {
+		out := map[Identity]bool{}
+		for i, p := range n.peers {
+			if n.role == leader && n.timer.Now().Sub(p.ackedSentAt) <= maxPromotionSilence {
+				out[i] = true
+			}
+		}
+		reply(out)
+	})
+}
+
 // replicatedTo reports whether a member is known to store the log up to an index.
 func (n *Node) replicatedTo(ctx context.Context, i Identity, index Index) (bool, error) {
 	type answer struct{ leader, stored bool }
--- a/internal/fleet/consensus/membership.go
+++ b/internal/fleet/consensus/membership.go
@@ -53,7 +53,8 @@
 	// how long they have been in contact.
 	Live    map[replica.Identity]replica.Address
 	Contact map[replica.Identity]time.Duration
-	// Unreachable holds for how long other members have been out of contact.
+	// Unreachable holds for how long other members have neither polled nor acknowledged
+	// messages.
 	Unreachable map[replica.Identity]time.Duration
 	// CaughtUp holds the learners that acknowledge messages and hold the log.
 	CaughtUp map[replica.Identity]bool
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -207,7 +207,11 @@
 	if err != nil {
 		return false
 	}
-	change := NextChange(r.observe(caughtUp))
+	acknowledging, err := r.node.Acknowledging(ctx)
+	if err != nil {
+		return false
+	}
+	change := NextChange(r.observe(caughtUp, acknowledging))
 	if change.Action == NoChange {
 		return false
 	}
@@ -225,14 +229,16 @@
 	return err == nil
 }
 
-// observe returns what this replica knows about the members and the instances in contact.
-func (r *Replica) observe(caughtUp map[replica.Identity]bool) Observation {
+// observe returns what this replica knows about the members and the instances in contact. A
+// member that acknowledges messages can be reached even if its instance doesn't poll: a new
+// leader has heard no polls yet, and an instance may look for the leader at a wrong address.
+func (r *Replica) observe(caughtUp, acknowledging map[replica.Identity]bool) Observation {
 	now := r.options.Timer.Now()
 	live := r.liveReplicas()
 	members := r.Members()
 	unreachable := map[replica.Identity]bool{}
 	for _, m := range members {
-		if _, ok := live[m.Identity]; !ok {
+		if _, ok := live[m.Identity]; !ok && !acknowledging[m.Identity] {
 			unreachable[m.Identity] = true
 		}
 	}
