fleet/peer: what a replica believes about the leader ends with evidence against it

Cause: on each poll an instance with a disk overrode the address of the leader with what its own replica believed. Such an instance polled it again and again, 1.2 s each, overrode each redirect at the next poll and named the lost leader to all others.

Change: the finder keeps the belief of the replica apart. It is adopted when it changes, and is out of force after a failed call, a redirect from that address or an answer of another leader. All calls and answers use it now, not only polls. A leader that was only named by others is not named further before it has answered. Members that a replica knows no longer replace those that a leader has named since.

--- a/internal/fleet/peer/borrower.go
+++ b/internal/fleet/peer/borrower.go
@@ -40,7 +40,7 @@
 
 // borrow makes one call.
 func (b *borrower) borrow(ctx context.Context, wants []permit.Want) (*wire.BorrowReply, error) {
-	to := b.finder.target()
+	to := b.target()
 	r, err := call(ctx, b.connections, to, classBorrow, borrowTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (*wire.BorrowReply, error) {
 		return c.Borrow(ctx, BorrowRequest(wants))
 	})
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -57,7 +57,8 @@
 	// nil before the first and on an instance without a disk.
 	CommittedLayout func() *wire.Layout
 	// KnownLeader returns the addresses of the leader and of all members of the control group
-	// as known to the replica of this instance. They are empty on an instance without a disk.
+	// as known to the replica of this instance. They are empty on an instance without a disk,
+	// where KnownLeader may be nil.
 	KnownLeader func() (leader string, members []string)
 	Timer       timer.Service
 	// Dial opens a connection to another instance. If it is nil, the client connects over TCP.
@@ -93,6 +94,26 @@
 // SetSeeds replaces the addresses of the seeds.
 func (c *Client) SetSeeds(seeds []Address) { c.finder.setSeeds(seeds) }
 
+// refreshLocalState passes what the replica of this instance knows to the finder.
+func (c *Client) refreshLocalState() {
+	if c.options.KnownLeader != nil {
+		leader, members := c.options.KnownLeader()
+		c.finder.setLocalState(Address(leader), members)
+	}
+}
+
+// target returns the leader if it is known, else the next address to try.
+func (c *Client) target() Address {
+	c.refreshLocalState()
+	return c.finder.target()
+}
+
+// leaderInfo returns what this instance knows about the leader, for other instances.
+func (c *Client) leaderInfo() *wire.Guide {
+	c.refreshLocalState()
+	return c.finder.leaderInfo()
+}
+
 // Run polls the leader and sends reports to it until the context is done.
 func (c *Client) Run(ctx context.Context) error {
 	g := group.New(ctx)
@@ -132,9 +153,7 @@
 // poll makes one poll. It returns false if the next one should be delayed, which includes a
 // random quarter of the redirects.
 func (p *poller) poll(ctx context.Context) bool {
-	leader, members := p.options.KnownLeader()
-	p.finder.setLocalState(Address(leader), members)
-	to := p.finder.target()
+	to := p.target()
 	term, cursor := p.options.View.SyncPosition()
 	q := &wire.SyncRequest{
 		Instance: p.options.DescribeInstance(), Term: term, Cursor: cursor, Wait: uint32(pollWait.Milliseconds()),
@@ -267,7 +286,7 @@
 		return nil
 	}
 	n.Instance = r.options.DescribeInstance().GetName()
-	to := r.finder.target()
+	to := r.target()
 	reply, err := call(ctx, r.connections, to, classReport, requestTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (*wire.TellReply, error) {
 		return c.Tell(ctx, n)
 	})
@@ -317,7 +336,7 @@
 	ctx context.Context, c *Client, timeout time.Duration, f func(context.Context, wire.DRPCFleetClient) (R, error),
 ) (reply R, err error) {
 	for {
-		to := c.finder.target()
+		to := c.target()
 		reply, err = call(ctx, c.connections, to, classRequest, timeout, f)
 		switch {
 		case ctx.Err() != nil:
--- a/internal/fleet/peer/finder.go
+++ b/internal/fleet/peer/finder.go
@@ -21,11 +21,16 @@
 
 // finder remembers addresses at which the leader may be found.
 type finder struct {
-	mu      sync.Mutex
-	self    Address
-	seeds   []Address
-	leader  Address   // empty if unknown
-	members []Address // of the control group, learners included
+	mu     sync.Mutex
+	self   Address
+	seeds  []Address
+	leader Address // empty if unknown
+	// localLeader and localMembers are what the replica of this instance knew last, and
+	// localRefuted is true if a call has shown since then that localLeader does not lead.
+	localLeader  Address
+	localMembers []string
+	localRefuted bool
+	members      []Address // of the control group, learners included
 	// candidates have a disk, and called this instance or were named to it since it last
 	// learned the members.
 	candidates []Address
@@ -35,14 +40,20 @@
 	tried map[Address]bool
 	next  int
 	timer timer.Service
-	// leaderAnswered is when the leader last answered, failures when a call to an address
+	// leaderAnswered is when the leader last answered as such, failures when a call to an address
 	// failed.
 	leaderAnswered timer.Instant
 	failures       map[Address]timer.Instant
 }
 
+// never is before every instant of a timer. Differences with it don't overflow.
+const never = timer.Instant(-1 << 62)
+
 func newFinder(self Address, seeds []Address, t timer.Service) *finder {
-	return &finder{self: self, seeds: seeds, timer: t, tried: map[Address]bool{}, failures: map[Address]timer.Instant{}}
+	return &finder{
+		self: self, seeds: seeds, timer: t, tried: map[Address]bool{}, leaderAnswered: never,
+		failures: map[Address]timer.Instant{},
+	}
 }
 
 // target returns the leader if it is known, else the next address to try. Replicas know the
@@ -55,7 +66,7 @@
 	if f.leader != "" {
 		return f.leader
 	}
-	replicas := distinct(f.candidates, f.members)
+	replicas := distinct(f.candidates, f.members, addressesOf(f.localMembers))
 	if len(replicas) == 0 {
 		replicas = f.seeds
 	}
@@ -130,9 +141,7 @@
 func (f *finder) markFailed(a Address) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.leader == a {
-		f.leader = ""
-	}
+	f.refute(a)
 	now := f.timer.Now()
 	for o, at := range f.failures {
 		if now.Sub(at) > redirectLifetime {
@@ -142,11 +151,29 @@
 	f.failures[a] = now
 }
 
+// refute records that no leader is at this address. f.mu must be held.
+func (f *finder) refute(a Address) {
+	if f.leader == a {
+		f.setLeader("")
+	}
+	if f.localLeader == a {
+		f.localRefuted = true
+	}
+}
+
+// setLeader sets the address at which the leader is believed to be. f.mu must be held.
+func (f *finder) setLeader(a Address) {
+	if f.leader != a {
+		f.leader, f.leaderAnswered = a, never
+	}
+}
+
 // markLeader records that an instance answered as the leader.
 func (f *finder) markLeader(a Address) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leader, f.leaderAnswered = a, f.timer.Now()
+	f.localRefuted = f.localLeader != a
 	delete(f.failures, a)
 }
 
@@ -160,15 +187,13 @@
 	for _, a := range g.GetCallers() {
 		f.addCandidate(Address(a))
 	}
-	if f.leader == from {
-		f.leader = ""
-	}
+	f.refute(from)
 	to := Address(g.GetLeader())
 	if f.failedRecently(to) {
 		return false
 	}
 	if to != "" && to != from {
-		f.leader = to
+		f.setLeader(to)
 		return true
 	}
 	return false
@@ -187,10 +212,15 @@
 	if len(members) == 0 {
 		return
 	}
-	f.members, f.candidates = f.members[:0], nil
-	for _, m := range members {
-		f.members = append(f.members, Address(m))
+	f.members, f.candidates = addressesOf(members), nil
+}
+
+// addressesOf returns strings as addresses.
+func addressesOf(list []string) (out []Address) {
+	for _, s := range list {
+		out = append(out, Address(s))
 	}
+	return out
 }
 
 // addInstances remembers the addresses of other instances.
@@ -239,14 +269,23 @@
 	}
 }
 
-// setLocalState sets the leader and the members as known to the replica of this instance.
+// setLocalState sets the leader and the members as known to the replica of this instance. News
+// replaces what was known before. What the replica still believes does not: a replica that can't
+// campaign never forgets a lost leader.
 func (f *finder) setLocalState(leader Address, members []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if leader != "" {
-		f.leader = leader
+	isNews := leader != f.localLeader
+	if isNews {
+		f.localLeader, f.localRefuted = leader, false
+	}
+	if leader != "" && (isNews || f.leader == "" && !f.localRefuted) {
+		f.setLeader(leader)
+	}
+	if !slices.Equal(members, f.localMembers) {
+		f.localMembers = members
+		f.replaceMembers(members)
 	}
-	f.replaceMembers(members)
 }
 
 // seedList returns the addresses of the seeds.
@@ -261,11 +300,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := &wire.Guide{}
-	if f.timer.Now().Sub(f.leaderAnswered) < redirectLifetime {
+	switch {
+	case f.timer.Now().Sub(f.leaderAnswered) < redirectLifetime:
 		g.Leader = string(f.leader)
+	case !f.localRefuted:
+		g.Leader = string(f.localLeader)
 	}
-	for _, m := range f.members {
-		g.Voters = append(g.Voters, string(m))
+	g.Voters = slices.Clone(f.localMembers)
+	if len(g.Voters) == 0 {
+		for _, m := range f.members {
+			g.Voters = append(g.Voters, string(m))
+		}
 	}
 	for _, a := range f.candidates {
 		g.Callers = append(g.Callers, string(a))
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -51,19 +51,7 @@
 var _ wire.DRPCFleetServer = (*Server)(nil)
 
 // leaderInfo returns what this instance knows about the leader, for the caller.
-func (s *Server) leaderInfo() *wire.Guide {
-	g := s.Client.finder.leaderInfo()
-	if s.Replica == nil {
-		return g
-	}
-	if l := s.Replica.Leader(); l != "" {
-		g.Leader = l
-	}
-	if m := s.Replica.MemberAddresses(); len(m) > 0 {
-		g.Voters = m
-	}
-	return g
-}
+func (s *Server) leaderInfo() *wire.Guide { return s.Client.leaderInfo() }
 
 // isLeader reports whether this instance is the leader.
 func (s *Server) isLeader() bool {
--- a/internal/fleet/peer/slots.go
+++ b/internal/fleet/peer/slots.go
@@ -65,7 +65,7 @@
 // exchange opens a stream to the leader and uses it until it is idle or fails. served tells whether the
 // leader answered.
 func (l *slotLeaser) exchange(ctx context.Context, stock *slot.Stock) (served bool, err error) {
-	to := l.finder.target()
+	to := l.target()
 	defer func() { err = errors.Wrapf(err, "slots from %s", string(to)) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
