fleet/peer: calls of an instance that wait for each other say nothing about the leader

Cause: all calls of an instance to one address but polls, reports, fetches and permits shared one connection, and the timeout of a call included the wait for it. While a proposal waited up to 2 s until it was in force, each read timed out after 400 ms without having been sent, took the leader away from all calls of the instance and had redirects to it ignored for a second. A late redirect could also replace a leader that was answering polls.

Change: reads and proposals have four connections each to a peer. A timeout begins once a call has a connection. Other calls than polls take the leader away only if it has not answered for longer than a poll may take, and a redirect replaces only a leader that is not answering. A leader that answers any call is known to all. Dials end after 400 ms.

TestReadsDuringProposals failed on (a read was refused after 0.9 s with "no leader of the deployment was found in time") and passes now.

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -303,7 +303,7 @@
 // Propose commits a command through the leader. The error is ErrUnavailable if the outcome
 // is unknown.
 func (c *Client) Propose(ctx context.Context, command *wire.Command) (conflict string, err error) {
-	r, err := callLeader(ctx, c, proposeTimeout, func(ctx context.Context, l wire.DRPCFleetClient) (*wire.ProposeReply, error) {
+	r, err := callLeader(ctx, c, classPropose, proposeTimeout, func(ctx context.Context, l wire.DRPCFleetClient) (*wire.ProposeReply, error) {
 		return l.Propose(ctx, &wire.ProposeRequest{Command: command})
 	})
 	return r.GetConflict(), err
@@ -311,7 +311,7 @@
 
 // Read returns the layout and roll-outs, confirmed by a majority of the voters.
 func (c *Client) Read(ctx context.Context) (*wire.ReadReply, error) {
-	return callLeader(ctx, c, requestTimeout, func(ctx context.Context, l wire.DRPCFleetClient) (*wire.ReadReply, error) {
+	return callLeader(ctx, c, classRead, requestTimeout, func(ctx context.Context, l wire.DRPCFleetClient) (*wire.ReadReply, error) {
 		return l.Read(ctx, &wire.ReadRequest{})
 	})
 }
@@ -328,22 +328,23 @@
 }
 
 // callLeader calls the leader, retrying until an instance serves the call as leader or the
-// context is done. The timeout bounds each attempt.
+// context is done. The timeout bounds each attempt once it has a connection.
 func callLeader[R interface {
 	proto.Message
 	GetGuide() *wire.Guide
 }](
-	ctx context.Context, c *Client, timeout time.Duration, f func(context.Context, wire.DRPCFleetClient) (R, error),
+	ctx context.Context, c *Client, class callClass, timeout time.Duration, f func(context.Context, wire.DRPCFleetClient) (R, error),
 ) (reply R, err error) {
 	for {
 		to := c.target()
-		reply, err = call(ctx, c.connections, to, classRequest, timeout, f)
+		reply, err = call(ctx, c.connections, to, class, timeout, f)
 		switch {
 		case ctx.Err() != nil:
 			// The caller has left, which says nothing about the leader.
 		case err != nil:
-			c.finder.markFailed(to)
+			c.finder.markCallFailed(to)
 		case reply.GetGuide().GetServed():
+			c.finder.markCallServed(to)
 			return reply, nil
 		default:
 			c.finder.redirect(to, reply.GetGuide())
--- a/internal/fleet/peer/connection.go
+++ b/internal/fleet/peer/connection.go
@@ -20,7 +20,7 @@
 // Address is the address at which an instance accepts calls from other instances.
 type Address string
 
-// callClass separates calls that must not wait for each other: each has its own connection.
+// callClass separates calls that must not wait for each other: each has its own connections.
 type callClass string
 
 const (
@@ -28,33 +28,53 @@
 	classReport  callClass = "tell"    // reports
 	classFetch   callClass = "fetch"   // transfers of layouts
 	classBorrow  callClass = "borrow"  // calls for permits, on which requests wait
+	classRead    callClass = "read"    // confirmed reads
+	classPropose callClass = "propose" // proposals, which last until they are in force
 	classRequest callClass = "request" // all other calls
 )
 
+const (
+	// operatorConnections is the number of connections for each class of calls on behalf of
+	// operators, of whom several may call at the same time.
+	operatorConnections = 4
+	// dialTimeout bounds a dial, which a lost host never answers.
+	dialTimeout = 400 * time.Millisecond
+)
+
+// limit returns the number of connections to one peer.
+func (c callClass) limit() int {
+	if c == classRead || c == classPropose {
+		return operatorConnections
+	}
+	return 1
+}
+
 // ackTimeout is how long sent bytes may stay unacknowledged before the connection is
 // closed. Otherwise connections to a peer behind a network partition would hang.
 const ackTimeout = 1500 * time.Millisecond
 
-// connections holds one connection per peer and class of calls.
+// connections holds the connections by peer and class of calls.
 type connections struct {
 	timer timer.Service
 	token string
 	dial  func(ctx context.Context, to string) (net.Conn, error)
 
 	mu    sync.Mutex
-	conns map[connectionKey]*connection
+	pools map[connectionKey]*pool
 }
 
-// connectionKey identifies a connection.
+// connectionKey identifies a pool.
 type connectionKey struct {
 	to    Address
 	class callClass
 }
 
-// connection is the connection for one key. A call holds its slot while it runs.
-type connection struct {
-	slot chan struct{}
-	conn *drpcconn.Conn
+// pool holds the connections for one key. A call holds a slot and a connection while it runs.
+type pool struct {
+	slots chan struct{}
+
+	mu   sync.Mutex
+	idle []*drpcconn.Conn
 }
 
 // newConnections returns connections that dial opens, or TCP connections if it is nil.
@@ -62,15 +82,16 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &connections{timer: t, token: token, dial: dial, conns: map[connectionKey]*connection{}}
+	return &connections{timer: t, token: token, dial: dial, pools: map[connectionKey]*pool{}}
 }
 
 func dialTCP(ctx context.Context, to string) (net.Conn, error) {
 	return tcp.NewDialer(ackTimeout).DialContext(ctx, "tcp", to)
 }
 
-// call makes a call with a timeout, which includes the wait for the connection. It closes the
-// connection if the call fails.
+// call makes a call with a timeout. The wait for a connection that other calls of this instance
+// use is not included, since it says nothing about the peer: only ctx bounds it. call closes
+// the connection if the call fails.
 func call[R any](
 	ctx context.Context, cs *connections, to Address, class callClass, timeout time.Duration,
 	f func(ctx context.Context, client wire.DRPCFleetClient) (R, error),
@@ -80,72 +101,87 @@
 			err = errors.Wrapf(err, "%s to %s", string(class), string(to))
 		}
 	}()
-	ctx, cancel := timer.WithTimeout(ctx, cs.timer, timeout)
-	defer cancel()
-	cn := cs.get(connectionKey{to, class})
+	p := cs.get(connectionKey{to, class})
 	select {
-	case cn.slot <- struct{}{}:
-		defer func() { <-cn.slot }()
+	case p.slots <- struct{}{}:
+		defer func() { <-p.slots }()
 	case <-ctx.Done():
-		return reply, context.Cause(ctx)
+		return reply, errors.Wrap(context.Cause(ctx), "waited for other calls of this instance")
 	}
-	if err := cs.connect(ctx, cn, to); err != nil {
-		return reply, err
+	ctx, cancel := timer.WithTimeout(ctx, cs.timer, timeout)
+	defer cancel()
+	conn := p.take()
+	if conn == nil {
+		if conn, err = cs.connect(ctx, to); err != nil {
+			return reply, errors.Wrap(err, "connect")
+		}
 	}
-	reply, err = f(replica.WithPeerToken(ctx, cs.token), wire.NewDRPCFleetClient(cn.conn))
+	reply, err = f(replica.WithPeerToken(ctx, cs.token), wire.NewDRPCFleetClient(conn))
 	if err != nil {
-		_ = cn.conn.Close()
-		cn.conn = nil
+		_ = conn.Close()
 		if ctx.Err() != nil {
 			err = errors.WithSecondaryError(context.Cause(ctx), err)
 		}
+		return reply, err
 	}
-	return reply, err
+	p.put(conn)
+	return reply, nil
 }
 
-// get returns the connection for a key, which may not be open yet.
-func (cs *connections) get(k connectionKey) *connection {
+// get returns the pool for a key.
+func (cs *connections) get(k connectionKey) *pool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cn := cs.conns[k]
-	if cn == nil {
-		cn = &connection{slot: make(chan struct{}, 1)}
-		cs.conns[k] = cn
+	p := cs.pools[k]
+	if p == nil {
+		p = &pool{slots: make(chan struct{}, k.class.limit())}
+		cs.pools[k] = p
+	}
+	return p
+}
+
+// connect opens a connection.
+func (cs *connections) connect(ctx context.Context, to Address) (*drpcconn.Conn, error) {
+	ctx, cancel := timer.WithTimeout(ctx, cs.timer, dialTimeout)
+	defer cancel()
+	conn, err := cs.dial(ctx, string(to))
+	if err != nil {
+		return nil, err
 	}
-	return cn
+	return drpcconn.New(conn), nil
 }
 
-// connect opens the connection unless it is open. The caller holds its slot.
-func (cs *connections) connect(ctx context.Context, cn *connection, to Address) error {
-	if cn.conn != nil {
+// take returns the connection that was used last of those that are open, or nil.
+func (p *pool) take() *drpcconn.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
 		select {
-		case <-cn.conn.Closed():
+		case <-c.Closed():
 		default:
-			return nil
+			return c
 		}
 	}
-	conn, err := cs.dial(ctx, string(to))
-	if err != nil {
-		return err
-	}
-	cn.conn = drpcconn.New(conn)
 	return nil
 }
 
-// Close closes all connections.
+// put makes a connection available to other calls.
+func (p *pool) put(c *drpcconn.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = append(p.idle, c)
+}
+
+// Close closes the connections that are not in use. Calls in progress end with their context.
 func (cs *connections) Close() error {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	var err error
-	for _, cn := range cs.conns {
-		select {
-		case cn.slot <- struct{}{}:
-			if cn.conn != nil {
-				err = errors.CombineErrors(err, cn.conn.Close())
-				cn.conn = nil
-			}
-			<-cn.slot
-		default: // A call is in progress and ends with its context.
+	for _, p := range cs.pools {
+		for c := p.take(); c != nil; c = p.take() {
+			err = errors.CombineErrors(err, c.Close())
 		}
 	}
 	return err
--- a/internal/fleet/peer/finder.go
+++ b/internal/fleet/peer/finder.go
@@ -17,6 +17,10 @@
 	// instances, and how long after a failure redirects to an address are ignored. Without
 	// the limit, 60 instances kept redirecting each other to a frozen leader for 6 s.
 	redirectLifetime = time.Second
+	// answerInterval is the longest time between two answers of a leader in good order to
+	// polls. Until it is over, the leader counts as present whatever other calls say: they may
+	// wait for a disk, a majority or other instances.
+	answerInterval = pollWait + requestTimeout
 )
 
 // finder remembers addresses at which the leader may be found.
@@ -137,10 +141,15 @@
 	return f.leader
 }
 
-// markFailed records a failed call, and forgets the leader if it is at this address.
+// markFailed records a failed poll, and forgets the leader if it is at this address.
 func (f *finder) markFailed(a Address) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.fail(a)
+}
+
+// fail is markFailed for callers that hold f.mu.
+func (f *finder) fail(a Address) {
 	f.refute(a)
 	now := f.timer.Now()
 	for o, at := range f.failures {
@@ -151,6 +160,28 @@
 	f.failures[a] = now
 }
 
+// markCallFailed records a failed call that is not a poll.
+func (f *finder) markCallFailed(a Address) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leader != a || !f.leaderPresent() {
+		f.fail(a)
+	}
+}
+
+// markCallServed records that the leader answered a call that is not a poll. A former leader
+// may answer such a call late.
+func (f *finder) markCallServed(a Address) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leader == "" || f.leader == a {
+		f.serve(a)
+	}
+}
+
+// leaderPresent reports whether the leader has answered within answerInterval. f.mu must be held.
+func (f *finder) leaderPresent() bool { return f.timer.Now().Sub(f.leaderAnswered) < answerInterval }
+
 // refute records that no leader is at this address. f.mu must be held.
 func (f *finder) refute(a Address) {
 	if f.leader == a {
@@ -168,18 +199,23 @@
 	}
 }
 
-// markLeader records that an instance answered as the leader.
+// markLeader records that an instance answered a poll as the leader.
 func (f *finder) markLeader(a Address) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.serve(a)
+}
+
+// serve is markLeader for callers that hold f.mu.
+func (f *finder) serve(a Address) {
 	f.leader, f.leaderAnswered = a, f.timer.Now()
 	f.localRefuted = f.localLeader != a
 	delete(f.failures, a)
 }
 
-// redirect applies the answer of an instance that is not the leader, and reports whether it
-// named a usable leader. A leader at the address of the instance itself, or at one that
-// failed recently, is ignored.
+// redirect applies the answer of an instance that is not the leader, and reports whether a
+// leader is known then. A leader at the address of the instance itself, or at one that
+// failed recently, is ignored, and so is another than one that has just answered.
 func (f *finder) redirect(from Address, g *wire.Guide) (redirected bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -188,6 +224,9 @@
 		f.addCandidate(Address(a))
 	}
 	f.refute(from)
+	if f.leaderPresent() {
+		return true
+	}
 	to := Address(g.GetLeader())
 	if f.failedRecently(to) {
 		return false
--- a/internal/fleet/peer/search_test.go
+++ b/internal/fleet/peer/search_test.go
@@ -24,14 +24,16 @@
 	// leaseDuration is how long an instance uses its layout without an answer of a leader, with
 	// the default bounds of the platform.
 	leaseDuration = 4 * time.Second
+	// readLimit is how long the platform lets a confirmed read take.
+	readLimit = 900 * time.Millisecond
 )
 
 // network connects a client to instances in this process.
 type network struct {
-	mu        sync.Mutex
-	instances map[string]*fakeInstance
-	leader    string
-	calls     map[string]int // polls answered, by address
+	mu          sync.Mutex
+	instances   map[string]*fakeInstance
+	leader      string
+	calls       map[string]int // polls answered, by address
 	proposeTime time.Duration
 	lastServed  time.Time // last poll that a leader answered
 	longestGap  time.Duration
@@ -260,3 +262,41 @@
 	is.True(gap < pollTimeout) // it stays with the leader that answers
 	is.Equal((&Server{Client: c}).leaderInfo().GetLeader(), "c")
 }
+
+// Guards against calls that take the leader away from the other calls of an instance while they
+// wait for each other: proposals take seconds, and reads must not wait for them.
+func TestReadsDuringProposals(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	n.add("a", "b")
+	n.leader, n.proposeTime = "a", 2*time.Second
+	c := n.startClient(t, Options{Seeds: []Address{"a", "b"}})
+	n.awaitPoll(t, leaseDuration)
+	proposals := &proposer{client: c, errs: make(chan error, 2)}
+	for range cap(proposals.errs) {
+		go proposals.run()
+	}
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); {
+		ctx, cancel := context.WithTimeout(context.Background(), readLimit)
+		_, err := c.Read(ctx)
+		cancel()
+		is.NoErr(err)
+		is.Equal(c.finder.leaderAddress(), Address("a"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	for range cap(proposals.errs) {
+		is.NoErr(<-proposals.errs)
+	}
+}
+
+type proposer struct {
+	client *Client
+	errs   chan error
+}
+
+func (p *proposer) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaseDuration)
+	defer cancel()
+	_, err := p.client.Propose(ctx, &wire.Command{})
+	p.errs <- err
+}
