fleet/peer: one hedged search for the leader instead of a timeout for each lost host

Cause: a lost host answers nothing. A search asked one address at a time and lost 1.2 s to each that was gone (replicas, learners left behind, stale seeds) while the lease on the layout is 4 s. Reads, reports and calls for permits and slots each searched on their own, 400 ms per lost host, and a proposal to a lost leader took all of its time.

Change: only the poller searches, and all other calls wait for what it finds. Addresses that failed are asked last until they answer. A call of a former leader ends when another one has answered. A failed poll counts only if the leader has answered no other call since it was sent.

Result: TestSearchAmongSilentHosts. TestSlowLeader bounds the additional calls while the leader answers late.

--- a/internal/fleet/peer/borrower.go
+++ b/internal/fleet/peer/borrower.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
@@ -40,7 +41,12 @@
 
 // borrow makes one call.
 func (b *borrower) borrow(ctx context.Context, wants []permit.Want) (*wire.BorrowReply, error) {
-	to := b.target()
+	ctx, cancel := timer.WithTimeout(ctx, b.options.Timer, borrowTimeout)
+	defer cancel()
+	to, err := b.awaitLeader(ctx)
+	if err != nil {
+		return nil, err
+	}
 	r, err := call(ctx, b.connections, to, classBorrow, borrowTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (*wire.BorrowReply, error) {
 		return c.Borrow(ctx, BorrowRequest(wants))
 	})
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -20,10 +20,6 @@
 )
 
 const (
-	// pollWait is how long the leader may delay its answer to a poll.
-	pollWait = 500 * time.Millisecond
-	// pollTimeout bounds a poll. It is the time lost to a leader that is frozen or unreachable.
-	pollTimeout = 1200 * time.Millisecond
 	// requestTimeout bounds other calls to an instance that may not be the leader.
 	requestTimeout = 400 * time.Millisecond
 	// reportInterval is the interval of reports without urgent changes.
@@ -31,11 +27,6 @@
 	// proposeTimeout bounds a proposal, including the wait until a layout is in force, which
 	// takes up to half of the time in which changes must be acknowledged (4 s as a rule).
 	proposeTimeout = 2500 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the pause between two attempts to reach the leader.
-	minRetryDelay = 20 * time.Millisecond
-	maxRetryDelay = 120 * time.Millisecond
-	// warnDelay is the time without a leader after which a warning is logged.
-	warnDelay = 2 * time.Second
 )
 
 // ErrUnavailable means that no leader answered in time. A proposed command may or may not
@@ -102,10 +93,21 @@
 	}
 }
 
-// target returns the leader if it is known, else the next address to try.
-func (c *Client) target() Address {
-	c.refreshLocalState()
-	return c.finder.target()
+// awaitLeader returns the address at which the leader is believed to be. While it is not known, it waits for the search of
+// the poller, which is the only one, until the context is done.
+func (c *Client) awaitLeader(ctx context.Context) (Address, error) {
+	for {
+		c.refreshLocalState()
+		leader, found := c.finder.leaderOrFound()
+		if leader != "" {
+			return leader, nil
+		}
+		select {
+		case <-found:
+		case <-ctx.Done():
+			return "", errors.Wrap(context.Cause(ctx), "no leader is known")
+		}
+	}
 }
 
 // leaderInfo returns what this instance knows about the leader, for other instances.
@@ -117,7 +119,9 @@
 // Run polls the leader and sends reports to it until the context is done.
 func (c *Client) Run(ctx context.Context) error {
 	g := group.New(ctx)
-	p := &poller{Client: c, random: rand.New(rand.NewPCG(c.options.Random.Uint64(), 1))}
+	p := &poller{
+		Client: c, random: rand.New(rand.NewPCG(c.options.Random.Uint64(), 1)), results: make(chan *poll), pending: map[Address]*poll{},
+	}
 	r := &reporter{Client: c}
 	g.Go("poll", p.loop)
 	g.Go("report", r.loop)
@@ -127,66 +131,6 @@
 	return errors.CombineErrors(g.Wait(), c.connections.Close())
 }
 
-// poller runs the long poll.
-type poller struct {
-	*Client
-	random     *rand.Rand
-	lastServed timer.Instant // when a leader last answered a poll
-	warned     bool          // a warning was logged since then
-}
-
-// loop polls repeatedly, with a random pause after each poll that returns false.
-func (p *poller) loop(ctx context.Context) error {
-	p.lastServed = p.options.Timer.Now()
-	for ctx.Err() == nil {
-		if p.poll(ctx) {
-			continue
-		}
-		pause := minRetryDelay + time.Duration(p.random.Int64N(int64(maxRetryDelay-minRetryDelay)))
-		if err := timer.Sleep(ctx, p.options.Timer, pause); err != nil {
-			return nil
-		}
-	}
-	return nil
-}
-
-// poll makes one poll. It returns false if the next one should be delayed, which includes a
-// random quarter of the redirects.
-func (p *poller) poll(ctx context.Context) bool {
-	to := p.target()
-	term, cursor := p.options.View.SyncPosition()
-	q := &wire.SyncRequest{
-		Instance: p.options.DescribeInstance(), Term: term, Cursor: cursor, Wait: uint32(pollWait.Milliseconds()),
-	}
-	if l := p.options.View.Layout(); l != nil {
-		q.Layout = uint64(l.Version)
-	}
-	sent := p.options.Timer.Now()
-	r, err := call(ctx, p.connections, to, classPoll, pollTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (*wire.SyncReply, error) {
-		return c.Sync(ctx, q)
-	})
-	if err != nil {
-		p.finder.markFailed(to)
-		p.warnNoLeader(to, err)
-		return false
-	}
-	if !r.GetGuide().GetServed() {
-		redirected := p.finder.redirect(to, r.GetGuide())
-		p.warnNoLeader(to, nil)
-		return redirected && p.random.IntN(4) > 0
-	}
-	p.finder.markLeader(to)
-	p.finder.addInstances(r.GetInstances())
-	p.finder.setMembers(r.GetGuide().GetVoters())
-	p.options.View.ApplySync(r, sent)
-	if p.warned {
-		p.options.Log.Info("leader found", zap.String("leader", string(to)),
-			zap.Duration("after", p.options.Timer.Now().Sub(p.lastServed)))
-	}
-	p.warned, p.lastServed = false, p.options.Timer.Now()
-	return true
-}
-
 // AnnounceToSeeds polls the seeds that are not in contact, so that they learn the address
 // of this instance. After a restart of all instances, seeds without a disk know only the
 // other seeds.
@@ -204,14 +148,6 @@
 	}
 }
 
-// warnNoLeader logs a warning if no leader has answered for warnDelay, once per outage.
-func (p *poller) warnNoLeader(to Address, err error) {
-	if since := p.options.Timer.Now().Sub(p.lastServed); since > warnDelay && !p.warned {
-		p.warned = true
-		p.options.Log.Warn("no leader answers", zap.String("asked", string(to)), zap.Duration("since", since), journal.Error(err))
-	}
-}
-
 // reporter sends the pending reports of the view to the leader.
 type reporter struct{ *Client }
 
@@ -286,7 +222,13 @@
 		return nil
 	}
 	n.Instance = r.options.DescribeInstance().GetName()
-	to := r.target()
+	findCtx, cancel := timer.WithTimeout(ctx, r.options.Timer, requestTimeout)
+	defer cancel()
+	to, err := r.awaitLeader(findCtx)
+	if err != nil {
+		r.options.View.RequeueReport(n)
+		return err
+	}
 	reply, err := call(ctx, r.connections, to, classReport, requestTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (*wire.TellReply, error) {
 		return c.Tell(ctx, n)
 	})
@@ -335,23 +277,35 @@
 }](
 	ctx context.Context, c *Client, class callClass, timeout time.Duration, f func(context.Context, wire.DRPCFleetClient) (R, error),
 ) (reply R, err error) {
+	var failure error // of the last attempt
 	for {
-		to := c.target()
-		reply, err = call(ctx, c.connections, to, class, timeout, f)
+		to, err := c.awaitLeader(ctx)
+		if err != nil {
+			var zero R
+			return zero, errors.WithSecondaryError(ErrUnavailable, errors.CombineErrors(failure, err))
+		}
+		attempt, release := c.finder.whileLeader(ctx, to)
+		reply, err = call(attempt, c.connections, to, class, timeout, f)
+		ended := attempt.Err() != nil
+		release()
+		failure = err
 		switch {
-		case ctx.Err() != nil:
-			// The caller has left, which says nothing about the leader.
-		case err != nil:
-			c.finder.markCallFailed(to)
-		case reply.GetGuide().GetServed():
+		case err == nil && reply.GetGuide().GetServed():
 			c.finder.markCallServed(to)
 			return reply, nil
+		case ended:
+			// The caller has left, or another leader has answered.
+			if ctx.Err() == nil {
+				continue
+			}
+		case err != nil:
+			c.finder.markCallFailed(to)
 		default:
 			c.finder.redirect(to, reply.GetGuide())
 		}
 		if timer.Sleep(ctx, c.options.Timer, maxRetryDelay) != nil {
 			var zero R
-			return zero, errors.WithSecondaryError(ErrUnavailable, err)
+			return zero, errors.WithSecondaryError(ErrUnavailable, failure)
 		}
 	}
 }
--- a/internal/fleet/peer/finder.go
+++ b/internal/fleet/peer/finder.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,9 @@
 	// instances, and how long after a failure redirects to an address are ignored. Without
 	// the limit, 60 instances kept redirecting each other to a frozen leader for 6 s.
 	redirectLifetime = time.Second
+	// failureMemory is how long an address is asked after those that did not fail. Lost members
+	// stay in the list for 20 s.
+	failureMemory = 30 * time.Second
 	// answerInterval is the longest time between two answers of a leader in good order to
 	// polls. Until it is over, the leader counts as present whatever other calls say: they may
 	// wait for a disk, a majority or other instances.
@@ -39,15 +43,19 @@
 	// learned the members.
 	candidates []Address
 	others     []Address // other instances, with or without a disk
-	// tried holds the replicas that were returned by target since all of them were, and next
+	// tried holds the replicas that were returned by next since all of them were, and tries
 	// counts the other addresses that it returned.
 	tried map[Address]bool
-	next  int
+	tries int
 	timer timer.Service
 	// leaderAnswered is when the leader last answered as such, failures when a call to an address
-	// failed.
+	// failed that has not answered since.
 	leaderAnswered timer.Instant
 	failures       map[Address]timer.Instant
+	// found is closed when a leader becomes known. attempts are the calls to be cancelled when
+	// another leader than the one that they call has answered.
+	found    chan struct{}
+	attempts map[*attempt]struct{}
 }
 
 // never is before every instant of a timer. Differences with it don't overflow.
@@ -56,52 +64,103 @@
 func newFinder(self Address, seeds []Address, t timer.Service) *finder {
 	return &finder{
 		self: self, seeds: seeds, timer: t, tried: map[Address]bool{}, leaderAnswered: never,
-		failures: map[Address]timer.Instant{},
+		failures: map[Address]timer.Instant{}, found: make(chan struct{}), attempts: map[*attempt]struct{}{},
 	}
 }
 
-// target returns the leader if it is known, else the next address to try. Replicas know the
-// leader soonest: all of them are tried, those that failed recently last, before one of the
-// other addresses is. In a large deployment most other addresses are instances without a disk
-// that look for the leader themselves.
+// attempt is a call of the leader.
+type attempt struct {
+	to     Address
+	cancel context.CancelFunc
+}
+
+// whileLeader returns a context that is cancelled when another leader than the one at this
+// address has answered. release must be called after the call.
+func (f *finder) whileLeader(ctx context.Context, to Address) (attemptCtx context.Context, release func()) {
+	a := &attempt{to: to}
+	attemptCtx, a.cancel = context.WithCancel(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.attempts[a] = struct{}{}
+	return attemptCtx, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.attempts, a)
+		a.cancel()
+	}
+}
+
+// leaderOrFound returns the leader if it is known, else a channel that is closed when it is.
+func (f *finder) leaderOrFound() (leader Address, found <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader, f.found
+}
+
+// target returns the leader if it is known, else the next address to try.
 func (f *finder) target() Address {
+	a, _ := f.next(func(Address) bool { return false })
+	return a
+}
+
+// next returns the leader if it is known and not busy, else the next address to try that is
+// not. Replicas know the leader soonest: all of them are tried, those that failed last, before
+// one of the other addresses is. In a large deployment most other addresses are instances
+// without a disk that look for the leader themselves.
+func (f *finder) next(busy func(Address) bool) (to Address, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.leader != "" {
-		return f.leader
+	if f.leader != "" && !busy(f.leader) {
+		return f.leader, true
 	}
 	replicas := distinct(f.candidates, f.members, addressesOf(f.localMembers))
 	if len(replicas) == 0 {
 		replicas = f.seeds
 	}
-	if a, ok := f.nextReplica(replicas); ok {
-		return a
+	if a, ok := f.nextReplica(replicas, busy); ok {
+		return a, true
 	}
 	clear(f.tried)
-	var rest []Address
+	if a, ok := f.nextOther(replicas, busy); ok {
+		return a, true
+	}
+	if a, ok := f.nextReplica(replicas, busy); ok {
+		return a, true
+	}
+	return f.self, !busy(f.self)
+}
+
+// nextOther returns the next address that is not a replica, if possible one that did not fail.
+// f.mu must be held.
+func (f *finder) nextOther(replicas []Address, busy func(Address) bool) (next Address, ok bool) {
+	var sound, failed []Address
 	for _, a := range distinct(f.seeds, f.others) {
-		if !slices.Contains(replicas, a) {
-			rest = append(rest, a)
+		switch _, failedBefore := f.failures[a]; {
+		case slices.Contains(replicas, a) || busy(a):
+		case failedBefore:
+			failed = append(failed, a)
+		default:
+			sound = append(sound, a)
 		}
 	}
-	if len(rest) > 0 {
-		f.next++
-		return rest[(f.next-1)%len(rest)]
+	if len(sound) == 0 {
+		sound = failed
 	}
-	if a, ok := f.nextReplica(replicas); ok {
-		return a
+	if len(sound) == 0 {
+		return "", false
 	}
-	return f.self
+	f.tries++
+	return sound[(f.tries-1)%len(sound)], true
 }
 
-// nextReplica returns a replica that was not tried yet, if possible one that did not fail
-// recently. f.mu must be held.
-func (f *finder) nextReplica(replicas []Address) (next Address, ok bool) {
+// nextReplica returns a replica that was not tried yet, if possible one that did not fail.
+// f.mu must be held.
+func (f *finder) nextReplica(replicas []Address, busy func(Address) bool) (next Address, ok bool) {
 	for _, a := range replicas {
-		if f.tried[a] {
+		if f.tried[a] || busy(a) {
 			continue
 		}
-		if !f.failedRecently(a) {
+		if _, failed := f.failures[a]; !failed {
 			next, ok = a, true
 			break
 		}
@@ -153,13 +212,23 @@
 	f.refute(a)
 	now := f.timer.Now()
 	for o, at := range f.failures {
-		if now.Sub(at) > redirectLifetime {
+		if now.Sub(at) > failureMemory {
 			delete(f.failures, o)
 		}
 	}
 	f.failures[a] = now
 }
 
+// markPollFailed is markFailed for a poll that was sent at an instant. If the leader has answered
+// another call since, only the connection has failed.
+func (f *finder) markPollFailed(a Address, sent timer.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leader != a || f.leaderAnswered.Before(sent) {
+		f.fail(a)
+	}
+}
+
 // markCallFailed records a failed call that is not a poll.
 func (f *finder) markCallFailed(a Address) {
 	f.mu.Lock()
@@ -194,8 +263,13 @@
 
 // setLeader sets the address at which the leader is believed to be. f.mu must be held.
 func (f *finder) setLeader(a Address) {
-	if f.leader != a {
-		f.leader, f.leaderAnswered = a, never
+	if f.leader == a {
+		return
+	}
+	f.leader, f.leaderAnswered = a, never
+	if a != "" {
+		close(f.found)
+		f.found = make(chan struct{})
 	}
 }
 
@@ -208,7 +282,13 @@
 
 // serve is markLeader for callers that hold f.mu.
 func (f *finder) serve(a Address) {
-	f.leader, f.leaderAnswered = a, f.timer.Now()
+	f.setLeader(a)
+	f.leaderAnswered = f.timer.Now()
+	for c := range f.attempts {
+		if c.to != a {
+			c.cancel()
+		}
+	}
 	f.localRefuted = f.localLeader != a
 	delete(f.failures, a)
 }
@@ -224,6 +304,7 @@
 		f.addCandidate(Address(a))
 	}
 	f.refute(from)
+	delete(f.failures, from)
 	if f.leaderPresent() {
 		return true
 	}
--- a/internal/fleet/peer/search_test.go
+++ b/internal/fleet/peer/search_test.go
@@ -26,14 +26,18 @@
 	leaseDuration = 4 * time.Second
 	// readLimit is how long the platform lets a confirmed read take.
 	readLimit = 900 * time.Millisecond
+	// electionTime is the time until a new leader serves calls, one failed election included.
+	electionTime = 2 * time.Second
 )
 
 // network connects a client to instances in this process.
 type network struct {
-	mu          sync.Mutex
-	instances   map[string]*fakeInstance
-	leader      string
-	calls       map[string]int // polls answered, by address
+	mu        sync.Mutex
+	instances map[string]*fakeInstance
+	leader    string
+	calls     map[string]int // polls answered, by address
+	// pollTime and proposeTime are how long the leader takes to answer, beyond the wait of a poll.
+	pollTime    time.Duration
 	proposeTime time.Duration
 	lastServed  time.Time // last poll that a leader answered
 	longestGap  time.Duration
@@ -148,6 +152,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if g.GetServed() {
+		time.Sleep(i.pollTime)
+	}
 	if g.GetServed() && q.GetTerm() == 1 {
 		select {
 		case <-time.After(time.Duration(q.GetWait()) * time.Millisecond):
@@ -300,3 +307,70 @@
 	_, err := p.client.Propose(ctx, &wire.Command{})
 	p.errs <- err
 }
+
+// Guards against a search that asks lost hosts one after the other: with 2 of 8 (1 of 3)
+// replicas and all seeds but one lost, an instance must find the next leader before its lease on
+// the layout ends, and reads must be served as soon as it has.
+func TestSearchAmongSilentHosts(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		replicas []string
+		silent   []string
+		seeds    []Address
+		next     string
+	}{
+		{"leader of three", []string{"a", "b", "c"}, []string{"a"}, []Address{"x", "y", "c"}, "c"},
+		{"leader of eight and its successor in the list", []string{"a", "b", "c", "d", "e", "f", "g", "h"}, []string{"a", "b"}, []Address{"x", "y", "h"}, "h"},
+		{"leader of eight and two learners left behind", []string{"a", "b", "c", "d", "e", "f", "g", "h", "v", "w"}, []string{"a", "h"}, []Address{"x", "y", "z"}, "g"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			n := newNetwork(t)
+			for _, r := range c.replicas {
+				if r < "v" {
+					n.add(r)
+				}
+			}
+			for _, i := range n.instances {
+				i.members = c.replicas
+			}
+			n.leader = "a"
+			cl := n.startClient(t, Options{Seeds: append([]Address{"a"}, c.seeds...)})
+			n.awaitPoll(t, leaseDuration)
+			n.awaitPoll(t, leaseDuration)
+			lost := time.Now()
+			n.silence(c.silent...)
+			n.change(func() { n.leader = "" })
+			time.Sleep(electionTime)
+			n.change(func() { n.leader = c.next })
+			elected := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), readLimit)
+			defer cancel()
+			_, err := cl.Read(ctx)
+			t.Log("read after", time.Since(elected), err)
+			n.awaitPoll(t, leaseDuration)
+			t.Log("leader found", time.Since(elected), "after its election")
+			is.NoErr(err)
+			// Polls are sent pollWait before a leader answers them.
+			is.True(time.Since(lost)+pollWait < leaseDuration)
+		})
+	}
+}
+
+// Guards against an instance that turns away from a leader that answers late, for want of
+// processor time, and against a storm of calls to the others then.
+func TestSlowLeader(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	n.add("a", "b", "c")
+	n.leader, n.pollTime = "a", 600*time.Millisecond
+	n.startClient(t, Options{Seeds: []Address{"a", "b", "c"}})
+	n.awaitPoll(t, leaseDuration)
+	n.change(func() { clear(n.calls); n.longestGap = 0 })
+	time.Sleep(3 * time.Second)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	is.True(max(n.longestGap, time.Since(n.lastServed)) < leaseDuration/2)
+	is.True(n.calls["b"]+n.calls["c"] <= int(3*time.Second/hedgeDelay))
+}
--- a/internal/fleet/peer/slots.go
+++ b/internal/fleet/peer/slots.go
@@ -65,12 +65,15 @@
 // exchange opens a stream to the leader and uses it until it is idle or fails. served tells whether the
 // leader answered.
 func (l *slotLeaser) exchange(ctx context.Context, stock *slot.Stock) (served bool, err error) {
-	to := l.target()
+	var to Address
 	defer func() { err = errors.Wrapf(err, "slots from %s", string(to)) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dialCtx, cancelDial := timer.WithTimeout(ctx, l.options.Timer, slotReplyTimeout)
 	defer cancelDial()
+	if to, err = l.awaitLeader(dialCtx); err != nil {
+		return false, err
+	}
 	conn, err := l.connections.dial(dialCtx, string(to))
 	if err != nil {
 		return false, err
