fleet/peer: instances that name each other as the leader are not asked in turn

Two instances that named each other were asked without a pause and nobody else was.

Change: redirects to an instance that has denied to lead in the last 200 ms are ignored, and the search goes on. An instance that names itself is elected and not ready, or cut off: what the own replica believes stands then, and it is asked again after that time.

TestLeaderNotReady guards the second part.

--- a/internal/fleet/peer/finder.go
+++ b/internal/fleet/peer/finder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,9 @@
 	// instances, and how long after a failure redirects to an address are ignored. Without
 	// the limit, 60 instances kept redirecting each other to a frozen leader for 6 s.
 	redirectLifetime = time.Second
+	// denialLifetime is how long after an instance has answered that it does not lead, redirects
+	// to it are ignored. It may be elected soon.
+	denialLifetime = 200 * time.Millisecond
 	// failureMemory is how long an address is asked after those that did not fail. Lost members
 	// stay in the list for 20 s.
 	failureMemory = 30 * time.Second
@@ -52,6 +56,8 @@
 	// failed that has not answered since.
 	leaderAnswered timer.Instant
 	failures       map[Address]timer.Instant
+	// denials holds when an instance answered that it does not lead.
+	denials map[Address]timer.Instant
 	// found is closed when a leader becomes known. attempts are the calls to be cancelled when
 	// another leader than the one that they call has answered.
 	found    chan struct{}
@@ -64,7 +70,7 @@
 func newFinder(self Address, seeds []Address, t timer.Service) *finder {
 	return &finder{
 		self: self, seeds: seeds, timer: t, tried: map[Address]bool{}, leaderAnswered: never,
-		failures: map[Address]timer.Instant{}, found: make(chan struct{}), attempts: map[*attempt]struct{}{},
+		failures: map[Address]timer.Instant{}, denials: map[Address]timer.Instant{}, found: make(chan struct{}), attempts: map[*attempt]struct{}{},
 	}
 }
 
@@ -294,8 +300,8 @@
 }
 
 // redirect applies the answer of an instance that is not the leader, and reports whether a
-// leader is known then. A leader at the address of the instance itself, or at one that
-// failed recently, is ignored, and so is another than one that has just answered.
+// leader is known then. A leader that has just answered is kept. One that failed or said that it
+// does not lead recently is ignored, so that instances that name each other are not asked in turn.
 func (f *finder) redirect(from Address, g *wire.Guide) (redirected bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -303,20 +309,26 @@
 	for _, a := range g.GetCallers() {
 		f.addCandidate(Address(a))
 	}
-	f.refute(from)
+	to := Address(g.GetLeader())
+	switch {
+	case to != from:
+		f.refute(from)
+	case f.leader == from:
+		// It is elected and not ready, or is cut off: others are asked until denialLifetime is over.
+		f.setLeader("")
+	}
 	delete(f.failures, from)
+	now := f.timer.Now()
+	maps.DeleteFunc(f.denials, func(_ Address, at timer.Instant) bool { return now.Sub(at) >= denialLifetime })
+	f.denials[from] = now
 	if f.leaderPresent() {
 		return true
 	}
-	to := Address(g.GetLeader())
-	if f.failedRecently(to) {
+	if _, denied := f.denials[to]; to == "" || denied || f.failedRecently(to) {
 		return false
 	}
-	if to != "" && to != from {
-		f.setLeader(to)
-		return true
-	}
-	return false
+	f.setLeader(to)
+	return true
 }
 
 // setMembers replaces the members of the control group by those that a leader named.
@@ -399,7 +411,9 @@
 	if isNews {
 		f.localLeader, f.localRefuted = leader, false
 	}
-	if leader != "" && (isNews || f.leader == "" && !f.localRefuted) {
+	at, denied := f.denials[leader]
+	usable := !f.localRefuted && (!denied || f.timer.Now().Sub(at) >= denialLifetime)
+	if leader != "" && (isNews || f.leader == "" && usable) {
 		f.setLeader(leader)
 	}
 	if !slices.Equal(members, f.localMembers) {
--- a/internal/fleet/peer/search_test.go
+++ b/internal/fleet/peer/search_test.go
@@ -374,3 +374,39 @@
 	is.True(max(n.longestGap, time.Since(n.lastServed)) < leaseDuration/2)
 	is.True(n.calls["b"]+n.calls["c"] <= int(3*time.Second/hedgeDelay))
 }
+
+// Guards against two instances that name each other as the leader and are asked in turn without
+// a pause, while the leader is not asked.
+func TestRedirectLoop(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	n.add("a", "b", "c")
+	n.instances["a"].names, n.instances["b"].names = "b", "a"
+	n.leader = ""
+	n.startClient(t, Options{Seeds: []Address{"a", "b", "c"}})
+	time.Sleep(time.Second)
+	n.change(func() {
+		calls := n.calls["a"] + n.calls["b"]
+		is.True(calls <= int(time.Second/minRetryDelay))
+		n.leader = "c"
+	})
+	n.awaitPoll(t, time.Second)
+}
+
+// Guards against an instance that does not return soon to a leader that was elected and was not
+// ready yet, and against one that asks it without a pause meanwhile.
+func TestLeaderNotReady(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	n.add("a", "b", "c")
+	for _, i := range n.instances {
+		i.names = "a"
+	}
+	n.startClient(t, Options{Seeds: []Address{"a", "b"}, KnownLeader: func() (string, []string) { return "a", []string{"a", "b", "c"} }})
+	time.Sleep(time.Second)
+	n.change(func() {
+		is.True(n.calls["a"] <= 3*int(time.Second/denialLifetime))
+		n.leader = "a"
+	})
+	n.awaitPoll(t, time.Second)
+}
