fleet/peer: the leader announces itself to all seeds at the same time

Cause: announcements were made one after the other, 400 ms for each lost seed. Seeds behind the lost ones, and the instances without a disk that know only these, learned of a new leader late.

Change: one goroutine per seed.

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -131,23 +131,37 @@
 	return errors.CombineErrors(g.Wait(), c.connections.Close())
 }
 
-// AnnounceToSeeds polls the seeds that are not in contact, so that they learn the address
-// of this instance. After a restart of all instances, seeds without a disk know only the
-// other seeds.
+// AnnounceToSeeds polls the seeds that are not in contact, all at the same time, so that they
+// learn the address of this instance. After a restart of all instances, seeds without a disk know
+// only the other seeds.
 func (c *Client) AnnounceToSeeds(ctx context.Context, inContact func(Address) bool) {
+	var g sync.WaitGroup
+	defer g.Wait()
 	for _, a := range c.finder.seedList() {
-		if a == c.options.Self || inContact(a) {
-			continue
-		}
-		_, err := call(ctx, c.connections, a, classRequest, requestTimeout, func(ctx context.Context, l wire.DRPCFleetClient) (*wire.SyncReply, error) {
-			return l.Sync(ctx, &wire.SyncRequest{Instance: c.options.DescribeInstance()})
-		})
-		if err != nil {
-			c.options.Log.Debug("could not announce to seed", journal.Error(err))
+		if a != c.options.Self && !inContact(a) {
+			g.Add(1)
+			go (&announcement{Client: c, to: a, ended: g.Done}).run(ctx)
 		}
 	}
 }
 
+// announcement tells one seed the address of this instance.
+type announcement struct {
+	*Client
+	to    Address
+	ended func()
+}
+
+func (a *announcement) run(ctx context.Context) {
+	defer a.ended()
+	_, err := call(ctx, a.connections, a.to, classRequest, requestTimeout, func(ctx context.Context, l wire.DRPCFleetClient) (*wire.SyncReply, error) {
+		return l.Sync(ctx, &wire.SyncRequest{Instance: a.options.DescribeInstance()})
+	})
+	if err != nil {
+		a.options.Log.Debug("could not announce to seed", journal.Error(err))
+	}
+}
+
 // reporter sends the pending reports of the view to the leader.
 type reporter struct{ *Client }
 
--- a/internal/fleet/peer/search_test.go
+++ b/internal/fleet/peer/search_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -410,3 +411,19 @@
 	})
 	n.awaitPoll(t, time.Second)
 }
+
+// Guards against seeds that hear of the leader late because it waits for lost seeds first.
+func TestAnnounceAmongSilentSeeds(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	n.add("s")
+	n.leader = "s"
+	var seeds []Address
+	for i := range 4 {
+		seeds = append(seeds, Address("lost"+strconv.Itoa(i)))
+	}
+	c := n.startClient(t, Options{Seeds: append(seeds, "s"), KnownLeader: func() (string, []string) { return "lost0", nil }})
+	start := time.Now()
+	c.AnnounceToSeeds(context.Background(), func(Address) bool { return false })
+	is.True(time.Since(start) < 2*requestTimeout)
+}
