fleet/peer, platform: logs tell why no leader was found

Cause: `no leader answers` named one address, and `read not confirmed` only that no leader was found. Neither told whether no leader was elected, the instance did not reach it, or the call had waited for others of its own instance.

Change: `no leader answers` and `leader found`, once an outage, list the last outcome of up to 16 addresses with its age. Errors of reads and proposals name the last attempt and why none followed.

TestOutageIsLogged fails without the change: the line had no such list, and the error no cause.

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -120,7 +120,7 @@
 func (c *Client) Run(ctx context.Context) error {
 	g := group.New(ctx)
 	p := &poller{
-		Client: c, random: rand.New(rand.NewPCG(c.options.Random.Uint64(), 1)), results: make(chan *poll), pending: map[Address]*poll{},
+		Client: c, random: rand.New(rand.NewPCG(c.options.Random.Uint64(), 1)), results: make(chan *poll), pending: map[Address]*poll{}, outcomes: map[Address]outcome{},
 	}
 	r := &reporter{Client: c}
 	g.Go("poll", p.loop)
@@ -296,7 +296,7 @@
 		to, err := c.awaitLeader(ctx)
 		if err != nil {
 			var zero R
-			return zero, errors.WithSecondaryError(ErrUnavailable, errors.CombineErrors(failure, err))
+			return zero, unavailable(failure, err)
 		}
 		attempt, release := c.finder.whileLeader(ctx, to)
 		reply, err = call(attempt, c.connections, to, class, timeout, f)
@@ -316,10 +316,23 @@
 			c.finder.markCallFailed(to)
 		default:
 			c.finder.redirect(to, reply.GetGuide())
+			failure = errors.Newf("%s %s", string(to), describeRedirect(reply.GetGuide()))
 		}
 		if timer.Sleep(ctx, c.options.Timer, maxRetryDelay) != nil {
 			var zero R
-			return zero, errors.WithSecondaryError(ErrUnavailable, failure)
+			return zero, unavailable(failure, nil)
 		}
 	}
 }
+
+// unavailable returns ErrUnavailable with the causes that are not nil: the failure of the last
+// attempt, and why no leader was called after it.
+func unavailable(attempt, search error) error {
+	err := ErrUnavailable
+	for _, cause := range []error{attempt, search} {
+		if cause != nil {
+			err = errors.Wrap(err, cause.Error())
+		}
+	}
+	return err
+}
--- a/internal/fleet/peer/poller.go
+++ b/internal/fleet/peer/poller.go
@@ -1,15 +1,18 @@
 package peer
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
-	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
 
@@ -29,6 +32,8 @@
 	maxRetryDelay = 120 * time.Millisecond
 	// warnDelay is the time without a leader after which a warning is logged.
 	warnDelay = 2 * time.Second
+	// maxLoggedAddresses is the number of addresses in a warning, those asked last.
+	maxLoggedAddresses = 16
 )
 
 // poller runs the long poll, and searches for the leader on behalf of all calls of the instance.
@@ -45,6 +50,14 @@
 	server     Address
 	lastServed timer.Instant // when a leader last answered a poll
 	warned     bool          // a warning was logged since then
+	// outcomes are those of the polls that no leader answered since then, by address.
+	outcomes map[Address]outcome
+}
+
+// outcome tells how a poll ended.
+type outcome struct {
+	at   timer.Instant
+	text string
 }
 
 // poll is one poll of an instance.
@@ -78,6 +91,7 @@
 	p.lastServed = p.options.Timer.Now()
 	p.next = p.lastServed
 	for ctx.Err() == nil {
+		p.warnNoLeader()
 		switch c := p.await(ctx); {
 		case ctx.Err() != nil:
 		case c == nil:
@@ -144,6 +158,7 @@
 	delete(p.pending, oldest.to)
 	oldest.cancel()
 	p.finder.markFailed(oldest.to)
+	p.recordOutcome(oldest.to, "no answer, given up")
 }
 
 // handle applies the outcome of a poll.
@@ -159,10 +174,13 @@
 	pause := minRetryDelay + time.Duration(p.random.Int64N(int64(maxRetryDelay-minRetryDelay)))
 	if c.err != nil {
 		p.finder.markPollFailed(c.to, c.sent)
-	} else if p.finder.redirect(c.to, c.reply.GetGuide()) && p.random.IntN(4) > 0 {
-		pause = 0
+		p.recordOutcome(c.to, c.err.Error())
+	} else {
+		if p.finder.redirect(c.to, c.reply.GetGuide()) && p.random.IntN(4) > 0 {
+			pause = 0
+		}
+		p.recordOutcome(c.to, describeRedirect(c.reply.GetGuide()))
 	}
-	p.warnNoLeader(c.to, c.err)
 	// While the leader that is named has yet to answer, others are asked at the pace of hedges.
 	if p.pending[p.finder.leaderAddress()] == nil {
 		p.next = min(p.next, p.options.Timer.Now().Add(pause))
@@ -181,15 +199,52 @@
 	p.options.View.ApplySync(c.reply, c.sent)
 	now := p.options.Timer.Now()
 	if p.warned {
-		p.options.Log.Info("leader found", zap.String("leader", string(c.to)), zap.Duration("after", now.Sub(p.lastServed)))
+		p.options.Log.Info("leader found", zap.String("leader", string(c.to)), zap.Duration("after", now.Sub(p.lastServed)),
+			zap.Strings("asked", p.describeOutcomes()))
 	}
+	clear(p.outcomes)
 	p.server, p.warned, p.lastServed, p.next = c.to, false, now, now
 }
 
-// warnNoLeader logs a warning if no leader has answered for warnDelay, once per outage.
-func (p *poller) warnNoLeader(to Address, err error) {
+// recordOutcome remembers the outcome of the last poll to an address.
+func (p *poller) recordOutcome(to Address, text string) {
+	p.outcomes[to] = outcome{p.options.Timer.Now(), text}
+	if len(p.outcomes) > maxLoggedAddresses {
+		delete(p.outcomes, p.byAge()[maxLoggedAddresses])
+	}
+}
+
+// byAge returns the addresses that have outcomes, the newest first.
+func (p *poller) byAge() []Address {
+	return slices.SortedFunc(maps.Keys(p.outcomes), func(a, b Address) int {
+		return cmp.Or(cmp.Compare(p.outcomes[b].at, p.outcomes[a].at), cmp.Compare(a, b))
+	})
+}
+
+// describeOutcomes returns the outcomes of the polls that no leader answered, for the log.
+func (p *poller) describeOutcomes() (out []string) {
+	now := p.options.Timer.Now()
+	for _, a := range p.byAge() {
+		o := p.outcomes[a]
+		out = append(out, fmt.Sprintf("%s %d ms ago: %s", a, now.Sub(o.at).Milliseconds(), o.text))
+	}
+	return out
+}
+
+// describeRedirect describes the answer of an instance that is not the leader.
+func describeRedirect(g *wire.Guide) string {
+	if g.GetLeader() == "" {
+		return "does not lead, names no leader"
+	}
+	return "does not lead, names " + g.GetLeader()
+}
+
+// warnNoLeader logs a warning if no leader has answered for warnDelay, once per outage. If the
+// instances that were asked name no leader, none is elected; if they name one, this instance
+// does not reach it.
+func (p *poller) warnNoLeader() {
 	if since := p.options.Timer.Now().Sub(p.lastServed); since > warnDelay && !p.warned {
 		p.warned = true
-		p.options.Log.Warn("no leader answers", zap.String("asked", string(to)), zap.Duration("since", since), journal.Error(err))
+		p.options.Log.Warn("no leader answers", zap.Duration("since", since), zap.Strings("asked", p.describeOutcomes()))
 	}
 }
--- a/internal/fleet/peer/search_test.go
+++ b/internal/fleet/peer/search_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -427,3 +431,54 @@
 	c.AnnounceToSeeds(context.Background(), func(Address) bool { return false })
 	is.True(time.Since(start) < 2*requestTimeout)
 }
+
+// Guards against logs that don't tell whether no leader is elected, this instance does not reach
+// it, or a call waited for others of this instance; and against more than one line an outage.
+func TestOutageIsLogged(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	n.add("a", "b", "c")
+	n.leader, n.proposeTime = "a", time.Second
+	core, logs := observer.New(zap.InfoLevel)
+	c := n.startClient(t, Options{Seeds: []Address{"a", "b", "c"}, Log: zap.New(core)})
+	n.awaitPoll(t, leaseDuration)
+
+	// All connections for proposals are in use.
+	proposals := &proposer{client: c, errs: make(chan error, operatorConnections+1)}
+	for range operatorConnections {
+		go proposals.run()
+	}
+	time.Sleep(proposalsStart)
+	ctx, cancel := context.WithTimeout(context.Background(), proposalsStart)
+	defer cancel()
+	_, err := c.Propose(ctx, &wire.Command{})
+	is.True(errors.Is(err, ErrUnavailable))
+	is.True(strings.Contains(err.Error(), "waited for other calls of this instance"))
+	for range operatorConnections {
+		is.NoErr(<-proposals.errs)
+	}
+
+	n.silence("a")
+	n.change(func() {
+		n.leader = ""
+		n.instances["c"].names = "a"
+	})
+	time.Sleep(warnDelay + pollTimeout)
+	ctx, cancel = context.WithTimeout(context.Background(), proposalsStart)
+	defer cancel()
+	_, err = c.Read(ctx)
+	is.True(errors.Is(err, ErrUnavailable))
+	n.change(func() { n.leader = "b" })
+	n.awaitPoll(t, leaseDuration)
+	lines := logs.All()
+	is.Equal(len(lines), 2)
+	is.Equal(lines[0].Message, "no leader answers")
+	asked := fmt.Sprint(lines[0].ContextMap()["asked"])
+	for _, part := range []string{"a ", "b ", "c ", "does not lead, names no leader", "does not lead, names a"} {
+		is.True(strings.Contains(asked, part))
+	}
+	is.Equal(lines[1].Message, "leader found")
+}
+
+// proposalsStart is enough for all proposals to take their connections, and less than they last.
+const proposalsStart = 200 * time.Millisecond
