--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -59,8 +59,8 @@
 }
 
 // newDeployment starts size instances, of which the first disks have a disk. The seeds are the
-// last three, so that some seeds have no disk.
-func newDeployment(t *testing.T, disks, size int) *deployment {
+// last three, so that some seeds have no disk. changes are made to the options of each.
+func newDeployment(t *testing.T, disks, size int, changes ...func(*Options)) *deployment {
 	d := &deployment{T: t, I: is.New(t)}
 	var addresses []peer.Address
 	for range size {
@@ -79,6 +79,9 @@
 			o.DataDirectory = filepath.Join(t.TempDir(), o.Name)
 			d.NoErr(os.MkdirAll(o.DataDirectory, 0o700))
 		}
+		for _, change := range changes {
+			change(&o)
+		}
 		d.options = append(d.options, o)
 		d.running = append(d.running, nil)
 	}
