bench: outages on a network that loses bytes

Cause: the soak and every other harness cut nothing between instances: a killed process resets its connections at once, while a lost host or a cut answers nothing.

--- /dev/null
+++ b/cmd/bench/outage.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"wisteriakeel.example/wisteriakeel/internal/bench/outage"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+	"wisteriakeel.example/wisteriakeel/platform/dialect"
+)
+
+func init() {
+	register(command{
+		name: "outage", short: "Run instances on a network that loses bytes, play outages and check reads and changes",
+		factory: func(out io.Writer) flags.Commander { return &outageCommand{out: out} },
+	})
+}
+
+type outageCommand struct {
+	out       io.Writer
+	Seed      uint64   `long:"seed" default:"1" description:"first seed"`
+	Seeds     int      `long:"seeds" default:"1" description:"number of seeds, one after the other"`
+	Rounds    int      `long:"rounds" default:"11" description:"number of outages with each seed"`
+	Outages   []string `long:"outage" description:"name of an outage, once for each, in the order to play; default: all, shuffled"`
+	Grown     bool     `long:"grown" description:"eight instances with a disk, two of which may be lost, instead of three and one"`
+	Instances int      `long:"instances" description:"number of instances; default: 9, or 69 with --grown"`
+	Folder    string   `long:"folder" description:"where settings, disks and logs are kept; default: a temporary directory"`
+}
+
+// Execute runs the seeds one after the other. It keeps the directories of failed seeds and prints their paths.
+func (c *outageCommand) Execute([]string) error {
+	binary, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	size := outage.Small
+	if c.Grown {
+		size = outage.Grown
+	}
+	if c.Instances > 0 {
+		size.Instances = c.Instances
+	}
+	ctx, cancel := signalContext()
+	defer cancel()
+	var failed error
+	for i := range c.Seeds {
+		seed := c.Seed + uint64(i)
+		directory, err := os.MkdirTemp(c.Folder, fmt.Sprintf("outage-%d-", seed))
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(c.out, "seed %d: %d instances, %d with a disk, outages %s\n", seed, size.Instances, size.Disks, strings.Join(c.Outages, " "))
+		err = outage.Run(ctx, outage.Options{
+			Dialect: dialect.Dialect{}, Binary: binary, Directory: directory, Seed: seed, Size: size, Patterns: c.Outages, Rounds: c.Rounds,
+			Timer: timer.NewSystem(), Out: c.out,
+		})
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			_, _ = fmt.Fprintf(c.out, "%v; logs in %s\n", err, directory)
+			failed = err
+			continue
+		}
+		if err := os.RemoveAll(directory); err != nil {
+			return err
+		}
+	}
+	return failed
+}
--- /dev/null
+++ b/internal/bench/outage/outage.go
@@ -0,0 +1,336 @@
+// Package outage runs instances as processes on a network that loses bytes, plays outages of the
+// control group, and checks that changes, reads and callers are served again in time and that no
+// acknowledged change is lost. A seed determines the outages, but not the timing within processes.
+package outage
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/bench/cluster"
+	"wisteriakeel.example/wisteriakeel/internal/bench/soak"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+)
+
+// Time limits that the user documentation promises, whatever the size.
+const (
+	readTimeout     = 2 * time.Second
+	gracePeriod     = 8 * time.Second
+	revocationDelay = 5 * time.Second
+	// propagationDelay is the time after which an acknowledged route is known everywhere.
+	propagationDelay = 2 * time.Second
+)
+
+// Load of a run.
+const (
+	readers = 4
+	probers = 4
+	// pause lies between two requests of a reader or a prober.
+	pause = 100 * time.Millisecond
+	// extraRoutes make a document of about 16 KB.
+	extraRoutes = 70
+)
+
+// Size is the size of a deployment with its time limits.
+type Size struct {
+	Instances, Disks, Zones int
+	// Losses is how many instances with a disk may be lost at a time.
+	Losses int
+	// Contact is how long after a disturbance instances may be out of contact, Ack limits the
+	// acknowledgement of a change, Recovery the time until all is well after the last disturbance.
+	Contact, Ack, Recovery time.Duration
+}
+
+// Sizes of the deployments that are played.
+var (
+	Small = Size{Instances: 9, Disks: 3, Zones: 3, Losses: 1, Contact: 3 * time.Second, Ack: 4 * time.Second, Recovery: 12 * time.Second}
+	Grown = Size{Instances: 69, Disks: 8, Zones: 4, Losses: 2, Contact: 4 * time.Second, Ack: 5 * time.Second, Recovery: 15 * time.Second}
+)
+
+// Options configures a run.
+type Options struct {
+	Dialect   soak.Dialect
+	Binary    string // absolute path of bench
+	Directory string // for settings, data directories and logs
+	Seed      uint64
+	Size      Size
+	// Patterns are the names of the outages to play, in this order; all of them, shuffled, if empty.
+	Patterns []string
+	Rounds   int
+	Timer    timer.Service
+	Out      io.Writer
+}
+
+// ErrChecksFailed means that a check failed; the report lists the violations.
+var ErrChecksFailed = errors.New("promises were broken")
+
+// instance is one instance, which runs as a process of its own.
+type instance struct {
+	name, ip, zone string
+	disk           string // data directory; empty without one
+	process        *cluster.Process
+	impaired       bool // killed, frozen or cut
+}
+
+// run is the state of one run.
+type run struct {
+	Options
+	launcher *cluster.Launcher
+	client   *http.Client
+	group    *group.Group
+	random   *rand.Rand // for the outages
+	started  timer.Instant
+
+	mu        sync.Mutex
+	links     links
+	instances []*instance // those that were replaced are not in it
+	core      []*instance // those with a disk, the oldest first
+	seeds     []string
+	addresses int // how many were given out
+	// majorityLost is set while the last disturbance has impaired most of the core.
+	majorityLost bool
+	disturbed    timer.Instant // the last disturbance or return
+	quiet        bool          // no disturbance goes on
+	checks       checks
+}
+
+// Run plays the rounds with one seed and prints a report. It returns ErrChecksFailed if a check
+// failed.
+func Run(ctx context.Context, o Options) (err error) {
+	r := &run{
+		Options: o, launcher: cluster.NewLauncher(o.Directory), group: group.New(ctx), started: o.Timer.Now(),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		random: rand.New(rand.NewPCG(o.Seed, 1)), links: links{acks: o.Seed%2 == 0, blocked: map[link]bool{}},
+	}
+	defer func() { err = errors.CombineErrors(err, r.launcher.Close()) }()
+	defer func() { _ = r.group.Stop() }()
+	defer func() { err = errors.Wrapf(err, "seed %d", o.Seed) }()
+	if err := r.start(ctx); err != nil {
+		return err
+	}
+	names := o.Patterns
+	if len(names) == 0 {
+		names = Patterns()
+		r.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	}
+	for i := range o.Rounds {
+		if err := r.playRound(ctx, names[i%len(names)]); err != nil {
+			return err
+		}
+	}
+	return r.report()
+}
+
+// start starts all instances and the load, and waits until the deployment serves.
+func (r *run) start(ctx context.Context) error {
+	if err := r.links.write(r.linksPath()); err != nil {
+		return err
+	}
+	for range r.Size.Instances {
+		r.add(len(r.core) < r.Size.Disks)
+	}
+	for _, n := range r.core {
+		r.seeds = append(r.seeds, n.ip)
+	}
+	for _, n := range r.instances {
+		if err := r.startProcess(n, true); err != nil {
+			return err
+		}
+	}
+	r.touch()
+	r.setQuiet(true)
+	r.checks.newest = 1
+	if !r.change(ctx, &pendingChange{document: document(1), sent: r.Timer.Now()}) {
+		return errors.New("the first document was not acknowledged")
+	}
+	r.group.Go("operator", (&operator{run: r, random: rand.New(rand.NewPCG(r.Seed, 2))}).loop)
+	r.group.Go("staller", (&staller{r}).loop)
+	for i := range readers {
+		r.group.Go("reader", (&reader{run: r, random: rand.New(rand.NewPCG(r.Seed, uint64(100+i)))}).loop)
+	}
+	for i := range probers {
+		r.group.Go("prober", (&prober{run: r, random: rand.New(rand.NewPCG(r.Seed, uint64(200+i)))}).loop)
+	}
+	return nil
+}
+
+// add adds an instance with an address of its own, which is not started.
+func (r *run) add(disk bool) *instance {
+	r.addresses++
+	n := &instance{
+		name: fmt.Sprint("gateway-", r.addresses), zone: fmt.Sprint("zone-", r.addresses%r.Size.Zones),
+		ip: fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()>>8&0x3f, os.Getpid()&0xff, r.addresses),
+	}
+	r.instances = append(r.instances, n)
+	if disk {
+		n.disk = filepath.Join(r.Directory, n.name+".disk")
+		r.core = append(r.core, n)
+	}
+	return n
+}
+
+func (r *run) linksPath() string { return filepath.Join(r.Directory, "links") }
+
+func (r *run) settingsPath(n *instance) string { return filepath.Join(r.Directory, n.name+".settings") }
+
+// writeSettings writes the settings file of an instance.
+func (r *run) writeSettings(n *instance, initial bool) error {
+	return os.WriteFile(r.settingsPath(n), r.Dialect.SettingsFile(soak.Settings{
+		Name: n.name, IP: n.ip, Zone: n.zone, SeedAddresses: r.seeds, InitialStart: initial, DataDirectory: n.disk,
+		GracePeriod: gracePeriod, RevocationDelay: revocationDelay,
+	}), 0o600)
+}
+
+// startProcess starts the process of an instance.
+func (r *run) startProcess(n *instance, initial bool) (err error) {
+	if n.disk != "" {
+		if err := os.MkdirAll(n.disk, 0o700); err != nil {
+			return err
+		}
+	}
+	if err := r.writeSettings(n, initial); err != nil {
+		return err
+	}
+	n.process, err = r.launcher.StartWithEnv([]string{
+		r.Dialect.EnvironmentVariable(r.settingsPath(n)), LinksVariable + "=" + r.linksPath(), AddressVariable + "=" + n.ip,
+	}, n.name, r.Binary, "gateway")
+	return err
+}
+
+// playRound plays one outage, waits for the recovery and checks it.
+func (r *run) playRound(ctx context.Context, name string) (err error) {
+	defer func() { err = errors.Wrap(err, name) }()
+	play, ok := patterns[name]
+	if !ok {
+		return errors.Newf("no such outage, expected one of %s", strings.Join(Patterns(), ", "))
+	}
+	r.printf("%s begins, leader %s", name, nameOf(r.leader()))
+	r.mu.Lock()
+	r.checks.beginRound(name)
+	r.mu.Unlock()
+	r.setQuiet(false)
+	if err := play(ctx, r); err != nil {
+		return err
+	}
+	r.heal()
+	for _, n := range r.instances {
+		n.impaired = false
+	}
+	r.touch()
+	r.setQuiet(true)
+	end := r.Timer.Now()
+	r.printf("%s: all back, leader %s", name, nameOf(r.leader()))
+	if err := timer.Sleep(ctx, r.Timer, r.Size.Recovery); err != nil {
+		return err
+	}
+	r.checkRecovered(ctx)
+	gap, change, stall := r.roundFigures()
+	r.printf("%s: first read after %s, longest time without one in calm %s, slowest change in calm %s, late by %s, leader %s",
+		name, r.sinceFirstRead(end), gap, change, stall, nameOf(r.leader()))
+	return nil
+}
+
+// touch records a disturbance or a return.
+func (r *run) touch() {
+	impaired := 0
+	for _, n := range r.core {
+		if n.impaired {
+			impaired++
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.disturbed = r.Timer.Now()
+	r.majorityLost = r.majorityLost || impaired*2 >= len(r.core)
+}
+
+func (r *run) setQuiet(quiet bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.quiet = quiet; !quiet {
+		r.majorityLost = false
+	}
+}
+
+// calmSince reports whether the deployment was calm from an instant until now: all is up, and the
+// last disturbance was so long before that all instances must be in contact.
+func (r *run) calmSince(at timer.Instant) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	contact := r.Size.Contact
+	if r.majorityLost {
+		contact *= 2
+	}
+	return r.quiet && !at.Before(r.disturbed.Add(contact))
+}
+
+// leader returns the instance that was elected in the highest term, by the logs; nil without one.
+func (r *run) leader() (leader *instance) {
+	highest := 0
+	for _, n := range r.core {
+		text, err := os.ReadFile(filepath.Join(r.Directory, n.name+".log"))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(text)) {
+			_, rest, ok := strings.Cut(line, `"elected"`)
+			if !ok {
+				continue
+			}
+			term := 0
+			if _, rest, ok = strings.Cut(rest, `"term":`); ok {
+				_, _ = fmt.Sscan(strings.TrimLeft(rest, " "), &term)
+			}
+			if term > highest {
+				highest, leader = term, n
+			}
+		}
+	}
+	return leader
+}
+
+func nameOf(n *instance) string {
+	if n == nil {
+		return "unknown"
+	}
+	return n.name
+}
+
+// printf prints a line with the time since the start, and with that of day as in the logs.
+func (r *run) printf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.Out, "%7.2f %s %s\n", r.Timer.Now().Sub(r.started).Seconds(), r.Timer.Wall().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+}
+
+// up returns a random instance that runs.
+func (r *run) up(random *rand.Rand) *instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.instances[random.IntN(len(r.instances))]
+}
+
+// replaceInstance replaces one instance by another in the lists.
+func (r *run) replaceInstance(old, next *instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.instances = slices.DeleteFunc(r.instances, func(n *instance) bool { return n == old })
+	r.core = slices.DeleteFunc(r.core, func(n *instance) bool { return n == old })
+	for i, s := range r.seeds {
+		if s == old.ip {
+			r.seeds[i] = next.ip
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/outage/patterns.go
@@ -0,0 +1,386 @@
+package outage
+
+import (
+	"context"
+	"maps"
+	"os"
+	"slices"
+	"syscall"
+	"time"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+)
+
+// patterns are the outages. When one returns, all processes run; cuts are healed after it.
+var patterns = map[string]func(ctx context.Context, r *run) error{
+	"isolate": isolate, "behind": behind, "relieve": relieve, "both": both, "halves": halves,
+	"silent-leader": silentLeader, "stale": stale, "freeze": freeze, "replace": replace, "long-cut": longCut, "dark": dark,
+}
+
+// Patterns returns the names of all outages.
+func Patterns() []string { return slices.Sorted(maps.Keys(patterns)) }
+
+// directions of a cut.
+const (
+	bothWays = iota
+	outbound
+	inbound
+	directions
+)
+
+// updateLinks changes the state of the network for all instances.
+func (r *run) updateLinks(change func(ls *links)) {
+	change(&r.links)
+	if err := r.links.write(r.linksPath()); err != nil {
+		r.violation("links", "%v", err)
+	}
+	r.touch()
+}
+
+// cut cuts the network between each instance and each of the others.
+func (r *run) cut(some, others []*instance, direction int) {
+	for _, n := range some {
+		n.impaired = true
+	}
+	r.printf("cut %s from %s, direction %d", namesOf(some), namesOf(others), direction)
+	r.updateLinks(func(ls *links) {
+		for _, a := range some {
+			for _, b := range others {
+				if direction != inbound {
+					ls.blocked[link{a.ip, b.ip}] = true
+				}
+				if direction != outbound {
+					ls.blocked[link{b.ip, a.ip}] = true
+				}
+			}
+		}
+	})
+}
+
+// heal heals all cuts.
+func (r *run) heal() {
+	if len(r.links.blocked) > 0 {
+		r.printf("heal")
+	}
+	r.updateLinks(func(ls *links) { clear(ls.blocked) })
+}
+
+// vanish kills instances whose connections to all others fall silent before.
+func (r *run) vanish(list ...*instance) {
+	r.printf("%s vanish", namesOf(list))
+	for _, n := range list {
+		n.impaired = true
+	}
+	r.updateLinks(func(ls *links) {
+		for _, n := range list {
+			ls.blocked[link{n.ip, anyHost}], ls.blocked[link{anyHost, n.ip}] = true, true
+		}
+	})
+	// All instances must have read the state before a connection can be reset.
+	_ = timer.Sleep(context.Background(), r.Timer, 3*linksInterval)
+	for _, n := range list {
+		n.process.Kill()
+		<-n.process.Done()
+	}
+}
+
+// kill kills instances, whose hosts go on and reset connections.
+func (r *run) kill(list ...*instance) {
+	r.printf("kill %s", namesOf(list))
+	for _, n := range list {
+		n.impaired = true
+		n.process.Kill()
+	}
+	for _, n := range list {
+		<-n.process.Done()
+	}
+	r.touch()
+}
+
+// restore starts instances that vanished or were killed.
+func (r *run) restore(wiped bool, list ...*instance) error {
+	r.printf("start %s, wiped %t", namesOf(list), wiped)
+	r.updateLinks(func(ls *links) {
+		for _, n := range list {
+			delete(ls.blocked, link{n.ip, anyHost})
+			delete(ls.blocked, link{anyHost, n.ip})
+		}
+	})
+	for _, n := range list {
+		if wiped {
+			if err := os.RemoveAll(n.disk); err != nil {
+				return err
+			}
+		}
+		if err := r.startProcess(n, false); err != nil {
+			return err
+		}
+		n.impaired = false
+	}
+	r.touch()
+	return nil
+}
+
+func namesOf(list []*instance) (names []string) {
+	for _, n := range list {
+		names = append(names, n.name)
+	}
+	return names
+}
+
+// sleep waits for a random time.
+func (r *run) sleep(ctx context.Context, least, most time.Duration) error {
+	return timer.Sleep(ctx, r.Timer, least+time.Duration(r.random.Int64N(int64(most-least)+1)))
+}
+
+// minority draws a minority of the core that may be lost, with the leader in half of the cases,
+// and returns the others too.
+func (r *run) minority() (some, others []*instance) {
+	list, leader := slices.Clone(r.core), r.leader()
+	r.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if i := slices.Index(list, leader); i >= 0 {
+		end := 0
+		if r.random.IntN(2) == 0 {
+			end = len(list) - 1
+		}
+		list[i], list[end] = list[end], list[i]
+	}
+	n := 1 + r.random.IntN(r.Size.Losses)
+	return list[:n], list[n:]
+}
+
+// isolate cuts a minority from the rest of the core; all other instances reach both.
+func isolate(ctx context.Context, r *run) error {
+	some, others := r.minority()
+	r.cut(some, others, r.random.IntN(directions))
+	return r.sleep(ctx, 4*time.Second, 7*time.Second)
+}
+
+// behind lets a minority miss changes, and then takes the others away from it.
+func behind(ctx context.Context, r *run) error {
+	some, others := r.minority()
+	r.cut(some, others, bothWays)
+	if err := r.sleep(ctx, 2*time.Second, 4*time.Second); err != nil {
+		return err
+	}
+	r.kill(others[0])
+	if err := r.sleep(ctx, time.Second, time.Second); err != nil {
+		return err
+	}
+	if err := r.restore(true, others[0]); err != nil {
+		return err
+	}
+	if err := r.sleep(ctx, time.Second, 4*time.Second); err != nil {
+		return err
+	}
+	r.vanish(others[1:]...)
+	if err := r.sleep(ctx, 0, time.Second); err != nil {
+		return err
+	}
+	r.heal()
+	if err := r.sleep(ctx, 4*time.Second, 6*time.Second); err != nil {
+		return err
+	}
+	return r.restore(false, others[1:]...)
+}
+
+// relieve kills the others as soon as a cut has healed.
+func relieve(ctx context.Context, r *run) error {
+	some, others := r.minority()
+	r.cut(some, others, bothWays)
+	if err := r.sleep(ctx, 4*time.Second, 6*time.Second); err != nil {
+		return err
+	}
+	r.heal()
+	if err := r.sleep(ctx, 0, 500*time.Millisecond); err != nil {
+		return err
+	}
+	if r.random.IntN(2) == 0 {
+		r.vanish(others...)
+	} else {
+		r.kill(others...)
+	}
+	if err := r.sleep(ctx, time.Second, 5*time.Second); err != nil {
+		return err
+	}
+	return r.restore(false, others...)
+}
+
+// both restarts those that are cut off, and then the others.
+func both(ctx context.Context, r *run) error {
+	some, others := r.minority()
+	r.cut(some, others, r.random.IntN(directions))
+	for _, list := range [][]*instance{some, others} {
+		if err := r.sleep(ctx, 2*time.Second, 3*time.Second); err != nil {
+			return err
+		}
+		r.kill(list...)
+		if err := r.sleep(ctx, 0, time.Second); err != nil {
+			return err
+		}
+		if err := r.restore(false, list...); err != nil {
+			return err
+		}
+	}
+	return r.sleep(ctx, 0, time.Second)
+}
+
+// insister sends a change to one instance until it answers.
+type insister struct {
+	*run
+	change *pendingChange
+	to     *instance
+}
+
+func (i *insister) loop(ctx context.Context) error {
+	for ctx.Err() == nil && !i.attempt(ctx, i.change, i.to) {
+		_ = timer.Sleep(ctx, i.Timer, pause)
+	}
+	return nil
+}
+
+// insist sends two changes at once to one instance until it answers.
+func (r *run) insist(to *instance) {
+	for range 2 {
+		r.group.Go("insister", (&insister{r, r.nextChange(), to}).loop)
+	}
+}
+
+// halves splits the core in halves.
+func halves(ctx context.Context, r *run) error {
+	list := slices.Clone(r.core)
+	r.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	leader := r.leader()
+	r.cut(list[:len(list)/2], list[len(list)/2:], bothWays)
+	if leader != nil {
+		r.insist(leader)
+	}
+	return r.sleep(ctx, 6*time.Second, 6*time.Second)
+}
+
+// awaitAcknowledgement waits for the next acknowledged change.
+func (r *run) awaitAcknowledgement(ctx context.Context) error {
+	acknowledged := func() int {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.checks.acknowledged
+	}
+	for before := acknowledged(); acknowledged() == before; {
+		if err := timer.Sleep(ctx, r.Timer, 5*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// silentLeader lets the leader vanish right after an acknowledgement, or the oldest instances.
+func silentLeader(ctx context.Context, r *run) error {
+	list, down := []*instance{r.leader()}, 3*time.Second
+	if r.Size.Losses > 1 && r.random.IntN(2) == 0 {
+		list, down = slices.Clone(r.core[:r.Size.Losses]), 7*time.Second
+	}
+	if list[0] == nil {
+		return nil
+	}
+	if err := r.awaitAcknowledgement(ctx); err != nil {
+		return err
+	}
+	r.vanish(list...)
+	if err := r.sleep(ctx, down, down); err != nil {
+		return err
+	}
+	return r.restore(r.random.IntN(2) == 0, list...)
+}
+
+// stale silences all open connections.
+func stale(ctx context.Context, r *run) error {
+	r.printf("all open connections fall silent")
+	r.updateLinks(func(ls *links) { ls.generation++ })
+	return r.sleep(ctx, 0, 0)
+}
+
+// freeze stops the leader's process while changes are sent to it.
+func freeze(ctx context.Context, r *run) error {
+	leader := r.leader()
+	if leader == nil {
+		return nil
+	}
+	r.printf("freeze %s", leader.name)
+	leader.impaired = true
+	leader.process.Signal(syscall.SIGSTOP)
+	r.touch()
+	r.insist(leader)
+	err := r.sleep(ctx, 7*time.Second, 7*time.Second)
+	leader.process.Signal(syscall.SIGCONT)
+	r.touch()
+	return err
+}
+
+// replace lets an instance with a disk vanish for good and adds one at a new address.
+func replace(ctx context.Context, r *run) error {
+	old := r.core[r.random.IntN(len(r.core))]
+	r.vanish(old)
+	if err := r.sleep(ctx, time.Second, 4*time.Second); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	next := r.add(true)
+	r.mu.Unlock()
+	r.printf("%s replaces %s", next.name, old.name)
+	err := r.startReplacement(old, next)
+	r.touch()
+	return err
+}
+
+// startReplacement starts an instance in place of another and tells all others its address.
+func (r *run) startReplacement(old, next *instance) error {
+	r.replaceInstance(old, next)
+	if err := r.startProcess(next, false); err != nil {
+		return err
+	}
+	for _, n := range r.instances {
+		if err := r.writeSettings(n, false); err != nil {
+			return err
+		}
+		n.process.Signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
+// longCut cuts a minority until the others may have removed it, and then takes the leader.
+func longCut(ctx context.Context, r *run) error {
+	some, others := r.minority()
+	r.cut(some, others, r.random.IntN(directions))
+	if err := r.sleep(ctx, 8*time.Second, 25*time.Second); err != nil {
+		return err
+	}
+	leader := r.leader()
+	r.heal()
+	if leader == nil {
+		return nil
+	}
+	if err := r.sleep(ctx, 0, 3*time.Second); err != nil {
+		return err
+	}
+	r.vanish(leader)
+	if err := r.sleep(ctx, 3*time.Second, 3*time.Second); err != nil {
+		return err
+	}
+	return r.restore(false, leader)
+}
+
+// dark lets a cut heal while all others are gone, which return later.
+func dark(ctx context.Context, r *run) error {
+	some, others := r.minority()
+	r.cut(some, others, bothWays)
+	if err := r.sleep(ctx, 4*time.Second, 6*time.Second); err != nil {
+		return err
+	}
+	r.vanish(others...)
+	r.heal()
+	r.vanish(others...)
+	if err := r.sleep(ctx, 2*time.Second, 5*time.Second); err != nil {
+		return err
+	}
+	return r.restore(false, others...)
+}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -88,6 +88,8 @@
 	Version   int
 	AddedPath string
 	APIKey    string
+	// ExtraRoutes is the number of further routes, which make the document larger.
+	ExtraRoutes int
 }
 
 // Announcement is what an upstream announces to an instance.
