bench/outage: instances must serve while a loss is tolerable, and two more outages

Cause: the checks began only once everything was back, so an instance that clings to a lost leader could not show. Series of outages were missing too.

Change: reads and requests must also be served while no more of the core is impaired than may be lost at a time; orphan and series are new. A replacement is not told to read its settings again while it starts.

--- a/internal/bench/outage/checks.go
+++ b/internal/bench/outage/checks.go
@@ -215,8 +215,8 @@
 		case ctx.Err() != nil:
 		case err != nil:
 			rd.count("reads failed")
-			if rd.calmSince(begin) {
-				rd.violation("read", "%s does not answer a read in calm since %s: %v", from.name, rd.Timer.Now().Sub(begin), err)
+			if rd.servesSince(from, begin) {
+				rd.violation("read", "%s does not answer a read for %s: %v", from.name, rd.Timer.Now().Sub(begin), err)
 			}
 		case version < acknowledged:
 			rd.violation("older", "%s reads version %d after %d was acknowledged", from.name, version, acknowledged)
@@ -291,7 +291,7 @@
 	q.Header.Set(names.Deadline, strconv.FormatInt(readTimeout.Milliseconds(), 10))
 	status, body, err := p.send(ctx, q, readTimeout)
 	p.count(fmt.Sprint("probes answered ", status))
-	if err != nil || !p.calmSince(begin) {
+	if err != nil || !p.servesSince(to, begin) {
 		return nil
 	}
 	p.mu.Lock()
@@ -299,7 +299,7 @@
 	p.mu.Unlock()
 	switch {
 	case strings.Contains(body, "not confirmed"):
-		p.violation("refused", "%s refuses in calm: %d %.100s", to.name, status, body)
+		p.violation("refused", "%s refuses: %d %.100s", to.name, status, body)
 	case status == http.StatusNotFound && (current || path == soak.ReadPath):
 		p.violation("missing", "%s does not know %s", to.name, path)
 	}
--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -81,7 +81,8 @@
 	name, ip, zone string
 	disk           string // data directory; empty without one
 	process        *cluster.Process
-	impaired       bool // killed, frozen or cut
+	// impaired is set while the instance is down, frozen or cut off; guarded by run.mu.
+	impaired bool
 }
 
 // run is the state of one run.
@@ -99,7 +100,9 @@
 	core      []*instance // those with a disk, the oldest first
 	seeds     []string
 	addresses int // how many were given out
-	// majorityLost is set while the last disturbance has impaired most of the core.
+	// impaired is how many instances of the core are impaired. majorityLost is set once most of
+	// it was in this round.
+	impaired     int
 	majorityLost bool
 	disturbed    timer.Instant // the last disturbance or return
 	quiet        bool          // no disturbance goes on
@@ -224,11 +227,8 @@
 	if err := play(ctx, r); err != nil {
 		return err
 	}
+	r.impair(false, r.instances...)
 	r.heal()
-	for _, n := range r.instances {
-		n.impaired = false
-	}
-	r.touch()
 	r.setQuiet(true)
 	end := r.Timer.Now()
 	r.printf("%s: all back, leader %s", name, nameOf(r.leader()))
@@ -242,18 +242,27 @@
 	return nil
 }
 
+// impair sets whether instances are impaired. It takes effect with touch.
+func (r *run) impair(impaired bool, list ...*instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range list {
+		n.impaired = impaired
+	}
+}
+
 // touch records a disturbance or a return.
 func (r *run) touch() {
-	impaired := 0
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.impaired = 0
 	for _, n := range r.core {
 		if n.impaired {
-			impaired++
+			r.impaired++
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.disturbed = r.Timer.Now()
-	r.majorityLost = r.majorityLost || impaired*2 >= len(r.core)
+	r.majorityLost = r.majorityLost || r.impaired*2 >= len(r.core)
 }
 
 func (r *run) setQuiet(quiet bool) {
@@ -269,11 +278,24 @@
 func (r *run) calmSince(at timer.Instant) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.quiet && r.settledBefore(at)
+}
+
+// settledBefore reports whether instances must be in contact again since an instant. r.mu must be held.
+func (r *run) settledBefore(at timer.Instant) bool {
 	contact := r.Size.Contact
 	if r.majorityLost {
 		contact *= 2
 	}
-	return r.quiet && !at.Before(r.disturbed.Add(contact))
+	return !at.Before(r.disturbed.Add(contact))
+}
+
+// servesSince reports whether an instance must serve since an instant: in calm, and while no more
+// of the core is impaired than may be lost at a time.
+func (r *run) servesSince(n *instance, at timer.Instant) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !n.impaired && r.impaired <= r.Size.Losses && r.settledBefore(at)
 }
 
 // leader returns the instance that was elected in the highest term, by the logs; nil without one.
--- a/internal/bench/outage/patterns.go
+++ b/internal/bench/outage/patterns.go
@@ -14,7 +14,7 @@
 // patterns are the outages. When one returns, all processes run; cuts are healed after it.
 var patterns = map[string]func(ctx context.Context, r *run) error{
 	"isolate": isolate, "behind": behind, "relieve": relieve, "both": both, "halves": halves,
-	"silent-leader": silentLeader, "stale": stale, "freeze": freeze, "replace": replace, "long-cut": longCut, "dark": dark,
+	"silent-leader": silentLeader, "stale": stale, "freeze": freeze, "replace": replace, "long-cut": longCut, "dark": dark, "orphan": orphan, "series": series,
 }
 
 // Patterns returns the names of all outages.
@@ -39,9 +39,7 @@
 
 // cut cuts the network between each instance and each of the others.
 func (r *run) cut(some, others []*instance, direction int) {
-	for _, n := range some {
-		n.impaired = true
-	}
+	r.impair(true, some...)
 	r.printf("cut %s from %s, direction %d", namesOf(some), namesOf(others), direction)
 	r.updateLinks(func(ls *links) {
 		for _, a := range some {
@@ -59,6 +57,11 @@
 
 // heal heals all cuts.
 func (r *run) heal() {
+	for _, n := range r.core {
+		if n.process.Alive() {
+			r.impair(false, n)
+		}
+	}
 	if len(r.links.blocked) > 0 {
 		r.printf("heal")
 	}
@@ -68,9 +71,7 @@
 // vanish kills instances whose connections to all others fall silent before.
 func (r *run) vanish(list ...*instance) {
 	r.printf("%s vanish", namesOf(list))
-	for _, n := range list {
-		n.impaired = true
-	}
+	r.impair(true, list...)
 	r.updateLinks(func(ls *links) {
 		for _, n := range list {
 			ls.blocked[link{n.ip, anyHost}], ls.blocked[link{anyHost, n.ip}] = true, true
@@ -87,8 +88,8 @@
 // kill kills instances, whose hosts go on and reset connections.
 func (r *run) kill(list ...*instance) {
 	r.printf("kill %s", namesOf(list))
+	r.impair(true, list...)
 	for _, n := range list {
-		n.impaired = true
 		n.process.Kill()
 	}
 	for _, n := range list {
@@ -115,8 +116,8 @@
 		if err := r.startProcess(n, false); err != nil {
 			return err
 		}
-		n.impaired = false
 	}
+	r.impair(false, list...)
 	r.touch()
 	return nil
 }
@@ -276,7 +277,10 @@
 // silentLeader lets the leader vanish right after an acknowledgement, or the oldest instances.
 func silentLeader(ctx context.Context, r *run) error {
 	list, down := []*instance{r.leader()}, 3*time.Second
-	if r.Size.Losses > 1 && r.random.IntN(2) == 0 {
+	switch {
+	case r.random.IntN(2) == 0:
+		down = 10 * time.Second
+	case r.Size.Losses > 1:
 		list, down = slices.Clone(r.core[:r.Size.Losses]), 7*time.Second
 	}
 	if list[0] == nil {
@@ -306,12 +310,13 @@
 		return nil
 	}
 	r.printf("freeze %s", leader.name)
-	leader.impaired = true
+	r.impair(true, leader)
 	leader.process.Signal(syscall.SIGSTOP)
 	r.touch()
 	r.insist(leader)
 	err := r.sleep(ctx, 7*time.Second, 7*time.Second)
 	leader.process.Signal(syscall.SIGCONT)
+	r.impair(false, leader)
 	r.touch()
 	return err
 }
@@ -342,7 +347,10 @@
 		if err := r.writeSettings(n, false); err != nil {
 			return err
 		}
-		n.process.Signal(syscall.SIGHUP)
+		// A new process has read the addresses, and does not handle the signal at once.
+		if n != next {
+			n.process.Signal(syscall.SIGHUP)
+		}
 	}
 	return nil
 }
@@ -384,3 +392,51 @@
 	}
 	return r.restore(false, others...)
 }
+
+// orphan lets an instance hear that it was removed while nobody hears it, and then takes the leader
+// that it knows.
+func orphan(ctx context.Context, r *run) error {
+	leader := r.leader()
+	if leader == nil {
+		return nil
+	}
+	var others []*instance
+	for _, n := range r.core {
+		if n != leader {
+			others = append(others, n)
+		}
+	}
+	at := r.random.IntN(len(others))
+	r.cut(others[at:at+1], slices.DeleteFunc(slices.Clone(r.core), func(n *instance) bool { return n == others[at] }), outbound)
+	if err := r.sleep(ctx, 4*time.Second, 7*time.Second); err != nil {
+		return err
+	}
+	if r.random.IntN(2) == 0 {
+		r.vanish(leader)
+	} else {
+		r.kill(leader)
+	}
+	r.impair(false, others[at])
+	r.updateLinks(func(ls *links) {
+		maps.DeleteFunc(ls.blocked, func(l link, _ bool) bool { return l.from == others[at].ip })
+	})
+	if err := r.sleep(ctx, 10*time.Second, 10*time.Second); err != nil {
+		return err
+	}
+	return r.restore(false, leader)
+}
+
+// series plays several outages with hardly any time between them.
+func series(ctx context.Context, r *run) error {
+	list := []func(ctx context.Context, r *run) error{isolate, behind, relieve, both, halves, silentLeader, stale, freeze, dark, orphan}
+	for range 3 {
+		if err := list[r.random.IntN(len(list))](ctx, r); err != nil {
+			return err
+		}
+		r.heal()
+		if err := r.sleep(ctx, 0, 3*time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
