bench/outage: the leader and as many others as may be lost vanish at once

Cause: silent-leader takes the oldest instances, among which the leader is by chance.

Change: lost-hosts.

--- a/internal/bench/outage/patterns.go
+++ b/internal/bench/outage/patterns.go
@@ -14,7 +14,7 @@
 // patterns are the outages. When one returns, all processes run; cuts are healed after it.
 var patterns = map[string]func(ctx context.Context, r *run) error{
 	"isolate": isolate, "behind": behind, "relieve": relieve, "both": both, "halves": halves,
-	"silent-leader": silentLeader, "stale": stale, "freeze": freeze, "replace": replace, "long-cut": longCut, "dark": dark, "orphan": orphan, "series": series,
+	"silent-leader": silentLeader, "stale": stale, "freeze": freeze, "replace": replace, "long-cut": longCut, "dark": dark, "orphan": orphan, "series": series, "lost-hosts": lostHosts,
 }
 
 // Patterns returns the names of all outages.
@@ -297,6 +297,29 @@
 	return r.restore(r.random.IntN(2) == 0, list...)
 }
 
+// lostHosts lets the leader vanish right after an acknowledgement, with as many others as may be
+// lost at the same time.
+func lostHosts(ctx context.Context, r *run) error {
+	leader := r.leader()
+	if leader == nil {
+		return nil
+	}
+	list := []*instance{leader}
+	for _, n := range r.core {
+		if n != leader && len(list) < r.Size.Losses {
+			list = append(list, n)
+		}
+	}
+	if err := r.awaitAcknowledgement(ctx); err != nil {
+		return err
+	}
+	r.vanish(list...)
+	if err := r.sleep(ctx, 7*time.Second, 7*time.Second); err != nil {
+		return err
+	}
+	return r.restore(r.random.IntN(2) == 0, list...)
+}
+
 // stale silences all open connections, after short freezes of leaders that made instances open
 // connections to several replicas.
 func stale(ctx context.Context, r *run) error {
