bench/outage: a host that is back resets connections that it no longer knows

Cause: idle connections to a host that was lost and came back stayed silent until the first bytes had been unacknowledged for 1.5 s, where TCP answers them with a reset. The next change of leader then cost one more poll than on a network.

--- a/internal/bench/outage/link.go
+++ b/internal/bench/outage/link.go
@@ -41,8 +41,8 @@
 type links struct {
 	// Connections of an earlier generation are silent.
 	generation int
-	// acks makes connections fail after ackTimeout once bytes are lost. Otherwise they are silent
-	// for good.
+	// acks makes connections fail as TCP does: ackTimeout after bytes were lost, or once a host is
+	// back that no longer knows them. Otherwise they are silent for good.
 	acks    bool
 	blocked map[link]bool
 }
@@ -162,6 +162,7 @@
 	lostOut     bool
 	lostIn      bool
 	unconfirmed bool // a write waits for ackTimeout
+	ended       bool // by the peer, unnoticed
 	failed      bool
 }
 
@@ -181,6 +182,10 @@
 	if ls.acks && (out || ls.blocks(c.peer, c.network.self)) {
 		c.awaitAck()
 	}
+	if ls.acks && c.isReset(ls) {
+		c.fail()
+		return 0, syscall.ECONNRESET
+	}
 	if out {
 		return len(b), c.failure(nil)
 	}
@@ -188,6 +193,13 @@
 	return n, c.failure(err)
 }
 
+// isReset reports whether the host of the peer, which no longer knows the connection, answers now.
+func (c *conn) isReset(ls *links) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended && ls.generation == c.generation && !ls.blocks(c.network.self, c.peer) && !ls.blocks(c.peer, c.network.self)
+}
+
 // awaitAck lets the connection fail after ackTimeout.
 func (c *conn) awaitAck() {
 	c.mu.Lock()
@@ -223,6 +235,9 @@
 			return n, c.failure(err)
 		}
 		if err != nil {
+			c.mu.Lock()
+			c.ended = true
+			c.mu.Unlock()
 			<-c.closed
 			return 0, c.failure(net.ErrClosed)
 		}
--- a/internal/bench/outage/link_test.go
+++ b/internal/bench/outage/link_test.go
@@ -141,3 +141,40 @@
 	_, err = c.Read(make([]byte, 1))
 	n.is.True(errors.Is(err, syscall.ETIMEDOUT))
 }
+
+// Guards against connections to a host that is back after a loss that stay silent for longer than
+// TCP would keep them so.
+func TestReset(t *testing.T) {
+	n := newTestNetwork(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n.is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	c, err := n.Dial(context.Background(), l.Addr().String())
+	n.is.NoErr(err)
+	accepted, err := l.Accept()
+	n.is.NoErr(err)
+	n.set(&links{acks: true, blocked: map[link]bool{{anyHost, "127.0.0.1"}: true, {"127.0.0.1", anyHost}: true}})
+	r := &reading{conn: c, err: make(chan error, 1)}
+	go r.run()
+	n.is.NoErr(accepted.Close())
+	select {
+	case <-r.err:
+		t.Fatal("the end of the connection came through the cut")
+	case <-time.After(50 * time.Millisecond):
+	}
+	n.set(&links{acks: true})
+	_, err = c.Write([]byte("x"))
+	n.is.True(errors.Is(err, syscall.ECONNRESET))
+	n.is.True(<-r.err != nil)
+}
+
+// reading is a Read in progress.
+type reading struct {
+	conn net.Conn
+	err  chan error
+}
+
+func (r *reading) run() {
+	_, err := r.conn.Read(make([]byte, 1))
+	r.err <- err
+}
