--- a/internal/bench/outage/patterns.go
+++ b/internal/bench/outage/patterns.go
@@ -13,21 +13,27 @@
 
 // patterns are the outages. When one returns, all processes run; cuts are healed after it.
 var patterns = map[string]func(ctx context.Context, r *run) error{
-	"isolate": isolate, "behind": behind, "relieve": relieve, "both": both, "halves": halves,
-	"silent-leader": silentLeader, "stale": stale, "freeze": freeze, "replace": replace, "long-cut": longCut, "dark": dark, "orphan": orphan, "series": series, "lost-hosts": lostHosts,
+	"isolate": isolate, "behind": behind, "relieve": relieve, "both": both, "halves": halves, "dark": dark, "long-cut": longCut,
+	"silent-leader": silentLeader, "lost-hosts": lostHosts, "orphan": orphan, "stale": stale, "freeze": freeze, "replace": replace, "series": series,
 }
 
 // Patterns returns the names of all outages.
 func Patterns() []string { return slices.Sorted(maps.Keys(patterns)) }
 
-// directions of a cut.
+// direction is the direction of a cut, as seen from the smaller side.
+type direction int
+
 const (
-	bothWays = iota
+	bothWays direction = iota
 	outbound
 	inbound
-	directions
 )
 
+func (d direction) String() string { return [...]string{"both ways", "outbound", "inbound"}[d] }
+
+// direction draws a direction.
+func (r *run) direction() direction { return direction(r.random.IntN(int(inbound) + 1)) }
+
 // updateLinks changes the state of the network for all instances.
 func (r *run) updateLinks(change func(ls *links)) {
 	change(&r.links)
@@ -38,16 +44,16 @@
 }
 
 // cut cuts the network between each instance and each of the others.
-func (r *run) cut(some, others []*instance, direction int) {
+func (r *run) cut(some, others []*instance, d direction) {
 	r.impair(true, some...)
-	r.printf("cut %s from %s, direction %d", namesOf(some), namesOf(others), direction)
+	r.printf("cut %s from %s, %s", namesOf(some), namesOf(others), d)
 	r.updateLinks(func(ls *links) {
 		for _, a := range some {
 			for _, b := range others {
-				if direction != inbound {
+				if d != inbound {
 					ls.blocked[link{a.ip, b.ip}] = true
 				}
-				if direction != outbound {
+				if d != outbound {
 					ls.blocked[link{b.ip, a.ip}] = true
 				}
 			}
@@ -154,7 +160,7 @@
 // isolate cuts a minority from the rest of the core; all other instances reach both.
 func isolate(ctx context.Context, r *run) error {
 	some, others := r.minority()
-	r.cut(some, others, r.random.IntN(directions))
+	r.cut(some, others, r.direction())
 	return r.sleep(ctx, 4*time.Second, 7*time.Second)
 }
 
@@ -211,7 +217,7 @@
 // both restarts those that are cut off, and then the others.
 func both(ctx context.Context, r *run) error {
 	some, others := r.minority()
-	r.cut(some, others, r.random.IntN(directions))
+	r.cut(some, others, r.direction())
 	for _, list := range [][]*instance{some, others} {
 		if err := r.sleep(ctx, 2*time.Second, 3*time.Second); err != nil {
 			return err
@@ -396,7 +402,7 @@
 // longCut cuts a minority until the others may have removed it, and then takes the leader.
 func longCut(ctx context.Context, r *run) error {
 	some, others := r.minority()
-	r.cut(some, others, r.random.IntN(directions))
+	r.cut(some, others, r.direction())
 	if err := r.sleep(ctx, 8*time.Second, 25*time.Second); err != nil {
 		return err
 	}
