--- a/internal/bench/outage/outage_test.go
+++ b/internal/bench/outage/outage_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -15,6 +16,26 @@
 	"wisteriakeel.example/wisteriakeel/platform/dialect"
 )
 
+// binary is the path of bench, which TestMain builds.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "outage-")
+	if err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	binary = filepath.Join(directory, "bench")
+	if out, err := exec.Command("go", "build", "-o", binary, "wisteriakeel.example/wisteriakeel/cmd/bench").CombinedOutput(); err != nil {
+		fmt.Printf("build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
 // seeds are the seeds that TestOutages runs, each with the failure that it guards against.
 var seeds = []struct {
 	seed    uint64
@@ -27,6 +48,7 @@
 // Guards against reads, changes and requests that stay refused after outages in which nothing
 // answers, and against acknowledged changes that are lost.
 func TestOutages(t *testing.T) {
+	t.Parallel()
 	for i, s := range seeds {
 		t.Run(fmt.Sprint("seed=", s.seed), func(t *testing.T) {
 			t.Parallel()
@@ -45,13 +67,8 @@
 // play plays one outage on the small deployment.
 func play(t *testing.T, seed uint64, pattern string, subnet int) {
 	is := is.New(t)
-	binary := filepath.Join(t.TempDir(), "bench")
-	out, err := exec.Command("go", "build", "-o", binary, "wisteriakeel.example/wisteriakeel/cmd/bench").CombinedOutput()
-	if err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
 	var report bytes.Buffer
-	err = outage.Run(context.Background(), outage.Options{
+	err := outage.Run(context.Background(), outage.Options{
 		Dialect: dialect.Dialect{}, Binary: binary, Directory: t.TempDir(), Seed: seed, Size: outage.Small,
 		Subnet: subnet, Patterns: []string{pattern}, Rounds: 1, Timer: timer.NewSystem(), Out: &report,
 	})
