replica: a call on a connection that has ended is made again on a new one

Cause: a machine that lost power ends its connections only when it is sent something. The first vote request after its return was lost with the connection to its former process, the round failed although a majority could vote, and the next one was 0.6 to 1.2 s away.

Change: a call that fails on a connection of an earlier call, which turns out to have ended, is made once more on a new one within the same time limit.

--- a/internal/control/replica/transport.go
+++ b/internal/control/replica/transport.go
@@ -77,7 +77,10 @@
 }
 
 // invoke makes one call with a timeout. It closes a connection whose call timed out, since
-// that may never deliver anything again while a new connection works.
+// that may never deliver anything again while a new connection works. If a connection from an
+// earlier call turns out to have ended, it makes the call again on a new one: a machine that lost
+// power says so only when it is sent something, and the next round of an election may be a
+// second away. The peer may then handle a request twice, which is harmless for all of them.
 func invoke[Q, R any](
 	ctx context.Context, t *DRPCTransport, k connKey, timeout time.Duration,
 	method func(wire.DRPCReplicaClient, context.Context, Q) (R, error), request Q,
@@ -99,10 +102,17 @@
 	case <-ctx.Done():
 		return reply, context.Cause(ctx)
 	}
-	if err := t.connect(ctx, c, k.to); err != nil {
+	opened, err := t.connect(ctx, c, k.to)
+	if err != nil {
 		return reply, err
 	}
 	reply, err = method(wire.NewDRPCReplicaClient(c.conn), WithPeerToken(ctx, t.options.PeerToken), request)
+	if err != nil && ctx.Err() == nil && !opened && c.isClosed() {
+		if _, err := t.connect(ctx, c, k.to); err != nil {
+			return reply, err
+		}
+		reply, err = method(wire.NewDRPCReplicaClient(c.conn), WithPeerToken(ctx, t.options.PeerToken), request)
+	}
 	if err != nil && ctx.Err() != nil {
 		_ = c.conn.Close()
 		c.conn = nil
@@ -126,21 +136,32 @@
 	return c, nil
 }
 
-// connect opens the connection unless it is open. The caller holds its slot.
-func (t *DRPCTransport) connect(ctx context.Context, c *connection, to Address) error {
-	if c.conn != nil {
-		select {
-		case <-c.conn.Closed():
-		default:
-			return nil
-		}
+// isClosed reports whether the connection has ended or was never opened. The caller holds its
+// slot.
+func (c *connection) isClosed() bool {
+	if c.conn == nil {
+		return true
+	}
+	select {
+	case <-c.conn.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+// connect opens the connection unless it is open, and reports whether it did. The caller holds
+// its slot.
+func (t *DRPCTransport) connect(ctx context.Context, c *connection, to Address) (opened bool, err error) {
+	if !c.isClosed() {
+		return false, nil
 	}
 	conn, err := t.options.Dial(ctx, to)
 	if err != nil {
-		return err
+		return false, err
 	}
 	c.conn = drpcconn.New(conn)
-	return nil
+	return true, nil
 }
 
 // Close closes each connection once its call has ended.
--- a/internal/control/replica/transport_test.go
+++ b/internal/control/replica/transport_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"runtime"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -210,3 +211,48 @@
 	}
 	is.Equal(dials.Load(), int32(2)) // the second connection is kept
 }
+
+// endedConn is a connection whose end shows only when something is sent over it, as after a loss
+// of power at the other end.
+type endedConn struct {
+	net.Conn
+	ended *atomic.Bool
+}
+
+// Write fails once the connection has ended.
+func (c endedConn) Write(b []byte) (int, error) {
+	if c.ended.Load() {
+		return 0, syscall.ECONNRESET
+	}
+	return c.Conn.Write(b)
+}
+
+// Guards against a vote request that is lost with the connection to the former process of a
+// peer. The election would fail although a majority could vote, and the next round may be more
+// than a second away.
+func TestEndedConnection(t *testing.T) {
+	is := is.New(t)
+	l := listen(t)
+	serveNodes(t, l, map[replica.GroupID]*replica.Node{})
+	var dials atomic.Int32
+	ended := &atomic.Bool{}
+	transport := replica.NewTransport(replica.TransportOptions{
+		Timer: timer.NewSystem(), PeerToken: "secret",
+		Dial: func(ctx context.Context, to replica.Address) (net.Conn, error) {
+			var d net.Dialer
+			conn, err := d.DialContext(ctx, "tcp", string(to))
+			if dials.Add(1) == 1 && err == nil {
+				conn = endedConn{conn, ended}
+			}
+			return conn, err
+		},
+	})
+	defer func() { is.NoErr(transport.Close()) }()
+	to := replica.Address(l.Addr().String())
+	for range 3 {
+		_, err := transport.Vote(t.Context(), to, &wire.VoteRequest{Group: 9})
+		is.Equal(errors.UnwrapAll(err).Error(), "no group 9 here")
+		ended.Store(true)
+	}
+	is.Equal(dials.Load(), int32(2))
+}
