replica: the log says why an election failed

Cause: a deployment without a leader for seconds left no trace of its elections. The logs could not tell "no majority alive" from "votes denied" or "votes unanswered".

Change: a round that ends without a leader is logged with the voters that granted, denied and did not answer, unless the round before ended the same way; a leader is logged with its votes. A voter logs why it denies a vote, once per candidate and reason in a row. canVote and decideVote give the reason instead of a bare no; what they decide is as before.

Cost: at most one line per changed result and per changed reason, none per round; the reasons of 64 candidates are remembered.

Measured: TestFailedElectionIsLogged can't pass before (nothing was logged) and passes: in 10 s without a leader one line for the failed rounds, and one per voter that denies.

--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"wisteriakeel.example/wisteriakeel/internal/control/disk"
@@ -167,6 +168,7 @@
 	history   *history
 	instances []*instance
 	configure func(n *replica.Node) // called for each node before it runs
+	log       *zap.Logger           // of instances that start; may be nil
 
 	mu        sync.Mutex
 	byAddress map[string]*instance // running instances
@@ -238,7 +240,7 @@
 	i.machine = &machine{history: c.history}
 	node, err := replica.New(replica.Options{
 		Self: i.self, StateMachine: i.machine, Store: store, Transport: &simTransport{c, i}, Timer: i.timer,
-		Random: rand.New(rand.NewPCG(c.random.Uint64(), 3)),
+		Random: rand.New(rand.NewPCG(c.random.Uint64(), 3)), Log: c.log,
 	})
 	if err != nil {
 		return err
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,10 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/replica"
 )
 
+// maxLoggedDenials bounds the candidates whose last denial is remembered. Members change, but a
+// group has far fewer at a time.
+const maxLoggedDenials = 64
+
 // resetElectionTimeout starts a new election timeout of random length.
 func (n *Node) resetElectionTimeout() {
 	spread := int64(MaxElectionTimeout - MinElectionTimeout)
@@ -69,7 +74,7 @@
 	n.electionRound++
 	round := n.electionRound
 	n.leader = Member{}
-	n.votesGranted = map[Identity]bool{}
+	n.votesGranted, n.votesDenied = map[Identity]bool{}, map[Identity]bool{}
 	if preVote {
 		n.role = preCandidate
 		n.requestVotes(round, n.term+1, true)
@@ -147,13 +152,61 @@
 	}
 	if r.GetGranted() {
 		n.recordVote(q.round, p.member.Identity)
+	} else if q.round == n.electionRound {
+		n.votesDenied[p.member.Identity] = true
+	}
+}
+
+// electionVotes describes which voters granted, denied and didn't answer the requests of the
+// current round.
+func (n *Node) electionVotes() []zap.Field {
+	var granted, denied, unanswered []string
+	for _, m := range n.raftLog.latestMembership().members {
+		switch {
+		case !m.Voter:
+		case n.votesGranted[m.Identity]:
+			granted = append(granted, string(m.Address))
+		case n.votesDenied[m.Identity]:
+			denied = append(denied, string(m.Address))
+		default:
+			unanswered = append(unanswered, string(m.Address))
+		}
+	}
+	return []zap.Field{zap.Strings("granted", granted), zap.Strings("denied", denied), zap.Strings("unanswered", unanswered)}
+}
+
+// logFailedElection logs the votes of the current round, which has not led to a leader in time,
+// unless those of the last failed round were the same.
+func (n *Node) logFailedElection() {
+	if n.role != preCandidate && n.role != candidate {
+		return
 	}
+	votes := n.electionVotes()
+	if result := fmt.Sprint(n.role, votes); result != n.loggedElection {
+		n.loggedElection = result
+		n.log.Info("election failed", append(votes, zap.Bool("prevote", n.role == preCandidate), zap.Uint64("term", uint64(n.term)))...)
+	}
+}
+
+// logDenial logs why a candidate is denied a vote, once per reason in a row.
+func (n *Node) logDenial(r *wire.VoteRequest, reason string) {
+	i := Identity(r.GetCandidate().GetIdentity())
+	if n.loggedDenials[i] == reason {
+		return
+	}
+	if len(n.loggedDenials) >= maxLoggedDenials {
+		clear(n.loggedDenials)
+	}
+	n.loggedDenials[i] = reason
+	n.log.Info("vote denied", zap.String("candidate", r.GetCandidate().GetAddress()), zap.Bool("prevote", r.GetPrevote()),
+		zap.Uint64("term", r.GetTerm()), zap.String("reason", reason))
 }
 
 // becomeLeader starts a term as leader. It appends a no-op, since committing an entry of
 // its own term also commits the entries of earlier terms.
 func (n *Node) becomeLeader() {
-	n.log.Info("elected", zap.Uint64("term", uint64(n.term)))
+	n.log.Info("elected", append(n.electionVotes(), zap.Uint64("term", uint64(n.term)))...)
+	n.loggedElection = ""
 	n.role, n.leader, n.electedAt = leader, n.self, n.timer.Now()
 	n.electionRound++
 	n.noopIndex = n.raftLog.lastIndex() + 1
@@ -165,14 +218,23 @@
 	}
 }
 
-// canVote reports whether this replica may grant votes now. It may not while it
-// leads or restores a snapshot, within the minimum election timeout after the last message
-// from a leader, or within that time after its start: it may have acknowledged a heartbeat
-// just before a restart, and a lease may depend on that.
-func (n *Node) canVote() bool {
+// reasonNotToVote returns why this replica may grant no votes now, or "" if it may. It may not
+// while it leads or restores a snapshot, within the minimum election timeout after the last
+// message from a leader, or within that time after its start: it may have acknowledged a
+// heartbeat just before a restart, and a lease may depend on that.
+func (n *Node) reasonNotToVote() string {
 	now := n.timer.Now()
-	return n.role != leader && !n.restoring &&
-		now.Sub(n.startedAt) >= MinElectionTimeout && now.Sub(n.lastContact) >= MinElectionTimeout
+	switch {
+	case n.role == leader:
+		return "leading"
+	case n.restoring:
+		return "restoring a snapshot"
+	case now.Sub(n.startedAt) < MinElectionTimeout:
+		return "just started"
+	case now.Sub(n.lastContact) < MinElectionTimeout:
+		return "in contact with a leader"
+	}
+	return ""
 }
 
 // Vote handles a vote request of another replica.
@@ -200,32 +262,61 @@
 }
 
 // decideVote decides on a vote or pre-vote request, and records a vote that it grants.
-func (n *Node) decideVote(r *wire.VoteRequest) bool {
-	term, candidateID := Term(r.GetTerm()), Identity(r.GetCandidate().GetIdentity())
-	if !n.canVote() || candidateID == "" {
+func (n *Node) decideVote(r *wire.VoteRequest) (granted bool) {
+	reason := n.reasonToDeny(r)
+	if reason != "" {
+		n.logDenial(r, reason)
 		return false
 	}
+	delete(n.loggedDenials, Identity(r.GetCandidate().GetIdentity()))
+	if r.GetPrevote() {
+		return true
+	}
+	if n.votedFor == "" {
+		n.votedFor = Identity(r.GetCandidate().GetIdentity())
+		n.saveHardState(nil)
+	}
+	n.resetElectionTimeout()
+	return true
+}
+
+// reasonToDeny returns why a vote or pre-vote may not be granted, or "" if it may. A vote request
+// of a newer term that comes while votes may be granted starts that term here.
+func (n *Node) reasonToDeny(r *wire.VoteRequest) string {
+	term, candidateID := Term(r.GetTerm()), Identity(r.GetCandidate().GetIdentity())
+	if candidateID == "" {
+		return "no candidate"
+	}
+	if reason := n.reasonNotToVote(); reason != "" {
+		return reason
+	}
 	last, lastTerm := Index(r.GetLastindex()), Term(r.GetLastterm())
 	upToDate := lastTerm > n.raftLog.lastTerm() || (lastTerm == n.raftLog.lastTerm() && last >= n.raftLog.lastIndex())
 	if r.GetPrevote() {
 		// While an election is in progress, another one would only split the votes.
 		electing := n.votedFor != "" && n.votedFor != candidateID && n.leader.Identity == "" &&
 			(n.unsyncedHardStates > 0 || n.timer.Now().Sub(n.votedAt) < MinElectionTimeout)
-		return term > n.term && upToDate && !electing
+		switch {
+		case term <= n.term:
+			return "old term"
+		case !upToDate:
+			return "log is behind"
+		case electing:
+			return "voted for another candidate"
+		}
+		return ""
 	}
 	if term < n.term {
-		return false
+		return "old term"
 	}
 	if term > n.term {
 		n.becomeFollower(term, Member{})
 	}
-	if !upToDate || (n.votedFor != "" && n.votedFor != candidateID) {
-		return false
+	switch {
+	case !upToDate:
+		return "log is behind"
+	case n.votedFor != "" && n.votedFor != candidateID:
+		return "voted for another candidate"
 	}
-	if n.votedFor == "" {
-		n.votedFor = candidateID
-		n.saveHardState(nil)
-	}
-	n.resetElectionTimeout()
-	return true
+	return ""
 }
--- a/internal/control/replica/election_test.go
+++ b/internal/control/replica/election_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/replica"
@@ -289,3 +291,43 @@
 		}
 	})
 }
+
+// Guards against logs that can't tell votes that were denied from votes that nobody answered, and
+// against a line for each round of an election that fails again and again.
+func TestFailedElectionIsLogged(t *testing.T) {
+	tests := []struct {
+		name               string
+		fault              func(c *cluster, l, i *instance)
+		denied, unanswered int
+		reasons            int // lines that say why a vote was denied
+	}{
+		{"no majority alive", func(c *cluster, _, i *instance) {
+			for _, o := range c.others(i) {
+				c.stop(o, true)
+			}
+		}, 0, 2, 0},
+		// Both others deny, and the reply of one is lost.
+		{"denied by a working majority", func(c *cluster, l, i *instance) { c.block(l, i, true) }, 1, 1, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				core, logs := observer.New(zap.InfoLevel)
+				c := newCluster(t, 13, 3)
+				c.log = zap.New(core)
+				c.bootstrap()
+				l := c.leader()
+				c.propose("a")
+				logs.TakeAll()
+				tt.fault(c, l, c.others(l)[0])
+				c.sleep(10 * time.Second)
+				failed := logs.FilterMessage("election failed").All()
+				is.Equal(len(failed), 1)
+				is.Equal(len(failed[0].ContextMap()["denied"].([]any)), tt.denied)
+				is.Equal(len(failed[0].ContextMap()["unanswered"].([]any)), tt.unanswered)
+				is.Equal(logs.FilterMessage("vote denied").Len(), tt.reasons)
+			})
+		})
+	}
+}
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -67,6 +67,9 @@
 	electionDeadline timer.Instant // when to start an election unless a leader is heard from
 	electionRound    uint64        // increases with every campaign and change of role; votes of earlier rounds are ignored
 	votesGranted     map[Identity]bool
+	votesDenied      map[Identity]bool
+	loggedElection   string              // result of the last failed election that was logged
+	loggedDenials    map[Identity]string // the last reason logged for which a candidate was denied a vote
 	commitIndex      Index
 	enqueuedIndex    Index // last entry queued for the applier
 	stableIndex      Index // last entry that is durable on this replica
@@ -131,7 +134,7 @@
 		// offers to these two queues always succeed.
 		writes: fifo.New[*diskWrite](4 * queueSize), completedWrites: fifo.New[*diskWrite](4 * queueSize),
 		applyQueue: fifo.New[*applyTask](applyQueueSize), progress: make(chan struct{}, 1), stopped: make(chan struct{}),
-		raftLog: l, term: hard.Term, votedFor: hard.Vote, peers: map[Identity]*peer{}, lastContact: never, votedAt: never,
+		raftLog: l, term: hard.Term, votedFor: hard.Vote, peers: map[Identity]*peer{}, loggedDenials: map[Identity]string{}, lastContact: never, votedAt: never,
 		commitIndex: meta.Index, enqueuedIndex: meta.Index, stableIndex: l.lastIndex(), snapshotIndex: meta.Index,
 		pendingProposals: map[Index]*proposal{}, compaction: o.Compaction.withDefaults(),
 	}
@@ -250,6 +253,7 @@
 	case !now.Before(n.electionDeadline):
 		n.resetElectionTimeout()
 		n.forgetLeader()
+		n.logFailedElection()
 		if n.canCampaign() && n.pendingWrites < queueSize {
 			n.campaign(true)
 		}
