--- a/internal/fleet/consensus/group_test.go
+++ b/internal/fleet/consensus/group_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -79,7 +80,7 @@
 func newCore(t *testing.T, seed uint64, size int) *core {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &core{
-		t: t, random: rand.New(rand.NewPCG(seed, 7)), log: zap.NewNop(), cut: map[[2]int]bool{}, stop: cancel,
+		t: t, random: rand.New(rand.NewPCG(seed, 7)), log: zaptest.NewLogger(t), cut: map[[2]int]bool{}, stop: cancel,
 	}
 	for i := range size {
 		c.machines = append(c.machines, &machine{core: c, index: i, files: faulty.New(c.random.Uint64())})
