control/disk: losses of power while two goroutines write

After each opening it stores a vote and loses power again: what a process stores must not rest on a name that it found and that is not durable.

--- a/internal/control/disk/power_loss_test.go
+++ b/internal/control/disk/power_loss_test.go
@@ -36,6 +36,9 @@
 	seen    map[string]bool // states that were checked since the expectations last changed
 	checked int
 	failed  bool
+	// interleaved is an operation of another goroutine to run after the given number of changes.
+	interleaved func()
+	after       int
 }
 
 func newLossCheck(t *testing.T) *lossCheck {
@@ -137,6 +140,12 @@
 }
 
 func (c *lossCheck) onChange() {
+	if f := c.interleaved; f != nil {
+		if c.after--; c.after < 0 {
+			c.interleaved = nil
+			f()
+		}
+	}
 	if c.failed {
 		return
 	}
@@ -169,7 +178,7 @@
 	if depth > 0 {
 		f.AfterChange(func() { c.checkLosses(f, depth-1) })
 	}
-	got, _, err := load(f)
+	got, s, err := load(f)
 	f.AfterChange(nil)
 	if err != nil || !c.allows(got) {
 		c.failed = true
@@ -185,6 +194,20 @@
 			c.t.Errorf("loaded %+v, and %+v after another loss of power, error %v;\n%q", got, next, err, description)
 		}
 	})
+	// What the process stores next must not rest on a name that it found and that is not durable.
+	voted := got
+	voted.hard = replica.HardState{Term: got.hard.Term + 1, Vote: "z"}
+	if err := s.SaveHardState(voted.hard); err != nil {
+		c.t.Fatal(err)
+	}
+	eachOutcome(func(choose func(int) int) {
+		again := f.Clone()
+		again.LosePower(choose)
+		if next, _, err := load(again); !c.failed && (err != nil || !voted.equal(next)) {
+			c.failed = true
+			c.t.Errorf("stored %+v, and loaded %+v after a loss of power, error %v;\n%q", voted, next, err, description)
+		}
+	})
 }
 
 // do runs an operation that must succeed, and forgets the states seen before and during it.
@@ -258,6 +281,11 @@
 	c.compact(upTo)
 }
 
+type lossTest struct {
+	name string
+	run  func(c *lossCheck)
+}
+
 // Guards against a data directory that is taken for damaged, changes its identity, or lacks an
 // acknowledged entry, term or vote, after a loss of power that kept some of the names and
 // writes that were not synced and lost others.
@@ -268,10 +296,7 @@
 			c.append(i, i+1, 3)
 		}
 	}
-	tests := []struct {
-		name string
-		run  func(c *lossCheck)
-	}{
+	tests := []lossTest{
 		{"founding and appends", fill},
 		{"new terms and votes", func(c *lossCheck) {
 			fill(c)
@@ -368,10 +393,32 @@
 			c.open()
 		}},
 	}
+	for after := range 6 {
+		tests = append(tests, lossTest{fmt.Sprint("snapshot saved during a reset, after change ", after), func(c *lossCheck) {
+			fill(c)
+			c.saveHardState(replica.HardState{Term: 5})
+			c.saveSnapshot(20, 4)
+			c.interleaved, c.after = func() { c.saveSnapshot(25, 5) }, after
+			c.reset(20)
+			c.append(21, 26, 5)
+		}}, lossTest{fmt.Sprint("appends while a snapshot is saved, after change ", after), func(c *lossCheck) {
+			fill(c)
+			c.interleaved, c.after = func() {
+				c.saveHardState(replica.HardState{Term: 4})
+				c.truncate(10)
+				c.append(10, 12, 4)
+			}, after
+			c.saveSnapshot(9, 3)
+			c.compact(9)
+		}})
+	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := newLossCheck(t)
 			tt.run(c)
+			if c.interleaved != nil {
+				t.Error("the interleaved operation was not run")
+			}
 			t.Logf("%d states", c.checked)
 		})
 	}
