fleet/peer: a search that lasts long asks less often

Cause: a search that is no longer held up by lost hosts makes more calls while there is no majority, all of which the replicas that are left must answer.

Change: after 4 s without a leader the pause between two attempts is four times as long (80 to 480 ms). An answer that has come already goes before another attempt, so that an instance that was paused does not ask needlessly.

--- a/internal/fleet/peer/poller.go
+++ b/internal/fleet/peer/poller.go
@@ -30,6 +30,11 @@
 	// minRetryDelay and maxRetryDelay bound the pause between two attempts to reach the leader.
 	minRetryDelay = 20 * time.Millisecond
 	maxRetryDelay = 120 * time.Millisecond
+	// longOutage is the time without a leader after which the pause is longOutageFactor times as
+	// long. No lease on a layout lasts longer as a rule, and the calls of all instances must not
+	// take processor time from the replicas that are left.
+	longOutage       = 4 * time.Second
+	longOutageFactor = 4
 	// warnDelay is the time without a leader after which a warning is logged.
 	warnDelay = 2 * time.Second
 	// maxLoggedAddresses is the number of addresses in a warning, those asked last.
@@ -113,6 +118,12 @@
 	select {
 	case <-ctx.Done():
 	case <-due:
+		// After a pause of the process both may have come: an answer goes first.
+		select {
+		case c := <-p.results:
+			return c
+		default:
+		}
 	case c := <-p.results:
 		return c
 	}
@@ -146,6 +157,15 @@
 	go c.run(ctx)
 }
 
+// pause returns a random pause before the next attempt.
+func (p *poller) pause() time.Duration {
+	pause := minRetryDelay + time.Duration(p.random.Int64N(int64(maxRetryDelay-minRetryDelay)))
+	if p.options.Timer.Now().Sub(p.lastServed) > longOutage {
+		pause *= longOutageFactor
+	}
+	return pause
+}
+
 // giveUpOldest ends the oldest poll to an instance that is not believed to lead.
 func (p *poller) giveUpOldest() {
 	var oldest *poll
@@ -171,7 +191,7 @@
 	if p.server == c.to {
 		p.server = ""
 	}
-	pause := minRetryDelay + time.Duration(p.random.Int64N(int64(maxRetryDelay-minRetryDelay)))
+	pause := p.pause()
 	if c.err != nil {
 		p.finder.markPollFailed(c.to, c.sent)
 		p.recordOutcome(c.to, c.err.Error())
--- a/internal/fleet/peer/search_test.go
+++ b/internal/fleet/peer/search_test.go
@@ -482,3 +482,28 @@
 
 // proposalsStart is enough for all proposals to take their connections, and less than they last.
 const proposalsStart = 200 * time.Millisecond
+
+// Guards against searches of many instances that take processor time from the replicas while there
+// is no majority for long, and against ones that find the leader late then.
+func TestLongOutage(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	n.add("a", "b", "c")
+	n.leader = "a"
+	n.startClient(t, Options{Seeds: []Address{"a", "b", "c"}})
+	n.awaitPoll(t, leaseDuration)
+	n.silence("a")
+	n.change(func() { n.leader = "" })
+	time.Sleep(longOutage + pollTimeout)
+	n.change(func() { clear(n.calls) })
+	time.Sleep(3 * time.Second)
+	n.change(func() {
+		t.Log("polls answered in 3 s:", n.calls["b"]+n.calls["c"])
+		is.True(n.calls["b"]+n.calls["c"] <= int(3*time.Second/hedgeDelay))
+		n.leader = "c"
+	})
+	n.awaitPoll(t, contactLimit)
+}
+
+// contactLimit is the time in which an instance must be in contact again once it can be.
+const contactLimit = 3 * time.Second
