consensus, tests: hanging disks, slow disks, and changes while a fault lasts

TestCoreFaults also plays disks that hang, alone and beside a cut, and a leader that is killed where each sync takes 300 ms. While no more machines are disturbed than may be, the time between two commits is bounded by that in which a deployment must answer after a cut.

--- a/internal/fleet/consensus/faults_test.go
+++ b/internal/fleet/consensus/faults_test.go
@@ -36,6 +36,8 @@
 	tolerance int    // disks that may be lost at the same time
 	sent      uint64 // version of the last change that was sent
 	confirmed atomic.Uint64
+	last      time.Time    // when the last change was acknowledged
+	gap       atomic.Int64 // longest time without an acknowledgement, as a time.Duration
 }
 
 // loop makes changes until the test ends.
@@ -60,6 +62,10 @@
 		d.t.Errorf("version %d after %d was acknowledged", l.state.Layout().GetVersion(), d.confirmed.Load())
 	}
 	d.confirmed.Store(d.sent)
+	if !d.last.IsZero() {
+		d.gap.Store(max(d.gap.Load(), int64(time.Since(d.last))))
+	}
+	d.last = time.Now()
 	return true
 }
 
@@ -132,39 +138,42 @@
 var faults = []struct {
 	name string
 	// contact is true if a single cut has healed, so that the shorter limit applies.
-	contact  bool
+	contact bool
+	// tolerated is true if no more machines are disturbed at a time than may be.
+	tolerated bool
+	// combined is true for the kinds that combine others.
 	combined bool
 	run      func(d *drill)
 }{
-	{"cut", true, false, func(d *drill) {
+	{"cut", true, true, false, func(d *drill) {
 		d.cutOff(d.pick(d.tolerance), true, true)
 		d.pause(300*time.Millisecond, 6*time.Second)
 		d.heal()
 	}},
-	{"requests are lost", true, false, func(d *drill) {
+	{"requests are lost", true, true, false, func(d *drill) {
 		d.cutOff(d.pick(d.tolerance), true, false)
 		d.pause(300*time.Millisecond, 6*time.Second)
 		d.heal()
 	}},
-	{"replies are lost", true, false, func(d *drill) {
+	{"replies are lost", true, true, false, func(d *drill) {
 		d.cutOff(d.pick(d.tolerance), false, true)
 		d.pause(300*time.Millisecond, 6*time.Second)
 		d.heal()
 	}},
-	{"halves", true, false, func(d *drill) {
+	{"halves", true, false, false, func(d *drill) {
 		d.cutOff(d.pick(len(d.machines)/2), true, true)
 		d.pause(300*time.Millisecond, 6*time.Second)
 		d.heal()
 	}},
-	{"all apart", true, false, func(d *drill) {
+	{"all apart", true, false, false, func(d *drill) {
 		for i := range d.machines {
 			d.cutOff([]int{i}, true, true)
 		}
 		d.pause(300*time.Millisecond, 6*time.Second)
 		d.heal()
 	}},
-	{"behind", false, false, (*drill).cutBehind},
-	{"relieve", false, false, func(d *drill) {
+	{"behind", false, false, false, (*drill).cutBehind},
+	{"relieve", false, false, false, func(d *drill) {
 		behind := d.pick(d.tolerance)
 		d.cutOff(behind, true, true)
 		d.pause(500*time.Millisecond, 6*time.Second)
@@ -175,26 +184,26 @@
 		time.Sleep(time.Second)
 		d.start(others)
 	}},
-	{"both", false, true, func(d *drill) {
+	{"both", false, false, true, func(d *drill) {
 		d.cutBehind()
 		others := d.pick(len(d.machines) - d.tolerance)
 		d.kill(others)
 		d.pause(500*time.Millisecond, 2*time.Second)
 		d.start(others)
 	}},
-	{"down", false, false, func(d *drill) {
+	{"down", false, true, false, func(d *drill) {
 		down := d.pick(d.tolerance)
 		d.kill(down)
 		time.Sleep(7 * time.Second)
 		d.start(down)
 	}},
-	{"lost disk", false, false, func(d *drill) {
+	{"lost disk", false, true, false, func(d *drill) {
 		lost := d.pick(1)[0]
 		d.machines[lost].wipe()
 		time.Sleep(time.Second)
 		d.start([]int{lost})
 	}},
-	{"lost disks while the others are killed", false, true, func(d *drill) {
+	{"lost disks while the others are killed", false, false, true, func(d *drill) {
 		lost := d.pick(d.tolerance)
 		for _, i := range lost {
 			d.machines[i].wipe()
@@ -206,7 +215,42 @@
 			d.pause(0, 300*time.Millisecond)
 		}
 	}},
-	{"lost disk while others are cut off, slow disks", false, false, func(d *drill) {
+	{"disks hang", false, true, false, func(d *drill) {
+		hung := d.pick(d.tolerance)
+		for _, i := range hung {
+			d.machines[i].files.SetSyncDelay(time.Duration(1+d.random.IntN(4)) * time.Second)
+		}
+		if d.random.IntN(2) == 0 {
+			if l, _ := d.leader(); l != nil && slices.Contains(hung, l.machine.index) {
+				l.machine.kill()
+				d.start(hung)
+			}
+		}
+		d.pause(time.Second, 6*time.Second)
+		for _, i := range hung {
+			d.machines[i].files.SetSyncDelay(0)
+		}
+	}},
+	{"disks hang while others are cut off", false, false, false, func(d *drill) {
+		machines := d.pick(2)
+		d.machines[machines[0]].files.SetSyncDelay(time.Duration(1+d.random.IntN(4)) * time.Second)
+		d.cutOff(machines[1:], d.random.IntN(2) == 0, true)
+		d.pause(time.Second, 6*time.Second)
+		d.machines[machines[0]].files.SetSyncDelay(0)
+		d.heal()
+	}},
+	{"leader killed, slow disks", false, false, false, func(d *drill) {
+		for _, m := range d.machines {
+			m.files.SetSyncDelay(300 * time.Millisecond)
+		}
+		d.pause(0, 2*time.Second)
+		if l, _ := d.leader(); l != nil {
+			l.machine.kill()
+			time.Sleep(time.Second)
+			d.start([]int{l.machine.index})
+		}
+	}},
+	{"lost disk while others are cut off, slow disks", false, false, false, func(d *drill) {
 		for _, m := range d.machines {
 			m.files.SetSyncDelay(30 * time.Millisecond)
 		}
@@ -225,8 +269,9 @@
 }
 
 // Guards against a core that has no leader for long after machines were cut off, killed or lost
-// their disks, against the loss of what was acknowledged, and against a leader that is lost
-// while nothing happens. The limits are those of the deployments with three and eight disks.
+// their disks, against changes that stop while no more machines are disturbed than may be, against
+// the loss of what was acknowledged, and against a leader that is lost while nothing happens. The
+// limits are those of the deployments with three and eight disks.
 func TestCoreFaults(t *testing.T) {
 	first, seeds, all := faultSeeds(t)
 	for _, size := range []struct {
@@ -257,8 +302,11 @@
 						}
 						before := d.confirmed.Load()
 						took := d.await("a commit and a read", limit, func() bool { return d.confirmed.Load() > before })
+						if gap := time.Duration(d.gap.Load()); fault.tolerated && gap > size.contact {
+							t.Errorf("%v without a commit although a majority was there", gap)
+						}
 						settled := d.await("the members again", size.catchUp, d.settled)
-						t.Logf("%s, %d disks: commit after %v, members after %v more", fault.name, size.disks, took, settled)
+						t.Logf("%s, %d disks: commit after %v, members after %v more, at most %v without one", fault.name, size.disks, took, settled, time.Duration(d.gap.Load()))
 						time.Sleep(time.Second)
 						for range 300 {
 							if l, _ := d.leader(); l == nil {
