fleet/peer, replica, entry/control: no call over a connection that was idle for a second

Cause: connections between instances were kept for good. Something between the two ends may have lost track of an idle one, which then stays silent while new ones work. In a search for the leader each cost the time of a lost host and counted as a failure of the host, so that redirects to it were ignored for a second.

Change: a connection that was idle for longer than a second is closed and not used again, in the client for other instances, the transport of the replicas and the client of the entries. Polls to the leader and appends are never idle for so long. A dial costs one round trip for calls that are rarer than that.

--- a/internal/control/replica/transport.go
+++ b/internal/control/replica/transport.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcconn"
 
+	"wisteriakeel.example/wisteriakeel/internal/kernel/tcp"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/replica"
 )
@@ -41,8 +42,9 @@
 
 // connection is the connection for one key. A call holds its slot while it runs.
 type connection struct {
-	slot chan struct{}
-	conn *drpcconn.Conn
+	slot   chan struct{}
+	conn   *drpcconn.Conn
+	usedAt timer.Instant // when the last call ended
 }
 
 var _ Transport = (*DRPCTransport)(nil)
@@ -98,7 +100,10 @@
 	}
 	select {
 	case c.slot <- struct{}{}:
-		defer func() { <-c.slot }()
+		defer func() {
+			c.usedAt = t.options.Timer.Now()
+			<-c.slot
+		}()
 	case <-ctx.Done():
 		return reply, context.Cause(ctx)
 	}
@@ -150,11 +155,14 @@
 	}
 }
 
-// connect opens the connection unless it is open, and reports whether it did. The caller holds
-// its slot.
+// connect opens the connection unless it is open and was used lately, and reports whether it
+// did. The caller holds its slot.
 func (t *DRPCTransport) connect(ctx context.Context, c *connection, to Address) (opened bool, err error) {
 	if !c.isClosed() {
-		return false, nil
+		if t.options.Timer.Now().Sub(c.usedAt) <= tcp.MaxIdle {
+			return false, nil
+		}
+		_ = c.conn.Close()
 	}
 	conn, err := t.options.Dial(ctx, to)
 	if err != nil {
--- a/internal/control/replica/transport_test.go
+++ b/internal/control/replica/transport_test.go
@@ -18,6 +18,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/control/disk"
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/tcp"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/replica"
 )
@@ -256,3 +257,50 @@
 	}
 	is.Equal(dials.Load(), int32(2))
 }
+
+// silentConn is a connection that loses everything sent over it, without an error.
+type silentConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+// Write sends bytes unless the connection is silent.
+func (c silentConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Guards against a vote request or snapshot over an idle connection that has gone silent. It would
+// cost a round of an election, or the 2 s of a chunk.
+func TestIdleConnection(t *testing.T) {
+	is := is.New(t)
+	l := listen(t)
+	serveNodes(t, l, map[replica.GroupID]*replica.Node{})
+	silent := &atomic.Bool{}
+	var dials atomic.Int32
+	transport := replica.NewTransport(replica.TransportOptions{
+		Timer: timer.NewSystem(), PeerToken: "secret",
+		Dial: func(ctx context.Context, to replica.Address) (net.Conn, error) {
+			var d net.Dialer
+			conn, err := d.DialContext(ctx, "tcp", string(to))
+			if dials.Add(1) <= 2 && err == nil {
+				conn = silentConn{conn, silent}
+			}
+			return conn, err
+		},
+	})
+	defer func() { is.NoErr(transport.Close()) }()
+	to := replica.Address(l.Addr().String())
+	calls := func() {
+		_, err := transport.Vote(t.Context(), to, &wire.VoteRequest{Group: 9, Prevote: true})
+		is.Equal(errors.UnwrapAll(err).Error(), "no group 9 here")
+		_, err = transport.Install(t.Context(), to, &wire.InstallRequest{Group: 9})
+		is.Equal(errors.UnwrapAll(err).Error(), "no group 9 here")
+	}
+	calls()
+	silent.Store(true)
+	time.Sleep(tcp.MaxIdle + 200*time.Millisecond)
+	calls()
+}
--- a/internal/entry/control/client.go
+++ b/internal/entry/control/client.go
@@ -62,8 +62,8 @@
 	return &Client{
 		options: o,
 		leaders: newLeaders(o),
-		polls:   newPool(o.Dial),
-		calls:   newPool(o.Dial),
+		polls:   newPool(o.Timer, o.Dial),
+		calls:   newPool(o.Timer, o.Dial),
 		updated: make(chan struct{}),
 		loads:   map[string]*wire.Heard{},
 		reports: map[string]*wire.Heard{},
--- a/internal/entry/control/pool.go
+++ b/internal/entry/control/pool.go
@@ -9,6 +9,9 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/tcp"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
 const (
@@ -20,16 +23,23 @@
 
 // pool keeps idle connections by address. A drpc connection carries one call at a time.
 type pool struct {
+	timer timer.Service
 	dial  func(ctx context.Context, address string) (net.Conn, error)
 	slots chan struct{} // holds one element per running call, at most maxCalls
 
 	mu     sync.Mutex
-	idle   map[string][]*drpcconn.Conn // by address, the last used last
+	idle   map[string][]idleConn // by address, the last used last
 	closed bool
 }
 
-func newPool(dial func(ctx context.Context, address string) (net.Conn, error)) *pool {
-	return &pool{dial: dial, slots: make(chan struct{}, maxCalls), idle: map[string][]*drpcconn.Conn{}}
+// idleConn is an idle connection, and since when it is idle.
+type idleConn struct {
+	*drpcconn.Conn
+	since timer.Instant
+}
+
+func newPool(t timer.Service, dial func(ctx context.Context, address string) (net.Conn, error)) *pool {
+	return &pool{timer: t, dial: dial, slots: make(chan struct{}, maxCalls), idle: map[string][]idleConn{}}
 }
 
 // get returns an idle connection or opens one. It waits while maxCalls calls are running.
@@ -54,7 +64,8 @@
 	}}), nil
 }
 
-// takeIdle returns an idle connection that is still open, nil if there is none.
+// takeIdle returns an idle connection that is still open, nil if there is none. It closes those
+// that have been idle for too long.
 func (p *pool) takeIdle(address string) *drpcconn.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -65,10 +76,14 @@
 		}
 		c := idle[len(idle)-1]
 		p.idle[address] = idle[:len(idle)-1]
+		if p.timer.Now().Sub(c.since) > tcp.MaxIdle {
+			_ = c.Close()
+			continue
+		}
 		select {
 		case <-c.Closed():
 		default:
-			return c
+			return c.Conn
 		}
 	}
 }
@@ -79,7 +94,7 @@
 	p.mu.Lock()
 	keep := !failed && !p.closed && len(p.idle[address]) < maxIdleConns
 	if keep {
-		p.idle[address] = append(p.idle[address], c)
+		p.idle[address] = append(p.idle[address], idleConn{c, p.timer.Now()})
 	}
 	p.mu.Unlock()
 	if !keep {
@@ -103,7 +118,7 @@
 func (p *pool) close() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.closed = map[string][]*drpcconn.Conn{}, true
+	p.idle, p.closed = map[string][]idleConn{}, true
 	p.mu.Unlock()
 	for _, cs := range idle {
 		for _, c := range cs {
--- a/internal/fleet/peer/connection.go
+++ b/internal/fleet/peer/connection.go
@@ -74,7 +74,13 @@
 	slots chan struct{}
 
 	mu   sync.Mutex
-	idle []*drpcconn.Conn
+	idle []idleConnection // those used last at the end
+}
+
+// idleConnection is a connection that no call uses, and since when.
+type idleConnection struct {
+	conn  *drpcconn.Conn
+	since timer.Instant
 }
 
 // newConnections returns connections that dial opens, or TCP connections if it is nil.
@@ -110,7 +116,7 @@
 	}
 	ctx, cancel := timer.WithTimeout(ctx, cs.timer, timeout)
 	defer cancel()
-	conn := p.take()
+	conn := p.take(cs.timer.Now())
 	if conn == nil {
 		if conn, err = cs.connect(ctx, to); err != nil {
 			return reply, errors.Wrap(err, "connect")
@@ -124,7 +130,7 @@
 		}
 		return reply, err
 	}
-	p.put(conn)
+	p.put(conn, cs.timer.Now())
 	return reply, nil
 }
 
@@ -151,27 +157,43 @@
 	return drpcconn.New(conn), nil
 }
 
-// take returns the connection that was used last of those that are open, or nil.
-func (p *pool) take() *drpcconn.Conn {
+// take returns the connection that was used last of those that are open, or nil. It closes those
+// that have been idle for too long.
+func (p *pool) take(now timer.Instant) *drpcconn.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
+		if now.Sub(c.since) > tcp.MaxIdle {
+			_ = c.conn.Close()
+			continue
+		}
 		select {
-		case <-c.Closed():
+		case <-c.conn.Closed():
 		default:
-			return c
+			return c.conn
 		}
 	}
 	return nil
 }
 
 // put makes a connection available to other calls.
-func (p *pool) put(c *drpcconn.Conn) {
+func (p *pool) put(c *drpcconn.Conn, now timer.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = append(p.idle, idleConnection{c, now})
+}
+
+// close closes the connections that are not in use.
+func (p *pool) close() (err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle = append(p.idle, c)
+	for _, c := range p.idle {
+		err = errors.CombineErrors(err, c.conn.Close())
+	}
+	p.idle = nil
+	return err
 }
 
 // Close closes the connections that are not in use. Calls in progress end with their context.
@@ -180,9 +202,7 @@
 	defer cs.mu.Unlock()
 	var err error
 	for _, p := range cs.pools {
-		for c := p.take(); c != nil; c = p.take() {
-			err = errors.CombineErrors(err, c.Close())
-		}
+		err = errors.CombineErrors(err, p.close())
 	}
 	return err
 }
--- a/internal/fleet/peer/search_test.go
+++ b/internal/fleet/peer/search_test.go
@@ -21,6 +21,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/relay"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/view"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/tcp"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
@@ -31,6 +32,8 @@
 	leaseDuration = 4 * time.Second
 	// readLimit is how long the platform lets a confirmed read take.
 	readLimit = 900 * time.Millisecond
+	// operatorTimeout is how long the platform lets a change take.
+	operatorTimeout = 1800 * time.Millisecond
 	// electionTime is the time until a new leader serves calls, one failed election included.
 	electionTime = 2 * time.Second
 )
@@ -47,6 +50,7 @@
 	lastServed  time.Time // last poll that a leader answered
 	longestGap  time.Duration
 	ended       chan struct{}
+	generation  int // connections of former generations lose all bytes
 }
 
 // fakeInstance answers calls as the instance at an address does.
@@ -98,7 +102,7 @@
 // dial connects to an instance. A dial to a silent or an unknown one hangs.
 func (n *network) dial(ctx context.Context, to string) (net.Conn, error) {
 	n.mu.Lock()
-	i := n.instances[to]
+	i, generation := n.instances[to], n.generation
 	n.mu.Unlock()
 	if i == nil || i.isSilent() {
 		<-ctx.Done()
@@ -107,7 +111,42 @@
 	near, far := net.Pipe()
 	c := &fakeConnection{instance: i, far: far}
 	go c.run()
-	return near, nil
+	return &generationConn{Conn: near, network: n, generation: generation}, nil
+}
+
+// loseConnections makes all open connections lose everything that is sent over them, without an
+// error. New ones work.
+func (n *network) loseConnections() { n.change(func() { n.generation++ }) }
+
+// generationConn is a connection that loses all bytes once its generation is over.
+type generationConn struct {
+	net.Conn
+	*network
+	generation int
+}
+
+func (c *generationConn) isLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.generation < c.network.generation
+}
+
+// Write sends bytes.
+func (c *generationConn) Write(b []byte) (int, error) {
+	if c.isLost() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Read receives bytes.
+func (c *generationConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.isLost() {
+			return n, err
+		}
+	}
 }
 
 // fakeConnection is the far end of a connection to a fake instance.
@@ -363,6 +402,56 @@
 	}
 }
 
+// Guards against idle connections that have gone silent and are used all the same: each costs a
+// search the time of a lost host, and a proposal most of the time for its acknowledgement.
+func TestSilentIdleConnections(t *testing.T) {
+	replicas := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	start := func(t *testing.T) (*network, *Client) {
+		n := newNetwork(t)
+		n.add(replicas...)
+		for _, i := range n.instances {
+			i.members = replicas
+		}
+		n.leader = "a"
+		c := n.startClient(t, Options{Seeds: []Address{"a", "b", "c"}})
+		n.awaitPoll(t, leaseDuration)
+		for _, r := range replicas[1:] {
+			_, err := call(t.Context(), c.connections, Address(r), classPoll, time.Second, func(ctx context.Context, l wire.DRPCFleetClient) (*wire.SyncReply, error) {
+				return l.Sync(ctx, &wire.SyncRequest{})
+			})
+			is.New(t).NoErr(err)
+		}
+		_, err := c.Propose(t.Context(), &wire.Command{})
+		is.New(t).NoErr(err)
+		time.Sleep(tcp.MaxIdle + 200*time.Millisecond)
+		return n, c
+	}
+	for _, next := range replicas[2:] {
+		t.Run("search for "+next, func(t *testing.T) {
+			t.Parallel()
+			n, _ := start(t)
+			lost := time.Now()
+			n.loseConnections()
+			n.silence("a", "b")
+			n.change(func() { n.leader = "" })
+			time.Sleep(700 * time.Millisecond)
+			n.change(func() { n.leader = next })
+			n.awaitPoll(t, leaseDuration)
+			t.Log(time.Since(lost))
+			is.New(t).True(time.Since(lost)+pollWait < leaseDuration)
+		})
+	}
+	t.Run("proposal", func(t *testing.T) {
+		t.Parallel()
+		n, c := start(t)
+		n.loseConnections()
+		ctx, cancel := context.WithTimeout(t.Context(), operatorTimeout)
+		defer cancel()
+		_, err := c.Propose(ctx, &wire.Command{})
+		is.New(t).NoErr(err)
+	})
+}
+
 // Guards against an instance that turns away from a leader that answers late, for want of
 // processor time, and against a storm of calls to the others then.
 func TestSlowLeader(t *testing.T) {
