fleet/peer: a source of layouts that did not answer is asked last

Cause: the sources of a layout are asked one after the other, the parent in the tree first, and a failure was not remembered. A lost parent cost each version up to 0.7 s, two lost ancestors more than the second for which an older layout may be used.

Result: TestLostSource failed before (the lost parent was asked for each of four versions) and passes.

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -127,7 +127,7 @@
 	g.Go("report", r.loop)
 	g.Go("borrow", (&borrower{c}).loop)
 	g.Go("slots", (&slotLeaser{c}).loop)
-	g.Go("fetch", (&fetcher{c}).loop)
+	g.Go("fetch", (&fetcher{c, map[Address]timer.Instant{}}).loop)
 	return errors.CombineErrors(g.Wait(), c.connections.Close())
 }
 
--- a/internal/fleet/peer/fetcher.go
+++ b/internal/fleet/peer/fetcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,7 +36,11 @@
 }
 
 // fetcher gets the newest layout as soon as the leader has named it.
-type fetcher struct{ *Client }
+type fetcher struct {
+	*Client
+	// failures holds when a call to a source failed that has not answered since.
+	failures map[Address]timer.Instant
+}
 
 // loop fetches each wanted layout. While a transfer is running, a newer one replaces it.
 func (f *fetcher) loop(ctx context.Context) error {
@@ -66,7 +71,7 @@
 		return true
 	}
 	self := f.options.DescribeInstance()
-	for _, source := range relay.Sources(self, f.options.View.Instances(), string(f.finder.leaderAddress())) {
+	for _, source := range f.sources(relay.Sources(self, f.options.View.Instances(), string(f.finder.leaderAddress()))) {
 		wanted := f.options.View.WantedLayout()
 		if wanted == 0 {
 			return true
@@ -85,12 +90,35 @@
 	return false
 }
 
+// sources returns the sources in the order in which they are asked: those that failed last, so
+// that a lost parent does not delay each version.
+func (f *fetcher) sources(list []string) []string {
+	now := f.options.Timer.Now()
+	maps.DeleteFunc(f.failures, func(_ Address, at timer.Instant) bool { return now.Sub(at) > failureMemory })
+	var sound, failed []string
+	for _, s := range list {
+		if _, ok := f.failures[Address(s)]; ok {
+			failed = append(failed, s)
+		} else {
+			sound = append(sound, s)
+		}
+	}
+	return append(sound, failed...)
+}
+
 // callSource returns the call for a piece of a layout at a source.
 func (f *fetcher) callSource(source Address) relay.Call {
 	return func(ctx context.Context, q *wire.FetchRequest) (*wire.FetchReply, error) {
-		return call(ctx, f.connections, source, classFetch, pieceTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (*wire.FetchReply, error) {
+		r, err := call(ctx, f.connections, source, classFetch, pieceTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (*wire.FetchReply, error) {
 			return c.Fetch(ctx, q)
 		})
+		switch {
+		case err == nil:
+			delete(f.failures, source)
+		case ctx.Err() == nil:
+			f.failures[source] = f.options.Timer.Now()
+		}
+		return r, err
 	}
 }
 
--- a/internal/fleet/peer/search_test.go
+++ b/internal/fleet/peer/search_test.go
@@ -51,6 +51,11 @@
 	longestGap  time.Duration
 	ended       chan struct{}
 	generation  int // connections of former generations lose all bytes
+	dials       map[string]int
+	// layouts holds the newest layout of all instances, and digest is that of its version.
+	layouts *relay.Store
+	digest  uint64
+	records []*wire.Instance // sent with each answer of the leader
 }
 
 // fakeInstance answers calls as the instance at an address does.
@@ -67,7 +72,10 @@
 }
 
 func newNetwork(t *testing.T) *network {
-	n := &network{instances: map[string]*fakeInstance{}, calls: map[string]int{}, lastServed: time.Now(), ended: make(chan struct{})}
+	n := &network{
+		instances: map[string]*fakeInstance{}, calls: map[string]int{}, lastServed: time.Now(), ended: make(chan struct{}),
+		dials: map[string]int{}, layouts: relay.NewStore(timer.NewSystem(), zap.NewNop()),
+	}
 	t.Cleanup(func() { close(n.ended) })
 	return n
 }
@@ -103,6 +111,7 @@
 func (n *network) dial(ctx context.Context, to string) (net.Conn, error) {
 	n.mu.Lock()
 	i, generation := n.instances[to], n.generation
+	n.dials[to]++
 	n.mu.Unlock()
 	if i == nil || i.isSilent() {
 		<-ctx.Done()
@@ -217,7 +226,22 @@
 		i.longestGap = max(i.longestGap, time.Since(i.lastServed))
 		i.lastServed = time.Now()
 	}
-	return &wire.SyncReply{Guide: g, Term: 1}, nil
+	r := &wire.SyncReply{Guide: g, Term: 1}
+	if t := i.layouts.Current(); g.GetServed() && t != nil && t.Version > q.GetLayout() {
+		r.Layout = &wire.Layout{Version: t.Version, Digest: i.digest}
+	}
+	if g.GetServed() {
+		r.Instances = i.records
+	}
+	return r, nil
+}
+
+// Fetch answers a request for a piece of the newest layout.
+func (i *fakeInstance) Fetch(ctx context.Context, q *wire.FetchRequest) (*wire.FetchReply, error) {
+	if _, err := i.guide(ctx); err != nil {
+		return nil, err
+	}
+	return i.layouts.Serve(ctx, q), nil
 }
 
 // Read answers a read.
@@ -452,6 +476,48 @@
 	})
 }
 
+// Guards against a lost parent in the tree for layouts that is asked again for each version.
+func TestLostSource(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	n.add("a", "b", "c")
+	for _, i := range n.instances {
+		i.members = []string{"a", "b", "c"}
+	}
+	n.leader = "c"
+	n.records = []*wire.Instance{
+		{Name: "a", Peer: "a", Identity: "a"}, {Name: "b", Peer: "b", Identity: "b"}, {Name: "c", Peer: "c", Identity: "c"},
+	}
+	n.silence("a")
+	publish := func(version uint64) {
+		l, err := relay.Pack(version, []byte("text"))
+		is.NoErr(err)
+		text, err := relay.Unpack(l)
+		is.NoErr(err)
+		n.layouts.Put(text)
+		n.change(func() { n.digest = l.GetDigest() })
+	}
+	publish(1)
+	c := n.startClient(t, Options{Seeds: []Address{"c"}})
+	asked := func() (dials int) {
+		n.change(func() { dials = n.dials["a"] })
+		return dials
+	}
+	awaitVersion := func(version uint64) {
+		for start := time.Now(); c.options.View.Layout() == nil || uint64(c.options.View.Layout().Version) < version; {
+			is.True(time.Since(start) < leaseDuration)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	awaitVersion(1)
+	is.Equal(asked(), 1) // the parent, for the first version
+	for version := uint64(2); version < 5; version++ {
+		publish(version)
+		awaitVersion(version)
+	}
+	is.Equal(asked(), 1)
+}
+
 // Guards against an instance that turns away from a leader that answers late, for want of
 // processor time, and against a storm of calls to the others then.
 func TestSlowLeader(t *testing.T) {
