--- a/internal/bench/outage/patterns.go
+++ b/internal/bench/outage/patterns.go
@@ -14,7 +14,7 @@
 // patterns are the outages. When one returns, all processes run; cuts are healed after it.
 var patterns = map[string]func(ctx context.Context, r *run) error{
 	"isolate": isolate, "behind": behind, "relieve": relieve, "both": both, "halves": halves, "dark": dark, "long-cut": longCut,
-	"silent-leader": silentLeader, "lost-hosts": lostHosts, "orphan": orphan, "stale": stale, "freeze": freeze, "replace": replace, "series": series,
+	"silent-leader": silentLeader, "lost-hosts": lostHosts, "orphan": orphan, "stale": stale, "freeze": freeze, "replace": replace, "series": series, "stale-lost": staleLost,
 }
 
 // Patterns returns the names of all outages.
@@ -484,3 +484,25 @@
 	}
 	return nil
 }
+
+// staleLost is stale, and the leader and others that may be lost vanish at the same time.
+func staleLost(ctx context.Context, r *run) error {
+	if err := stale(ctx, r); err != nil {
+		return err
+	}
+	leader := r.leader()
+	if leader == nil {
+		return nil
+	}
+	list := []*instance{leader}
+	for _, n := range r.core {
+		if n != leader && len(list) < r.Size.Losses {
+			list = append(list, n)
+		}
+	}
+	r.vanish(list...)
+	if err := r.sleep(ctx, 7*time.Second, 7*time.Second); err != nil {
+		return err
+	}
+	return r.restore(false, list...)
+}
