bench/outage: one place for the leader and the others that may be lost

Cause: lost-hosts and stale-lost drew the same list in two places.

Change: one function; the order of random numbers is as before.

--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -24,7 +24,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
-// Time limits that the user documentation promises, whatever the size.
+// Time limits of the platform, whatever the size.
 const (
 	readTimeout     = 2 * time.Second
 	gracePeriod     = 8 * time.Second
--- a/internal/bench/outage/patterns.go
+++ b/internal/bench/outage/patterns.go
@@ -303,19 +303,29 @@
 	return r.restore(r.random.IntN(2) == 0, list...)
 }
 
-// lostHosts lets the leader vanish right after an acknowledgement, with as many others as may be
-// lost at the same time.
-func lostHosts(ctx context.Context, r *run) error {
+// leaderAndOthers returns the leader and as many other instances with a disk as may be lost with
+// it, or nil if no instance leads.
+func (r *run) leaderAndOthers() (list []*instance) {
 	leader := r.leader()
 	if leader == nil {
 		return nil
 	}
-	list := []*instance{leader}
+	list = append(list, leader)
 	for _, n := range r.core {
 		if n != leader && len(list) < r.Size.Losses {
 			list = append(list, n)
 		}
 	}
+	return list
+}
+
+// lostHosts lets the leader vanish right after an acknowledgement, with as many others as may be
+// lost at the same time.
+func lostHosts(ctx context.Context, r *run) error {
+	list := r.leaderAndOthers()
+	if list == nil {
+		return nil
+	}
 	if err := r.awaitAcknowledgement(ctx); err != nil {
 		return err
 	}
@@ -490,16 +500,10 @@
 	if err := stale(ctx, r); err != nil {
 		return err
 	}
-	leader := r.leader()
-	if leader == nil {
+	list := r.leaderAndOthers()
+	if list == nil {
 		return nil
 	}
-	list := []*instance{leader}
-	for _, n := range r.core {
-		if n != leader && len(list) < r.Size.Losses {
-			list = append(list, n)
-		}
-	}
 	r.vanish(list...)
 	if err := r.sleep(ctx, 7*time.Second, 7*time.Second); err != nil {
 		return err
