fleet/peer: a method that only tests use moves to the tests

Cause: since only the poller searches for the leader, nothing but tests asks for the next address without regard to the polls in progress.

Change: finder.target stands in the test file, as it was.

--- a/internal/fleet/peer/finder.go
+++ b/internal/fleet/peer/finder.go
@@ -106,12 +106,6 @@
 	return f.leader, f.found
 }
 
-// target returns the leader if it is known, else the next address to try.
-func (f *finder) target() Address {
-	a, _ := f.next(func(Address) bool { return false })
-	return a
-}
-
 // next returns the leader if it is known and not busy, else the next address to try that is
 // not. Replicas know the leader soonest: all of them are tried, those that failed last, before
 // one of the other addresses is. In a large deployment most other addresses are instances
--- a/internal/fleet/peer/finder_test.go
+++ b/internal/fleet/peer/finder_test.go
@@ -15,6 +15,12 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
 
+// target returns the address that a search asks next while no poll is in progress.
+func (f *finder) target() Address {
+	a, _ := f.next(func(Address) bool { return false })
+	return a
+}
+
 // Guards against instances that keep returning to a frozen leader because others still
 // redirect to it, in a deployment where most instances have no disk. The members of the
 // control group must be tried first.
