gateway/upstream: bodies take the memory that is accounted for them

A complete body was copied out of its blocks, the memory of an aborted response was given to others before its reader had returned it, and error responses kept while their requests are sent again were not counted.

Change: a body stays in the blocks into which it was read. A reader waits for the memory of an aborted one.

--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -76,7 +76,7 @@
 	// An error response of the upstream, relayed if no other upstream does better.
 	failureStatus int
 	failureHeader http.Header
-	failureBody   []byte
+	failureBody   *upstream.Body
 	// placeAgain is true if nothing was sent because the upstream had closed since it was selected.
 	placeAgain bool
 }
@@ -85,6 +85,7 @@
 func (q *request) dispatch() {
 	var excluded []string
 	var failed *exchange
+	defer func() { failed.closeFailure() }()
 	refusals := 0
 	for dispatched := 0; ; dispatched++ {
 		e, ok := q.nextExchange(excluded)
@@ -106,6 +107,7 @@
 			continue
 		}
 		if e.failureStatus > 0 {
+			failed.closeFailure()
 			failed = e
 		}
 		if e.outcome == balancer.Refused {
@@ -162,7 +164,7 @@
 		q.log("answer broken off", zap.Int64("position", q.lastEventID))
 		// Abort the connection, so that the truncated body does not look complete.
 		panic(http.ErrAbortHandler)
-	case failed != nil:
+	case failed != nil && failed.failureBody.Claim():
 		q.log("failure of the upstream passed on", zap.Int("status", failed.failureStatus), zap.String("upstream", failed.target.ID))
 		q.writeResponse(failed.failureStatus, failed.failureHeader, failed.failureBody)
 	case q.finishing.Load() && q.executions > 0:
@@ -406,8 +408,10 @@
 	e.failureStatus, e.failureHeader, e.failureBody = e.response.Status, e.response.Header, body
 	e.log("upstream failed", zap.String("upstream", e.target.ID), zap.Int("status", e.failureStatus))
 	if e.responseStarted || (e.failureStatus >= 500 && e.route.Retryable()) {
+		body.AllowEviction()
 		return actionRetryExecuted
 	}
+	defer body.Close()
 	e.writeResponse(e.failureStatus, e.failureHeader, body)
 	return actionDone
 }
@@ -418,19 +422,27 @@
 	if err != nil {
 		return e.interrupted(err)
 	}
+	defer body.Close()
 	e.outcome = balancer.Succeeded
 	e.writeResponse(e.response.Status, e.response.Header, body)
 	return actionDone
 }
 
+// closeFailure gives back the memory of an error response that is not relayed.
+func (e *exchange) closeFailure() {
+	if e != nil {
+		e.failureBody.Close()
+	}
+}
+
 // writeResponse writes a complete response of an upstream to the caller.
-func (q *request) writeResponse(status int, header http.Header, body []byte) {
+func (q *request) writeResponse(status int, header http.Header, body *upstream.Body) {
 	q.copyHeader(header)
-	q.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	q.writer.Header().Set("Content-Length", strconv.Itoa(body.Size()))
 	q.writer.WriteHeader(status)
 	q.markResponseStarted()
 	q.metrics.Responses.Add(1)
-	if _, err := q.writer.Write(body); err != nil {
+	if _, err := body.WriteTo(q.writer); err != nil {
 		q.log("client disconnected during the response", journal.Error(err))
 	}
 }
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -80,14 +80,10 @@
 	pool      *pool
 	connector *connector
 	timer     timer.Service
-	buffers   buffers
+	buffers   *buffers
 	blocks    sync.Pool // of *block
 }
 
-// block is a part of a body. Blocks are reused, since the garbage of many long bodies would
-// take several times the memory of the bodies themselves.
-type block [blockBytes]byte
-
 // Options configures a client.
 type Options struct {
 	Protocol *Protocol
@@ -102,7 +98,7 @@
 func New(o Options) *Client {
 	p := newPool(o.Timer)
 	return &Client{
-		protocol: o.Protocol, pool: p, timer: o.Timer, blocks: sync.Pool{New: func() any { return new(block) }},
+		protocol: o.Protocol, pool: p, timer: o.Timer, buffers: newBuffers(), blocks: sync.Pool{New: func() any { return new(block) }},
 		connector: &connector{dialer: o.Dialer, detour: o.Detour, reach: reachability.New(o.Timer), pool: p, timer: o.Timer, log: o.Log},
 	}
 }
@@ -165,9 +161,10 @@
 	sendResult <-chan error
 	// stopAbort keeps the context from aborting the exchange. It returns false if that has begun.
 	stopAbort func() bool
-	complete  bool // the body was read to its end
-	// abort makes all reads fail. The buffers call it if other responses need the memory.
-	abort func()
+	complete  bool   // the body was read to its end
+	abort     func() // makes all reads fail
+	// holder holds the memory of the response, other than that of a Body.
+	holder *holder
 }
 
 // IsEventStream reports whether the body is a sequence of events. A body without a content type
@@ -194,7 +191,7 @@
 			return nil, errors.Mark(err, ErrNotSent)
 		}
 	}
-	response := &Response{client: c, address: t.Address, conn: cn, close: cn.detour, abort: cn.abort}
+	response := &Response{client: c, address: t.Address, conn: cn, close: cn.detour, abort: cn.abort, holder: &holder{evict: cn.abort}}
 	response.stopAbort = context.AfterFunc(ctx, cn.abort)
 	defer func() {
 		if err != nil {
@@ -316,55 +313,9 @@
 	return n, err
 }
 
-// ReadAll reads the whole body, up to maxBodyBytes.
-func (r *Response) ReadAll() (body []byte, err error) {
-	defer func() {
-		if err != nil {
-			body, err = nil, errors.Mark(errors.Wrap(err, "read response body"), ErrInterrupted)
-		}
-	}()
-	var blocks []*block
-	defer func() {
-		for _, b := range blocks {
-			r.client.blocks.Put(b)
-		}
-	}()
-	for size := 0; ; {
-		used := size % blockBytes
-		if used == 0 {
-			if size >= maxBodyBytes {
-				return nil, errors.New("response body is too long")
-			}
-			if size > 0 {
-				if err := r.reserve(blockBytes); err != nil {
-					return nil, err
-				}
-			}
-			blocks = append(blocks, r.client.blocks.Get().(*block))
-		}
-		n, err := r.Read(blocks[len(blocks)-1][used:])
-		size += n
-		if errors.Is(err, io.EOF) {
-			return joinBlocks(blocks, size), nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-// joinBlocks returns the first size bytes of the blocks.
-func joinBlocks(blocks []*block, size int) []byte {
-	out := make([]byte, 0, size)
-	for _, b := range blocks {
-		out = append(out, b[:min(size-len(out), blockBytes)]...)
-	}
-	return out
-}
-
 // reserve accounts for memory that the response takes beyond one block until Close. It fails if
 // this response holds the most of all and there is too little.
-func (r *Response) reserve(n int) error { return r.client.buffers.reserve(r, n) }
+func (r *Response) reserve(n int) error { return r.client.buffers.reserve(r.holder, n) }
 
 // Discard reads the rest of a short body that is not needed, so that the connection can be reused.
 // It gives up, and the connection is closed, if the body is long or late.
@@ -396,7 +347,7 @@
 	}
 	cn := r.conn
 	r.conn = nil
-	r.client.buffers.release(r)
+	r.client.buffers.release(r.holder)
 	notAborted := r.stopAbort()
 	idleTimeout := defaultIdleTimeout
 	if r.Header != nil {
--- a/internal/gateway/upstream/client_test.go
+++ b/internal/gateway/upstream/client_test.go
@@ -59,8 +59,19 @@
 		return "", err
 	}
 	defer r.Close()
+	return readString(r)
+}
+
+// readString reads the whole body.
+func readString(r *Response) (string, error) {
 	body, err := r.ReadAll()
-	return string(body), err
+	if err != nil {
+		return "", err
+	}
+	defer body.Close()
+	var s strings.Builder
+	_, err = body.WriteTo(&s)
+	return s.String(), err
 }
 
 // Guards against accepting a response that is truncated or meant for another request, and
--- a/internal/gateway/upstream/duplicate_test.go
+++ b/internal/gateway/upstream/duplicate_test.go
@@ -116,7 +116,7 @@
 			client := newClient()
 			first, err := client.Send(context.Background(), Target{Address: u.Address()}, newRequest("a"))
 			is.NoErr(err)
-			_, err = first.ReadAll()
+			_, err = readString(first)
 			is.NoErr(err)
 			first.Close()
 			q := newRequest("b")
@@ -129,9 +129,9 @@
 			}
 			defer r.Close()
 			is.Equal(r.Header.Get("Refused") != "" || r.Status == http.StatusMisdirectedRequest, c.refused)
-			body, err := r.ReadAll()
+			body, err := readString(r)
 			is.NoErr(err)
-			is.Equal(body != nil && string(body) == "own answer of b", c.answered)
+			is.Equal(body == "own answer of b", c.answered)
 		})
 	}
 }
--- a/internal/gateway/upstream/endless_test.go
+++ b/internal/gateway/upstream/endless_test.go
@@ -26,7 +26,10 @@
 type exchangeReader func(r *Response) error
 
 func readBody(r *Response) error {
-	_, err := r.ReadAll()
+	body, err := r.ReadAll()
+	if err == nil {
+		body.Close()
+	}
 	return err
 }
 
@@ -245,3 +248,58 @@
 		})
 	}
 }
+
+// Guards against an instance that runs out of memory because aborted responses still hold theirs
+// while others already use it.
+func TestEvictedReaderHoldsItsMemory(t *testing.T) {
+	is := is.New(t)
+	b := newBuffers()
+	evicted := make(chan struct{})
+	first, second := &holder{evict: func() { close(evicted) }}, &holder{}
+	b.startReading(first)
+	is.NoErr(b.reserve(first, maxBufferedBytes))
+	reserved := make(chan error)
+	go func() { reserved <- b.reserve(second, blockBytes) }()
+	<-evicted
+	is.True(errors.Is(b.reserve(first, blockBytes), errEvicted))
+	select {
+	case <-reserved:
+		t.Fatal("the memory was given away while a reader used it")
+	case <-time.After(20 * time.Millisecond):
+	}
+	b.release(first)
+	is.NoErr(<-reserved)
+	is.Equal(b.held(), blockBytes)
+}
+
+// Guards against an instance that runs out of memory because it keeps error responses of upstreams
+// in trouble while their requests are sent again.
+func TestKeptBodiesAreEvicted(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", maxBodyBytes-1)
+	u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+		e.Write("HTTP/1.1 500 Internal Server Error\r\nRequest-Id: a\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+		return true
+	})
+	client := newClient()
+	var kept []*Body
+	for range 10 {
+		r, err := client.Send(t.Context(), Target{Address: u.Address()}, newRequest("a"))
+		is.NoErr(err)
+		b, err := r.ReadAll()
+		is.NoErr(err)
+		r.Close()
+		b.AllowEviction()
+		kept = append(kept, b)
+	}
+	is.True(client.buffers.held() <= maxBufferedBytes)
+	blocks := 0
+	for i, b := range kept {
+		blocks += len(b.blocks)
+		is.Equal(b.Claim(), len(b.blocks) > 0)
+		is.True(i < len(kept)-1 || len(b.blocks) > 0) // the last one was not needed for others
+		b.Close()
+	}
+	is.True(blocks*blockBytes <= maxBufferedBytes+len(kept)*blockBytes)
+	is.Equal(client.buffers.held(), 0)
+}
