fleet/suspect: crashes are told apart by when they were noticed

Cause: the leader took the time at which a report arrived as the time of its crashes. Crashes whose reports had to wait, for a leader or for a slow instance, counted as one, and the part of the prompt that caused them was not quarantined. TestPromptPartCrashesUpstreams failed so once at a load of about 25, with 52 crashes and 14 later requests.

Change: a report states the age of each crash.

--- a/internal/fleet/coordinator/crashes.go
+++ b/internal/fleet/coordinator/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -22,6 +23,7 @@
 		c.parts.RecordCrash(suspect.Crash{
 			Incarnation: suspect.Incarnation{Upstream: k.GetUpstream(), Born: k.GetBorn()},
 			Service:     layout.Service(k.GetService()), Fingerprint: k.GetFingerprint(), Parts: parts,
+			Age: time.Duration(k.GetAgeMs()) * time.Millisecond,
 		}, now)
 	}
 	for _, o := range q.GetOutcomes() {
--- a/internal/fleet/suspect/replay_test.go
+++ b/internal/fleet/suspect/replay_test.go
@@ -151,7 +151,7 @@
 		if r.now.Sub(q.startsAt) >= startup {
 			i.responses.Record(q.parts, r.now)
 		} else {
-			i.crashes = append(i.crashes, Crash{Incarnation{strconv.Itoa(u), r.births[u]}, "pool", q.fingerprint, q.parts})
+			i.crashes = append(i.crashes, Crash{Incarnation{strconv.Itoa(u), r.births[u]}, "pool", q.fingerprint, q.parts, 0})
 			i.reportAt = min(i.reportAt, r.now.Add(time.Duration(20+r.random.IntN(80))*time.Millisecond))
 		}
 		if q.attempts < 3 {
--- a/internal/fleet/suspect/suspect.go
+++ b/internal/fleet/suspect/suspect.go
@@ -20,7 +20,7 @@
 	// to requests with a part.
 	watchedCrashes = 2
 	// crashInterval is the time within which crashes count as one. Upstreams that crash at the
-	// same time have a common cause, which is no part of a prompt. Reports of one crash arrive
+	// same time have a common cause, which is no part of a prompt. Instances notice one crash
 	// within 0.1 s.
 	crashInterval = 150 * time.Millisecond
 	// responseMemory is how long a response counts, at least half of it at an instance.
@@ -75,6 +75,9 @@
 	Fingerprint uint64
 	// Parts are the parts of its prompt that other requests may share, the most specific last.
 	Parts []Part
+	// Age is how long before its report the crash was noticed. Reports that wait for a leader tell of
+	// crashes at different times at once.
+	Age time.Duration
 }
 
 // Tracker holds the suspicions. It is not safe for concurrent use.
@@ -122,10 +125,12 @@
 // RecordCrash records a request that ran on an upstream when it crashed.
 func (t *Tracker) RecordCrash(k Crash, now timer.Instant) {
 	c := t.incarnations[k.Incarnation]
+	at := now.Add(-min(max(k.Age, 0), window))
 	if c == nil {
-		c = &crashed{at: now}
+		c = &crashed{at: at}
 		t.incarnations[k.Incarnation] = c
 	}
+	c.at = min(c.at, at)
 	c.requests++
 	if slices.ContainsFunc(k.Parts, t.quarantined) {
 		t.explain(k.Incarnation)
--- a/internal/fleet/suspect/suspect_test.go
+++ b/internal/fleet/suspect/suspect_test.go
@@ -30,7 +30,7 @@
 func (f *fixture) crash(fingerprint uint64, parts ...Part) {
 	f.incarnation++
 	f.now = f.now.Add(crashInterval)
-	f.tracker.RecordCrash(Crash{Incarnation{strconv.Itoa(f.incarnation), 1}, "pool", fingerprint, parts}, f.now)
+	f.tracker.RecordCrash(Crash{Incarnation{strconv.Itoa(f.incarnation), 1}, "pool", fingerprint, parts, 0}, f.now)
 }
 
 // respond lets time pass in which the service responds to other requests.
@@ -65,7 +65,7 @@
 		{"many requests in three crashes", func(f *fixture) {
 			for n := range 3 {
 				f.crash(uint64(n), "bad")
-				f.tracker.RecordCrash(Crash{Incarnation{strconv.Itoa(f.incarnation), 1}, "pool", uint64(10 + n), []Part{"bad"}}, f.now)
+				f.tracker.RecordCrash(Crash{Incarnation{strconv.Itoa(f.incarnation), 1}, "pool", uint64(10 + n), []Part{"bad"}, 0}, f.now)
 			}
 			f.respond(2)
 		}, "bad"},
@@ -100,6 +100,13 @@
 			}
 			f.respond(20)
 		}, ""},
+		{"crashes at different times in one report", func(f *fixture) {
+			for n := range 4 {
+				f.incarnation++
+				f.tracker.RecordCrash(Crash{Incarnation{strconv.Itoa(f.incarnation), 1}, "pool", uint64(n), []Part{"bad"}, time.Duration(n) * crashInterval}, f.now)
+			}
+			f.respond(2)
+		}, "bad"},
 		{"a response since", func(f *fixture) {
 			for n := range 4 {
 				f.crash(uint64(n), "sound")
@@ -138,7 +145,7 @@
 	f := newFixture(t)
 	for n := range 4 {
 		f.crash(uint64(n), "bad", "specific")
-		f.tracker.RecordCrash(Crash{Incarnation{strconv.Itoa(f.incarnation), 1}, "pool", uint64(10 + n), []Part{"bystander"}}, f.now)
+		f.tracker.RecordCrash(Crash{Incarnation{strconv.Itoa(f.incarnation), 1}, "pool", uint64(10 + n), []Part{"bystander"}, 0}, f.now)
 	}
 	f.respond(20)
 	f.Equal(f.decide(), Part("specific"))
--- a/internal/fleet/view/report.go
+++ b/internal/fleet/view/report.go
@@ -1,7 +1,10 @@
 package view
 
 import (
+	"time"
+
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
 
@@ -13,11 +16,17 @@
 	limits     map[string]*wire.Limit
 	conditions map[string]*wire.Condition
 	outcomes   map[outcomeKey]*wire.Outcome
-	crashes    []*wire.Crash
+	crashes    []crash
 	holdings   []*wire.Holding
 	layout     layout.Version // version that was put into force, or 0
 }
 
+// crash is a crash of an upstream that was noticed at a time.
+type crash struct {
+	*wire.Crash
+	at timer.Instant
+}
+
 // outcomeKey identifies the responses whose outcomes are counted together.
 type outcomeKey struct {
 	service, version, route, model string
@@ -42,7 +51,11 @@
 		return nil
 	}
 	v.pending = newPendingReport()
-	r := &wire.TellRequest{Crashes: n.crashes, Holdings: n.holdings, Layout: uint64(n.layout)}
+	r := &wire.TellRequest{Holdings: n.holdings, Layout: uint64(n.layout)}
+	for _, k := range n.crashes {
+		k.AgeMs = uint32(v.options.Timer.Now().Sub(k.at) / time.Millisecond)
+		r.Crashes = append(r.Crashes, k.Crash)
+	}
 	for _, p := range survived {
 		r.Survived = append(r.Survived, string(p))
 	}
@@ -91,7 +104,10 @@
 			v.pending.conditions[c.GetId()] = c
 		}
 	}
-	v.pending.crashes = append(v.pending.crashes, r.GetCrashes()...)
+	for _, k := range r.GetCrashes() {
+		// The time that the failed report took is small beside what the age is for.
+		v.pending.crashes = append(v.pending.crashes, crash{k, v.options.Timer.Now().Add(-time.Duration(k.GetAgeMs()) * time.Millisecond)})
+	}
 	v.pending.holdings = append(v.pending.holdings, r.GetHoldings()...)
 	v.responses.Return(r.GetSurvived())
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -435,7 +435,7 @@
 func (v *View) RecordCrash(c *wire.Crash) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.pending.crashes = append(v.pending.crashes, c)
+	v.pending.crashes = append(v.pending.crashes, crash{c, v.options.Timer.Now()})
 	v.signalUrgent()
 }
 
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -18,6 +18,23 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
 
+// Guards against crashes that seem to have happened at once, since their report had to wait for a leader.
+func TestCrashAge(t *testing.T) {
+	is := is.New(t)
+	v, clock := newView()
+	v.RecordCrash(&wire.Crash{Upstream: "a"})
+	clock.Advance(time.Second)
+	v.RecordCrash(&wire.Crash{Upstream: "b"})
+	r := v.TakeReport()
+	is.Equal(r.GetCrashes()[0].GetAgeMs(), uint32(1000))
+	is.Equal(r.GetCrashes()[1].GetAgeMs(), uint32(0))
+	v.RequeueReport(r)
+	clock.Advance(time.Second)
+	r = v.TakeReport()
+	is.Equal(r.GetCrashes()[0].GetAgeMs(), uint32(2000))
+	is.Equal(r.GetCrashes()[1].GetAgeMs(), uint32(1000))
+}
+
 // testLag is the time for which an older layout may be used in tests.
 const testLag = 400 * time.Millisecond
 
