entry: a lease renewed after a lapse does not count for what began before

Cause: the check before the first byte asked for a valid lease, whichever. An entry that was paused or cut off between the claim's step to dispatching and the send refused the call, or sent it if the lease had been renewed before the call went on. Control never takes over a claim in that state, so it still ran once, but the outcome depended on which of the two came first, against the rule that a paused entry refuses. For the trial of a suspected request it was worse: group 0 ends the trials of an entry without a lease and grants the next one to another entry, so that two of them could run at once and a third upstream crash.

Change: the control client counts the periods in which the lease is held without a break. A call that must run at most once and a trial are sent only in the period in which their attempt began: the claim ends with "not run", a chat completion is placed again with a new trial.

--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -34,6 +34,8 @@
 type placement struct {
 	version   document.Version
 	selection *route.Selection
+	// period is the lease period in which the attempt began.
+	period uint64
 }
 
 // target returns the upstream and a function that releases it unused.
@@ -124,6 +126,7 @@
 // after the first content it needs an upstream that can resume it.
 func (j *chatJob) selectUpstream(ctx context.Context, model document.Model, startedVersion document.Version, o *streamRelay, tried []string) (p placement, err error) {
 	h := j.handler
+	p.period = h.control.LeasePeriod()
 	c, err := h.leasedConfig()
 	if err != nil {
 		return p, err
@@ -178,6 +181,9 @@
 	if !plan.Accepts(model, p.version, j.rolloutKey(), pinned) || !stillRegistered(c, p.selection.Upstream) || !trial && j.needsTrial(c) {
 		return errConfigChanged
 	}
+	if trial && j.handler.checkLeasePeriod(p.period) != nil {
+		return errConfigChanged // group 0 may have ended the trial meanwhile and granted another one
+	}
 	if err := j.handler.pool.CheckPause(p.selection.Upstream); err != nil {
 		return errors.CombineErrors(errConfigChanged, err)
 	}
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -38,6 +38,7 @@
 	Ledger(ctx context.Context, r *wire.LedgerRequest) (*wire.LedgerReply, error)
 	Config() *control.Config
 	LeasedConfig() *control.Config
+	LeasePeriod() uint64
 	Entries() []*wire.Instance
 	Loads() map[string]*wire.Heard
 	Tallies() []*wire.Tally
--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -211,6 +211,7 @@
 		return nil, err
 	}
 	defer slot.Release(1)
+	period := c.handler.control.LeasePeriod()
 	k, conn, err := c.connect(ctx)
 	if err != nil {
 		return nil, err
@@ -229,7 +230,7 @@
 			_ = run.End(context.WithoutCancel(ctx))
 		}
 	}()
-	if err = c.checkDispatch(k.Upstream, run.IsTrial()); err != nil {
+	if err = c.checkDispatch(k.Upstream, run.IsTrial(), period); err != nil {
 		return nil, err
 	}
 	reply, err := c.sendStep(ctx, &wire.ClaimRequest{Step: wire.Step_STEP_DISPATCH, Epoch: c.epoch})
@@ -243,7 +244,7 @@
 	answer, err := c.attempt(ctx, k, run, func(ctx context.Context) (upstream.Response, error) {
 		m := c.upstreamRequest
 		// The step to the dispatch phase may have taken long, so check everything again.
-		m.PreSendCheck = checkAndMarkSent(run, func() error { return c.checkDispatch(k.Upstream, run.IsTrial()) })
+		m.PreSendCheck = checkAndMarkSent(run, func() error { return c.checkDispatch(k.Upstream, run.IsTrial(), period) })
 		return c.handler.upstreamClient.SendPlainOnce(ctx, k.Upstream, m, conn)
 	})
 	return c.storeAnswer(ctx, c.storedAnswer(answer, err)), nil
--- a/internal/entry/caller/claim_test.go
+++ b/internal/entry/caller/claim_test.go
@@ -161,28 +161,30 @@
 }
 
 // Guards against sending a call although the request to the control group failed or the
-// lease expired during the step to the dispatch phase.
+// lease expired during the step to the dispatch phase, also if it was renewed since.
 func TestControlFailuresAroundTheDispatch(t *testing.T) {
 	for _, c := range []struct {
-		name       string
-		failStep   wire.Step
-		err        error
-		keepsLease bool
-		outcome    string
-		runs       int
+		name     string
+		failStep wire.Step
+		err      error
+		// during is called at the step to the dispatch phase.
+		during  func(f *fakeControl)
+		outcome string
+		runs    int
 	}{
-		{"open not confirmed", wire.Step_STEP_OPEN, control.ErrOutcomeUnknown, true, "unknown", 0},
-		{"dispatch not confirmed", wire.Step_STEP_DISPATCH, control.ErrOutcomeUnknown, true, "not run", 0},
-		{"answer not stored", wire.Step_STEP_FINISH, control.ErrUnavailable, true, "", 1},
-		{"lease lost during the dispatch step", wire.Step_STEP_READ, nil, false, "not run", 0},
+		{"open not confirmed", wire.Step_STEP_OPEN, control.ErrOutcomeUnknown, nil, "unknown", 0},
+		{"dispatch not confirmed", wire.Step_STEP_DISPATCH, control.ErrOutcomeUnknown, nil, "not run", 0},
+		{"answer not stored", wire.Step_STEP_FINISH, control.ErrUnavailable, nil, "", 1},
+		{"lease lost during the dispatch step", wire.Step_STEP_READ, nil, func(f *fakeControl) { f.setLease(false) }, "not run", 0},
+		{"lease lost and renewed during the dispatch step", wire.Step_STEP_READ, nil, (*fakeControl).renewAfterLapse, "not run", 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			f, d, s := newBookingServer(t, nil)
 			f.fail["claim"+c.failStep.String()] = c.err
 			f.onClaim = func(r *wire.ClaimRequest) {
-				if r.Step == wire.Step_STEP_DISPATCH && !c.keepsLease {
-					f.setLease(false)
+				if r.Step == wire.Step_STEP_DISPATCH && c.during != nil {
+					c.during(f)
 				}
 			}
 			resp, _ := send(t, "POST", s.URL+bookingsPath, "{}", "Idempotency-Key", "k")
--- a/internal/entry/caller/fake_test.go
+++ b/internal/entry/caller/fake_test.go
@@ -26,8 +26,10 @@
 	mu        sync.Mutex
 	config    *control.Config
 	leaseHeld bool
-	entries   []*wire.Instance
-	claims    map[string]*wire.ClaimReply
+	// period is the number of the lease period.
+	period  uint64
+	entries []*wire.Instance
+	claims  map[string]*wire.ClaimReply
 	// pinRevision is the revision under which the pins were made.
 	pinRevision uint64
 	pins        map[string]string
@@ -37,6 +39,8 @@
 	fail map[string]error
 	// onClaim is called before each step of a claim.
 	onClaim func(r *wire.ClaimRequest)
+	// onSuspect is called before each move of a suspicion.
+	onSuspect func(r *wire.SuspectRequest)
 	// onPin is called after each pin.
 	onPin    func()
 	draining bool
@@ -115,8 +119,13 @@
 
 func (f *fakeControl) Config() (c *control.Config) { f.withLock(func() { c = f.config }); return c }
 
+func (f *fakeControl) LeasePeriod() (p uint64) { f.withLock(func() { p = f.period }); return p }
+
 func (f *fakeControl) setLease(held bool) { f.withLock(func() { f.leaseHeld = held }) }
 
+// renewAfterLapse renews the lease after it has lapsed.
+func (f *fakeControl) renewAfterLapse() { f.withLock(func() { f.period++ }) }
+
 func (f *fakeControl) removeUpstream(name string)            { f.withLock(func() { f.setUpstream(name, nil) }) }
 func (f *fakeControl) Entries() []*wire.Instance             { return f.entries }
 func (f *fakeControl) Loads() map[string]*wire.Heard         { return nil }
@@ -211,6 +220,9 @@
 
 // Suspect accepts all reports and keeps no suspicion.
 func (f *fakeControl) Suspect(_ context.Context, r *wire.SuspectRequest) (*wire.SuspectReply, error) {
+	if f.onSuspect != nil {
+		f.onSuspect(r)
+	}
 	return &wire.SuspectReply{Standings: make([]wire.Standing, len(r.Suspects))}, nil
 }
 
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -99,13 +99,19 @@
 }
 
 // checkDispatch checks immediately before the dispatch whatever may have changed
-// since the upstream was selected. It must not modify the call, since the goroutine
-// of the connection calls it.
-func (p *plainCall) checkDispatch(u *wire.Upstream, trial bool) error {
+// since the upstream was selected in the given lease period. A trial, or a call that must run
+// at most once, is sent only if the lease has not lapsed since. checkDispatch must not modify
+// the call, since the goroutine of the connection calls it.
+func (p *plainCall) checkDispatch(u *wire.Upstream, trial bool, period uint64) error {
 	c, call, _, err := p.authorize()
 	if err != nil {
 		return err
 	}
+	if trial || !p.call.Idempotent {
+		if err := p.handler.checkLeasePeriod(period); err != nil {
+			return err
+		}
+	}
 	if call.Idempotent != p.call.Idempotent {
 		return errors.Wrap(errConfigChanged, "the call's declaration")
 	}
@@ -130,13 +136,14 @@
 	var tried []string
 	var failure error
 	for {
+		period := p.handler.control.LeasePeriod()
 		k, run, err := admit(ctx, p.request, func() (*route.Selection, error) { return p.pick(tried) }, selectionTarget)
 		if err != nil {
 			return finalError(failure, err)
 		}
 		a, err := p.attempt(ctx, k, run, func(ctx context.Context) (upstream.Response, error) {
 			m := p.upstreamRequest
-			m.PreSendCheck = checkAndMarkSent(run, func() error { return p.checkDispatch(k.Upstream, run.IsTrial()) })
+			m.PreSendCheck = checkAndMarkSent(run, func() error { return p.checkDispatch(k.Upstream, run.IsTrial(), period) })
 			return p.handler.upstreamClient.SendPlain(ctx, k.Upstream, m)
 		})
 		if err == nil {
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -253,6 +253,15 @@
 	return nil, control.ErrNoLease
 }
 
+// checkLeasePeriod returns ErrNoLease if the lease has lapsed since the period, even if it was
+// renewed in between.
+func (h *Handler) checkLeasePeriod(period uint64) error {
+	if h.control.LeasePeriod() != period {
+		return errors.Wrap(control.ErrNoLease, "the lease lapsed since the attempt began")
+	}
+	return nil
+}
+
 // acquireSlot waits in the queue of the key until the request may run.
 func (q *request) acquireSlot(ctx context.Context, k queueKey, a document.AccountSpec, tokens uint64) (slot *queue.Slot, err error) {
 	ctx, span := q.handler.options.Tracer.Start(ctx, "queue")
--- a/internal/entry/control/client.go
+++ b/internal/entry/control/client.go
@@ -17,6 +17,8 @@
 type leasedConfig struct {
 	config  *Config
 	expires timer.Instant
+	// period is the number of the period in which the lease has been held without a break.
+	period uint64
 }
 
 // Client calls the control instances on behalf of one entry. It is safe for concurrent use.
@@ -108,6 +110,17 @@
 	}
 }
 
+// LeasePeriod returns the number of the current or last period in which the lease was held
+// without a break. A renewal after the lease has expired begins the next one: in between, the
+// control group and other entries may have acted without this entry, for example ended its
+// trials. LeasePeriod does not check the lease.
+func (c *Client) LeasePeriod() uint64 {
+	if l := c.leased.Load(); l != nil {
+		return l.period
+	}
+	return 0
+}
+
 // Updated returns a channel that is closed when Config changes next.
 func (c *Client) Updated() <-chan struct{} {
 	c.mu.Lock()
--- a/internal/entry/control/client_test.go
+++ b/internal/entry/control/client_test.go
@@ -35,6 +35,32 @@
 	is.True(c.Config() != nil)
 }
 
+// Guards against a lapse that goes unnoticed because the lease is renewed before anybody looks.
+func TestLeasePeriod(t *testing.T) {
+	is := is.New(t)
+	m := timer.NewManual()
+	c := newTestCluster(t, m).client(is, "e1")
+	is.Equal(c.LeasePeriod(), uint64(0))
+	reply := &wire.RenewReply{Revision: 5, Term: 2, Lease: 2000, Full: true}
+	for _, s := range []struct {
+		sentAfter, answeredAfter time.Duration
+		period                   uint64
+	}{
+		{0, 0, 1},
+		{time.Second, 500 * time.Millisecond, 1},
+		{1499 * time.Millisecond, 0, 1},
+		{2 * time.Second, 0, 2},
+		{1900 * time.Millisecond, 200 * time.Millisecond, 3},
+	} {
+		m.Advance(s.sentAfter)
+		sent := m.Now()
+		m.Advance(s.answeredAfter)
+		is.NoErr(c.applyReply(reply, sent))
+		is.True(c.HoldsLease())
+		is.Equal(c.LeasePeriod(), s.period)
+	}
+}
+
 // Guards against a reply that replaces the configuration by an older one, or comes from a
 // former leader, and against a lease from such a reply.
 func TestRejectsOutdatedReplies(t *testing.T) {
--- a/internal/entry/control/renew.go
+++ b/internal/entry/control/renew.go
@@ -128,6 +128,7 @@
 	} else {
 		next.expires = max(next.expires, c.leased.Load().expires)
 	}
+	next.period = c.nextPeriod()
 	c.leased.Store(next)
 	if next.config != old {
 		close(c.updated)
@@ -144,6 +145,21 @@
 	return nil
 }
 
+// nextPeriod returns the number of the lease period to which a lease belongs that begins to
+// be used now. A renewal that was sent before the last lease expired and answered after that
+// begins a new period too: the leader may have received it only after it saw the lease end.
+// The caller holds the lock.
+func (c *Client) nextPeriod() uint64 {
+	last := c.leased.Load()
+	switch {
+	case last == nil:
+		return 1
+	case c.options.Timer.Now().Before(last.expires):
+		return last.period
+	}
+	return last.period + 1
+}
+
 // mergeConfig returns a configuration with the changes of the reply. The old one is not modified.
 func (c *Client) mergeConfig(old *Config, r *wire.RenewReply) (*Config, error) {
 	next := &Config{
--- a/internal/proof/call/fault_test.go
+++ b/internal/proof/call/fault_test.go
@@ -109,13 +109,22 @@
 		e := tr.entries[0]
 		tr.addTrigger(e.Name, system.StepDispatch, true, func() {
 			e.Partition(tr.controlAddresses()...)
-			for deadline := time.Now().Add(20 * time.Second); e.Client.HoldsLease() && time.Now().Before(deadline); {
-				time.Sleep(5 * time.Millisecond)
-			}
+			awaitLease(e, false)
 		})
 		tr.checkOutcome(tr.sendAndWait(0, 0), notRun)
 		tr.resendAndExpect(0, unknown)
 	}},
+	{"G6", "lease-renewed-before-send", func(tr *trial) {
+		e := tr.entries[0]
+		tr.addTrigger(e.Name, system.StepDispatch, true, func() {
+			e.Partition(tr.controlAddresses()...)
+			awaitLease(e, false)
+			e.Heal(tr.controlAddresses()...)
+			awaitLease(e, true)
+		})
+		tr.checkOutcome(tr.sendAndWait(0, 0), notRun)
+		tr.resendAndExpect(0, notRun, unknown)
+	}},
 	{"G6", "first-answer-lost-and-control-cut", func(tr *trial) {
 		e := tr.entries[0]
 		killed := tr.addTrigger(e.Name, system.StepFinish, true, tr.entries[2].Kill)
@@ -180,6 +189,13 @@
 	}},
 }
 
+// awaitLease waits until the entry holds its lease, or has lost it, for 20 s at most.
+func awaitLease(e *system.Entry, held bool) {
+	for deadline := time.Now().Add(20 * time.Second); e.Client.HoldsLease() != held && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // loseLeaderBeforeDispatch stops the leader of the claim's group after the claim is opened
 // and before it moves to dispatching, and restores it once another replica leads.
 func (tr *trial) loseLeaderBeforeDispatch(leader *system.Control, stop, restore func()) {
