entry: the deadline is checked right before the first byte

Cause: a request was kept from an upstream after its deadline only by the timer that cancels it. After a pause of the process that timer may run later than the request, which was then sent. docs/design.md says that a paused entry drops work past its deadline.

Change: the check before the first byte reads the clock, as that of the gateway does.

Result: TestDeadlineIsCheckedBeforeSending fails without the check in all three cases (200 and twice 201 instead of 504) and passes with it; entry/caller passes with the race detector.

--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -218,7 +218,7 @@
 		Stream: j.chat.stream, OnChunk: o.handleChunk,
 	}
 	pinned := j.session != "" || o.started()
-	q.PreSendCheck = checkAndMarkSent(run, func() error { return j.checkDispatch(a.model, p, pinned, run.IsTrial()) })
+	q.PreSendCheck = j.checkAndMarkSent(run, func() error { return j.checkDispatch(a.model, p, pinned, run.IsTrial()) })
 	if o.started() {
 		q.ResumeAfter = o.contentEvents
 	}
--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -244,7 +244,7 @@
 	answer, err := c.attempt(ctx, k, run, func(ctx context.Context) (upstream.Response, error) {
 		m := c.upstreamRequest
 		// The step to the dispatch phase may have taken long, so check everything again.
-		m.PreSendCheck = checkAndMarkSent(run, func() error { return c.checkDispatch(k.Upstream, run.IsTrial(), period) })
+		m.PreSendCheck = c.checkAndMarkSent(run, func() error { return c.checkDispatch(k.Upstream, run.IsTrial(), period) })
 		return c.handler.upstreamClient.SendPlainOnce(ctx, k.Upstream, m, conn)
 	})
 	return c.storeAnswer(ctx, c.storedAnswer(answer, err)), nil
--- a/internal/entry/caller/pause_test.go
+++ b/internal/entry/caller/pause_test.go
@@ -5,12 +5,58 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
+// pausedClock is the clock of a process that was paused: the time has moved on, but no timer
+// has fired for that yet.
+type pausedClock struct {
+	*timer.System
+	pause atomic.Int64
+}
+
+func (p *pausedClock) Now() timer.Instant {
+	return p.System.Now().Add(time.Duration(p.pause.Load()))
+}
+
+// Guards against a request that is sent after its deadline, since the process was paused and the
+// timer of the deadline runs later than the request.
+func TestDeadlineIsCheckedBeforeSending(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path, body string
+		headers                  []string
+	}{
+		{"chat completion", "POST", "/v1/chat/completions", chatBody("small", false), nil},
+		{"call that may be repeated", "GET", "/v1/services/desk/bookings/1", "", nil},
+		{"call that may not be repeated", "POST", "/v1/services/desk/bookings", "{}", []string{"Idempotency-Key", "k1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeControl(poolDocument(), deskDocument())
+			engine := startEngine(t, f, "w1", "small", &fakeEngine{version: "v1", words: []string{"a"}, breakAfter: -1})
+			desk := startBookingService(t, f, "d1", nil)
+			clock := &pausedClock{System: timer.NewSystem()}
+			_, s := newHandler(t, f, func(o *Options) {
+				o.Timer = clock
+				o.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+					clock.pause.Store(int64(DefaultTimeout))
+					return (&net.Dialer{}).DialContext(ctx, network, address)
+				}
+			})
+			r, body := send(t, c.method, s.URL+c.path, c.body, c.headers...)
+			is.Equal(r.StatusCode, 504)
+			is.True(strings.Contains(body, "not run"))
+			is.Equal(engine.requestCount()+desk.runCount(), 0)
+		})
+	}
+}
+
 // Guards against a request that waited for its connection while the upstream asked for a pause, and is
 // sent to it all the same.
 func TestPauseBeginsBeforeRequestIsSent(t *testing.T) {
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -143,7 +143,7 @@
 		}
 		a, err := p.attempt(ctx, k, run, func(ctx context.Context) (upstream.Response, error) {
 			m := p.upstreamRequest
-			m.PreSendCheck = checkAndMarkSent(run, func() error { return p.checkDispatch(k.Upstream, run.IsTrial(), period) })
+			m.PreSendCheck = p.checkAndMarkSent(run, func() error { return p.checkDispatch(k.Upstream, run.IsTrial(), period) })
 			return p.handler.upstreamClient.SendPlain(ctx, k.Upstream, m)
 		})
 		if err == nil {
--- a/internal/entry/caller/suspect.go
+++ b/internal/entry/caller/suspect.go
@@ -165,9 +165,13 @@
 }
 
 // checkAndMarkSent returns a function to call before the first byte is sent: if check
-// passes, it marks the run as in flight.
-func checkAndMarkSent(r *suspect.Run, check func() error) func() error {
+// passes and the deadline has not, it marks the run as in flight. The timer that cancels the
+// request at its deadline may run late after the process was paused.
+func (q *request) checkAndMarkSent(r *suspect.Run, check func() error) func() error {
 	return func() error {
+		if q.remaining() <= 0 {
+			return context.DeadlineExceeded
+		}
 		err := check()
 		if err == nil {
 			r.MarkSent()
