entry: a trial of a quarantined request is not sent

Cause: right before the first byte the suspicions were checked for requests that are no trial only. A trial that was granted before another copy of the request crashed a second upstream was sent to a third one.

Change: a quarantine in the configuration in force ends any attempt that has not begun to send.

--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	if !plan.Accepts(model, p.version, j.rolloutKey(), pinned) || !stillRegistered(c, p.selection.Upstream) || !trial && j.needsTrial(c) {
+	if !plan.Accepts(model, p.version, j.rolloutKey(), pinned) || !stillRegistered(c, p.selection.Upstream) || j.suspicionChanged(c, trial) {
 		return errConfigChanged
 	}
 	if trial && j.handler.checkLeasePeriod(p.period) != nil {
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -115,7 +115,7 @@
 	if call.Idempotent != p.call.Idempotent {
 		return errors.Wrap(errConfigChanged, "the call's declaration")
 	}
-	if !trial && p.needsTrial(c) {
+	if p.suspicionChanged(c, trial) {
 		return errors.Wrap(errConfigChanged, "the call is suspected of a crash")
 	}
 	if !stillRegistered(c, u) {
--- a/internal/entry/caller/suspect.go
+++ b/internal/entry/caller/suspect.go
@@ -95,6 +95,12 @@
 	return q.connectionBroke || c.Suspicions[string(q.fingerprint)] != nil
 }
 
+// suspicionChanged reports whether the request has become suspected or quarantined since its
+// run, a trial or not, was admitted.
+func (q *request) suspicionChanged(c *control.Config, trial bool) bool {
+	return c.Suspicions[string(q.fingerprint)].GetQuarantined() || !trial && q.needsTrial(c)
+}
+
 // beginRun begins a run on the upstream, as a trial if the request is suspected. On
 // errTrialPending the caller pauses and selects an upstream again.
 func (q *request) beginRun(ctx context.Context, u *wire.Upstream) (*suspect.Run, error) {
--- a/internal/entry/caller/trial_test.go
+++ b/internal/entry/caller/trial_test.go
@@ -25,6 +25,41 @@
 	return string(suspect.ChatFingerprint("town", fields))
 }
 
+// Guards against a trial that runs although the request was quarantined after it was granted,
+// since another copy of it crashed a second upstream.
+func TestTrialOfQuarantinedRequestIsNotSent(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+	}{
+		{"chat completion", "POST", "/v1/chat/completions", chatBody("small", false), nil, 422},
+		{"repeatable call", "GET", bookingsPath + "/1", "", nil, 503},
+		{"call that must run at most once", "POST", bookingsPath, "{}", []string{"Idempotency-Key", "k"}, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeControl(poolDocument(), deskDocument())
+			engine := startEngine(t, f, "w1", "small", &fakeEngine{version: "v1", words: []string{"a"}, breakAfter: -1})
+			desk := startBookingService(t, f, "d1", nil)
+			suspect := func(quarantined bool) {
+				f.withLock(func() {
+					changed := *f.config
+					changed.Suspicions = map[string]*wire.Suspicion{fingerprint(c.method, c.path, c.body): {Quarantined: quarantined}}
+					f.config = &changed
+				})
+			}
+			suspect(false)
+			f.onSuspect = func(*wire.SuspectRequest) { suspect(true) }
+			_, s := newHandler(t, f, nil)
+			resp, body := send(t, c.method, s.URL+c.path, c.body, c.headers...)
+			is.Equal(resp.StatusCode, c.status)
+			is.True(strings.Contains(body, "not run"))
+			is.Equal(engine.requestCount()+desk.runCount(), 0)
+		})
+	}
+}
+
 // Guards against a trial that runs although the lease lapsed after it was granted: group 0 ends
 // the trials of an entry without a lease and grants the next one to another entry.
 func TestTrialEndsWithTheLease(t *testing.T) {
