fleet/tunnel: a request is passed on only while it may run

Cause: an instance that passes requests of another one on checked that the upstream takes requests when it opened the tunnel, and before the first byte only whether it asked for a pause. If the process was paused in between, the request reached an upstream that had left, or reached it seconds after the instance it came from had checked key, layout and deadline.

Change: right before the first byte the upstream must still take requests, and the reply of the tunnel may be a second old at most; the instance writes its request right after that reply. Else the request is answered as not executed, without a pause of the upstream.

--- a/internal/fleet/tunnel/server.go
+++ b/internal/fleet/tunnel/server.go
@@ -26,6 +26,10 @@
 	// dialTimeout limits the time to open the connection to the upstream. An instance that has
 	// just been partitioned too takes so long to say so.
 	dialTimeout = 250 * time.Millisecond
+	// maxRequestDelay limits the time from the reply to the first byte of the request. The instance
+	// checks right before it sends that the request may run, and it sends right after the reply, so
+	// that a request that is passed on later rests on an old check: a process was paused.
+	maxRequestDelay = time.Second
 )
 
 // keepAlive detects the loss of the machine of the other instance, so that the upstream does not
@@ -38,8 +42,8 @@
 	Closed(id string, born int64) time.Duration
 	// ReadResponse reads the head of a response to a request of another instance.
 	ReadResponse(id string, born int64, r *http.Response)
-	// Refusal returns the response to a request that is not sent, since the upstream has closed for
-	// some time after the tunnel was opened.
+	// Refusal returns the response to a request that is not sent, since the upstream takes none any
+	// more, has closed for some time after the tunnel was opened, or the request came late.
 	Refusal(wait time.Duration) []byte
 }
 
@@ -100,6 +104,7 @@
 	upstream net.Conn
 	id       string // of the upstream
 	born     int64
+	openedAt timer.Instant // when the reply was written
 }
 
 // run opens the connection to the upstream and passes bytes on until either side ends it.
@@ -117,6 +122,7 @@
 	if wait == 0 {
 		st = t.dial(ctx)
 	}
+	t.openedAt = t.server.options.Timer.Now()
 	if _, err := t.instance.Write(st.reply(wait)); err != nil || st != statusConnected {
 		if t.upstream != nil {
 			_ = t.upstream.Close()
@@ -181,13 +187,13 @@
 type requestCopier struct{ *tunnel }
 
 // loop ends both connections when the instance ends its own, so that the upstream stops work. It
-// answers a request whose first byte arrives when the upstream has closed.
+// answers a request that may not be passed on any more when its first byte arrives.
 func (c *requestCopier) loop() {
 	buffer := make([]byte, blockBytes)
 	for sent := false; ; sent = true {
 		n, err := c.instance.Read(buffer)
 		if n > 0 && !sent {
-			if wait := c.server.options.Conditions.Closed(c.id, c.born); wait > 0 {
+			if wait, ok := c.mayPassOn(); !ok {
 				c.refuse(wait)
 				break
 			}
@@ -204,6 +210,17 @@
 	c.abort()
 }
 
+// mayPassOn checks right before the first byte whatever may have changed since the tunnel was
+// opened. wait is how long the upstream wants no requests, 0 for any other reason.
+func (c *requestCopier) mayPassOn() (wait time.Duration, ok bool) {
+	o := c.server.options
+	if _, ok := o.Address(c.id, c.born); !ok || o.Timer.Now().Sub(c.openedAt) > maxRequestDelay {
+		return 0, false
+	}
+	wait = o.Conditions.Closed(c.id, c.born)
+	return wait, wait == 0
+}
+
 // refuse answers the request in place of the upstream.
 func (c *requestCopier) refuse(wait time.Duration) {
 	c.server.options.Log.Info("request of another instance not passed on", zap.String("upstream", c.id), zap.Duration("closed", wait))
--- a/internal/fleet/tunnel/tunnel_test.go
+++ b/internal/fleet/tunnel/tunnel_test.go
@@ -32,6 +32,8 @@
 	hangs       bool         // it is partitioned and has not noticed yet
 	upstream    string       // address; empty if it knows none
 	closed      atomic.Int64 // milliseconds for which the upstream wants no requests of the helper
+	left        atomic.Bool  // the upstream has left
+	pause       atomic.Int64 // how long the helper was paused
 	heads       chan *http.Response
 	server      *Server
 	group       *group.Group
@@ -57,6 +59,16 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 }
 
+// pausedClock is the clock of a helper that was paused.
+type pausedClock struct {
+	*timer.System
+	helper *helper
+}
+
+func (p pausedClock) Now() timer.Instant {
+	return p.System.Now().Add(time.Duration(p.helper.pause.Load()))
+}
+
 // dial opens a connection to the upstream.
 func (h *helper) dial(ctx context.Context, address string) (net.Conn, error) {
 	if h.hangs {
@@ -76,9 +88,9 @@
 	h.address, h.heads = l.Addr().String(), make(chan *http.Response, 1)
 	h.server = NewServer(Options{
 		Conditions: h,
-		Token:      h.token, Partitioned: func() bool { return h.partitioned }, Dial: h.dial, Timer: timer.NewSystem(), Log: zap.NewNop(),
+		Token:      h.token, Partitioned: func() bool { return h.partitioned }, Dial: h.dial, Timer: pausedClock{timer.NewSystem(), h}, Log: zap.NewNop(),
 		Address: func(id string, born int64) (string, bool) {
-			return h.upstream, h.upstream != "" && id == "u" && born == 1
+			return h.upstream, h.upstream != "" && id == "u" && born == 1 && !h.left.Load()
 		},
 	})
 	m := drpcmigrate.NewListenMux(l, len(Prefix))
@@ -273,22 +285,36 @@
 	is.NoErr(n.Close())
 }
 
-// Guards against a request whose tunnel was opened before the upstream asked for a pause.
+// Guards against a request whose tunnel was opened before the upstream asked for a pause or left, and
+// against one that the instance checked long before it is passed on, since the helper was paused.
 func TestUpstreamClosesBeforeRequest(t *testing.T) {
-	is := is.New(t)
-	h := &helper{name: "a", token: "t", upstream: startUpstream(t, func(c *net.TCPConn) {
-		if n, _ := c.Read(make([]byte, 1)); n > 0 {
-			t.Error("the upstream gets the request")
-		}
-	})}
-	n, err := newTestClient(h.start(t)).Dial(context.Background(), "u", 1)
-	is.NoErr(err)
-	h.closed.Store(2000)
-	_, err = io.WriteString(n, "ping")
-	is.NoErr(err)
-	response, err := io.ReadAll(n)
-	is.NoErr(err)
-	is.Equal(string(response), "refused for 2s")
+	for _, c := range []struct {
+		name     string
+		during   func(h *helper)
+		response string
+	}{
+		{"pause", func(h *helper) { h.closed.Store(2000) }, "refused for 2s"},
+		{"leave", func(h *helper) { h.left.Store(true) }, "refused for 0s"},
+		{"helper was paused", func(h *helper) { h.pause.Store(int64(maxRequestDelay)) }, "refused for 0s"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := &helper{name: "a", token: "t", upstream: startUpstream(t, func(c *net.TCPConn) {
+				if n, _ := c.Read(make([]byte, 1)); n > 0 {
+					t.Error("the upstream gets the request")
+				}
+				_ = c.Close()
+			})}
+			n, err := newTestClient(h.start(t)).Dial(context.Background(), "u", 1)
+			is.NoErr(err)
+			c.during(h)
+			_, err = io.WriteString(n, "ping")
+			is.NoErr(err)
+			response, err := io.ReadAll(n)
+			is.NoErr(err)
+			is.Equal(string(response), c.response)
+		})
+	}
 }
 
 // Guards against an instance that does not learn what upstreams state in responses that it passes on,
--- a/internal/gateway/caller/statement.go
+++ b/internal/gateway/caller/statement.go
@@ -34,8 +34,12 @@
 // Closed returns how long an upstream wants no requests of this instance; 0 if it takes some.
 func (h *Handler) Closed(id string, born int64) time.Duration { return h.Balancer.Closed(id, born) }
 
-// Refusal returns the response to a request of another instance that was not sent to its upstream.
+// Refusal returns the response to a request of another instance that was not sent to its upstream. wait
+// is how long the upstream wants no requests, 0 if that is not the reason.
 func (h *Handler) Refusal(wait time.Duration) []byte {
-	return []byte("HTTP/1.1 503 Service Unavailable\r\n" + h.Protocol.NotExecuted + ": 1\r\nRetry-After: " +
-		strconv.FormatFloat(wait.Seconds(), 'f', 3, 64) + "\r\nContent-Length: 0\r\n\r\n")
+	pause := ""
+	if wait > 0 {
+		pause = "Retry-After: " + strconv.FormatFloat(wait.Seconds(), 'f', 3, 64) + "\r\n"
+	}
+	return []byte("HTTP/1.1 503 Service Unavailable\r\n" + h.Protocol.NotExecuted + ": 1\r\n" + pause + "Content-Length: 0\r\n\r\n")
 }
