gateway/httpserver: a planned stop waits for headers that are half read

Cause: for net/http a connection on which half of the header of a request has arrived is a new or an idle one, and Shutdown closes it. Its caller got no answer.

Change: the server counts such connections and closes none while there are some, until its grace period ends as for running requests. The request is then answered, usually with a refusal.

The server of entries in internal/command has the same gap and is unchanged.

--- a/internal/gateway/httpserver/server.go
+++ b/internal/gateway/httpserver/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,6 +83,7 @@
 type Server struct {
 	options   Options
 	endpoints []*endpoint
+	halfRead  atomic.Int64 // connections on which a part of a header has arrived
 }
 
 // endpoint is an endpoint with its open listener.
@@ -103,8 +105,8 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen for endpoint %s", e.Name)
 		}
-		s.endpoints = append(s.endpoints, &endpoint{Endpoint: e, listener: l, server: &http.Server{
-			Handler: e.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		s.endpoints = append(s.endpoints, &endpoint{Endpoint: e, listener: &halfReadListener{l, &s.halfRead}, server: &http.Server{
+			Handler: e.Handler, ConnState: recordState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
 		}})
 	}
@@ -153,7 +155,7 @@
 			phases[0].begin()
 			phases = phases[1:]
 		}
-		if (elapsed >= minShutdown && o.Drainer.Running() == 0) || elapsed >= end {
+		if (elapsed >= minShutdown && o.Drainer.Running() == 0 && d.halfRead.Load() == 0) || elapsed >= end {
 			break
 		}
 		if timer.Sleep(ctx, o.Timer, pollInterval) != nil {
