entry/caller: one test of what may end a trial before it is sent

Change: the kinds of requests stand in one list, and a table of what changes after a trial was granted replaces the two tests. It checks all they did, and that the trial ends in each case.

--- a/internal/entry/caller/pause_test.go
+++ b/internal/entry/caller/pause_test.go
@@ -28,14 +28,7 @@
 // Guards against a request that is sent after its deadline, since the process was paused and the
 // timer of the deadline runs later than the request.
 func TestDeadlineIsCheckedBeforeSending(t *testing.T) {
-	for _, c := range []struct {
-		name, method, path, body string
-		headers                  []string
-	}{
-		{"chat completion", "POST", "/v1/chat/completions", chatBody("small", false), nil},
-		{"call that may be repeated", "GET", "/v1/services/desk/bookings/1", "", nil},
-		{"call that may not be repeated", "POST", "/v1/services/desk/bookings", "{}", []string{"Idempotency-Key", "k1"}},
-	} {
+	for _, c := range requestKinds {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFakeControl(poolDocument(), deskDocument())
@@ -60,14 +53,7 @@
 // Guards against a request that waited for its connection while the upstream asked for a pause, and is
 // sent to it all the same.
 func TestPauseBeginsBeforeRequestIsSent(t *testing.T) {
-	for _, c := range []struct {
-		name, method, path, body string
-		headers                  []string
-	}{
-		{"chat completion", "POST", "/v1/chat/completions", chatBody("small", false), nil},
-		{"call that may be repeated", "GET", "/v1/services/desk/bookings/1", "", nil},
-		{"call that may not be repeated", "POST", "/v1/services/desk/bookings", "{}", []string{"Idempotency-Key", "k1"}},
-	} {
+	for _, c := range requestKinds {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFakeControl(poolDocument(), deskDocument())
--- a/internal/entry/caller/trial_test.go
+++ b/internal/entry/caller/trial_test.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -13,111 +13,77 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
 
-// fingerprint returns the fingerprint of a request of the account town.
-func fingerprint(method, path, body string) string {
-	if resource, ok := strings.CutPrefix(path, "/v1/services/desk"); ok {
-		return string(suspect.PlainFingerprint("town", []byte("desk"), []byte(method), []byte(resource), []byte(body)))
-	}
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal([]byte(body), &fields); err != nil {
-		panic(err)
-	}
-	return string(suspect.ChatFingerprint("town", fields))
+// requestKinds lists one request of each kind.
+var requestKinds = []struct {
+	name, method, path, body string
+	headers                  []string
+	success                  int // status
+}{
+	{"chat completion", "POST", "/v1/chat/completions", chatBody("small", false), nil, 200},
+	{"call that may be repeated", "GET", bookingsPath + "/1", "", nil, 201},
+	{"call that may not be repeated", "POST", bookingsPath, "{}", []string{"Idempotency-Key", "k1"}, 201},
 }
 
-// Guards against a trial that runs although the request was quarantined after it was granted,
-// since another copy of it crashed a second upstream.
-func TestTrialOfQuarantinedRequestIsNotSent(t *testing.T) {
-	for _, c := range []struct {
-		name, method, path, body string
-		headers                  []string
-		status                   int
-	}{
-		{"chat completion", "POST", "/v1/chat/completions", chatBody("small", false), nil, 422},
-		{"repeatable call", "GET", bookingsPath + "/1", "", nil, 503},
-		{"call that must run at most once", "POST", bookingsPath, "{}", []string{"Idempotency-Key", "k"}, 503},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			f := newFakeControl(poolDocument(), deskDocument())
-			engine := startEngine(t, f, "w1", "small", &fakeEngine{version: "v1", words: []string{"a"}, breakAfter: -1})
-			desk := startBookingService(t, f, "d1", nil)
-			suspect := func(quarantined bool) {
-				f.withLock(func() {
-					changed := *f.config
-					changed.Suspicions = map[string]*wire.Suspicion{fingerprint(c.method, c.path, c.body): {Quarantined: quarantined}}
-					f.config = &changed
-				})
-			}
-			suspect(false)
-			f.onSuspect = func(*wire.SuspectRequest) { suspect(true) }
-			_, s := newHandler(t, f, nil)
-			resp, body := send(t, c.method, s.URL+c.path, c.body, c.headers...)
-			is.Equal(resp.StatusCode, c.status)
-			is.True(strings.Contains(body, "not run"))
-			is.Equal(engine.requestCount()+desk.runCount(), 0)
-		})
+// suspicions returns the suspicion of a request of the account town.
+func suspicions(method, path, body string, quarantined bool) map[string]*wire.Suspicion {
+	var fields map[string]json.RawMessage
+	f := suspect.PlainFingerprint("town", []byte("desk"), []byte(method), []byte(strings.TrimPrefix(path, "/v1/services/desk")), []byte(body))
+	if strings.Contains(path, "chat") && json.Unmarshal([]byte(body), &fields) == nil {
+		f = suspect.ChatFingerprint("town", fields)
 	}
+	return map[string]*wire.Suspicion{string(f): {Quarantined: quarantined}}
 }
 
-// Guards against a trial that runs although the lease lapsed after it was granted: group 0 ends
-// the trials of an entry without a lease and grants the next one to another entry.
-func TestTrialEndsWithTheLease(t *testing.T) {
+// Guards against a trial that runs although, after it was granted, the lease lapsed or another copy of the
+// request crashed a second upstream: group 0 ends the trials of an entry without a lease and grants the next
+// one to another entry. A chat completion may run as a new trial.
+func TestTrialIsCheckedBeforeSending(t *testing.T) {
 	for _, c := range []struct {
-		name, method, path, body string
-		headers                  []string
-		// lapse is true if the lease lapses and is renewed while the first trial is granted.
-		lapse          bool
-		status, trials int
+		name               string
+		lapse, quarantined bool
+		statuses           [3]int // by request kind
+		chatTrials         int32
 	}{
-		{"chat completion", "POST", "/v1/chat/completions", chatBody("small", false), nil, false, 200, 1},
-		{"chat completion, lapse", "POST", "/v1/chat/completions", chatBody("small", false), nil, true, 200, 2},
-		{"repeatable call", "GET", bookingsPath + "/1", "", nil, false, 201, 1},
-		{"repeatable call, lapse", "GET", bookingsPath + "/1", "", nil, true, 503, 1},
-		{"call that must run at most once", "POST", bookingsPath, "{}", []string{"Idempotency-Key", "k"}, false, 201, 1},
-		{"call that must run at most once, lapse", "POST", bookingsPath, "{}", []string{"Idempotency-Key", "k"}, true, 503, 1},
+		{"nothing changes", false, false, [3]int{200, 201, 201}, 1},
+		{"lease lapses", true, false, [3]int{200, 503, 503}, 2},
+		{"quarantined", false, true, [3]int{422, 503, 503}, 1},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			f := newFakeControl(poolDocument(), deskDocument())
-			var mu sync.Mutex
-			var sentTrials []int // the number of trials granted before each run
-			trials, ended := 0, 0
-			record := func(http.ResponseWriter, *http.Request) bool {
-				mu.Lock()
-				defer mu.Unlock()
-				sentTrials = append(sentTrials, trials)
-				return false
-			}
-			startEngine(t, f, "w1", "small", &fakeEngine{version: "v1", words: []string{"a"}, breakAfter: -1, intercept: record})
-			startBookingService(t, f, "d1", record)
-			f.onSuspect = func(r *wire.SuspectRequest) {
-				mu.Lock()
-				defer mu.Unlock()
-				switch r.Move {
-				case wire.Move_MOVE_TRIAL:
-					trials++
-					if c.lapse && trials == 1 {
+		for i, k := range requestKinds {
+			t.Run(c.name+", "+k.name, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeControl(poolDocument(), deskDocument())
+				f.config.Suspicions = suspicions(k.method, k.path, k.body, false)
+				var trials, ended, runs, trialOfRun atomic.Int32
+				record := func(http.ResponseWriter, *http.Request) bool {
+					runs.Add(1)
+					trialOfRun.Store(trials.Load())
+					return false
+				}
+				startEngine(t, f, "w1", "small", &fakeEngine{version: "v1", words: []string{"a"}, breakAfter: -1, intercept: record})
+				startBookingService(t, f, "d1", record)
+				f.onSuspect = func(r *wire.SuspectRequest) {
+					first := r.Move == wire.Move_MOVE_TRIAL && trials.Add(1) == 1
+					switch {
+					case r.Move == wire.Move_MOVE_END:
+						ended.Add(1)
+					case first && c.lapse:
 						f.renewAfterLapse()
+					case first && c.quarantined:
+						f.withLock(func() {
+							changed := *f.config
+							changed.Suspicions = suspicions(k.method, k.path, k.body, true)
+							f.config = &changed
+						})
 					}
-				case wire.Move_MOVE_END:
-					ended++
 				}
-			}
-			f.config.Suspicions = map[string]*wire.Suspicion{fingerprint(c.method, c.path, c.body): {}}
-			_, s := newHandler(t, f, nil)
-			resp, _ := send(t, c.method, s.URL+c.path, c.body, c.headers...)
-			is.Equal(resp.StatusCode, c.status)
-			mu.Lock()
-			defer mu.Unlock()
-			is.Equal(trials, c.trials)
-			if c.lapse {
-				is.Equal(ended, 1)
-			}
-			for _, n := range sentTrials {
-				is.Equal(n, c.trials)
-			}
-			is.Equal(len(sentTrials) == 1, c.status < 300)
-		})
+				_, s := newHandler(t, f, nil)
+				resp, _ := send(t, k.method, s.URL+k.path, k.body, k.headers...)
+				is.Equal(resp.StatusCode, c.statuses[i])
+				is.Equal(runs.Load() == 1, resp.StatusCode < 300)
+				is.Equal(trialOfRun.Load(), runs.Load()*trials.Load())
+				is.Equal(ended.Load() == 1, c.lapse || c.quarantined)
+				is.True(i > 0 || trials.Load() == c.chatTrials)
+			})
+		}
 	}
 }
