fleet/view: the test of a restart covers an older layout

Cause: no test failed when the lease of the version that the leader named was given to any layout: an instance that restarts would use an older one that another instance still has, with its withdrawn keys.

Result: passes; without the guard TestLearnLayout fails, and the tests of view, instance and peer passed before.

--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -36,8 +36,8 @@
 	}), clock
 }
 
-// Guards against an older layout that replaces a newer one after a change of leader, and
-// against a lease that runs from the reply instead of the request.
+// Guards against an older layout that replaces a newer one after a change of leader or is
+// in force after a restart, and against a lease that runs from the reply instead of the request.
 func TestLearnLayout(t *testing.T) {
 	is := is.New(t)
 	v, clock := newView()
@@ -48,6 +48,9 @@
 	v.ApplySync(&wire.SyncReply{Term: 1, Layout: &wire.Layout{Version: 5}}, sent)
 	is.Equal(v.WantedLayout(), layout.Version(5))
 	is.True(!confirmed())
+	is.NoErr(v.ApplyLayout(4, nil)) // another instance still has it
+	is.True(!confirmed())
+	is.Equal(v.WantedLayout(), layout.Version(5))
 	is.NoErr(v.ApplyLayout(5, nil))
 	is.True(confirmed())
 	is.Equal(v.WantedLayout(), layout.Version(0))
