--- a/internal/entry/caller/suspect.go
+++ b/internal/entry/caller/suspect.go
@@ -95,6 +95,12 @@
 	return q.connectionBroke || c.Suspicions[string(q.fingerprint)] != nil
 }
 
+// suspicionChanged reports whether the request has become suspected or quarantined since its
+// run, a trial or not, was admitted.
+func (q *request) suspicionChanged(c *control.Config, trial bool) bool {
+	return c.Suspicions[string(q.fingerprint)].GetQuarantined() || !trial && q.needsTrial(c)
+}
+
 // beginRun begins a run on the upstream, as a trial if the request is suspected. On
 // errTrialPending the caller pauses and selects an upstream again.
 func (q *request) beginRun(ctx context.Context, u *wire.Upstream) (*suspect.Run, error) {
@@ -165,9 +171,13 @@
 }
 
 // checkAndMarkSent returns a function to call before the first byte is sent: if check
-// passes, it marks the run as in flight.
-func checkAndMarkSent(r *suspect.Run, check func() error) func() error {
+// passes and the deadline has not, it marks the run as in flight. The timer that cancels the
+// request at its deadline may run late after the process was paused.
+func (q *request) checkAndMarkSent(r *suspect.Run, check func() error) func() error {
 	return func() error {
+		if q.remaining() <= 0 {
+			return context.DeadlineExceeded
+		}
 		err := check()
 		if err == nil {
 			r.MarkSent()
