gateway/caller: a request whose upstream left before the first byte is no retry

beforeSend stops a request whose upstream has left since it was selected. Unlike the other conditions there, it did not mark the request to be placed again, so that the next placement needed the budget for retries, and with a spent budget the request was refused although another upstream had room. It is placed again now.

TestLeaveBeforeSendingIsNoRetry got 503 before and gets 200 from the other upstream.

--- a/internal/gateway/caller/before_send.go
+++ b/internal/gateway/caller/before_send.go
@@ -71,6 +71,7 @@
 // limits them.
 func (e *exchange) checkTarget() error {
 	if _, ok := e.View.UpstreamAddress(e.target.ID, e.target.Born); !ok {
+		e.placeAgain = true
 		return errUpstreamLeft
 	}
 	if e.Balancer.Closed(e.target.ID, e.target.Born) > 0 {
--- a/internal/gateway/caller/before_send_test.go
+++ b/internal/gateway/caller/before_send_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/retrybudget"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
@@ -88,6 +89,34 @@
 	}
 }
 
+// Guards against a request that is refused, though another upstream has room, because its upstream left before
+// the first byte and the budget for retries is spent. Nothing was sent, so that it is no retry.
+func TestLeaveBeforeSendingIsNoRetry(t *testing.T) {
+	u, other := startUpstream(t, func(e *upstreamtest.Exchange) bool { return respondSigned(e, "ok") }),
+		startUpstream(t, func(e *upstreamtest.Exchange) bool { return respondSigned(e, "other") })
+	f := newFixture(t, []*upstreamtest.Server{upstreamtest.At(partitionedAddress(t, "hang"))}, nil)
+	f.handler.Budget = retrybudget.New(retrybudget.Limits{Window: time.Minute}, f.handler.Timer)
+	f.True(f.handler.Budget.AllowRetry("desk", retrybudget.UpstreamFailure, 1)) // the one that is always allowed
+	helper := newFixture(t, []*upstreamtest.Server{u, other}, nil)
+	waiting, released := make(chan struct{}, 2), make(chan struct{})
+	linkThrough(t, f, helper, func(ctx context.Context, address string) (net.Conn, error) {
+		waiting <- struct{}{}
+		<-released
+		return upstream.Dialer{}.Dial(ctx, address)
+	})
+	var r result
+	var running sync.WaitGroup
+	running.Go(func() { r = f.do("POST", "/book/1", "") })
+	<-waiting
+	f.view.ApplyAnnouncement(&wire.Upstream{Id: "desk1", Born: 1, Sequence: 1, Address: other.Address(), Service: "desk", Version: "v1", Slots: 4})
+	f.True(f.view.RecordLeaving("desk0", 1))
+	close(released)
+	running.Wait()
+	f.Equal(r.status, 200)
+	f.Equal(r.body, "other")
+	f.Equal(len(u.Requests()), 0)
+}
+
 // Guards against an upstream that asks an instance for a pause and gets requests of other instances
 // through it, each of which learns of the pause by a request of its own.
 func TestPauseOfUpstreamBehindTunnels(t *testing.T) {
