gateway: requests that waited for the end of a pause wait for their turn

When the pause that all upstreams of a route had asked for ends, requests return a few at a time. A request that was not among the first waited for 150 ms and was refused, whatever time it had left, unless one of the others ended within that. It now waits for the next place in the ramp, for half of its remaining time at most: a request that is sent at the end of its time runs in vain.

--- a/internal/gateway/balancer/pause.go
+++ b/internal/gateway/balancer/pause.go
@@ -126,6 +126,27 @@
 	return wait, ok
 }
 
+// PauseTurn returns when the first of those candidates that return from a pause takes another request
+// although none of its requests ends. It returns false if none of them returns from a pause.
+func (b *Balancer) PauseTurn(candidates []Candidate) (wait time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.timer.Now()
+	for _, c := range candidates {
+		s := b.state(c.ID)
+		p := s.pauseOf(c.Born)
+		if p == nil {
+			continue
+		}
+		turn := min(time.Duration(s.inflight)*pauseRampStep, pauseRamp)
+		left := max(p.returnAt(c).Add(turn).Sub(now), 0)
+		if now.Before(p.returnAt(c).Add(pauseRamp)) && (!ok || left < wait) {
+			wait, ok = left, true
+		}
+	}
+	return wait, ok
+}
+
 // PauseOver reports, once for each pause, that requests return to a candidate after it.
 func (b *Balancer) PauseOver(c Candidate) bool {
 	b.mu.Lock()
--- a/internal/gateway/balancer/pause_test.go
+++ b/internal/gateway/balancer/pause_test.go
@@ -40,6 +40,38 @@
 	}
 }
 
+// Guards against requests that wait for their turn after a pause longer than they have to, or are asked to come
+// at once.
+func TestPauseTurn(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		wait  time.Duration
+		ok    bool
+	}{
+		{"in the pause", 1500 * time.Millisecond, 500 * time.Millisecond, true},
+		{"the first is sent", 2 * time.Second, 100 * time.Millisecond, true},
+		{"four are sent", 2350 * time.Millisecond, 50 * time.Millisecond, true},
+		{"after the ramp", 3 * time.Second, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b, clock := newBalancer(1)
+			candidates := newCandidates(2)
+			b.Pause("u0", 1, 2*time.Second)
+			b.Pause("u1", 1, 10*time.Second)
+			candidates[0].Born, candidates[1].Born = 1, 1
+			clock.Advance(c.after)
+			fill(b, candidates)
+			wait, ok := b.PauseTurn(candidates[:1])
+			is.Equal(ok, c.ok)
+			is.Equal(wait, c.wait)
+			wait, ok = b.PauseTurn(candidates)
+			is.True(ok && (!c.ok || wait == c.wait))
+		})
+	}
+}
+
 // Guards against a log without the end of a pause, or with one for each request after it.
 func TestPauseOver(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/caller/brittle.go
+++ b/internal/gateway/caller/brittle.go
@@ -99,10 +99,11 @@
 	if wait, ok := q.Balancer.PauseEnd(candidates); ok {
 		return q.awaitPauseEnd(wait, len(excluded) > 0)
 	}
-	short := func(c balancer.Candidate) bool {
-		return !slices.Contains(excluded, c.ID) && q.Balancer.ShortOfRoom(c)
+	left := slices.DeleteFunc(slices.Clone(candidates), func(c balancer.Candidate) bool { return slices.Contains(excluded, c.ID) })
+	if wait, ok := q.Balancer.PauseTurn(left); ok {
+		return q.awaitTurn(wait)
 	}
-	if !slices.ContainsFunc(candidates, short) {
+	if !slices.ContainsFunc(left, q.Balancer.ShortOfRoom) {
 		return false
 	}
 	q.noRoom = true
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -225,6 +225,8 @@
 	roomDeadline timer.Instant
 	// pauseWait is how long all upstreams pause; 0 if they do not.
 	pauseWait time.Duration
+	// turnDeadline is until when the request waits for its turn after a pause; 0 before it waits.
+	turnDeadline timer.Instant
 
 	executions int // exchanges in which the upstream executed or may have executed the request
 
--- a/internal/gateway/caller/pause.go
+++ b/internal/gateway/caller/pause.go
@@ -42,3 +42,28 @@
 	q.pauseWait = 0
 	return true
 }
+
+// awaitTurn waits until an upstream that returns from a pause takes another request: when one of its
+// requests ends, or after a time. It returns false if too many others wait or if the request has waited so for
+// half of its remaining time: one that is sent at the end of its time runs in vain.
+func (q *request) awaitTurn(wait time.Duration) bool {
+	q.noRoom = true
+	now := q.Timer.Now()
+	if q.turnDeadline == 0 {
+		q.turnDeadline = now.Add(q.remaining() / 2)
+	}
+	defer q.waitingForRoom.Add(-1)
+	if q.waitingForRoom.Add(1) > maxWaitingForRoom || wait >= q.turnDeadline.Sub(now) {
+		return false
+	}
+	vacated, turn := q.Balancer.Vacated(), make(chan struct{})
+	stop := q.Timer.AfterFunc(wait, func() { close(turn) })
+	defer stop()
+	select {
+	case <-vacated:
+	case <-turn:
+	case <-q.ctx.Done():
+		return false
+	}
+	return true
+}
--- a/internal/gateway/caller/pause_test.go
+++ b/internal/gateway/caller/pause_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,6 +89,46 @@
 	}
 }
 
+// Guards against requests that waited for the end of a pause and are refused because a few others returned
+// first, and against all of them at once.
+func TestRequestsReturnAfterPause(t *testing.T) {
+	const requests, pause = 6, 200 * time.Millisecond
+	var mu sync.Mutex
+	running, most, asked := 0, 0, time.Time{}
+	u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+		mu.Lock()
+		if asked.IsZero() {
+			asked = time.Now()
+			mu.Unlock()
+			return respond(e, 503, "", "Refused: 1", "Retry-After: 0.2")
+		}
+		running++
+		if time.Since(asked) < pause+150*time.Millisecond {
+			most = max(most, running)
+		}
+		mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		mu.Lock()
+		running--
+		mu.Unlock()
+		return respondSigned(e, "ok")
+	})
+	f := newFixture(t, []*upstreamtest.Server{u}, nil)
+	f.Equal(f.do("GET", "/look/first", "", "Request-Id", "first").status, 503)
+	var served atomic.Int32
+	var waiting sync.WaitGroup
+	for n := range requests {
+		waiting.Go(func() {
+			if f.do("GET", "/look/"+strconv.Itoa(n), "", "Request-Id", "r"+strconv.Itoa(n)).status == 200 {
+				served.Add(1)
+			}
+		})
+	}
+	waiting.Wait()
+	f.Equal(int(served.Load()), requests)
+	f.True(most <= 3) // one at once and one more each 100 ms
+}
+
 // Guards against a pause that is lost with the body of the response that asks for it.
 func TestPauseInBrokenResponse(t *testing.T) {
 	for _, c := range []struct{ name, lines, body string }{
