gateway/upstream: read the head of a response whose caller has gone

When the caller of a request had gone, or its time had passed, the connection to the upstream was closed at once. A leave or a pause in a response that came then was lost, and the next requests were sent to that upstream.

--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -276,7 +276,7 @@
 	return &upstream.Request{
 		ID: e.id, Method: e.request.httpRequest.Method, URI: e.request.httpRequest.RequestURI, Host: e.request.httpRequest.Host,
 		Header: h, Body: e.request.body, NewConnection: !e.route.Retryable(),
-		BeforeSend: e.beforeSend,
+		BeforeSend: e.beforeSend, OnLateResponse: e.readLateResponse,
 	}
 }
 
--- a/internal/gateway/caller/pause_test.go
+++ b/internal/gateway/caller/pause_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -155,3 +157,43 @@
 		})
 	}
 }
+
+// Guards against a pause or a leave that is lost because the caller of the request had gone when the response
+// came, and against a caller that waits for such a response.
+func TestStatementAfterCallerHasGone(t *testing.T) {
+	for _, c := range []struct {
+		name, response string
+		headers        []string // of the first request
+	}{
+		{"pause", "503 x\r\nRefused: 1\r\nRetry-After: 5\r\n", nil},
+		{"leave", "200 OK\r\nSignature: s\r\nLeaving: 1\r\n", nil},
+		{"pause, time limit", "503 x\r\nRefused: 1\r\nRetry-After: 5\r\n", []string{"Deadline", "100"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			arrived, left := make(chan struct{}, 2), make(chan struct{})
+			u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+				arrived <- struct{}{}
+				<-left
+				time.Sleep(20 * time.Millisecond) // the instance notices that the caller has gone
+				e.Write("HTTP/1.1 " + c.response + "Request-Id: r1\r\nContent-Length: 0\r\n\r\n")
+				return false
+			})
+			f := newFixture(t, []*upstreamtest.Server{u}, nil)
+			if c.headers != nil {
+				f.Equal(f.do("GET", "/look/1", "", c.headers...).status, 504)
+			} else {
+				conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+				f.NoErr(err)
+				_, err = io.WriteString(conn, "GET /look/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nAuthorization: Token k1\r\n\r\n")
+				f.NoErr(err)
+				<-arrived
+				f.NoErr(conn.Close())
+			}
+			close(left)
+			time.Sleep(150 * time.Millisecond)
+			f.Equal(f.do("GET", "/look/2", "", "Request-Id", "r2").status, 503)
+			f.Equal(len(u.Requests()), 1)
+		})
+	}
+}
--- a/internal/gateway/caller/statement.go
+++ b/internal/gateway/caller/statement.go
@@ -23,6 +23,14 @@
 	return &statement{e.Handler, e.target.ID, e.target.Born, e.response.Status, e.response.Header, e.log}
 }
 
+// readLateResponse reads what the upstream states in a response that began after the caller had gone.
+func (e *exchange) readLateResponse(status int, header http.Header) {
+	l := e.Log.With(zap.Bool("late", true), zap.String("request", e.id))
+	s := &statement{e.Handler, e.target.ID, e.target.Born, status, header, l.Info}
+	s.readLeaving()
+	s.readPause()
+}
+
 // ReadResponse reads what an upstream states in a response to a request of another instance, which uses
 // a connection of this one.
 func (h *Handler) ReadResponse(id string, born int64, r *http.Response) {
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -72,6 +72,8 @@
 	// BeforeSend, if set, is called once the connection is open, immediately before the
 	// request is written. It may change Header. If it fails, nothing is sent.
 	BeforeSend func() error
+	// OnLateResponse, if set, is called with the head of a response that begins after the context is done.
+	OnLateResponse func(status int, header http.Header)
 }
 
 // Client sends requests and pools idle connections. It is safe for concurrent use.
@@ -195,10 +197,13 @@
 		}
 	}
 	response := &Response{client: c, address: t.Address, conn: cn, close: cn.detour, abort: cn.abort}
-	response.stopAbort = context.AfterFunc(ctx, cn.abort)
+	response.stopAbort = context.AfterFunc(ctx, cn.interrupt)
+	late := false
 	defer func() {
 		if err != nil {
-			response.Close()
+			if !late {
+				response.Close()
+			}
 			if cause := context.Cause(ctx); cause != nil {
 				err = errors.WithSecondaryError(cause, err)
 			}
@@ -208,6 +213,10 @@
 	if err := response.writeRequest(q); err != nil {
 		return nil, err
 	}
+	if late = !response.awaitHeader(); late {
+		go response.readLate(q)
+		return nil, errors.New("response has not begun")
+	}
 	return response, response.readHeader(q)
 }
 
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,9 @@
 	expiresAt timer.Instant // when it may no longer be reused
 	used      bool          // has carried a request
 	detour    bool          // leads through another instance
+	// awaitsHeader is true while a request waits for the first byte of its response, and interrupted is set
+	// when interrupt has ended that.
+	awaitsHeader, interrupted atomic.Bool
 }
 
 // pool holds idle connections by address.
