fleet/tunnel: read the head of a response after the other instance has ended its tunnel

An instance that passes requests of others on closed the connection to the upstream as soon as the other instance ended its own. A pause in a response on its way, which binds the instance that is connected, was lost. Only the sending side is closed at first now, and the connection 250 ms later.

TestReadResponseAfterEnd: nothing was read before.

--- a/internal/fleet/tunnel/server.go
+++ b/internal/fleet/tunnel/server.go
@@ -26,6 +26,9 @@
 	// dialTimeout limits the time to open the connection to the upstream. An instance that has
 	// just been partitioned too takes so long to say so.
 	dialTimeout = 250 * time.Millisecond
+	// lateHeadTime is how long the head of a response may still come after the instance has ended the tunnel.
+	// One that is on its way arrives within a round trip.
+	lateHeadTime = 250 * time.Millisecond
 )
 
 // keepAlive detects the loss of the machine of the other instance, so that the upstream does not
@@ -100,6 +103,7 @@
 	upstream net.Conn
 	id       string // of the upstream
 	born     int64
+	headRead atomic.Bool // the head of the response, or what came instead
 }
 
 // run opens the connection to the upstream and passes bytes on until either side ends it.
@@ -180,7 +184,7 @@
 // requestCopier passes the bytes of the request on.
 type requestCopier struct{ *tunnel }
 
-// loop ends both connections when the instance ends its own, so that the upstream stops work. It
+// loop ends both connections once the instance ends its own, so that the upstream stops work. It
 // answers a request whose first byte arrives when the upstream has closed.
 func (c *requestCopier) loop() {
 	buffer := make([]byte, blockBytes)
@@ -198,12 +202,24 @@
 			}
 		}
 		if err != nil {
-			break
+			c.awaitHead()
+			return
 		}
 	}
 	c.abort()
 }
 
+// awaitHead ends the connections after the instance has ended its own. If the response has not begun, only
+// the sending side of that to the upstream is closed at first: what the head states binds this instance.
+func (c *requestCopier) awaitHead() {
+	w, ok := c.upstream.(interface{ CloseWrite() error })
+	if !ok || c.headRead.Load() || w.CloseWrite() != nil {
+		c.abort()
+		return
+	}
+	c.server.options.Timer.AfterFunc(lateHeadTime, c.abort)
+}
+
 // refuse answers the request in place of the upstream.
 func (c *requestCopier) refuse(wait time.Duration) {
 	c.server.options.Log.Info("request of another instance not passed on", zap.String("upstream", c.id), zap.Duration("closed", wait))
@@ -225,6 +241,7 @@
 		if r := head.add(buffer[lengthBytes : lengthBytes+n]); r != nil {
 			t.server.options.Conditions.ReadResponse(t.id, t.born, r)
 		}
+		t.headRead.Store(head.done)
 		if n > 0 {
 			binary.BigEndian.PutUint16(buffer, uint16(n))
 			if _, err := t.instance.Write(buffer[:lengthBytes+n]); err != nil {
--- a/internal/fleet/tunnel/tunnel_test.go
+++ b/internal/fleet/tunnel/tunnel_test.go
@@ -329,3 +329,32 @@
 		})
 	}
 }
+
+// Guards against a pause that is lost because the instance ended its tunnel before the response came, and against
+// a connection to the upstream that stays open.
+func TestReadResponseAfterEnd(t *testing.T) {
+	is := is.New(t)
+	ended, closed := make(chan struct{}), make(chan error, 1)
+	h := &helper{name: "a", token: "t", upstream: startUpstream(t, func(n *net.TCPConn) {
+		<-ended
+		_, err := io.ReadAll(n) // until the tunnel has ended
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(n, "HTTP/1.1 503 x\r\nRetry-After: 7\r\nContent-Length: 2\r\n\r\nok")
+		closed <- err
+	})}
+	n, err := newTestClient(h.start(t)).Dial(context.Background(), "u", 1)
+	is.NoErr(err)
+	is.NoErr(n.Close())
+	close(ended)
+	is.NoErr(<-closed)
+	select {
+	case r := <-h.heads:
+		is.Equal(r.Header.Get("Retry-After"), "7")
+	case <-time.After(time.Second):
+		t.Fatal("the response is not read")
+	}
+	for i := 0; h.server.Running() > 0; i++ {
+		is.True(i < 100)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
