entry: log and count the pauses that upstreams ask for

The second protocol honoured Retry-After of 429 and 503 without a line in the log, and put the short default in the place of a value that is not a number of seconds without saying so. The begin of a pause, with the value and the request that was answered so, its end and invalid values are logged now, and caller.pauses counts them.

TestPauseIsLogged found no line before.

--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -154,7 +154,7 @@
 	}
 	for _, v := range versions {
 		requirements.Version = v
-		if p.selection, err = h.pool.Pick(c, h.control.Loads(), requirements); err == nil {
+		if p.selection, err = h.pickUpstream(c, requirements); err == nil {
 			p.version = v
 			o.modelVersion = string(model) + "@" + string(v)
 			return p, nil
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -193,7 +193,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h.upstreamClient = upstream.New(upstream.Options{Timer: o.Timer, Limits: o.UpstreamLimits, OnLoad: h.pool.ReportLoad, OnPause: h.pool.Pause, Dial: o.Dial})
+	h.upstreamClient = upstream.New(upstream.Options{Timer: o.Timer, Limits: o.UpstreamLimits, OnLoad: h.pool.ReportLoad, OnPause: h.pauseUpstream, Dial: o.Dial})
 	h.tracker = h.newTracker()
 	o.Control.SetTallySource(h.tallies)
 	metric.Func("caller.queues", h.gauges)
--- a/internal/entry/caller/pause_test.go
+++ b/internal/entry/caller/pause_test.go
@@ -3,12 +3,18 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
 )
 
 // Guards against a request that waited for its connection while the upstream asked for a pause, and is
@@ -46,3 +52,44 @@
 		})
 	}
 }
+
+// Guards against pauses that begin or end, and values that are not honoured, without a line in the log.
+func TestPauseIsLogged(t *testing.T) {
+	for _, c := range []struct {
+		value string
+		lines []string
+	}{
+		{"0.2", []string{"upstream asks for a pause", "pause of an upstream is over"}},
+		{"soon", []string{"upstream asks for an invalid pause", "upstream asks for a pause", "pause of an upstream is over"}},
+	} {
+		t.Run(c.value, func(t *testing.T) {
+			is := is.New(t)
+			core, logs := observer.New(zap.InfoLevel)
+			f := newFakeControl(poolDocument(), deskDocument())
+			var asked atomic.Bool
+			startBookingService(t, f, "d1", func(w http.ResponseWriter, r *http.Request) bool {
+				if asked.Swap(true) {
+					return false
+				}
+				w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
+				w.Header().Set(upstream.HeaderOutcome, string(upstream.NotRun))
+				w.Header().Set("Retry-After", c.value)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return true
+			})
+			_, s := newHandler(t, f, func(o *Options) { o.Log = zap.New(core) })
+			for status := 0; status != http.StatusCreated; time.Sleep(50 * time.Millisecond) {
+				r, _ := send(t, "GET", s.URL+"/v1/services/desk/bookings/1", "")
+				status = r.StatusCode
+			}
+			var lines []string
+			for _, e := range logs.All() {
+				if strings.Contains(e.Message, "pause") {
+					lines = append(lines, e.Message)
+					is.Equal(e.ContextMap()["upstream"], "d1")
+				}
+			}
+			is.Equal(lines, c.lines)
+		})
+	}
+}
--- a/internal/entry/caller/plain.go
+++ b/internal/entry/caller/plain.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.handler.pool.Pick(c, p.handler.control.Loads(), route.Requirements{Service: p.service, Excluded: tried})
+	return p.handler.pickUpstream(c, route.Requirements{Service: p.service, Excluded: tried})
 }
 
 // checkDispatch checks immediately before the dispatch whatever may have changed
--- a/internal/entry/route/pool.go
+++ b/internal/entry/route/pool.go
@@ -68,6 +68,7 @@
 	ejectedUntil timer.Instant
 	rampUpUntil  timer.Instant
 	pausedUntil  timer.Instant // the upstream has asked for no requests until then
+	pauseOpen    bool          // no request was selected for the upstream since that began
 }
 
 // PausedError means that all upstreams that meet the requirements have asked for a pause. It is also
@@ -117,8 +118,10 @@
 // Selection is the upstream selected for a request; Done must be called when the request has ended.
 type Selection struct {
 	Upstream *wire.Upstream
-	pool     *Pool
-	once     sync.Once
+	// PauseOver is true for the first request after a pause of the upstream.
+	PauseOver bool
+	pool      *Pool
+	once      sync.Once
 }
 
 // Pick picks an upstream of the configuration and counts the request as in flight.
@@ -167,7 +170,9 @@
 	s := p.state(u)
 	s.inFlight++
 	s.unreported++
-	return &Selection{Upstream: u, pool: p}, nil
+	over := s.pauseOpen
+	s.pauseOpen = false
+	return &Selection{Upstream: u, PauseOver: over, pool: p}, nil
 }
 
 // admits reports whether the upstream may get the request: never while it is
@@ -219,20 +224,21 @@
 }
 
 // Pause stops requests of this entry to an incarnation of an upstream for some time, unless a longer
-// pause has begun. Its share grows back afterwards.
-func (p *Pool) Pause(name string, incarnation uint64, d time.Duration) {
+// pause has begun. Its share grows back afterwards. It returns false if nothing changed.
+func (p *Pool) Pause(name string, incarnation uint64, d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[name]
 	if s == nil || s.incarnation != incarnation {
-		return
+		return false
 	}
 	end := p.timer.Now().Add(d)
 	if end <= s.pausedUntil {
-		return
+		return false
 	}
-	s.pausedUntil = end
+	s.pausedUntil, s.pauseOpen = end, true
 	s.ejectedUntil, s.rampUpUntil = max(s.ejectedUntil, end), max(s.rampUpUntil, end.Add(pauseRampUpTime))
+	return true
 }
 
 // CheckPause returns a PausedError while an upstream that was selected before wants no requests.
--- a/internal/entry/upstream/client.go
+++ b/internal/entry/upstream/client.go
@@ -69,19 +69,27 @@
 	// OnLoad is called with the load that an upstream reports in a response header.
 	// It may be nil.
 	OnLoad func(name string, incarnation uint64, load *wire.Load)
-	// OnPause is called with the time for which an upstream wants no requests of this entry. It may
-	// be nil.
-	OnPause func(name string, incarnation uint64, pause time.Duration)
+	// OnPause is called when an upstream wants no requests of this entry for some time. It may be nil.
+	OnPause func(p Pause)
 	// Dial opens a connection; TCP with keep-alive probes by default.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// Pause is a time for which an upstream wants no requests of this entry.
+type Pause struct {
+	Upstream *wire.Upstream
+	Request  string // ID of the request that was answered so
+	Value    string // as the upstream stated it
+	Duration time.Duration
+	Err      error // not nil if the value is invalid and Duration a default or a limit
+}
+
 // Client sends each request to one given upstream. It does not retry failed requests.
 type Client struct {
 	timer           timer.Service
 	limits          Limits
 	onLoad          func(name string, incarnation uint64, load *wire.Load)
-	onPause         func(name string, incarnation uint64, pause time.Duration)
+	onPause         func(p Pause)
 	dial            func(ctx context.Context, network, address string) (net.Conn, error)
 	pooledTransport *http.Transport
 }
@@ -107,7 +115,7 @@
 		cl.onLoad = func(string, uint64, *wire.Load) {}
 	}
 	if cl.onPause == nil {
-		cl.onPause = func(string, uint64, time.Duration) {}
+		cl.onPause = func(Pause) {}
 	}
 	if cl.dial == nil {
 		// Keep-alive probes detect an unreachable upstream while the entry waits for a response.
@@ -266,9 +274,9 @@
 		c.client.onLoad(c.upstream.Name, c.upstream.Incarnation, l)
 	}
 	if value := resp.Header.Get("Retry-After"); value != "" && asksForPause(resp.StatusCode) {
-		// A value that cannot be read stands for a short pause.
-		pause, _ := retryafter.Parse(value)
-		c.client.onPause(c.upstream.Name, c.upstream.Incarnation, pause)
+		p := Pause{Upstream: c.upstream, Request: id, Value: value}
+		p.Duration, p.Err = retryafter.Parse(value)
+		c.client.onPause(p)
 	}
 	if err := c.checkResponse(resp, r.Method, id); err != nil {
 		resp.Body.Close()
--- a/internal/entry/upstream/client_test.go
+++ b/internal/entry/upstream/client_test.go
@@ -202,11 +202,16 @@
 				w.WriteHeader(c.status)
 			}))
 			defer s.Close()
-			pause := time.Duration(0)
-			cl := New(Options{Timer: timer.NewSystem(), OnPause: func(_ string, _ uint64, d time.Duration) { pause = d }})
+			var got Pause
+			cl := New(Options{Timer: timer.NewSystem(), OnPause: func(p Pause) { got = p }})
 			defer cl.Close()
 			_, _ = cl.SendPlain(context.Background(), upstreamOf(s), PlainRequest{Method: "GET", Path: "/", RequestID: "r"})
-			is.Equal(pause, c.pause)
+			is.Equal(got.Duration, c.pause)
+			if c.pause > 0 {
+				is.Equal(got.Value, c.value)
+				is.Equal(got.Request, "r")
+				is.Equal(got.Err != nil, c.value == "later")
+			}
 		})
 	}
 }
