bench/soak: each instance is held to a leave that an upstream has stated to it

The check of stated leaves was excused by any fault and any planned work since, so that it never covered an instance that had read the leave itself while the leader or others were gone. Each pair of upstream and instance is checked now: a request later than the drain time after a complete response that stated the leave, excused only by work on that instance and by faults on the way between the two.

--- a/internal/bench/soak/announced.go
+++ b/internal/bench/soak/announced.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net"
 	"net/http"
 
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -10,6 +11,48 @@
 type announcement struct {
 	leaving     bool
 	leaveStated timer.Instant // when a response first stated it; 0 before
+	// leaveTold is when the first response that stated it to an instance was complete, by IP address.
+	leaveTold map[string]timer.Instant
+}
+
+// ServeHTTP serves a request and records which instance was told of a leave. An interrupted response
+// does not count, since its head may not have arrived.
+func (u *simulatedUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u.serve(w, r)
+	if r.Context().Err() == nil && w.Header().Get(u.soak.options.Dialect.Protocol().Leaving) != "" {
+		ip, _, _ := net.SplitHostPort(r.RemoteAddr)
+		u.recordLeaveTold(ip)
+	}
+}
+
+// recordLeaveTold records that the instance at an IP address has a response that states the leave.
+func (u *simulatedUpstream) recordLeaveTold(ip string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.announced.leaveTold == nil {
+		u.announced.leaveTold = map[string]timer.Instant{}
+	}
+	if _, ok := u.announced.leaveTold[ip]; !ok {
+		u.announced.leaveTold[ip] = u.soak.options.Timer.Now()
+	}
+}
+
+// checkLeaving checks a request against what its instance was told. Other than in drainOver, only faults
+// on the way between the two and of the instance itself excuse it, since a response is evidence that
+// needs no other instance.
+func (u *simulatedUpstream) checkLeaving(ip, id string) {
+	u.mu.Lock()
+	told, ok := u.announced.leaveTold[ip]
+	u.mu.Unlock()
+	s := u.soak
+	since := s.options.Timer.Now().Sub(told)
+	if !ok || !s.instanceUndisturbedSince(ip, told) || !u.proxy.undisturbedSince(ip, told) {
+		return
+	}
+	s.recorder.count("requests after a stated leave")
+	if since > s.options.Dialect.DrainDelay() {
+		s.recorder.violation("%s gets request %s from %s, which it told %.2f s ago that it leaves", u.id, id, ip, since.Seconds())
+	}
 }
 
 // beginLeaving makes the responses say that the upstream leaves. Its announcements don't.
--- a/internal/bench/soak/upstream.go
+++ b/internal/bench/soak/upstream.go
@@ -162,8 +162,8 @@
 	return false
 }
 
-// ServeHTTP sends a response that depends only on the ID of the request, so that callers can check each byte.
-func (u *simulatedUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// serve sends a response that depends only on the ID of the request, so that callers can check each byte.
+func (u *simulatedUpstream) serve(w http.ResponseWriter, r *http.Request) {
 	names, rec := u.soak.options.Dialect.Protocol(), u.soak.recorder
 	id := r.Header.Get(names.RequestID)
 	w.Header().Set(names.RequestID, id)
@@ -181,9 +181,10 @@
 	}
 	u.checkLimit()
 	u.stateLimit(w.Header())
+	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
+	u.checkLeaving(ip, id)
 	u.stateLeaving(w.Header())
 	u.stateBrittle(w.Header())
-	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
 	if u.refuseInPause(w.Header(), ip) {
 		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
