fleet/registry: a stated leave of an upstream that drains reaches the other instances

Two records that differ only in a leave stated in a response counted as equivalent, so that an instance reported such a leave as a heartbeat if the upstream had announced before that it drains, and the leader passed nothing on. If the same incarnation announced itself as ready later, the other instances sent it requests again, although a stated leave is final.

TestStatedLeaveIsReported failed before for an upstream that drains.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -52,7 +52,7 @@
 // Equivalent reports whether two records of one upstream differ only in fields that
 // other instances do not need, such as the sequence number.
 func Equivalent(a, b *wire.Upstream) bool {
-	return a != nil && b != nil && a.GetBorn() == b.GetBorn() && a.GetStage() == b.GetStage() &&
+	return a != nil && b != nil && a.GetBorn() == b.GetBorn() && a.GetStage() == b.GetStage() && a.GetLeaving() == b.GetLeaving() &&
 		a.GetAddress() == b.GetAddress() && a.GetService() == b.GetService() &&
 		a.GetVersion() == b.GetVersion() && a.GetZone() == b.GetZone() &&
 		a.GetSlots() == b.GetSlots() && (a.GetCold() > 0) == (b.GetCold() > 0)
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -233,3 +233,28 @@
 	_, ok = v.QuarantinedPart([]suspect.Part{"a", "b"})
 	is.True(!ok)
 }
+
+// Guards against other instances that send requests again to an upstream that stated in a response that it leaves:
+// it had announced before that it drains, and announces later that it is ready.
+func TestStatedLeaveIsReported(t *testing.T) {
+	for _, stage := range []wire.Stage{wire.Stage_STAGE_READY, wire.Stage_STAGE_DRAINING} {
+		t.Run(stage.String(), func(t *testing.T) {
+			is := is.New(t)
+			v, _ := newView()
+			other, _ := newView()
+			announced := func(sequence uint64, stage wire.Stage) *wire.Upstream {
+				return &wire.Upstream{Id: "u", Born: 1, Sequence: sequence, Address: "127.0.0.1:1", Service: "s", Stage: stage}
+			}
+			v.ApplyAnnouncement(announced(1, stage))
+			other.ApplyAnnouncement(announced(1, stage))
+			v.TakeReport()
+			is.True(v.RecordLeaving("u", 1))
+			for _, u := range v.TakeReport().GetUpstreams() {
+				other.ApplyAnnouncement(u)
+			}
+			other.ApplyAnnouncement(announced(2, wire.Stage_STAGE_READY))
+			_, serves := other.UpstreamAddress("u", 1)
+			is.True(!serves)
+		})
+	}
+}
