bench/soak: stated leaves and pauses while no leader can be reached

The soak played leaves and pauses beside single lost instances, and never while the instances that had read them could reach no leader.

--- a/internal/bench/soak/announced.go
+++ b/internal/bench/soak/announced.go
@@ -1,8 +1,12 @@
 package soak
 
 import (
+	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"syscall"
+	"time"
 
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
@@ -74,3 +78,41 @@
 		u.announced.leaveStated = u.soak.options.Timer.Now()
 	}
 }
+
+// freezeCore stops the instances with a data directory, so that the others can reach no leader, while one
+// upstream states that it leaves and the upstreams of one service ask for a pause.
+func (in *injector) freezeCore(ctx context.Context, r *rand.Rand) {
+	core := in.instances[:controlInstances]
+	for n, i := range core {
+		if !i.reserve() {
+			for _, reserved := range core[:n] {
+				reserved.release()
+			}
+			return
+		}
+	}
+	defer in.beginFault()()
+	u := in.removeUpstream(r)
+	if u != nil {
+		in.replaceUpstream(u, false)
+		in.sleepRandom(ctx, r, 2*announceInterval, 4*announceInterval)
+	}
+	for _, i := range core {
+		i.currentProcess().Signal(syscall.SIGSTOP)
+	}
+	if u != nil {
+		u.beginLeaving()
+	}
+	for _, paused := range in.upstreamsOf(in.randomUpstream(r).service) {
+		paused.beginPause(3 * time.Second)
+	}
+	in.recorder.count("frozen cores")
+	in.sleepRandom(ctx, r, in.options.Dialect.DrainDelay()+time.Second, in.options.Dialect.DrainDelay()+3*time.Second)
+	for _, i := range core {
+		i.currentProcess().Signal(syscall.SIGCONT)
+		i.release()
+	}
+	if u != nil {
+		in.stopDrained(ctx, r, u)
+	}
+}
--- a/internal/bench/soak/injector.go
+++ b/internal/bench/soak/injector.go
@@ -29,8 +29,10 @@
 
 // fault is a fault or planned work that the injector chooses by weight.
 type fault struct {
-	name   string // under which the report counts it
-	weight int    // relative probability
+	name string // under which the report counts it
+	// weight is the relative probability. A fault with 0 is drawn only if it is named, so that the seeds of
+	// the tests keep their sequences.
+	weight int
 	// planned marks maintenance work that callers must not notice.
 	planned bool
 	inject  func(in *injector, ctx context.Context, r *rand.Rand)
@@ -52,6 +54,7 @@
 	{"pause of an upstream", 2, true, (*injector).pauseUpstreams},
 	{"drain", 2, true, (*injector).drainUpstream},
 	{"document", 4, true, (*injector).replaceDocument},
+	{"core", 0, false, (*injector).freezeCore},
 }
 
 // newInjector returns an injector of the chosen faults.
@@ -67,7 +70,9 @@
 		if i < 0 {
 			return nil, errors.Newf("no fault has the name %q", name)
 		}
-		in.faults = append(in.faults, faults[i])
+		f := faults[i]
+		f.weight = max(f.weight, 1)
+		in.faults = append(in.faults, f)
 		planned = planned || faults[i].planned
 	}
 	if !planned {
