gateway/caller: test leaves in responses to other instances, and invalid ones

A leave in a response that passes through a tunnel was read without a test of it, and so was the one line for each incarnation that states an invalid value. The test fails with the reading, or with the limit of lines, taken out.

--- a/internal/gateway/caller/leaving_test.go
+++ b/internal/gateway/caller/leaving_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
@@ -115,3 +118,28 @@
 		})
 	}
 }
+
+// Guards against a leave that is lost because the response was to a request of another instance, and against a
+// log that an invalid value fills, or that does not show it.
+func TestLeaveInResponseToAnotherInstance(t *testing.T) {
+	f := newFixture(t, []*upstreamtest.Server{upstreamtest.At("127.0.0.1:1"), upstreamtest.At("127.0.0.1:2")}, nil)
+	core, logs := observer.New(zap.InfoLevel)
+	f.handler.Log = zap.New(core)
+	read := func(id string, born int64, value string) {
+		f.handler.ReadResponse(id, born, &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Leaving": {value}}})
+	}
+	for _, value := range []string{"soon", "0", "soon"} {
+		read("desk0", 1, value)
+	}
+	read("desk0", 2, "soon") // another incarnation
+	f.Equal(logs.FilterMessage("upstream states an invalid leave").Len(), 2)
+	_, serves := f.view.UpstreamAddress("desk0", 1)
+	f.True(serves)
+	for range 3 {
+		read("desk1", 1, "1")
+	}
+	read("desk1", 2, "1") // not known
+	f.Equal(logs.FilterMessage("upstream leaves").Len(), 1)
+	_, serves = f.view.UpstreamAddress("desk1", 1)
+	f.True(!serves)
+}
