--- a/internal/fleet/tunnel/server.go
+++ b/internal/fleet/tunnel/server.go
@@ -30,6 +30,9 @@
 	// checks right before it sends that the request may run, and it sends right after the reply, so
 	// that a request that is passed on later rests on an old check: a process was paused.
 	maxRequestDelay = time.Second
+	// lateHeadTime is how long the head of a response may still come after the instance has ended the tunnel.
+	// One that is on its way arrives within a round trip.
+	lateHeadTime = 250 * time.Millisecond
 )
 
 // keepAlive detects the loss of the machine of the other instance, so that the upstream does not
@@ -105,6 +108,7 @@
 	id       string // of the upstream
 	born     int64
 	openedAt timer.Instant // when the reply was written
+	headRead atomic.Bool   // the head of the response, or what came instead
 }
 
 // run opens the connection to the upstream and passes bytes on until either side ends it.
@@ -186,7 +190,7 @@
 // requestCopier passes the bytes of the request on.
 type requestCopier struct{ *tunnel }
 
-// loop ends both connections when the instance ends its own, so that the upstream stops work. It
+// loop ends both connections once the instance ends its own, so that the upstream stops work. It
 // answers a request that may not be passed on any more when its first byte arrives.
 func (c *requestCopier) loop() {
 	buffer := make([]byte, blockBytes)
@@ -204,7 +208,8 @@
 			}
 		}
 		if err != nil {
-			break
+			c.awaitHead()
+			return
 		}
 	}
 	c.abort()
@@ -221,6 +226,17 @@
 	return wait, wait == 0
 }
 
+// awaitHead ends the connections after the instance has ended its own. If the response has not begun, only
+// the sending side of that to the upstream is closed at first: what the head states binds this instance.
+func (c *requestCopier) awaitHead() {
+	w, ok := c.upstream.(interface{ CloseWrite() error })
+	if !ok || c.headRead.Load() || w.CloseWrite() != nil {
+		c.abort()
+		return
+	}
+	c.server.options.Timer.AfterFunc(lateHeadTime, c.abort)
+}
+
 // refuse answers the request in place of the upstream.
 func (c *requestCopier) refuse(wait time.Duration) {
 	c.server.options.Log.Info("request of another instance not passed on", zap.String("upstream", c.id), zap.Duration("closed", wait))
@@ -242,6 +258,7 @@
 		if r := head.add(buffer[lengthBytes : lengthBytes+n]); r != nil {
 			t.server.options.Conditions.ReadResponse(t.id, t.born, r)
 		}
+		t.headRead.Store(head.done)
 		if n > 0 {
 			binary.BigEndian.PutUint16(buffer, uint16(n))
 			if _, err := t.instance.Write(buffer[:lengthBytes+n]); err != nil {
--- a/internal/gateway/caller/pause_test.go
+++ b/internal/gateway/caller/pause_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,6 +91,46 @@
 	}
 }
 
+// Guards against requests that waited for the end of a pause and are refused because a few others returned
+// first, and against all of them at once.
+func TestRequestsReturnAfterPause(t *testing.T) {
+	const requests, pause = 6, 200 * time.Millisecond
+	var mu sync.Mutex
+	running, most, asked := 0, 0, time.Time{}
+	u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+		mu.Lock()
+		if asked.IsZero() {
+			asked = time.Now()
+			mu.Unlock()
+			return respond(e, 503, "", "Refused: 1", "Retry-After: 0.2")
+		}
+		running++
+		if time.Since(asked) < pause+150*time.Millisecond {
+			most = max(most, running)
+		}
+		mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		mu.Lock()
+		running--
+		mu.Unlock()
+		return respondSigned(e, "ok")
+	})
+	f := newFixture(t, []*upstreamtest.Server{u}, nil)
+	f.Equal(f.do("GET", "/look/first", "", "Request-Id", "first").status, 503)
+	var served atomic.Int32
+	var waiting sync.WaitGroup
+	for n := range requests {
+		waiting.Go(func() {
+			if f.do("GET", "/look/"+strconv.Itoa(n), "", "Request-Id", "r"+strconv.Itoa(n)).status == 200 {
+				served.Add(1)
+			}
+		})
+	}
+	waiting.Wait()
+	f.Equal(int(served.Load()), requests)
+	f.True(most <= 3) // one at once and one more each 100 ms
+}
+
 // Guards against a pause that is lost with the body of the response that asks for it.
 func TestPauseInBrokenResponse(t *testing.T) {
 	for _, c := range []struct{ name, lines, body string }{
@@ -113,3 +157,43 @@
 		})
 	}
 }
+
+// Guards against a pause or a leave that is lost because the caller of the request had gone when the response
+// came, and against a caller that waits for such a response.
+func TestStatementAfterCallerHasGone(t *testing.T) {
+	for _, c := range []struct {
+		name, response string
+		headers        []string // of the first request
+	}{
+		{"pause", "503 x\r\nRefused: 1\r\nRetry-After: 5\r\n", nil},
+		{"leave", "200 OK\r\nSignature: s\r\nLeaving: 1\r\n", nil},
+		{"pause, time limit", "503 x\r\nRefused: 1\r\nRetry-After: 5\r\n", []string{"Deadline", "100"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			arrived, left := make(chan struct{}, 2), make(chan struct{})
+			u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+				arrived <- struct{}{}
+				<-left
+				time.Sleep(20 * time.Millisecond) // the instance notices that the caller has gone
+				e.Write("HTTP/1.1 " + c.response + "Request-Id: r1\r\nContent-Length: 0\r\n\r\n")
+				return false
+			})
+			f := newFixture(t, []*upstreamtest.Server{u}, nil)
+			if c.headers != nil {
+				f.Equal(f.do("GET", "/look/1", "", c.headers...).status, 504)
+			} else {
+				conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+				f.NoErr(err)
+				_, err = io.WriteString(conn, "GET /look/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nAuthorization: Token k1\r\n\r\n")
+				f.NoErr(err)
+				<-arrived
+				f.NoErr(conn.Close())
+			}
+			close(left)
+			time.Sleep(150 * time.Millisecond)
+			f.Equal(f.do("GET", "/look/2", "", "Request-Id", "r2").status, 503)
+			f.Equal(len(u.Requests()), 1)
+		})
+	}
+}
