proof/call: the last resend goes to an entry that holds its lease

Cause: TestProofEntryFrozen/before-send failed in 2 of 60 runs at a load of up to 60 since the entry that got the last resend had lost its own lease and refused, which says nothing about the claim.

The outcomes and the number of runs that are accepted stay the same.

--- a/internal/proof/call/trial_test.go
+++ b/internal/proof/call/trial_test.go
@@ -330,6 +330,8 @@
 	if len(outcomes) == 1 && outcomes[0] == answered {
 		limit = answerTimeout
 	}
+	// On a busy machine the entry may have lost its lease, and refuses whatever the claim's state is.
+	awaitLease(tr.entries[1], true)
 	last := tr.sendAndWait(1, limit)
 	if n := tr.checkHistory(); n != wantRuns {
 		tr.t.Errorf("the call ran %d times, expected %d", n, wantRuns)
