gateway/canary: evidence for each route before a promotion

A version that failed on one route in 3 of 10 requests was promoted without a response on that route: most sessions within the share of the canary stay on the former version, so that it got 2 to 5 in 100 requests, and the routes were only compared where there were failures.

In the second half of a roll-out, in which sessions may move, the share of the canary grows if the new version got fewer responses than planned, or too few on one route. A version is not promoted if a route lacks responses of which its share lets expect at least three, or if a single failure has a chance below 3 in 100.

TestReplayOfSessions failed before.

--- a/internal/gateway/canary/canary.go
+++ b/internal/gateway/canary/canary.go
@@ -37,6 +37,10 @@
 	canaryExposure  = 0.35
 	minFullExposure = 0.42
 	maxFullExposure = 0.47
+	// maxCanaryExposure replaces canaryExposure if a route lacks responses of the new version.
+	maxCanaryExposure = 0.5
+	// minShareGrowth is the factor from which a larger share is used: each change goes to all instances.
+	minShareGrowth = 1.25
 )
 
 const (
@@ -61,10 +65,16 @@
 	// are compared, and minFailuresByChance the same for the comparison by maxChance.
 	minFailures         = 4
 	minFailuresByChance = 2
+	// minOpenFailures is the same for the comparison by openChance.
+	minOpenFailures = 1
 	// minResponseShare is the share of the responses to be expected from the traffic share below
 	// which a version is not promoted: the responses of a slow one have not ended yet. Sessions
 	// that stay on the former version take more than half of them.
 	minResponseShare = 0.15
+	// minRouteResponses is the number of responses on each route below which a version is not promoted if
+	// its share lets expect as many. One that fails in 3 of 10 requests of one route was promoted without
+	// a response on that route.
+	minRouteResponses = 3.0
 	// minRateIncrease is the increase of the failure rate up to which a version is not rolled
 	// back, even if chance does not explain it.
 	minRateIncrease = 0.1
@@ -124,6 +134,12 @@
 type Rollout struct {
 	duration    time.Duration
 	canaryShare Share
+	// share is the present share of the canary, at most maxCanaryShare.
+	share, maxCanaryShare Share
+	// exposure is the part of the requests that a bad version may get.
+	exposure float64
+	// formerResponses and targetResponses are the numbers of responses, never halved.
+	formerResponses, targetResponses float64
 	// allTrafficAt and promoteAt are times since the start of the roll-out.
 	allTrafficAt   time.Duration
 	promoteAt      time.Duration
@@ -137,11 +153,17 @@
 	limit := exposure * float64(duration)
 	allTrafficTime := min(max(promoteReserve+minFullTime, time.Duration(minFullExposure*limit)), time.Duration(maxFullExposure*limit))
 	reserve := min(promoteReserve, time.Duration((1-minFullPart)*float64(allTrafficTime)))
-	return &Rollout{
-		duration: duration, canaryShare: Share(canaryExposure * exposure * float64(allTraffic)),
+	r := &Rollout{
+		duration: duration, canaryShare: Share(canaryExposure * exposure * float64(allTraffic)), exposure: exposure,
 		allTrafficAt: duration - allTrafficTime, promoteAt: duration - reserve,
 		former: map[Key]*Stats{}, target: map[Key]*Stats{},
 	}
+	r.share = r.canaryShare
+	// The canary and the time after the promotion stay within the limit even if no response of the
+	// target shows what it got; it gets all traffic before the promotion only if there are some.
+	rest := limit - float64(reserve) - canaryExposure*exposure*float64(duration)/2
+	r.maxCanaryShare = max(r.canaryShare, Share(rest/float64(r.allTrafficAt-duration/2)*float64(allTraffic)))
+	return r
 }
 
 // CanaryShare returns the share that the target version gets in the canary phase.
@@ -159,6 +181,48 @@
 		m[k] = sum
 	}
 	sum.add(s, 1)
+	if target {
+		r.targetResponses += s.total()
+	} else {
+		r.formerResponses += s.total()
+	}
+}
+
+// growShare returns the share of the canary. In the second half of the roll-out, in which sessions may
+// move to the target, the share grows if the target got fewer responses than planned, or too few on one
+// route: most of the sessions within the share may have stayed on the former version.
+func (r *Rollout) growShare(elapsed time.Duration) Share {
+	if elapsed < r.duration/2 {
+		return r.share
+	}
+	part := canaryExposure
+	if r.findUnseenRoute() != "" {
+		part = maxCanaryExposure
+	}
+	// Planned are the responses of the target until it gets all traffic.
+	total := r.formerResponses + r.targetResponses
+	perTime := total / float64(elapsed)
+	planned := part * r.exposure * perTime * float64(r.allTrafficAt-sessionCollection)
+	rest := max(perTime*float64(r.allTrafficAt-elapsed), 1)
+	wanted := Share(max(0, (planned-r.targetResponses)/rest) * float64(allTraffic))
+	if wanted = min(wanted, r.maxCanaryShare); float64(wanted) > minShareGrowth*float64(r.share) {
+		r.share = wanted
+	}
+	return r.share
+}
+
+// findUnseenRoute returns a route on which the target has too few responses although its share lets
+// expect more, or "".
+func (r *Rollout) findUnseenRoute() string {
+	target := byRoute(r.target, false)
+	share := float64(r.canaryShare) / float64(allTraffic)
+	for route, f := range byRoute(r.former, false) {
+		t := target[route]
+		if f.total()*share >= minRouteResponses && t.total() < minRouteResponses {
+			return route
+		}
+	}
+	return ""
 }
 
 // Decide returns the share of the target version at a time since the start of the
@@ -172,12 +236,16 @@
 	case elapsed < sessionCollection:
 		return 0, Pending, ""
 	case elapsed < r.allTrafficAt:
-		return r.canaryShare, Pending, ""
+		return r.growShare(elapsed), Pending, ""
 	}
 	reason = r.unproven()
-	switch beforeEnd := elapsed < r.promoteAt; {
+	beforeEnd := elapsed < r.promoteAt
+	if route := r.findUnseenRoute(); reason == "" && !beforeEnd && route != "" {
+		reason = "few responses on route " + route
+	}
+	switch {
 	case reason != "" && beforeEnd:
-		return r.canaryShare, Pending, ""
+		return r.growShare(elapsed), Pending, ""
 	case reason != "":
 		return 0, RollBack, reason
 	case beforeEnd:
@@ -203,7 +271,7 @@
 		e.SameLoad.hasOutliers(openChance):
 		return "responses seem to take several times as long"
 	}
-	return r.findFailures(openChance)
+	return r.findFailures(openChance, minOpenFailures)
 }
 
 // halveStats halves all statistics once per halvingInterval.
@@ -222,7 +290,7 @@
 // findRegression describes in what the target version is worse than the former one. It
 // returns "" if it is not worse.
 func (r *Rollout) findRegression() string {
-	if reason := r.findFailures(maxChance); reason != "" {
+	if reason := r.findFailures(maxChance, minFailuresByChance); reason != "" {
 		return reason
 	}
 	if r.latenciesSlower(false) || r.latenciesSlower(true) {
@@ -235,19 +303,20 @@
 }
 
 // findFailures describes where the target version fails more often than the former one, or returns
-// "". chance is the chance up to which few failures count.
-func (r *Rollout) findFailures(chance float64) string {
+// "". chance is the chance up to which few failures count, and least the number of failures from which
+// they do.
+func (r *Rollout) findFailures(chance, least float64) string {
 	former, target := byRoute(r.former, false), byRoute(r.target, false)
 	var allFormer, allTarget Stats
 	for route, t := range target {
 		f := former[route]
-		if failsMoreOften(f, t, chance) {
+		if failsMoreOften(f, t, chance, least) {
 			return "failures on route " + route
 		}
 		allFormer.add(f, 1)
 		allTarget.add(t, 1)
 	}
-	if failsMoreOften(allFormer, allTarget, chance) {
+	if failsMoreOften(allFormer, allTarget, chance, least) {
 		return "failures on all routes together"
 	}
 	return ""
@@ -267,9 +336,9 @@
 }
 
 // failsMoreOften reports whether the target fails more often than chance explains. Few failures are
-// explained by chance if it exceeds the given one.
-func failsMoreOften(former, target Stats, chance float64) bool {
-	if target.Failures < minFailuresByChance {
+// explained by chance if it exceeds the given one, and if they are less than least.
+func failsMoreOften(former, target Stats, chance, least float64) bool {
+	if target.Failures < least {
 		return false
 	}
 	rate := target.Failures / target.total()
