gateway/caller: sessions that move to a new version are spread

The canary fills one upstream of the new version after the other. Since its share grows in the second half of a roll-out, sessions move there with prompts that the upstream's cache lacks. It read them all at once, its gaps between events were 2 to 4 times as long, and good versions went back.

Requests of sessions that were held, or lie outside the first share, are placed like those of a version with all traffic. Sessions that began on the new version still fill one upstream.

--- a/internal/gateway/caller/candidates.go
+++ b/internal/gateway/caller/candidates.go
@@ -13,12 +13,14 @@
 
 // candidates returns the upstreams that may serve the request. isCanary is true if they run
 // the target version of a roll-out that does not get all requests yet. Such upstreams are
-// filled one at a time.
+// filled one at a time. Sessions that moved to the target are spread instead: its prompt cache lacks their
+// prompts, and an upstream that reads many of them at once seems slow.
 func (q *request) candidates() (out []balancer.Candidate, isCanary bool) {
 	all := q.View.Table().Services[q.service]
 	allowed := q.versionFilter(all)
 	if r := q.View.Rollout(q.service); r != nil && r.GetPhase() == wire.Phase_PHASE_RUNNING {
-		isCanary = r.GetShare() < allTraffic && allowed(r.GetTarget())
+		moved := r.HeldSessions[q.sessionHash] || q.sessionHash%allTraffic >= uint64(r.GetBucket())
+		isCanary = r.GetShare() < allTraffic && allowed(r.GetTarget()) && !moved
 	}
 	out = make([]balancer.Candidate, 0, len(all))
 	for _, u := range all {
