--- a/internal/gateway/canary/canary.go
+++ b/internal/gateway/canary/canary.go
@@ -75,6 +75,8 @@
 	// its share lets expect as many. One that fails in 3 of 10 requests of one route was promoted without
 	// a response on that route.
 	minRouteResponses = 3.0
+	// minRouteShare is the part of the expected responses that is required instead if that is less.
+	minRouteShare = 1.0 / 3
 	// minRateIncrease is the increase of the failure rate up to which a version is not rolled
 	// back, even if chance does not explain it.
 	minRateIncrease = 0.1
@@ -217,8 +219,8 @@
 	target := byRoute(r.target, false)
 	share := float64(r.canaryShare) / float64(allTraffic)
 	for route, f := range byRoute(r.former, false) {
-		t := target[route]
-		if f.total()*share >= minRouteResponses && t.total() < minRouteResponses {
+		t, expected := target[route], f.total()*share
+		if expected >= minRouteResponses && t.total() < min(minRouteResponses, minRouteShare*expected) {
 			return route
 		}
 	}
