gateway/canary: slow responses at a lower load count

Since the sessions that move to a new version are spread, its upstreams run less than the former ones, and few responses were compared at the same load: a version slow in 3 of 10 requests was promoted after 57 to 59 responses, 4 to 5 of them compared. Where the former version has no responses at a load, those that take three times its mean at the next higher load count as slow. Means are still compared at the same load only.

TestSlowResponsesAtLowerLoad failed before.

--- a/internal/gateway/canary/compare.go
+++ b/internal/gateway/canary/compare.go
@@ -23,8 +23,8 @@
 	// that of the sum.
 	logSum, variance float64
 	// outliers are the latencies of the target that are outlierFactor times the former version's mean
-	// or more, and expectedOutliers how many would be as the former version has them.
-	outliers, expectedOutliers float64
+	// or more, and expectedOutliers how many of outlierSamples would be as the former version has them.
+	outliers, expectedOutliers, outlierSamples float64
 }
 
 // logRatio returns the mean of the logarithms of the ratios, and deviation its standard error.
@@ -53,6 +53,7 @@
 func (c *Comparison) add(former, target Stats) {
 	mean, variance := former.logMean()
 	c.Samples += target.Latencies
+	c.outlierSamples += target.Latencies
 	c.logSum += target.LogSum - target.Latencies*mean
 	c.variance += target.Latencies*variance + target.Latencies*target.Latencies*variance/former.Latencies
 	c.outliers += target.above(mean + math.Log(outlierFactor))
@@ -76,15 +77,28 @@
 // hasOutliers reports whether the target has more responses that take several times as long than
 // the former version, beyond a chance.
 func (c Comparison) hasOutliers(chance float64) bool {
-	return c.outliers >= minOutliers && binomialTail(c.Samples, c.outliers, c.expectedOutliers/c.Samples) < chance
+	return c.outliers >= minOutliers && binomialTail(c.outlierSamples, c.outliers, c.expectedOutliers/c.outlierSamples) < chance
 }
 
 // compareAtSameLoad compares the latencies of the same route, model and load.
 func (r *Rollout) compareAtSameLoad() (c Comparison) {
 	for k, t := range r.target {
-		cached := !k.Gap && k.Model != ""
-		if f := r.former[k]; f != nil && f.Latencies >= minLatencies && k.Load != UnknownLoad && !cached {
+		if k.Load == UnknownLoad || !k.Gap && k.Model != "" {
+			continue
+		}
+		if f := r.former[k]; f != nil && f.Latencies >= minLatencies {
 			c.add(*f, *t)
+			continue
+		}
+		// A response several times as long as those at a higher load is slow too.
+		for higher := k; higher.Load < maxLoadClass; {
+			higher.Load++
+			if f := r.former[higher]; f != nil && f.Latencies >= minLatencies {
+				var o Comparison
+				o.add(*f, *t)
+				c.outliers, c.expectedOutliers, c.outlierSamples = c.outliers+o.outliers, c.expectedOutliers+o.expectedOutliers, c.outlierSamples+t.Latencies
+				break
+			}
 		}
 	}
 	return c
