gateway/caller: a request waits for its turn only in the ramp after a pause

Cause: the wait for a turn counted candidates that still pause, so that a request was refused at once, or held until the end of the pause, although another upstream had no more than too little room. A candidate that the ramp admits already, and that was not selected for another reason, let the request try again without end.

Change: only candidates in the ramp count, and such a candidate is tried once per step. A request that waits for a permit, or whose turn comes too late, goes on as before the pause.

--- a/internal/gateway/balancer/pause.go
+++ b/internal/gateway/balancer/pause.go
@@ -126,8 +126,10 @@
 	return wait, ok
 }
 
-// PauseTurn returns when the first of those candidates that return from a pause takes another request
-// although none of its requests ends. It returns false if none of them returns from a pause.
+// PauseTurn returns how long it takes until the ramp of one of the candidates after its pause admits another
+// request, if none of its requests ends before. It returns false if none of them is in that ramp. A
+// candidate that the ramp admits already was not selected for another reason, which may last: its wait
+// is a step, so that a request doesn't try again without end.
 func (b *Balancer) PauseTurn(candidates []Candidate) (wait time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -138,9 +140,15 @@
 		if p == nil {
 			continue
 		}
-		turn := min(time.Duration(s.inflight)*pauseRampStep, pauseRamp)
-		left := max(p.returnAt(c).Add(turn).Sub(now), 0)
-		if now.Before(p.returnAt(c).Add(pauseRamp)) && (!ok || left < wait) {
+		back := p.returnAt(c)
+		if now.Before(back) || !now.Before(back.Add(pauseRamp)) {
+			continue
+		}
+		left := back.Add(min(time.Duration(s.inflight)*pauseRampStep, pauseRamp)).Sub(now)
+		if left <= 0 {
+			left = pauseRampStep
+		}
+		if !ok || left < wait {
 			wait, ok = left, true
 		}
 	}
--- a/internal/gateway/caller/brittle.go
+++ b/internal/gateway/caller/brittle.go
@@ -100,7 +100,7 @@
 		return q.awaitPauseEnd(wait, len(excluded) > 0)
 	}
 	left := slices.DeleteFunc(slices.Clone(candidates), func(c balancer.Candidate) bool { return slices.Contains(excluded, c.ID) })
-	if wait, ok := q.Balancer.PauseTurn(left); ok {
+	if wait, ok := q.Balancer.PauseTurn(left); ok && q.permitWait == 0 && wait < q.turnPatience() {
 		return q.awaitTurn(wait)
 	}
 	if !slices.ContainsFunc(left, q.Balancer.ShortOfRoom) {
--- a/internal/gateway/caller/pause.go
+++ b/internal/gateway/caller/pause.go
@@ -43,17 +43,22 @@
 	return true
 }
 
-// awaitTurn waits until an upstream that returns from a pause takes another request: when one of its
-// requests ends, or after a time. It returns false if too many others wait or if the request has waited so for
-// half of its remaining time: one that is sent at the end of its time runs in vain.
-func (q *request) awaitTurn(wait time.Duration) bool {
-	q.noRoom = true
+// turnPatience returns how long the request still waits for its turn after a pause, half of the time that
+// remained when it began to wait: one that is sent near its end runs in vain.
+func (q *request) turnPatience() time.Duration {
 	now := q.Timer.Now()
 	if q.turnDeadline == 0 {
 		q.turnDeadline = now.Add(q.remaining() / 2)
 	}
+	return q.turnDeadline.Sub(now)
+}
+
+// awaitTurn waits until an upstream that returns from a pause takes another request: when one of its
+// requests ends, or after a time. It returns false if too many others wait.
+func (q *request) awaitTurn(wait time.Duration) bool {
+	q.noRoom = true
 	defer q.waitingForRoom.Add(-1)
-	if q.waitingForRoom.Add(1) > maxWaitingForRoom || wait >= q.turnDeadline.Sub(now) {
+	if q.waitingForRoom.Add(1) > maxWaitingForRoom {
 		return false
 	}
 	vacated, turn := q.Balancer.Vacated(), make(chan struct{})
--- a/internal/gateway/caller/pause_test.go
+++ b/internal/gateway/caller/pause_test.go
@@ -197,3 +197,31 @@
 		})
 	}
 }
+
+// Guards against refusing requests at once that a busy brittle upstream would serve within their time, since
+// another upstream pauses for long.
+func TestBrittleUpstreamBesidePause(t *testing.T) {
+	paused := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+		return respond(e, 503, "", "Refused: 1", "Retry-After: 10")
+	})
+	brittle := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+		time.Sleep(100 * time.Millisecond)
+		return respond(e, 200, "ok", "Signature: s", "Brittle: 3")
+	})
+	f := newFixture(t, []*upstreamtest.Server{paused, brittle}, nil)
+	for i := range 6 {
+		f.do("GET", "/look/1", "", "Request-Id", "first"+strconv.Itoa(i))
+	}
+	var done sync.WaitGroup
+	var served atomic.Int32
+	for i := range 6 {
+		done.Go(func() {
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			if f.do("GET", "/look/1", "", "Request-Id", strconv.Itoa(i)).status == 200 {
+				served.Add(1)
+			}
+		})
+	}
+	done.Wait()
+	f.Equal(served.Load(), int32(6))
+}
