fleet/view: attempts to deliver a report count in the age of its crashes

Cause: a report that was queued again lost the time that its delivery had taken, up to 0.8 s an attempt, so that crashes two seconds apart still counted as one. A crash older than a response to its part counted against the part if its report came later.

Change: the age counts from when the crash was noticed; late reports don't count against a part that got a response since.

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -231,7 +231,7 @@
 			close(w)
 		}
 	}()
-	n := r.options.View.TakeReport()
+	taken, n := r.options.Timer.Now(), r.options.View.TakeReport()
 	if n == nil {
 		return nil
 	}
@@ -240,7 +240,7 @@
 	defer cancel()
 	to, err := r.awaitLeader(findCtx)
 	if err != nil {
-		r.options.View.RequeueReport(n)
+		r.options.View.RequeueReport(n, taken)
 		return err
 	}
 	reply, err := call(ctx, r.connections, to, classReport, requestTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (*wire.TellReply, error) {
@@ -251,7 +251,7 @@
 		err = errors.Newf("%s is not the leader", to)
 	}
 	if err != nil {
-		r.options.View.RequeueReport(n)
+		r.options.View.RequeueReport(n, taken)
 	}
 	return err
 }
--- a/internal/fleet/suspect/suspect.go
+++ b/internal/fleet/suspect/suspect.go
@@ -140,6 +140,9 @@
 	}
 	for depth, p := range k.Parts {
 		s := t.suspicions[p]
+		if s != nil && s.respondedAt > at {
+			continue // the report of the crash is late
+		}
 		if s == nil {
 			if len(t.suspicions) >= maxParts {
 				continue
--- a/internal/fleet/suspect/suspect_test.go
+++ b/internal/fleet/suspect/suspect_test.go
@@ -114,6 +114,16 @@
 			f.tracker.RecordSurvival("sound", f.now)
 			f.respond(20)
 		}, ""},
+		{"a response since, and late reports", func(f *fixture) {
+			f.crash(9, "sound")
+			f.tracker.RecordSurvival("sound", f.now)
+			for n := range 9 {
+				f.incarnation++
+				f.now = f.now.Add(crashInterval)
+				f.tracker.RecordCrash(Crash{Incarnation{strconv.Itoa(f.incarnation), 1}, "pool", uint64(n), []Part{"sound"}, 10 * crashInterval}, f.now)
+			}
+			f.respond(20)
+		}, ""},
 		{"a response before, and few crashes after it", func(f *fixture) {
 			f.crash(1, "sound")
 			f.tracker.RecordSurvival("sound", f.now)
--- a/internal/fleet/view/report.go
+++ b/internal/fleet/view/report.go
@@ -82,9 +82,9 @@
 	return r
 }
 
-// RequeueReport puts a report that could not be delivered back into the queue, without its
+// RequeueReport puts a report that was taken at a time and not delivered back into the queue, without its
 // heartbeats, outcomes and loads, which would be out of date.
-func (v *View) RequeueReport(r *wire.TellRequest) {
+func (v *View) RequeueReport(r *wire.TellRequest, taken timer.Instant) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, u := range r.GetUpstreams() {
@@ -105,8 +105,7 @@
 		}
 	}
 	for _, k := range r.GetCrashes() {
-		// The time that the failed report took is small beside what the age is for.
-		v.pending.crashes = append(v.pending.crashes, crash{k, v.options.Timer.Now().Add(-time.Duration(k.GetAgeMs()) * time.Millisecond)})
+		v.pending.crashes = append(v.pending.crashes, crash{k, taken.Add(-time.Duration(k.GetAgeMs()) * time.Millisecond)})
 	}
 	v.pending.holdings = append(v.pending.holdings, r.GetHoldings()...)
 	v.responses.Return(r.GetSurvived())
