gateway/httpserver: net/http can close the sending side of connections

Cause: the connections that notice half-read headers hid CloseWrite, so that the end of a connection after the refusal of a long request came 500 ms later. The number of running requests was read before that of half-read headers, so that a header that was completed in between was in neither.

--- a/internal/gateway/httpserver/half_read.go
+++ b/internal/gateway/httpserver/half_read.go
@@ -23,14 +23,15 @@
 	return &halfReadConn{Conn: c, halfRead: l.halfRead, betweenRequests: true}, nil
 }
 
-// halfReadConn is a connection of a halfReadListener.
+// halfReadConn notices when the header of its next request has begun to arrive. Bytes that arrive together
+// with the end of the request before are not noticed.
 type halfReadConn struct {
 	net.Conn
 	halfRead *atomic.Int64
 
 	mu              sync.Mutex
 	betweenRequests bool // the header of the next request is not complete
-	begun           bool // some of that header has arrived; counted in halfRead
+	begun           bool // some of that header has arrived
 }
 
 // Read reads from the connection.
@@ -47,6 +48,15 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side. net/http does so after a response to a request that it hasn't read to
+// the end.
+func (c *halfReadConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // setState records a new state of the connection.
 func (c *halfReadConn) setState(s http.ConnState) {
 	c.mu.Lock()
--- a/internal/gateway/httpserver/half_read_test.go
+++ b/internal/gateway/httpserver/half_read_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,3 +61,25 @@
 		})
 	}
 }
+
+// Guards against a refusal of a long request whose connection ends only after the delay that net/http waits
+// where it can't close the sending side.
+func TestRefusalOfLongRequestEndsConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := &http.Server{ConnState: recordState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	go func() { _ = s.Serve(&halfReadListener{l, new(atomic.Int64)}) }()
+	defer func() { _ = s.Close() }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n")
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(400 * time.Millisecond))) // net/http's delay is 500 ms
+	_, err = io.ReadAll(conn)
+	is.NoErr(err)
+}
--- a/internal/gateway/httpserver/server.go
+++ b/internal/gateway/httpserver/server.go
@@ -155,7 +155,7 @@
 			phases[0].begin()
 			phases = phases[1:]
 		}
-		if (elapsed >= minShutdown && o.Drainer.Running() == 0 && d.halfRead.Load() == 0) || elapsed >= end {
+		if (elapsed >= minShutdown && d.halfRead.Load() == 0 && o.Drainer.Running() == 0) || elapsed >= end {
 			break
 		}
 		if timer.Sleep(ctx, o.Timer, pollInterval) != nil {
