gateway/upstream: a kept body that was evicted before returns its blocks

Cause: an error response that was evicted while its end was read kept its blocks, up to 4 MB, until its request was done.

Change: the blocks are returned at once. Comments state what a complete body that is being written counts.

--- a/internal/entry/control/renew.go
+++ b/internal/entry/control/renew.go
@@ -145,8 +145,7 @@
 	return nil
 }
 
-// nextPeriod returns the number of the lease period to which a lease belongs that begins to
-// be used now. A renewal that was sent before the last lease expired and answered after that
+// nextPeriod returns the period of a lease that comes into force now. A renewal that was sent before the last lease expired and answered after that
 // begins a new period too: the leader may have received it only after it saw the lease end.
 // The caller holds the lock.
 func (c *Client) nextPeriod() uint64 {
--- a/internal/fleet/tunnel/server.go
+++ b/internal/fleet/tunnel/server.go
@@ -27,8 +27,8 @@
 	// just been partitioned too takes so long to say so.
 	dialTimeout = 250 * time.Millisecond
 	// maxRequestDelay limits the time from the reply to the first byte of the request. The instance
-	// checks right before it sends that the request may run, and it sends right after the reply, so
-	// that a request that is passed on later rests on an old check: a process was paused.
+	// checks right before it sends that the request may run, and it sends right after the reply. A
+	// request that comes later was checked before one of the two processes was paused.
 	maxRequestDelay = time.Second
 	// lateHeadTime is how long the head of a response may still come after the instance has ended the tunnel.
 	// One that is on its way arrives within a round trip.
@@ -108,7 +108,7 @@
 	id       string // of the upstream
 	born     int64
 	openedAt timer.Instant // when the reply was written
-	headRead atomic.Bool   // the head of the response, or what came instead
+	headRead atomic.Bool   // the head of the response was read, or skipped as too long
 }
 
 // run opens the connection to the upstream and passes bytes on until either side ends it.
@@ -227,7 +227,8 @@
 }
 
 // awaitHead ends the connections after the instance has ended its own. If the response has not begun, only
-// the sending side of that to the upstream is closed at first: what the head states binds this instance.
+// the sending side of the connection to the upstream is closed at first, since a pause stated in the head
+// binds this instance.
 func (c *requestCopier) awaitHead() {
 	w, ok := c.upstream.(interface{ CloseWrite() error })
 	if !ok || c.headRead.Load() || w.CloseWrite() != nil {
--- a/internal/gateway/upstream/body.go
+++ b/internal/gateway/upstream/body.go
@@ -64,9 +64,14 @@
 func (b *Body) Size() int { return b.size }
 
 // AllowEviction lets other responses take the memory of the body until Claim.
-func (b *Body) AllowEviction() { b.client.buffers.setEvict(b.holder, b.returnBlocks) }
+func (b *Body) AllowEviction() {
+	if !b.client.buffers.setEvict(b.holder, b.returnBlocks) {
+		b.returnBlocks() // evicted before
+	}
+}
 
-// Claim ends AllowEviction. It returns false if the body was evicted.
+// Claim keeps the body from being evicted again, before it is written. It returns false if it was evicted
+// meanwhile.
 func (b *Body) Claim() bool { return b.client.buffers.setEvict(b.holder, func() {}) }
 
 // WriteTo writes the body. It must not be called while eviction is allowed.
--- a/internal/gateway/upstream/buffers.go
+++ b/internal/gateway/upstream/buffers.go
@@ -29,7 +29,8 @@
 	// reading is true while a body is read into memory. If the holder is evicted, the memory is in
 	// use until the reader notices, which takes as long as a read from a closed connection.
 	reading bool
-	// evict makes the holder give back its memory. It must not block.
+	// evict aborts the response or drops the body. It must not block, and does nothing for a body that
+	// is being written, whose memory then no longer counts.
 	evict func()
 }
 
@@ -40,7 +41,7 @@
 }
 
 // reserve gives a holder n more bytes, or fails if the holder is the one to evict. It waits until
-// evicted readers have given back their memory.
+// evicted readers have given back their memory, which they do as soon as their reads fail.
 func (b *buffers) reserve(h *holder, n int) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -109,8 +110,8 @@
 	h.reading = true
 }
 
-// endReading tells that a body is complete. It is not evicted any more; if it was, its memory no
-// longer counts, so that those that need some don't wait until the body is written.
+// endReading tells that a body is complete. If it was evicted, its memory no longer counts, so that
+// those that need some don't wait until the body is written.
 func (b *buffers) endReading(h *holder) (evicted bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gateway/upstream/late.go
+++ b/internal/gateway/upstream/late.go
@@ -29,8 +29,8 @@
 	return err == nil || !r.conn.interrupted.Load()
 }
 
-// readLate reads the head of a response whose caller has gone, and closes the connection: what an upstream
-// states about itself holds whoever asked.
+// readLate reads the head of a response whose caller has gone, and closes the connection. A leave or
+// a pause that it states counts although nobody waits for the response.
 func (r *Response) readLate(q *Request) {
 	defer r.Close()
 	stop := r.client.timer.AfterFunc(lateHeaderTime, r.abort)
