cmd/bench: one loop over seeds for outage and soak

Cause: both commands had the same loop, with its directories, messages and the return of the last failure.

Change: seedRuns makes the runs; a command only says how to play one seed. Directories and output stay the same.

--- a/cmd/bench/outage.go
+++ b/cmd/bench/outage.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -44,31 +45,12 @@
 	if c.Instances > 0 {
 		size.Instances = c.Instances
 	}
-	ctx, cancel := signalContext()
-	defer cancel()
-	var failed error
-	for i := range c.Seeds {
-		seed := c.Seed + uint64(i)
-		directory, err := os.MkdirTemp(c.Folder, fmt.Sprintf("outage-%d-", seed))
-		if err != nil {
-			return err
-		}
+	runs := &seedRuns{name: "outage", first: c.Seed, count: c.Seeds, folder: c.Folder, out: c.out}
+	return runs.run(func(ctx context.Context, seed uint64, directory string) error {
 		_, _ = fmt.Fprintf(c.out, "seed %d: %d instances, %d with a disk, outages %s\n", seed, size.Instances, size.Disks, strings.Join(c.Outages, " "))
-		err = outage.Run(ctx, outage.Options{
+		return outage.Run(ctx, outage.Options{
 			Dialect: dialect.Dialect{}, Binary: binary, Directory: directory, Seed: seed, Size: size, Patterns: c.Outages, Rounds: c.Rounds,
 			Timer: timer.NewSystem(), Out: c.out,
 		})
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if err != nil {
-			_, _ = fmt.Fprintf(c.out, "%v; logs in %s\n", err, directory)
-			failed = err
-			continue
-		}
-		if err := os.RemoveAll(directory); err != nil {
-			return err
-		}
-	}
-	return failed
+	})
 }
--- a/cmd/bench/soak.go
+++ b/cmd/bench/soak.go
@@ -1,9 +1,8 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"io"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -46,30 +45,11 @@
 	if err := size.Check(); err != nil {
 		return err
 	}
-	ctx, cancel := signalContext()
-	defer cancel()
-	var failed error
-	for i := range c.Seeds {
-		seed := c.Seed + uint64(i)
-		directory, err := os.MkdirTemp(c.Folder, fmt.Sprintf("soak-%d-", seed))
-		if err != nil {
-			return err
-		}
-		err = soak.Run(ctx, soak.Options{
+	runs := &seedRuns{name: "soak", first: c.Seed, count: c.Seeds, folder: c.Folder, out: c.out}
+	return runs.run(func(ctx context.Context, seed uint64, directory string) error {
+		return soak.Run(ctx, soak.Options{
 			Dialect: dialect.Dialect{}, Binary: binary, Directory: directory, Seed: seed, Size: size, Faults: c.Faults, FaultDuration: c.Length,
 			Timer: timer.NewSystem(), Out: c.out,
 		})
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if err != nil {
-			_, _ = fmt.Fprintf(c.out, "%v; logs in %s\n", err, directory)
-			failed = err
-			continue
-		}
-		if err := os.RemoveAll(directory); err != nil {
-			return err
-		}
-	}
-	return failed
+	})
 }
