--- a/internal/control/replica/peer.go
+++ b/internal/control/replica/peer.go
@@ -126,35 +126,33 @@
 	}
 }
 
-// runReplication sends append requests and passes the replies to the loop goroutine.
-func (p *peer) runReplication(ctx context.Context) error {
+// forEach handles what arrives in a queue until the context is done or the peer is removed.
+func forEach[M any](ctx context.Context, p *peer, queue <-chan M, handle func(ctx context.Context, m M) error) error {
 	ctx, cancel := p.withRemoval(ctx)
 	defer cancel()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case m := <-p.outgoing:
-			r := p.sendAppend(ctx, m)
-			if err := p.node.events.Put(ctx, func() { p.node.onAppendReply(p, m, r) }); err != nil {
-				return nil
+		case m := <-queue:
+			if handle(ctx, m) != nil {
+				return nil // the context is done
 			}
 		}
 	}
 }
 
+// runReplication sends append requests and passes the replies to the loop goroutine.
+func (p *peer) runReplication(ctx context.Context) error {
+	return forEach(ctx, p, p.outgoing, func(ctx context.Context, m *message) error {
+		r := p.sendAppend(ctx, m)
+		return p.node.events.Put(ctx, func() { p.node.onAppendReply(p, m, r) })
+	})
+}
+
 // runInstallation sends snapshots and passes the replies to the loop goroutine.
 func (p *peer) runInstallation(ctx context.Context) error {
-	ctx, cancel := p.withRemoval(ctx)
-	defer cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case m := <-p.snapshots:
-			p.sendSnapshot(ctx, m)
-		}
-	}
+	return forEach(ctx, p, p.snapshots, p.sendSnapshot)
 }
 
 // withTimeout returns a context that ends after d by the timer of the node.
@@ -173,13 +171,12 @@
 	return r
 }
 
-// sendSnapshot sends the stored snapshot in chunks.
-func (p *peer) sendSnapshot(ctx context.Context, m *message) {
+// sendSnapshot sends the stored snapshot in chunks. It fails if the context is done.
+func (p *peer) sendSnapshot(ctx context.Context, m *message) error {
 	n := p.node
 	meta, data, err := n.store.ReadSnapshot()
 	if err != nil || meta.Index == 0 {
-		_ = n.events.Put(ctx, func() { n.onInstallReply(p, m, nil, 0, true) })
-		return
+		return n.events.Put(ctx, func() { n.onInstallReply(p, m, nil, 0, true) })
 	}
 	for offset := 0; ; {
 		size := min(len(data)-offset, snapshotChunkBytes)
@@ -194,7 +191,7 @@
 		offset += size
 		done := offset == len(data) || !r.GetSuccess() || Term(r.GetTerm()) != m.term
 		if err := n.events.Put(ctx, func() { n.onInstallReply(p, &chunk, r, meta.Index, done) }); err != nil || done {
-			return
+			return err
 		}
 	}
 }
@@ -212,22 +209,13 @@
 
 // runVoteRequests sends vote requests and passes the replies to the loop goroutine.
 func (p *peer) runVoteRequests(ctx context.Context) error {
-	ctx, cancel := p.withRemoval(ctx)
-	defer cancel()
-	for {
-		select {
-		case <-ctx.Done():
+	return forEach(ctx, p, p.voteRequests, func(ctx context.Context, q *voteRequest) error {
+		r := p.sendVoteRequest(ctx, q)
+		if r == nil {
 			return nil
-		case q := <-p.voteRequests:
-			r := p.sendVoteRequest(ctx, q)
-			if r == nil {
-				continue
-			}
-			if err := p.node.events.Put(ctx, func() { p.node.onVoteReply(p, q, r) }); err != nil {
-				return nil
-			}
 		}
-	}
+		return p.node.events.Put(ctx, func() { p.node.onVoteReply(p, q, r) })
+	})
 }
 
 // voteTimeout returns how long the reply to a vote request is awaited.
