kernel/tcp: one list of idle connections for entries and instances

Cause: the pool of the entries and that of calls between instances kept their idle connections with the same code: the one used last first, closed if it was unused for longer than MaxIdle, skipped if it has ended.

Change: IdleConns does that for both. Limits, slots and locks stay with the pools.

--- a/internal/entry/control/pool.go
+++ b/internal/entry/control/pool.go
@@ -28,18 +28,15 @@
 	slots chan struct{} // holds one element per running call, at most maxCalls
 
 	mu     sync.Mutex
-	idle   map[string][]idleConn // by address, the last used last
+	idle   map[string]*idleConns // by address
 	closed bool
 }
 
-// idleConn is an idle connection, and since when it is idle.
-type idleConn struct {
-	*drpcconn.Conn
-	since timer.Instant
-}
+// idleConns are the idle connections to one address.
+type idleConns = tcp.IdleConns[*drpcconn.Conn]
 
 func newPool(t timer.Service, dial func(ctx context.Context, address string) (net.Conn, error)) *pool {
-	return &pool{timer: t, dial: dial, slots: make(chan struct{}, maxCalls), idle: map[string][]idleConn{}}
+	return &pool{timer: t, dial: dial, slots: make(chan struct{}, maxCalls), idle: map[string]*idleConns{}}
 }
 
 // get returns an idle connection or opens one. It waits while maxCalls calls are running.
@@ -50,7 +47,7 @@
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
 	}
-	if c := p.takeIdle(address); c != nil {
+	if c, ok := p.takeIdle(address); ok {
 		return c, nil
 	}
 	n, err := p.dial(ctx, address)
@@ -64,37 +61,31 @@
 	}}), nil
 }
 
-// takeIdle returns an idle connection that is still open, nil if there is none. It closes those
-// that have been idle for too long.
-func (p *pool) takeIdle(address string) *drpcconn.Conn {
+// takeIdle returns an idle connection that may still be used.
+func (p *pool) takeIdle(address string) (conn *drpcconn.Conn, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
-		idle := p.idle[address]
-		if len(idle) == 0 {
-			return nil
-		}
-		c := idle[len(idle)-1]
-		p.idle[address] = idle[:len(idle)-1]
-		if p.timer.Now().Sub(c.since) > tcp.MaxIdle {
-			_ = c.Close()
-			continue
-		}
-		select {
-		case <-c.Closed():
-		default:
-			return c.Conn
-		}
+	return p.idleTo(address).Take(p.timer.Now())
+}
+
+// idleTo returns the idle connections to an address. p.mu must be held.
+func (p *pool) idleTo(address string) *idleConns {
+	idle := p.idle[address]
+	if idle == nil {
+		idle = &idleConns{}
+		p.idle[address] = idle
 	}
+	return idle
 }
 
 // put returns a connection after a call. It is closed if the call failed.
 func (p *pool) put(address string, c *drpcconn.Conn, failed bool) {
 	<-p.slots
 	p.mu.Lock()
-	keep := !failed && !p.closed && len(p.idle[address]) < maxIdleConns
+	idle := p.idleTo(address)
+	keep := !failed && !p.closed && idle.Len() < maxIdleConns
 	if keep {
-		p.idle[address] = append(p.idle[address], idleConn{c, p.timer.Now()})
+		idle.Put(c, p.timer.Now())
 	}
 	p.mu.Unlock()
 	if !keep {
@@ -106,23 +97,19 @@
 // timed out, the others are likely to be silent as well.
 func (p *pool) closeIdle(address string) {
 	p.mu.Lock()
-	idle := p.idle[address]
+	idle := p.idleTo(address)
 	delete(p.idle, address)
 	p.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
-	}
+	_ = idle.Close()
 }
 
 // close closes all idle connections. Connections returned later are closed as well.
 func (p *pool) close() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.closed = map[string][]idleConn{}, true
+	p.idle, p.closed = map[string]*idleConns{}, true
 	p.mu.Unlock()
-	for _, cs := range idle {
-		for _, c := range cs {
-			_ = c.Close()
-		}
+	for _, i := range idle {
+		_ = i.Close()
 	}
 }
--- a/internal/fleet/peer/connection.go
+++ b/internal/fleet/peer/connection.go
@@ -75,13 +75,7 @@
 	slots chan struct{}
 
 	mu   sync.Mutex
-	idle []idleConnection // those used last at the end
-}
-
-// idleConnection is a connection that no call uses, and since when.
-type idleConnection struct {
-	conn  *drpcconn.Conn
-	since timer.Instant
+	idle tcp.IdleConns[*drpcconn.Conn]
 }
 
 // newConnections returns connections that dial opens, or TCP connections if it is nil.
@@ -117,8 +111,8 @@
 	}
 	ctx, cancel := timer.WithTimeout(ctx, cs.timer, timeout)
 	defer cancel()
-	conn := p.take(cs.timer.Now())
-	if conn == nil {
+	conn, ok := p.take(cs.timer.Now())
+	if !ok {
 		if conn, err = cs.connect(ctx, to); err != nil {
 			return reply, errors.Wrap(err, "connect")
 		}
@@ -158,43 +152,25 @@
 	return drpcconn.New(conn), nil
 }
 
-// take returns the connection that was used last of those that are open, or nil. It closes those
-// that have been idle for too long.
-func (p *pool) take(now timer.Instant) *drpcconn.Conn {
+// take returns an idle connection that may still be used.
+func (p *pool) take(now timer.Instant) (conn *drpcconn.Conn, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(c.since) > tcp.MaxIdle {
-			_ = c.conn.Close()
-			continue
-		}
-		select {
-		case <-c.conn.Closed():
-		default:
-			return c.conn
-		}
-	}
-	return nil
+	return p.idle.Take(now)
 }
 
 // put makes a connection available to other calls.
 func (p *pool) put(c *drpcconn.Conn, now timer.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle = append(p.idle, idleConnection{c, now})
+	p.idle.Put(c, now)
 }
 
 // close closes the connections that are not in use.
-func (p *pool) close() (err error) {
+func (p *pool) close() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle {
-		err = errors.CombineErrors(err, c.conn.Close())
-	}
-	p.idle = nil
-	return err
+	return p.idle.Close()
 }
 
 // Close closes the connections that are not in use. Calls in progress end with their context.
--- a/internal/kernel/tcp/tcp.go
+++ b/internal/kernel/tcp/tcp.go
@@ -10,12 +10,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// MaxIdle is how long a connection between instances may be unused and still be used again.
-// Something between the two ends may have lost track of an idle connection, which then stays
-// silent for good while new ones work. A dial takes one round trip, a call on a silent
-// connection its whole timeout.
-const MaxIdle = time.Second
-
 // NewDialer returns a dialer that sets TCP_USER_TIMEOUT: a connection fails once sent
 // data has been unacknowledged for the timeout, which is cut to whole milliseconds.
 // The caller may set the dialer's fields other than Control.
