control/disk: one check of reloads, one way to change names in tests

Cause: the power loss test had the check after a further loss twice, and the test file system wrote each change of a name to its list and its files in four places.

Change: checkReloads and FileSystem.change. The failure after storing now says "loaded ... after another loss of power" like the other one.

--- a/internal/control/disk/faulty/faulty.go
+++ b/internal/control/disk/faulty/faulty.go
@@ -232,10 +232,9 @@
 	}
 	defer p.fileSystem.notify()
 	defer unlock()
-	f := p.fileSystem
-	f.files[name] = &inode{}
-	f.changes = append(f.changes, change{kind: createFile, name: name, inode: f.files[name]})
-	return &handle{process: p, inode: f.files[name]}, nil
+	i := &inode{}
+	p.fileSystem.change(change{kind: createFile, name: name, inode: i})
+	return &handle{process: p, inode: i}, nil
 }
 
 // OpenAppend opens an existing file for appending.
@@ -277,9 +276,7 @@
 	defer p.fileSystem.notify()
 	defer unlock()
 	f := p.fileSystem
-	c := change{kind: renameFile, name: from, to: to, inode: f.files[from]}
-	f.changes = append(f.changes, c)
-	c.apply(f.files)
+	f.change(change{kind: renameFile, name: from, to: to, inode: f.files[from]})
 	return nil
 }
 
@@ -292,9 +289,7 @@
 	defer p.fileSystem.notify()
 	defer unlock()
 	f := p.fileSystem
-	c := change{kind: removeFile, name: name, inode: f.files[name]}
-	f.changes = append(f.changes, c)
-	c.apply(f.files)
+	f.change(change{kind: removeFile, name: name, inode: f.files[name]})
 	return nil
 }
 
@@ -328,7 +323,7 @@
 	f := p.fileSystem
 	if !f.dirs[dir] {
 		f.dirs[dir] = true
-		f.changes = append(f.changes, change{kind: createDir, name: dir})
+		f.change(change{kind: createDir, name: dir})
 	}
 	return nil
 }
--- a/internal/control/disk/faulty/loss.go
+++ b/internal/control/disk/faulty/loss.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// change makes a change that is not durable yet. f.mu must be held.
+func (f *FileSystem) change(c change) {
+	f.changes = append(f.changes, c)
+	c.apply(f.files)
+}
+
 // isUnder reports whether a file is in a directory or one of its subdirectories.
 func isUnder(dir, name string) bool { return strings.HasPrefix(name, dir+"/") }
 
--- a/internal/control/disk/power_loss_test.go
+++ b/internal/control/disk/power_loss_test.go
@@ -186,26 +186,24 @@
 			got, err, c.identity, c.hard, c.metas, c.logs, description)
 		return
 	}
-	eachOutcome(func(choose func(int) int) {
-		again := f.Clone()
-		again.LosePower(choose)
-		if next, _, err := load(again); !c.failed && (err != nil || !got.equal(next)) {
-			c.failed = true
-			c.t.Errorf("loaded %+v, and %+v after another loss of power, error %v;\n%q", got, next, err, description)
-		}
-	})
+	c.checkReloads(f, got, "loaded", description)
 	// What the process stores next must not rest on a name that it found and that is not durable.
 	voted := got
 	voted.hard = replica.HardState{Term: got.hard.Term + 1, Vote: "z"}
 	if err := s.SaveHardState(voted.hard); err != nil {
 		c.t.Fatal(err)
 	}
+	c.checkReloads(f, voted, "stored", description)
+}
+
+// checkReloads checks that what was loaded or stored is loaded again after another loss of power.
+func (c *lossCheck) checkReloads(f *faulty.FileSystem, known stored, how, description string) {
 	eachOutcome(func(choose func(int) int) {
 		again := f.Clone()
 		again.LosePower(choose)
-		if next, _, err := load(again); !c.failed && (err != nil || !voted.equal(next)) {
+		if next, _, err := load(again); !c.failed && (err != nil || !known.equal(next)) {
 			c.failed = true
-			c.t.Errorf("stored %+v, and loaded %+v after a loss of power, error %v;\n%q", voted, next, err, description)
+			c.t.Errorf("%s %+v, and loaded %+v after another loss of power, error %v;\n%q", how, known, next, err, description)
 		}
 	})
 }
