bench/outage: actions apart from patterns, limits of the platform once

Cause: patterns.go held the outages and the actions that they are made of, 512 lines; four outages let instances vanish for a time in the same words; grace period, revocation and propagation delay stood in outage and soak. The report dropped the error of its output.

Change: actions.go, vanishFor, and the constants of soak, exported.

--- a/internal/bench/outage/checks.go
+++ b/internal/bench/outage/checks.go
@@ -171,7 +171,7 @@
 		wait := time.Duration(100+o.random.IntN(400)) * time.Millisecond
 		if o.random.IntN(4) == 0 {
 			// Long enough for a route to be in force everywhere.
-			wait = propagationDelay + time.Duration(o.random.IntN(2000))*time.Millisecond
+			wait = soak.PropagationDelay + time.Duration(o.random.IntN(2000))*time.Millisecond
 		}
 		_ = timer.Sleep(ctx, o.Timer, wait)
 	}
@@ -291,7 +291,7 @@
 	begin, to, path := p.Timer.Now(), p.up(p.random), soak.ReadPath
 	p.mu.Lock()
 	c := &p.checks
-	current := c.newest == c.acknowledged && c.acknowledgedAt.Add(propagationDelay) < begin
+	current := c.newest == c.acknowledged && c.acknowledgedAt.Add(soak.PropagationDelay) < begin
 	if current {
 		path = document(c.acknowledged).AddedPath
 	}
@@ -335,7 +335,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := &r.checks
-	_, _ = fmt.Fprintf(r.Out, "outage seed %d: %v\n", r.Seed, c.counts)
+	if _, err := fmt.Fprintf(r.Out, "outage seed %d: %v\n", r.Seed, c.counts); err != nil {
+		return err
+	}
 	if c.counts["reads"] == 0 || c.counts["changes"] == 0 {
 		return errors.New("no read or no change was answered, so the run checked nothing")
 	}
--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -24,14 +24,8 @@
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
-// Time limits of the platform, whatever the size.
-const (
-	readTimeout     = 2 * time.Second
-	gracePeriod     = 8 * time.Second
-	revocationDelay = 5 * time.Second
-	// propagationDelay is the time after which an acknowledged route is known everywhere.
-	propagationDelay = 2 * time.Second
-)
+// readTimeout is the time limit of a read and of a probe.
+const readTimeout = 2 * time.Second
 
 // Load of a run.
 const (
@@ -194,7 +188,7 @@
 func (r *run) writeSettings(n *instance, initial bool) error {
 	return os.WriteFile(r.settingsPath(n), r.Dialect.SettingsFile(soak.Settings{
 		Name: n.name, IP: n.ip, Zone: n.zone, SeedAddresses: r.seeds, InitialStart: initial, DataDirectory: n.disk,
-		GracePeriod: gracePeriod, RevocationDelay: revocationDelay,
+		GracePeriod: soak.GracePeriod, RevocationDelay: soak.RevocationDelay,
 	}), 0o600)
 }
 
--- a/internal/bench/outage/patterns.go
+++ b/internal/bench/outage/patterns.go
@@ -3,12 +3,8 @@
 import (
 	"context"
 	"maps"
-	"os"
 	"slices"
-	"syscall"
 	"time"
-
-	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
 // patterns are the outages. When one returns, all processes run; cuts are healed after it.
@@ -20,127 +16,6 @@
 // Patterns returns the names of all outages.
 func Patterns() []string { return slices.Sorted(maps.Keys(patterns)) }
 
-// direction is the direction of a cut, as seen from the smaller side.
-type direction int
-
-const (
-	bothWays direction = iota
-	outbound
-	inbound
-)
-
-func (d direction) String() string { return [...]string{"both ways", "outbound", "inbound"}[d] }
-
-// direction draws a direction.
-func (r *run) direction() direction { return direction(r.random.IntN(int(inbound) + 1)) }
-
-// updateLinks changes the state of the network for all instances.
-func (r *run) updateLinks(change func(ls *links)) {
-	change(&r.links)
-	if err := r.links.write(r.linksPath()); err != nil {
-		r.violation("links", "%v", err)
-	}
-	r.touch()
-}
-
-// cut cuts the network between each instance and each of the others.
-func (r *run) cut(some, others []*instance, d direction) {
-	r.impair(true, some...)
-	r.printf("cut %s from %s, %s", namesOf(some), namesOf(others), d)
-	r.updateLinks(func(ls *links) {
-		for _, a := range some {
-			for _, b := range others {
-				if d != inbound {
-					ls.blocked[link{a.ip, b.ip}] = true
-				}
-				if d != outbound {
-					ls.blocked[link{b.ip, a.ip}] = true
-				}
-			}
-		}
-	})
-}
-
-// heal heals all cuts.
-func (r *run) heal() {
-	var alive []*instance
-	for _, n := range r.core {
-		if n.process.Alive() {
-			alive = append(alive, n)
-		}
-	}
-	r.impair(false, alive...)
-	if len(r.links.blocked) > 0 {
-		r.printf("heal")
-	}
-	r.updateLinks(func(ls *links) { clear(ls.blocked) })
-}
-
-// vanish kills instances whose connections to all others fall silent before.
-func (r *run) vanish(list ...*instance) {
-	r.printf("%s vanish", namesOf(list))
-	r.impair(true, list...)
-	r.updateLinks(func(ls *links) {
-		for _, n := range list {
-			ls.blocked[link{n.ip, anyHost}], ls.blocked[link{anyHost, n.ip}] = true, true
-		}
-	})
-	// All instances must have read the state before a connection can be reset.
-	_ = timer.Sleep(context.Background(), r.Timer, 3*linksInterval)
-	for _, n := range list {
-		n.process.Kill()
-		<-n.process.Done()
-	}
-}
-
-// kill kills instances, whose hosts go on and reset connections.
-func (r *run) kill(list ...*instance) {
-	r.printf("kill %s", namesOf(list))
-	r.impair(true, list...)
-	for _, n := range list {
-		n.process.Kill()
-	}
-	for _, n := range list {
-		<-n.process.Done()
-	}
-	r.touch()
-}
-
-// restore starts instances that vanished or were killed.
-func (r *run) restore(wiped bool, list ...*instance) error {
-	r.printf("start %s, wiped %t", namesOf(list), wiped)
-	r.updateLinks(func(ls *links) {
-		for _, n := range list {
-			delete(ls.blocked, link{n.ip, anyHost})
-			delete(ls.blocked, link{anyHost, n.ip})
-		}
-	})
-	for _, n := range list {
-		if wiped {
-			if err := os.RemoveAll(n.disk); err != nil {
-				return err
-			}
-		}
-		if err := r.startProcess(n, false); err != nil {
-			return err
-		}
-	}
-	r.impair(false, list...)
-	return nil
-}
-
-func namesOf(list []*instance) (names []string) {
-	for _, n := range list {
-		names = append(names, n.name)
-	}
-	return names
-}
-
-// sleep waits for a random time.
-func (r *run) sleep(ctx context.Context, least, most time.Duration) error {
-	return timer.Sleep(ctx, r.Timer, least+time.Duration(r.random.Int64N(int64(most-least)+1)))
-}
-
 // minority draws a minority of the core that may be lost, with the leader in half of the cases,
 // and returns the others too.
 func (r *run) minority() (some, others []*instance) {
@@ -233,27 +108,6 @@
 	return r.sleep(ctx, 0, time.Second)
 }
 
-// insister sends a change to one instance until it answers.
-type insister struct {
-	*run
-	change *pendingChange
-	to     *instance
-}
-
-func (i *insister) loop(ctx context.Context) error {
-	for ctx.Err() == nil && !i.attempt(ctx, i.change, i.to) {
-		_ = timer.Sleep(ctx, i.Timer, pause)
-	}
-	return nil
-}
-
-// insist sends two changes at once to one instance until it answers.
-func (r *run) insist(to *instance) {
-	for range 2 {
-		r.group.Go("insister", (&insister{r, r.nextChange(), to}).loop)
-	}
-}
-
 // halves splits the core in halves.
 func halves(ctx context.Context, r *run) error {
 	list := slices.Clone(r.core)
@@ -266,21 +120,6 @@
 	return r.sleep(ctx, 6*time.Second, 6*time.Second)
 }
 
-// awaitAcknowledgement waits for the next acknowledged change.
-func (r *run) awaitAcknowledgement(ctx context.Context) error {
-	acknowledged := func() int {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.checks.acknowledged
-	}
-	for before := acknowledged(); acknowledged() == before; {
-		if err := timer.Sleep(ctx, r.Timer, 5*time.Millisecond); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // silentLeader lets the leader vanish right after an acknowledgement, or the oldest instances.
 func silentLeader(ctx context.Context, r *run) error {
 	list, down := []*instance{r.leader()}, 3*time.Second
@@ -296,11 +135,7 @@
 	if err := r.awaitAcknowledgement(ctx); err != nil {
 		return err
 	}
-	r.vanish(list...)
-	if err := r.sleep(ctx, down, down); err != nil {
-		return err
-	}
-	return r.restore(r.random.IntN(2) == 0, list...)
+	return r.vanishFor(ctx, down, true, list...)
 }
 
 // leaderAndOthers returns the leader and as many other instances with a disk as may be lost with
@@ -329,11 +164,7 @@
 	if err := r.awaitAcknowledgement(ctx); err != nil {
 		return err
 	}
-	r.vanish(list...)
-	if err := r.sleep(ctx, 7*time.Second, 7*time.Second); err != nil {
-		return err
-	}
-	return r.restore(r.random.IntN(2) == 0, list...)
+	return r.vanishFor(ctx, 7*time.Second, true, list...)
 }
 
 // stale silences all open connections, after short freezes of leaders that made instances open
@@ -354,17 +185,6 @@
 	return nil
 }
 
-// pauseProcess freezes the process of an instance.
-func (r *run) pauseProcess(ctx context.Context, n *instance, length time.Duration) error {
-	r.printf("freeze %s", n.name)
-	r.impair(true, n)
-	n.process.Signal(syscall.SIGSTOP)
-	err := timer.Sleep(ctx, r.Timer, length)
-	n.process.Signal(syscall.SIGCONT)
-	r.impair(false, n)
-	return err
-}
-
 // freeze stops the leader's process while changes are sent to it.
 func freeze(ctx context.Context, r *run) error {
 	leader := r.leader()
@@ -391,24 +211,6 @@
 	return err
 }
 
-// startReplacement starts an instance in place of another and tells all others its address.
-func (r *run) startReplacement(old, next *instance) error {
-	r.replaceInstance(old, next)
-	if err := r.startProcess(next, false); err != nil {
-		return err
-	}
-	for _, n := range r.instances {
-		if err := r.writeSettings(n, false); err != nil {
-			return err
-		}
-		// A new process has read the addresses, and does not handle the signal at once.
-		if n != next {
-			n.process.Signal(syscall.SIGHUP)
-		}
-	}
-	return nil
-}
-
 // longCut cuts a minority until the others may have removed it, and then takes the leader.
 func longCut(ctx context.Context, r *run) error {
 	some, others := r.minority()
@@ -424,11 +226,7 @@
 	if err := r.sleep(ctx, 0, 3*time.Second); err != nil {
 		return err
 	}
-	r.vanish(leader)
-	if err := r.sleep(ctx, 3*time.Second, 3*time.Second); err != nil {
-		return err
-	}
-	return r.restore(false, leader)
+	return r.vanishFor(ctx, 3*time.Second, false, leader)
 }
 
 // dark lets a cut heal while all others are gone, which return later.
@@ -504,9 +302,5 @@
 	if list == nil {
 		return nil
 	}
-	r.vanish(list...)
-	if err := r.sleep(ctx, 7*time.Second, 7*time.Second); err != nil {
-		return err
-	}
-	return r.restore(false, list...)
+	return r.vanishFor(ctx, 7*time.Second, false, list...)
 }
--- a/internal/bench/soak/instance.go
+++ b/internal/bench/soak/instance.go
@@ -59,7 +59,7 @@
 	}
 	d := i.soak.options.Dialect
 	text := d.SettingsFile(Settings{
-		Name: i.name, IP: i.ip, Zone: i.zone, SeedAddresses: i.soak.seedAddresses, InitialStart: initial, DataDirectory: i.dataDirectory, GracePeriod: gracePeriod, RevocationDelay: revocationDelay,
+		Name: i.name, IP: i.ip, Zone: i.zone, SeedAddresses: i.soak.seedAddresses, InitialStart: initial, DataDirectory: i.dataDirectory, GracePeriod: GracePeriod, RevocationDelay: RevocationDelay,
 	})
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
@@ -96,14 +96,14 @@
 	i.countStop()
 	p.Signal(syscall.SIGTERM)
 	expired := make(chan struct{})
-	defer t.AfterFunc(gracePeriod+time.Second, func() { close(expired) })()
+	defer t.AfterFunc(GracePeriod+time.Second, func() { close(expired) })()
 	select {
 	case <-p.Done():
 		return errors.Wrap(p.Err(), "end after SIGTERM")
 	case <-expired:
 		p.Kill()
 		<-p.Done()
-		return errors.Newf("still running %s after SIGTERM", gracePeriod+time.Second)
+		return errors.Newf("still running %s after SIGTERM", GracePeriod+time.Second)
 	}
 }
 
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -42,12 +42,12 @@
 
 // Time limits that the user documentation promises.
 const (
-	// gracePeriod limits the graceful shutdown of an instance.
-	gracePeriod = 8 * time.Second
-	// revocationDelay limits how long a revoked API key still works.
-	revocationDelay = 5 * time.Second
-	// propagationDelay is the time after which an applied document is in force everywhere.
-	propagationDelay = 2 * time.Second
+	// GracePeriod limits the graceful shutdown of an instance.
+	GracePeriod = 8 * time.Second
+	// RevocationDelay limits how long a revoked API key still works.
+	RevocationDelay = 5 * time.Second
+	// PropagationDelay is the time after which an applied document is in force everywhere.
+	PropagationDelay = 2 * time.Second
 	// reconnectTime is the time after a disturbance in which instances may still be out of contact.
 	reconnectTime = 3 * time.Second
 	// recoveryTime is the time after the last fault in which all instances become ready.
@@ -348,11 +348,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := len(s.documents)
-	if last := s.documents[n-1]; !s.documentPending && last.at.Add(propagationDelay) < now {
+	if last := s.documents[n-1]; !s.documentPending && last.at.Add(PropagationDelay) < now {
 		current = last.Document
 	}
 	for i := n - 1; i > 0; i-- {
-		if s.documents[i].at.Add(revocationDelay) < now {
+		if s.documents[i].at.Add(RevocationDelay) < now {
 			return current, s.documents[i-1].Document
 		}
 	}
