gateway/caller: one wait for the end of a request

Cause: the wait for room at brittle upstreams and that for a turn after a pause had the same code: a bounded number of waiters, the end of a request, a time and the end of the request itself.

Change: awaitVacated is that wait. They differ in what an expired time means.

--- a/internal/gateway/caller/brittle.go
+++ b/internal/gateway/caller/brittle.go
@@ -108,20 +108,31 @@
 	}
 	q.noRoom = true
 	patience := q.roomPatience()
-	defer q.waitingForRoom.Add(-1)
-	if q.waitingForRoom.Add(1) > maxWaitingForRoom || patience <= 0 {
+	if patience <= 0 {
 		return false
 	}
-	vacated, expired := q.Balancer.Vacated(), make(chan struct{})
-	stop := q.Timer.AfterFunc(patience, func() { close(expired) })
+	vacated, _ := q.awaitVacated(patience)
+	return vacated
+}
+
+// awaitVacated waits until a request to any upstream has ended, or for a time. ok is false if too many
+// others wait or the request has ended.
+func (q *request) awaitVacated(limit time.Duration) (vacated, ok bool) {
+	defer q.waitingForRoom.Add(-1)
+	if q.waitingForRoom.Add(1) > maxWaitingForRoom {
+		return false, false
+	}
+	ended, expired := q.Balancer.Vacated(), make(chan struct{})
+	stop := q.Timer.AfterFunc(limit, func() { close(expired) })
 	defer stop()
 	select {
-	case <-vacated:
-		return true
+	case <-ended:
+		return true, true
 	case <-expired:
+		return false, true
 	case <-q.ctx.Done():
+		return false, false
 	}
-	return false
 }
 
 // readCondition reads whether the upstream is brittle. A response that does not state it ends that
--- a/internal/gateway/caller/pause.go
+++ b/internal/gateway/caller/pause.go
@@ -57,18 +57,6 @@
 // requests ends, or after a time. It returns false if too many others wait.
 func (q *request) awaitTurn(wait time.Duration) bool {
 	q.noRoom = true
-	defer q.waitingForRoom.Add(-1)
-	if q.waitingForRoom.Add(1) > maxWaitingForRoom {
-		return false
-	}
-	vacated, turn := q.Balancer.Vacated(), make(chan struct{})
-	stop := q.Timer.AfterFunc(wait, func() { close(turn) })
-	defer stop()
-	select {
-	case <-vacated:
-	case <-turn:
-	case <-q.ctx.Done():
-		return false
-	}
-	return true
+	_, ok := q.awaitVacated(wait)
+	return ok
 }
