gateway/canary: outliers are added in one place

Cause: the comparison with the next higher load built a second comparison and copied three of its sums, inside three levels of loops and conditions.

Change: addOutliers adds these sums, and formerAt finds what to compare with.

--- a/internal/gateway/canary/compare.go
+++ b/internal/gateway/canary/compare.go
@@ -53,12 +53,19 @@
 func (c *Comparison) add(former, target Stats) {
 	mean, variance := former.logMean()
 	c.Samples += target.Latencies
-	c.outlierSamples += target.Latencies
 	c.logSum += target.LogSum - target.Latencies*mean
 	c.variance += target.Latencies*variance + target.Latencies*target.Latencies*variance/former.Latencies
-	c.outliers += target.above(mean + math.Log(outlierFactor))
+	c.addOutliers(former, target)
+}
+
+// addOutliers adds the latencies of a target to the comparison of outliers only.
+func (c *Comparison) addOutliers(former, target Stats) {
+	mean, _ := former.logMean()
+	limit := mean + math.Log(outlierFactor)
+	c.outlierSamples += target.Latencies
+	c.outliers += target.above(limit)
 	// Few latencies of the former version say little about its rate.
-	rate := (former.above(mean+math.Log(outlierFactor)) + outlierRate*outlierRateWeight) / (former.Latencies + outlierRateWeight)
+	rate := (former.above(limit) + outlierRate*outlierRateWeight) / (former.Latencies + outlierRateWeight)
 	c.expectedOutliers += target.Latencies * rate
 }
 
@@ -80,30 +87,35 @@
 	return c.outliers >= minOutliers && binomialTail(c.outlierSamples, c.outliers, c.expectedOutliers/c.outlierSamples) < chance
 }
 
-// compareAtSameLoad compares the latencies of the same route, model and load.
+// compareAtSameLoad compares the latencies of the same route, model and load. A response that takes several
+// times as long as those at a higher load is slow too, so that outliers are also compared with these.
 func (r *Rollout) compareAtSameLoad() (c Comparison) {
 	for k, t := range r.target {
 		if k.Load == UnknownLoad || !k.Gap && k.Model != "" {
 			continue
 		}
-		if f := r.former[k]; f != nil && f.Latencies >= minLatencies {
-			c.add(*f, *t)
-			continue
-		}
-		// A response several times as long as those at a higher load is slow too.
-		for higher := k; higher.Load < maxLoadClass; {
-			higher.Load++
-			if f := r.former[higher]; f != nil && f.Latencies >= minLatencies {
-				var o Comparison
-				o.add(*f, *t)
-				c.outliers, c.expectedOutliers, c.outlierSamples = c.outliers+o.outliers, c.expectedOutliers+o.expectedOutliers, c.outlierSamples+t.Latencies
-				break
-			}
+		switch former, load := r.formerAt(k); {
+		case former == nil:
+		case load == k.Load:
+			c.add(*former, *t)
+		default:
+			c.addOutliers(*former, *t)
 		}
 	}
 	return c
 }
 
+// formerAt returns the former version's statistics for a key, or else those at the next higher load of which
+// there are enough, and that load. It returns nil if there are none.
+func (r *Rollout) formerAt(k Key) (*Stats, LoadClass) {
+	for ; k.Load <= maxLoadClass; k.Load++ {
+		if f := r.former[k]; f != nil && f.Latencies >= minLatencies {
+			return f, k.Load
+		}
+	}
+	return nil, UnknownLoad
+}
+
 // binomialTail returns the chance of k or more out of n events with a probability. The numbers are
 // rounded to whole ones.
 func binomialTail(n, k, probability float64) (p float64) {
