entry/caller: tests start their upstreams in one place

Change: startUpstreams for the two tests of what is checked before the first byte, whose assertions stay.

Measured: the package's tests pass with the race detector.

--- a/internal/entry/caller/pause_test.go
+++ b/internal/entry/caller/pause_test.go
@@ -29,6 +29,13 @@
 	return p.System.Now().Add(time.Duration(p.pause.Load()))
 }
 
+// startUpstreams starts an upstream of each service. requests returns how many requests they got.
+func startUpstreams(t *testing.T, f *fakeControl) (requests func() int) {
+	engine := startEngine(t, f, "w1", "small", &fakeEngine{version: "v1", words: []string{"a"}, breakAfter: -1})
+	desk := startBookingService(t, f, "d1", nil)
+	return func() int { return engine.requestCount() + desk.runCount() }
+}
+
 // Guards against a request that is sent after its deadline, since the process was paused and the
 // timer of the deadline runs later than the request.
 func TestDeadlineIsCheckedBeforeSending(t *testing.T) {
@@ -36,8 +43,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFakeControl(poolDocument(), deskDocument())
-			engine := startEngine(t, f, "w1", "small", &fakeEngine{version: "v1", words: []string{"a"}, breakAfter: -1})
-			desk := startBookingService(t, f, "d1", nil)
+			requests := startUpstreams(t, f)
 			clock := &pausedClock{System: timer.NewSystem()}
 			_, s := newHandler(t, f, func(o *Options) {
 				o.Timer = clock
@@ -49,7 +55,7 @@
 			r, body := send(t, c.method, s.URL+c.path, c.body, c.headers...)
 			is.Equal(r.StatusCode, 504)
 			is.True(strings.Contains(body, "not run"))
-			is.Equal(engine.requestCount()+desk.runCount(), 0)
+			is.Equal(requests(), 0)
 		})
 	}
 }
@@ -61,8 +67,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFakeControl(poolDocument(), deskDocument())
-			engine := startEngine(t, f, "w1", "small", &fakeEngine{version: "v1", words: []string{"a"}, breakAfter: -1})
-			desk := startBookingService(t, f, "d1", nil)
+			requests := startUpstreams(t, f)
 			var h *Handler
 			h, s := newHandler(t, f, func(o *Options) {
 				o.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -78,7 +83,7 @@
 			seconds, err := strconv.Atoi(r.Header.Get("Retry-After"))
 			is.NoErr(err)
 			is.True(seconds >= 29)
-			is.Equal(engine.requestCount()+desk.runs, 0)
+			is.Equal(requests(), 0)
 		})
 	}
 }
