platform: benches replace the clock and the file system of an instance

Cause: a bench can replace only the connections of an instance, so a loss of power and clocks that differ between machines can't be played with real processes.

Change: RunGateway takes a Host with the dialer, the file system and the clock; nil fields stand for those of the operating system. No change of behaviour otherwise.

--- a/cmd/bench/gateway.go
+++ b/cmd/bench/gateway.go
@@ -31,5 +31,5 @@
 	g := group.New(context.Background())
 	defer func() { _ = g.Stop() }()
 	g.Go("network", n.Run)
-	return platform.RunGateway(c.out, n.Dial)
+	return platform.RunGateway(c.out, platform.Host{DialPeer: n.Dial})
 }
