fleet/layout: host names in any spelling are one host

What callers saw: a request with Host: SIGNING.EXAMPLE got 404 for the route of signing.example, a route of Upper.Example was not found by upper.example, and a change with two routes for one host in two spellings and the same prefix was acknowledged.

Cause: host names were compared letter by letter. They don't depend on case or on the dot at the end (RFC 9110, section 4.2.3).

Change: one function brings names into one spelling, for the check of a change and for the match of a request. A port in the Host header counts only if a route names it, as before; addresses in brackets are found with and without one. Layouts that were committed are loaded without the checks: an older build may have accepted two spellings as two hosts, and an instance that refused that layout would serve nothing. The first of two such routes counts.

--- a/internal/fleet/layout/layout.go
+++ b/internal/fleet/layout/layout.go
@@ -114,7 +114,8 @@
 	IdleTimeout   time.Duration
 }
 
-// Layout is a complete routing configuration. It is immutable after Prepare.
+// Layout is a complete routing configuration. It is immutable after Prepare or
+// PrepareCommitted.
 type Layout struct {
 	Version Version
 	Routes  []*Route
@@ -122,8 +123,8 @@
 	Limits  Limits
 	Clients []*Client
 
-	// Lookup tables, built by Prepare. The routes of a host are sorted by length of prefix,
-	// longest first.
+	// Lookup tables, built by Prepare. The routes of a host, in its canonical spelling, are sorted
+	// by length of prefix, longest first.
 	hosts map[string][]*Route
 	pools map[Service]*Pool
 	keys  map[string]*Client
@@ -139,30 +140,54 @@
 			err = errors.Mark(errors.Wrapf(err, "layout %d", l.Version), ErrInvalid)
 		}
 	}()
+	l.PrepareCommitted()
+	if len(l.pools) < len(l.Pools) {
+		return errors.New("a service stands twice")
+	}
+	if l.pools[""] != nil {
+		return errors.New("service without a name")
+	}
+	if err := l.checkRoutes(); err != nil {
+		return err
+	}
+	return l.checkKeys()
+}
+
+// PrepareCommitted builds the lookup tables of a layout that was validated before it was committed.
+// That may have been done by a build with fewer checks, and a layout that is in force must not be
+// refused later: of two routes or accounts that exclude each other, the first one counts.
+func (l *Layout) PrepareCommitted() {
 	l.pools = make(map[Service]*Pool, len(l.Pools))
 	for _, p := range l.Pools {
-		if p.Name == "" || l.pools[p.Name] != nil {
-			return errors.Newf("service %q has no name or stands twice", p.Name)
+		if l.pools[p.Name] == nil {
+			l.pools[p.Name] = p
 		}
-		l.pools[p.Name] = p
 	}
-	if err := l.prepareRoutes(); err != nil {
-		return err
+	l.hosts = map[string][]*Route{}
+	for _, r := range l.Routes {
+		host := canonicalHost(r.Host)
+		l.hosts[host] = append(l.hosts[host], r)
+	}
+	for _, routes := range l.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	l.keys = map[string]*Client{}
+	for _, c := range l.Clients {
+		for _, k := range c.Keys {
+			if l.keys[k] == nil {
+				l.keys[k] = c
+			}
+		}
 	}
-	return l.prepareKeys()
 }
 
-// prepareRoutes checks the routes and sorts them for Match.
-func (l *Layout) prepareRoutes() error {
-	l.hosts = map[string][]*Route{}
+func (l *Layout) checkRoutes() error {
 	for _, r := range l.Routes {
 		if err := l.checkRoute(r); err != nil {
 			return errors.Wrapf(err, "route %q", r.Name)
 		}
-		l.hosts[r.Host] = append(l.hosts[r.Host], r)
 	}
 	for host, routes := range l.hosts {
-		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 		seen := map[string]bool{}
 		for _, r := range routes {
 			if seen[r.Prefix] {
@@ -176,7 +201,7 @@
 
 func (l *Layout) checkRoute(r *Route) error {
 	switch {
-	case r.Host == "":
+	case canonicalHost(r.Host) == "":
 		return errors.New("no host")
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return errors.Newf("prefix %q must begin and end with a slash", r.Prefix)
@@ -201,25 +226,54 @@
 	return nil
 }
 
-// prepareKeys checks the client accounts and records whose each API key is.
-func (l *Layout) prepareKeys() error {
-	l.keys = map[string]*Client{}
+// checkKeys checks the client accounts.
+func (l *Layout) checkKeys() error {
 	for _, c := range l.Clients {
 		if c.Name == "" {
 			return errors.New("client account without a name")
 		}
 		for _, k := range c.Keys {
-			if l.keys[k] != nil && l.keys[k] != c {
+			if l.keys[k] != c {
 				return errors.Newf("client accounts %s and %s share a key", l.keys[k].Name, c.Name)
 			}
-			l.keys[k] = c
 		}
 	}
 	return nil
 }
 
-// Match returns the route of the host with the longest prefix of the path, or nil.
+// canonicalHost returns a host name in the spelling in which names are compared. Case and the dot
+// of the root at the end make no difference (RFC 9110, section 4.2.3; RFC 1034, section 3.1). A port
+// is kept.
+func canonicalHost(host string) string {
+	name, port := splitPort(host)
+	return strings.ToLower(strings.TrimSuffix(name, ".")) + port
+}
+
+// splitPort splits a host into the name, without the brackets of an IPv6 address, and the port with
+// its colon, if there is one.
+func splitPort(host string) (name, port string) {
+	if address, rest, ok := strings.Cut(host, "]"); ok && strings.HasPrefix(address, "[") {
+		return address[1:], rest
+	}
+	if i := strings.IndexByte(host, ':'); i >= 0 && strings.Count(host, ":") == 1 {
+		return host[:i], host[i:]
+	}
+	return host, ""
+}
+
+// Match returns the route of the host with the longest prefix of the path, or nil. Routes whose host
+// names the port of the request go before those without one.
 func (l *Layout) Match(host, path string) *Route {
+	name, port := splitPort(host)
+	if r := l.matchPath(canonicalHost(host), path); r != nil || port == "" {
+		return r
+	}
+	return l.matchPath(canonicalHost(name), path)
+}
+
+// matchPath returns the route of a host in its canonical spelling with the longest prefix of the
+// path, or nil.
+func (l *Layout) matchPath(host, path string) *Route {
 	for _, r := range l.hosts[host] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -7,7 +7,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -255,11 +254,7 @@
 	if !q.layoutConfirmed() {
 		return q.reject(http.StatusServiceUnavailable, "configuration not confirmed", retryAfterLeaderChange)
 	}
-	host := q.httpRequest.Host
-	if name, _, err := net.SplitHostPort(host); err == nil && q.layout.Match(host, q.httpRequest.URL.Path) == nil {
-		host = name
-	}
-	if q.route = q.layout.Match(host, q.httpRequest.URL.Path); q.route == nil {
+	if q.route = q.layout.Match(q.httpRequest.Host, q.httpRequest.URL.Path); q.route == nil {
 		return q.reject(http.StatusNotFound, "no route", 0)
 	}
 	if q.id == "" {
