fleet/consensus: a new group waits for instances that are not in contact yet

What operators could lose: the first configuration, acknowledged while the group had one voter of three, with the disk of that voter.

Cause: a new group acknowledged nothing before it had three voters only if three instances with disks were in contact. Right after its creation its leader has heard none of the others. Elsewhere the wait for leases on older layouts hides it: it takes 2 s with the usual bounds, and nothing where revoke_ms * 4/5 is no more than config_apply_ms.

Change: a replica that has created a group counts it as forming for 1.5 s even with fewer instances in contact. A deployment with fewer than three disks acknowledges its first change that much later at most.

--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -35,6 +35,9 @@
 	// minVoters is the number of voters of a new group before which it acknowledges nothing, if
 	// so many instances with disks are in contact. With fewer the loss of one disk ends the group.
 	minVoters = 3
+	// formingTime is how long after its creation a new group may have voters to come although too
+	// few instances with disks are in contact: they find its leader within a second as a rule.
+	formingTime = 1500 * time.Millisecond
 	// changeTimeout bounds a single membership change.
 	changeTimeout = 2 * time.Second
 )
@@ -78,6 +81,8 @@
 	identity  replica.Identity
 	// formed is true once the group has had minVoters voters.
 	formed atomic.Bool
+	// formingUntil is the instant until which a group that this replica has created is forming.
+	formingUntil atomic.Int64
 	// liveSince holds when instances came into contact, and unreachableSince when members
 	// lost contact. Only the goroutine of loop uses them.
 	liveSince        map[replica.Identity]timer.Instant
@@ -185,6 +190,7 @@
 		return nil
 	}
 	self := replica.Member{Identity: r.identity, Address: replica.Address(r.options.Address), Voter: true}
+	r.formingUntil.Store(int64(r.options.Timer.Now().Add(formingTime)))
 	err := r.node.Bootstrap([]replica.Member{self})
 	if errors.Is(err, replica.ErrAlreadyBootstrapped) {
 		return nil
@@ -278,8 +284,8 @@
 	return nil
 }
 
-// isForming reports whether the group is new, and instances that are in contact are to become
-// voters.
+// isForming reports whether the group is new, and instances that are in contact, or may come into
+// contact soon, are to become voters.
 func (r *Replica) isForming() bool {
 	if !r.options.AllowBootstrap || r.formed.Load() {
 		return false
@@ -294,7 +300,7 @@
 		r.formed.Store(true)
 		return false
 	}
-	return len(r.liveReplicas()) >= minVoters
+	return len(r.liveReplicas()) >= minVoters || r.options.Timer.Now().Before(timer.Instant(r.formingUntil.Load()))
 }
 
 // liveReplicas returns the addresses of the instances in contact that have a disk, this one included.
--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -250,6 +250,14 @@
 	d.Equal(d.voterCount(), 3)
 }
 
+// Guards against a first configuration that depends on one disk because it was sent before the other
+// instances with a disk were in contact with the leader of the new group.
+func TestFirstAcknowledgementBeforeContact(t *testing.T) {
+	d := newDeployment(t, 3, 6)
+	d.proposeLayout(0, 1)
+	d.Equal(d.voterCount(), 3)
+}
+
 // Guards against a control group that loses its majority for good because one instance loses
 // its disk again and again, soon after each start, while no other one is disturbed.
 func TestDiskLostRepeatedly(t *testing.T) {
