control/replica: a new leader applies what is committed before it leads

What clients and operators could see: right after a change of leader, or after all instances have restarted, an instance is told that an older configuration is the newest one and renews its lease on it for 4 s. A change that the former leader had acknowledged is then not in force in time, and a key that it took away may be obeyed.

Cause: HoldsLease was true once the no-op of the term was committed. The entries before it are applied by another goroutine: up to 256 after a restart, one after the other, and at least the newest change on a follower that had not heard of its commit. Polls, leaves and reports were answered from that state. Reads of operators wait for what is committed and were not concerned.

Change: HoldsLease is true once the no-op of the term is applied.

Tests: TestOwnTermCommitRequired now also requires that the lease begins only then. TestLeaseStartsAtSend and TestUnexpectedReplies set the applied entry, so that they still depend on what they are about.

--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,11 +115,13 @@
 // machine is a state machine that records the commands that it applies.
 type machine struct {
 	history *history
+	delay   atomic.Int64 // nanoseconds that each command takes
 	mu      sync.Mutex
 	applied []appliedCommand
 }
 
 func (m *machine) Apply(i replica.Index, command []byte) []byte {
+	time.Sleep(time.Duration(m.delay.Load()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.history.record(i, string(command))
--- a/internal/control/replica/election_test.go
+++ b/internal/control/replica/election_test.go
@@ -331,3 +331,21 @@
 		})
 	}
 }
+
+// Guards against a new leader that answers from its state before it has applied what a former leader
+// has committed and acknowledged.
+func TestLeaseOfStateInArrears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 21, 3).bootstrap()
+		former := c.leader()
+		for _, i := range c.others(former) {
+			i.machine.delay.Store(int64(100 * time.Millisecond))
+		}
+		for k := range 5 {
+			c.propose(fmt.Sprint(k))
+		}
+		c.stop(former, true)
+		is.Equal(len(c.leader().machine.list()), 5)
+	})
+}
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -104,7 +104,7 @@
 	mu          sync.Mutex
 	status      Status
 	leaseEnd    timer.Instant // end of the leader lease
-	ready       bool          // this node leads and has committed an entry of its term
+	ready       bool          // this node leads and has applied an entry of its term
 	leaderKnown bool
 }
 
@@ -283,7 +283,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaseEnd = leaseEnd
-	s.ready = n.role == leader && n.commitIndex >= n.noopIndex
+	// The no-op comes after everything that former leaders have committed and acknowledged.
+	s.ready = n.role == leader && Index(n.appliedIndex.Load()) >= n.noopIndex
 	s.leaderKnown = n.leader.Identity != ""
 	s.status = Status{
 		Group: n.group, Self: n.self, Term: n.term, Leader: n.leader,
@@ -322,8 +323,8 @@
 	return s.status.Leader, s.status.Term, s.leaderKnown
 }
 
-// HoldsLease reports whether this replica is the leader, has committed an entry of its term
-// and holds an unexpired lease.
+// HoldsLease reports whether this replica is the leader, has applied an entry of its term and
+// holds an unexpired lease. Its state machine is then as new as every acknowledged command.
 func (n *Node) HoldsLease() (term Term, ok bool) {
 	s := &n.published
 	s.mu.Lock()
--- a/internal/control/replica/rules_test.go
+++ b/internal/control/replica/rules_test.go
@@ -101,6 +101,7 @@
 			n, clock := leadingNode(t)
 			n.receiveAck("b", tt.identity, &message{term: tt.term, sentAt: clock.Now(), sequence: 1}, 3)
 			is.Equal(n.commitIndex, Index(0))
+			n.appliedIndex.Store(3) // what it would be if the reply counted
 			n.publish()
 			_, ok := n.HoldsLease()
 			is.True(!ok)
@@ -125,6 +126,7 @@
 	sent := clock.Now()
 	clock.Advance(300 * time.Millisecond)
 	n.receiveAck("b", "b", &message{term: 4, sentAt: sent, sequence: 1}, 3)
+	n.appliedIndex.Store(3)
 	n.publish()
 	clock.Advance(199 * time.Millisecond)
 	term, ok := n.HoldsLease()
@@ -137,7 +139,7 @@
 }
 
 // Guards against reads, leases and membership changes by a leader that has not committed an
-// entry of its own term, and against reads that complete before their index is applied.
+// entry of its own term, and against reads and leases before that entry is applied.
 func TestOwnTermCommitRequired(t *testing.T) {
 	is := is.New(t)
 	n, clock := leadingNode(t)
@@ -158,10 +160,16 @@
 	n.receiveAck("b", "b", &message{term: 4, sentAt: clock.Now(), sequence: 3}, 3)
 	n.completeReads()
 	is.Equal(len(r.done), 0) // entry 3 is committed, but not applied
+	n.publish()
+	_, ok = n.HoldsLease()
+	is.True(!ok)
 	n.appliedIndex.Store(3)
 	n.completeReads()
 	is.Equal(len(r.done), 1)
 	is.NoErr(<-r.done)
+	n.publish()
+	_, ok = n.HoldsLease()
+	is.True(ok)
 }
 
 // Guards against handling messages for the former identity at the address of this replica.
