fleet/coordinator: a lost reply that names a new layout is not taken for heard

Cause: a reply reads the version of the layout from the state machine, and its cursor from the coordinator, which counts a change a moment after it is applied. A reply in between named the new version with the cursor of the reply before it. If it was lost, the next poll, from that cursor, passed for proof that the instance knows of the change, and the change could be acknowledged after 0.7 s instead of when the instance can't use the older layout for more than 2 s any more.

Change: the first reply that names a version has a cursor of its own.

--- a/internal/fleet/coordinator/applied_test.go
+++ b/internal/fleet/coordinator/applied_test.go
@@ -76,6 +76,16 @@
 			f.clock.Advance(100 * time.Millisecond)
 			f.poll(is, "a", 1, 0) // again from the former cursor
 		}, testLag - 200*time.Millisecond},
+		{"reply may be lost that was sent before the change counted", func(is *is.I, f *fixture) {
+			r := f.poll(is, "a", 1, 0)
+			f.clock.Advance(100 * time.Millisecond)
+			f.replica.state.OnChange = nil
+			f.proposeLayout(is, 2)
+			f.poll(is, "a", 1, 0)
+			f.coordinator.StateChanged()
+			f.clock.Advance(100 * time.Millisecond)
+			f.poll(is, "a", 1, r.GetCursor())
+		}, testLag - 200*time.Millisecond},
 		{"knows of it", func(is *is.I, f *fixture) {
 			f.poll(is, "a", 1, 0)
 			f.proposeLayout(is, 2)
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -79,6 +79,7 @@
 	period        uint64                    // random identifier of the period; the term on the wire
 	revision      uint64                    // revision of the last change; the cursor on the wire
 	wakeRevision  uint64                    // revision of the last change that waiting polls return for
+	namedLayout   uint64                    // version of the newest layout that a reply has named
 	wakeScheduled bool                      // wake is going to run
 	changed       chan struct{}             // closed and replaced to wake waiting polls
 	applied       chan struct{}             // closed and replaced when an instance has applied a layout or is gone
@@ -135,7 +136,7 @@
 // upstreams. Roll-outs are still tracked.
 // c.mu must be held.
 func (c *Coordinator) reset(term uint64) {
-	c.leaderTerm, c.period, c.revision, c.wakeRevision = term, c.options.Random(), 1, 1
+	c.leaderTerm, c.period, c.revision, c.wakeRevision, c.namedLayout = term, c.options.Random(), 1, 1, 0
 	c.periodStart = c.options.Timer.Now()
 	c.upstreams, c.records = map[string]*upstream{}, map[string]*wire.Upstream{}
 	c.instances, c.loads = map[string]*instance{}, map[string]*load{}
@@ -288,12 +289,17 @@
 
 // reply returns the changes that the caller of a poll does not know. c.mu must be held.
 func (c *Coordinator) reply(q *wire.SyncRequest) *wire.SyncReply {
+	l := c.options.State.Layout()
+	if l.GetVersion() > c.namedLayout {
+		// StateChanged may be about to run. The cursor of no earlier reply may stand for this one.
+		c.namedLayout = l.GetVersion()
+		c.revision++
+	}
 	r := &wire.SyncReply{Term: c.period, Cursor: c.revision, LeasesSlots: true}
 	since := q.GetCursor()
 	if q.GetTerm() != c.period {
 		since = 0
 	}
-	l := c.options.State.Layout()
 	if l.GetVersion() > q.GetLayout() {
 		r.Layout = &wire.Layout{Version: l.GetVersion(), Digest: l.GetDigest()}
 	}
