fleet/coordinator: a change right after an election waits for the new period

What could be seen: a change that reaches a new leader before its first poll, report or check (200 ms) is acknowledged at once, while instances may use the older layout for up to 4 s after the former leader told them of it.

Cause: WaitLayoutApplied looked at the records of the period in which the coordinator was last asked: those of an earlier leadership of this instance, or none since the start of the process. Only polls, reports and checks began a new period.

Change: the wait begins the period of a new term itself. If the instance does not lead any more, the caller is sent to the leader and repeats the change, which is acknowledged there.

Measured: TestWaitLayoutAppliedAfterElection: two of four rows acknowledge at once before; pass now.

--- a/internal/fleet/coordinator/applied.go
+++ b/internal/fleet/coordinator/applied.go
@@ -40,10 +40,15 @@
 
 // WaitLayoutApplied waits until an acknowledged version of the layout is in force in time
 // everywhere: until each instance has applied it, or must stop using an older one soon enough.
-// That does not depend on messages that arrive later. ok is false if the context is done before.
+// That does not depend on messages that arrive later. ok is false if the context is done before,
+// or if this instance does not lead: it can't know what others are told.
 func (c *Coordinator) WaitLayoutApplied(ctx context.Context, version uint64) (ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// Right after an election, the records are those of an earlier period until the first poll.
+	if !c.checkLeadership() {
+		return false
+	}
 	begin := c.options.Timer.Now()
 	for {
 		wait := c.appliedAt(version, begin).Sub(c.options.Timer.Now())
--- a/internal/fleet/coordinator/applied_test.go
+++ b/internal/fleet/coordinator/applied_test.go
@@ -140,3 +140,33 @@
 	f.poll(is, "a", 2, 0)
 	is.True(f.coordinator.WaitLayoutApplied(context.Background(), 2))
 }
+
+// Guards against an acknowledgement that rests on an earlier period: right after an election no poll or
+// report has come yet, and other instances may have been told of the older layout meanwhile. An instance
+// that does not lead knows nothing of them.
+func TestWaitLayoutAppliedAfterElection(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		term uint64
+		lag  time.Duration
+		ok   bool
+	}{
+		{"same period", 1, testLag, true},
+		{"elected again", 2, testLag, false},
+		{"elected again, no lag", 2, 0, true},
+		{"does not lead", 0, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.coordinator.options.ConfirmationLag = c.lag
+			f.poll(is, "a", 2, 0)
+			f.clock.Advance(10 * time.Second)
+			f.replica.term = c.term
+			f.proposeLayout(is, 2)
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel() // does not wait
+			is.Equal(f.coordinator.WaitLayoutApplied(ctx, 2), c.ok)
+		})
+	}
+}
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -118,7 +118,10 @@
 		return nil, err
 	}
 	if l := q.GetCommand().GetLayout(); l != nil && conflict == "" && !s.Coordinator.WaitLayoutApplied(ctx, l.GetVersion()) {
-		return nil, errors.Wrap(context.Cause(ctx), "layout is not in force everywhere")
+		if ctx.Err() != nil {
+			return nil, errors.Wrap(context.Cause(ctx), "layout is not in force everywhere")
+		}
+		return &wire.ProposeReply{Guide: s.leaderInfo()}, nil
 	}
 	return &wire.ProposeReply{Guide: &wire.Guide{Served: true}, Conflict: conflict}, nil
 }
