fleet/coordinator, platform: lines that tell causes of an old configuration apart

Cause: after a report that a change was not in force, the logs didn't say whether the leader had acknowledged it before all instances had it, which version an operator had read, or which host a request without a route had named. Three causes look alike then: an instance with an old layout, an acknowledgement that came too early, and a host in another spelling.

Measured: the tests of both packages pass; no run with load.

--- a/internal/fleet/coordinator/applied.go
+++ b/internal/fleet/coordinator/applied.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
@@ -53,6 +56,8 @@
 	for {
 		wait := c.appliedAt(version, begin).Sub(c.options.Timer.Now())
 		if wait <= 0 {
+			c.options.Log.Info("layout may be acknowledged", zap.Uint64("version", version), zap.Uint64("term", c.leaderTerm),
+				zap.Duration("waited", c.options.Timer.Now().Sub(begin)), zap.Strings("behind", c.behind(version)))
 			return true
 		}
 		applied, expired := c.applied, make(chan struct{})
@@ -71,6 +76,21 @@
 	}
 }
 
+// maxLoggedInstances bounds the names in a log line.
+const maxLoggedInstances = 16
+
+// behind returns the names of instances that have not applied a version of the layout. c.mu must be
+// held.
+func (c *Coordinator) behind(version uint64) (names []string) {
+	for name, i := range c.instances {
+		if i.layoutVersion < version && len(names) < maxLoggedInstances {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // appliedAt returns from when on a version of the layout, for which a wait began at the given
 // instant, may be acknowledged if no instance applies it meanwhile. c.mu must be held.
 func (c *Coordinator) appliedAt(version uint64, begin timer.Instant) (at timer.Instant) {
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -255,6 +255,7 @@
 		return q.reject(http.StatusServiceUnavailable, "configuration not confirmed", retryAfterLeaderChange)
 	}
 	if q.route = q.layout.Match(q.httpRequest.Host, q.httpRequest.URL.Path); q.route == nil {
+		q.log("no route matches", zap.String("host", reportedText(q.httpRequest.Host)), zap.String("path", reportedText(q.httpRequest.URL.Path)))
 		return q.reject(http.StatusNotFound, "no route", 0)
 	}
 	if q.id == "" {
