bench/outage: instances have clocks of their own

Cause: all processes of a run shared the clocks of one machine, so an instant that one process sends or stores compared well in another.

--- a/cmd/bench/gateway.go
+++ b/cmd/bench/gateway.go
@@ -28,8 +28,13 @@
 	if err != nil {
 		return err
 	}
+	clock, err := outage.NewClock()
+	if err != nil {
+		return err
+	}
 	g := group.New(context.Background())
 	defer func() { _ = g.Stop() }()
 	g.Go("network", n.Run)
-	return platform.RunGateway(c.out, platform.Host{DialPeer: n.Dial})
+	g.Go("clock", clock.Run)
+	return platform.RunGateway(c.out, platform.Host{DialPeer: n.Dial, Timer: clock})
 }
--- a/internal/bench/outage/link.go
+++ b/internal/bench/outage/link.go
@@ -59,8 +59,13 @@
 	for l := range ls.blocked {
 		fmt.Fprintln(&b, l.from, l.to)
 	}
-	next := filepath.Join(filepath.Dir(path), ".links")
-	if err := os.WriteFile(next, []byte(b.String()), 0o600); err != nil {
+	return replaceFile(path, b.String())
+}
+
+// replaceFile replaces a file that others read meanwhile.
+func replaceFile(path, text string) error {
+	next := filepath.Join(filepath.Dir(path), "."+filepath.Base(path))
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
 	}
 	return os.Rename(next, path)
--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -88,7 +88,9 @@
 	client   *http.Client
 	group    *group.Group
 	random   *rand.Rand // for the outages
-	started  timer.Instant
+	// clockRandom draws the clocks of processes.
+	clockRandom *rand.Rand
+	started     timer.Instant
 
 	mu        sync.Mutex
 	links     links
@@ -111,7 +113,8 @@
 	r := &run{
 		Options: o, launcher: cluster.NewLauncher(o.Directory), group: group.New(ctx), started: o.Timer.Now(),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		random: rand.New(rand.NewPCG(o.Seed, 1)), links: links{acks: o.Seed%2 == 0, blocked: map[link]bool{}},
+		random: rand.New(rand.NewPCG(o.Seed, 1)), clockRandom: rand.New(rand.NewPCG(o.Seed, 3)),
+		links: links{acks: o.Seed%2 == 0, blocked: map[link]bool{}},
 	}
 	defer func() { err = errors.CombineErrors(err, r.launcher.Close()) }()
 	defer func() { _ = r.group.Stop() }()
@@ -202,8 +205,12 @@
 	if err := r.writeSettings(n, initial); err != nil {
 		return err
 	}
+	if err := r.bootClocks(n); err != nil {
+		return err
+	}
 	n.process, err = r.launcher.StartWithEnv([]string{
 		r.Dialect.EnvironmentVariable(r.settingsPath(n)), LinksVariable + "=" + r.linksPath(), AddressVariable + "=" + n.ip,
+		ClockVariable + "=" + r.clockPath(n),
 	}, n.name, r.Binary, "gateway")
 	return err
 }
