--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -102,6 +102,7 @@
 	// it was in this round.
 	impaired     int
 	majorityLost bool
+	badLinks     bool
 	disturbed    timer.Instant // the last disturbance or return
 	quiet        bool          // no disturbance goes on
 	checks       checks
@@ -114,7 +115,7 @@
 		Options: o, launcher: cluster.NewLauncher(o.Directory), group: group.New(ctx), started: o.Timer.Now(),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		random: rand.New(rand.NewPCG(o.Seed, 1)), clockRandom: rand.New(rand.NewPCG(o.Seed, 3)),
-		links: links{acks: o.Seed%2 == 0, blocked: map[link]bool{}},
+		links: links{acks: o.Seed%2 == 0, blocked: map[link]bool{}, seed: o.Seed},
 	}
 	defer func() { err = errors.CombineErrors(err, r.launcher.Close()) }()
 	defer func() { _ = r.group.Stop() }()
@@ -282,8 +283,11 @@
 }
 
 // settledBefore reports whether instances must be in contact again since an instant. A machine that
-// is too busy for the instances is a disturbance too. r.mu must be held.
+// is too busy for the instances is a disturbance too, and so are bad links. r.mu must be held.
 func (r *run) settledBefore(at timer.Instant) bool {
+	if r.badLinks {
+		return false
+	}
 	contact := r.Size.Contact
 	if r.majorityLost {
 		contact *= 2
