bench/outage: clients send in small pieces, half-close and lose responses

Cause: operators and readers sent each request in one piece over a new connection and always read the response.

The checks are the same.

--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -113,7 +113,7 @@
 func Run(ctx context.Context, o Options) (err error) {
 	r := &run{
 		Options: o, launcher: cluster.NewLauncher(o.Directory), group: group.New(ctx), started: o.Timer.Now(),
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Transport: newTransport(o.Seed, soak.Host, o.Timer)},
 		random: rand.New(rand.NewPCG(o.Seed, 1)), clockRandom: rand.New(rand.NewPCG(o.Seed, 3)),
 		links: links{acks: o.Seed%2 == 0, blocked: map[link]bool{}, seed: o.Seed},
 	}
