fleet/suspect: crashes before the boot of the leader's machine count

What callers saw: a deadly part of prompts is put into quarantine later, if at all, when the machine of a new leader has just been booted.

Cause: instances report how long ago a crash was noticed. With a monotonic clock near zero the crash lies at a negative instant, and zero, which stood for no response, counted as a response after it. All but the first crash with the part were ignored.

Change: no response is an instant before all others.

Measured: the added row of TestEvidence fails before and passes now.

--- a/internal/fleet/suspect/suspect.go
+++ b/internal/fleet/suspect/suspect.go
@@ -99,6 +99,9 @@
 	explained bool
 }
 
+// never is before every instant of a timer. Instants before the boot of the machine are negative.
+const never = timer.Instant(-1 << 62)
+
 // suspicion is what is known about one part.
 type suspicion struct {
 	service layout.Service
@@ -110,7 +113,7 @@
 	watchedAt       timer.Instant
 	responsesBefore int
 	watchedUntil    timer.Instant
-	respondedAt     timer.Instant // last response, or 0
+	respondedAt     timer.Instant // last response, or never
 	// ambiguous is true if the part was in all requests with one that is in quarantine now.
 	ambiguous bool
 }
@@ -147,7 +150,7 @@
 			if len(t.suspicions) >= maxParts {
 				continue
 			}
-			s = &suspicion{service: k.Service, crashes: map[Incarnation][]uint64{}}
+			s = &suspicion{service: k.Service, crashes: map[Incarnation][]uint64{}, respondedAt: never}
 			t.suspicions[p] = s
 		}
 		s.depth = max(s.depth, depth)
@@ -233,7 +236,7 @@
 	switch {
 	case s.ambiguous:
 		return sufficientAfterVerdict
-	case s.respondedAt > 0 && now.Sub(s.respondedAt) < responseMemory:
+	case now.Sub(s.respondedAt) < responseMemory:
 		return sufficientAfterResponse
 	default:
 		return sufficient
--- a/internal/fleet/suspect/suspect_test.go
+++ b/internal/fleet/suspect/suspect_test.go
@@ -140,6 +140,14 @@
 			}
 			f.respond(20)
 		}, "bad"},
+		{"crashes before the machine of the leader was booted", func(f *fixture) {
+			f.now = timer.Instant(time.Second)
+			for n := range 4 {
+				age := 5*time.Second - time.Duration(n)*crashInterval
+				f.tracker.RecordCrash(Crash{Incarnation{strconv.Itoa(n), 1}, "pool", uint64(n), []Part{"bad"}, age}, f.now)
+			}
+			f.respond(2)
+		}, "bad"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t)
