bench/outage: a probe for a route ends with the next document

Cause: a probe asks for the route that the newest acknowledged document added, and a 404 counts if no other document was on its way before and after the probe.

Change: a 404 counts if no newer document was sent until the answer. All cases that the check is about still count.

--- a/internal/bench/outage/checks.go
+++ b/internal/bench/outage/checks.go
@@ -291,9 +291,10 @@
 	begin, to, path := p.Timer.Now(), p.up(p.random), soak.ReadPath
 	p.mu.Lock()
 	c := &p.checks
-	current := c.newest == c.acknowledged && c.acknowledgedAt.Add(soak.PropagationDelay) < begin
+	version := c.acknowledged
+	current := c.newest == version && c.acknowledgedAt.Add(soak.PropagationDelay) < begin
 	if current {
-		path = document(c.acknowledged).AddedPath
+		path = document(version).AddedPath
 	}
 	p.mu.Unlock()
 	q, err := http.NewRequest(http.MethodGet, "http://"+p.Dialect.FrontendAddress(to.ip)+path+"x", nil)
@@ -311,7 +312,7 @@
 		return nil
 	}
 	p.mu.Lock()
-	current = current && c.newest == c.acknowledged
+	current = current && c.newest == version
 	p.mu.Unlock()
 	switch {
 	case strings.Contains(body, "not confirmed"):
