gateway/caller: a half-closed caller gets no success that no upstream sent

What callers saw: one that closes its sending side after the request and still reads got 200 with an empty body, or a stream that ended early and looked complete.

Cause: net/http cancels the context of a request at the end of the input, and the handler took that for a caller that has gone and returned without a response. net/http then writes an empty one with status 200, or the last chunk of a body that has begun.

Change: such a request gets 502 if it may have run and 503 if it has not, and a response that has begun is broken off. It still ends with the input, since a caller that leaves must not keep an upstream busy.

Measured: TestHalfClosedCaller fails in all three rows before and passes now (5 times); the package's tests pass.

--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -156,9 +156,19 @@
 // giveUp answers a request that is not retried. failed is the last exchange with an error
 // response of an upstream, and refused tells whether an upstream refused the request.
 func (q *request) giveUp(failed *exchange, refused bool) {
-	switch {
-	case q.httpRequest.Context().Err() != nil:
+	left := q.httpRequest.Context().Err() != nil
+	if left {
 		q.log("caller left", zap.Int("ran", q.executions))
+	}
+	switch {
+	case left && q.responseStarted:
+		panic(http.ErrAbortHandler)
+	// The caller may have closed only its sending side. Without a response, net/http would write an
+	// empty one with status 200.
+	case left && q.executions > 0:
+		q.writeError(http.StatusBadGateway, "the caller closed its connection", "unknown")
+	case left:
+		q.writeError(http.StatusServiceUnavailable, "the caller closed its connection", "not run")
 	case q.responseStarted:
 		q.log("answer broken off", zap.Int64("position", q.lastEventID))
 		// Abort the connection, so that the truncated body does not look complete.
