--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -21,7 +21,23 @@
 	registryPort = "8224"
 )
 
-var zones = []string{"lakes-a", "lakes-b", "lakes-c"}
+// site holds the figures in which deployments differ.
+type site struct {
+	zones        []string
+	region       string
+	machines     int
+	extraRetries int
+	cpuShare     float64 // of machines without a disk
+}
+
+var lakes = []string{"lakes-a", "lakes-b", "lakes-c"}
+
+// sites are the deployments that cases can be played with.
+var sites = map[string]site{
+	"review":         {lakes, "great-lakes", 6, 64, 0.72},
+	"harbison-lakes": {lakes, "great-lakes", 12, 64, 0.4},
+	"gnsw-frostline": {[]string{"concord", "montpelier", "worcester"}, "new-england", 9, 58, 0.4},
+}
 
 // machine is a machine of the small deployment, with one gateway process.
 type machine struct {
@@ -37,8 +53,9 @@
 	starts  int
 }
 
-// cluster is the deployment: three machines with a disk and three without one.
+// cluster is the deployment: three machines with a disk and others without one.
 type cluster struct {
+	site     site
 	folder   string // temporary folder
 	keep     bool   // it is not removed
 	binary   string
@@ -46,18 +63,18 @@
 	machines []*machine
 }
 
-func newCluster(binary string, r *record) (*cluster, error) {
+func newCluster(binary string, s site, r *record) (*cluster, error) {
 	folder, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{folder: folder, binary: binary, record: r}
-	subnet, err := freeSubnet()
+	c := &cluster{site: s, folder: folder, binary: binary, record: r}
+	subnet, err := freeSubnet(s.machines)
 	if err != nil {
 		return nil, err
 	}
-	for i := range 6 {
-		m := &machine{cluster: c, name: fmt.Sprintf("frontend-%s-%d", zones[i%3], 1+i/3), ip: fmt.Sprintf("%s.%d", subnet, 10+i), zone: zones[i%3]}
+	for i := range s.machines {
+		m := &machine{cluster: c, name: fmt.Sprintf("frontend-%s-%d", s.zones[i%3], 1+i/3), ip: fmt.Sprintf("%s.%d", subnet, 10+i), zone: s.zones[i%3]}
 		if i < 3 {
 			m.disk = filepath.Join(folder, "disk-"+m.name)
 		}
@@ -67,11 +84,11 @@
 }
 
 // freeSubnet returns the first three bytes of loopback addresses whose ports are free.
-func freeSubnet() (string, error) {
+func freeSubnet(machines int) (string, error) {
 	for i := range 200 {
 		subnet := fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+i)%200, 1+(os.Getpid()/200+i)%250)
 		free := true
-		for n := 10; n < 16 && free; n++ {
+		for n := 10; n < 10+machines && free; n++ {
 			for _, port := range []string{frontendPort, readyPort, controlPort, registryPort, "7340", "9464"} {
 				l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%s", subnet, n, port))
 				if err != nil {
@@ -92,27 +109,37 @@
 
 // settings returns the settings file of the machine's process.
 func (m *machine) settings(initialStart bool) string {
+	s := m.cluster.site
+	share := s.cpuShare
+	if m.disk != "" {
+		share = 0.72
+	}
 	var b bytes.Buffer
 	var seeds []string
-	for _, s := range m.cluster.machines[:3] {
-		seeds = append(seeds, fmt.Sprintf("%q", s.address(controlPort)))
+	for _, n := range m.cluster.machines[:3] {
+		seeds = append(seeds, fmt.Sprintf("%q", n.address(controlPort)))
 	}
 	fmt.Fprintf(&b, "node_name = %q\nrole = \"gateway\"\nmachine_class = \"frontend\"\nserves = [\"frontend\",\"control_plane\",\"registry\"]\n", m.name)
-	fmt.Fprintf(&b, "ip = %q\nzone = %q\nregion = \"great-lakes\"\ninternal_port_range = [7340,7355]\nseed_nodes = [%s]\n", m.ip, m.zone, strings.Join(seeds, ","))
+	fmt.Fprintf(&b, "ip = %q\nzone = %q\nregion = %q\ninternal_port_range = [7340,7355]\nseed_nodes = [%s]\n", m.ip, m.zone, s.region, strings.Join(seeds, ","))
 	fmt.Fprintf(&b, "initial_start = %t\nfault_counted = %t\n", initialStart, m.disk != "")
 	if m.disk != "" {
 		fmt.Fprintf(&b, "data_directory = %q\n", m.disk)
 	}
 	b.WriteString("discovery = \"registration\"\nentry = \"registry\"\nheartbeat_interval_ms = 1200\n")
 	b.WriteString("contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"rollout\"]\nconfiguration_mode = \"highest\"\n")
-	b.WriteString("[zones]\nlakes-a = \"great-lakes\"\nlakes-b = \"great-lakes\"\nlakes-c = \"great-lakes\"\n")
+	b.WriteString("[zones]\n")
+	for _, z := range s.zones {
+		fmt.Fprintf(&b, "%s = %q\n", z, s.region)
+	}
 	fmt.Fprintf(&b, "[listen_addresses]\nfrontend = %q\nreadiness = %q\ncontrol_plane = %q\ndirectory = %q\n",
 		m.address(frontendPort), m.address(readyPort), m.address(controlPort), m.address(registryPort))
-	b.WriteString("[limits]\ncpu_share = 0.72\ncores = 1\nmemory_mb = 284\nfile_descriptors = 4100\nlink_mbps = 1000.0\ndisk_mb = 64\n")
+	fmt.Fprintf(&b, "[limits]\ncpu_share = %g\ncores = 1\nmemory_mb = 284\nfile_descriptors = 4100\nlink_mbps = 1000.0\ndisk_mb = 64\n", share)
 	b.WriteString("[fault_tolerance]\nmachines = 1\nzones = 0\nregions = 0\n")
 	b.WriteString("[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = 3000\nack_ms = 4000\ncatch_up_s = 4\ndrain_ms = 2000\ngrace_s = 8\n" +
 		"loss_slack_ms = 200\nconfig_apply_ms = 2000\ndowngrade_slack_ms = 250\nouter_bound_ms = 5000\nrevocation_strict = true\nrevoke_ms = 5000\n" +
-		"retry_budget_ratio = 0.9\nbudget_window_s = 10\nbudget_extra_retries = 64\nexposure_share = 0.15\nexposure_slack = 30\nrollback_ms = 5000\n" +
+		"retry_budget_ratio = 0.9\nbudget_window_s = 10\n")
+	fmt.Fprintf(&b, "budget_extra_retries = %d\n", s.extraRetries)
+	b.WriteString("exposure_share = 0.15\nexposure_slack = 30\nrollback_ms = 5000\n" +
 		"recovery_s = 12\npass_ms = 120\nreuse_window_s = 10\nsession_s = 5\nttl_max_s = 5\n")
 	return b.String()
 }
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -36,11 +36,17 @@
 	name := flag.String("case", "", "name of the case")
 	binary := flag.String("binary", "target/wisteriakeel", "the program under test")
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
+	place := flag.String("site", "review", "deployment: review, harbison-lakes or gnsw-frostline")
 	flag.Parse()
-	os.Exit(runCase(*name, *binary, *path, os.Getenv("TROUBLE") != "0"))
+	s, ok := sites[*place]
+	if !ok {
+		fmt.Fprintf(os.Stderr, "no site %q\n", *place)
+		os.Exit(exitFailed)
+	}
+	os.Exit(runCase(*name, *binary, s, *path, os.Getenv("TROUBLE") != "0"))
 }
 
-func runCase(name, binary, path string, trouble bool) int {
+func runCase(name, binary string, s site, path string, trouble bool) int {
 	p, ok := plays[name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "no case %q\n", name)
@@ -51,7 +57,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	c, err := newCluster(binary, r)
+	c, err := newCluster(binary, s, r)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/review/harness/standins.go
+++ b/review/harness/standins.go
@@ -142,7 +142,7 @@
 		return nil, err
 	}
 	w := &worker{
-		cluster: c, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zones[index%3], born: time.Now().UnixMilli(),
+		cluster: c, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: c.site.zones[index%3], born: time.Now().UnixMilli(),
 		listener: l, confidence: 90, done: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w}
@@ -289,11 +289,11 @@
 
 // resolve asks up to three machines, those of the client's zone first.
 func (t *traffic) resolve(index int) ([]string, time.Duration) {
-	zone := zones[index%3]
+	zone := t.cluster.site.zones[index%3]
 	c := &http.Client{Timeout: time.Second}
 	for k := range 3 {
 		m := t.cluster.machines[(index+k)%len(t.cluster.machines)]
-		r, err := c.Get("http://" + m.address(registryPort) + "/wisteriakeel/resolution?name=" + host + "&region=great-lakes&zone=" + zone)
+		r, err := c.Get("http://" + m.address(registryPort) + "/wisteriakeel/resolution?name=" + host + "&region=" + t.cluster.site.region + "&zone=" + zone)
 		if err != nil {
 			continue
 		}
