bench/outage: losses of disks, also with earlier releases

Cause: earlier releases have no network of the bench, so that a run could not be compared with them, and no outage wiped a disk while another one had just been wiped.

Hosts that are lost reset their connections then; outages that only the network can play are refused. New outages: wipe-once, wipe-again, wipe-in-turn, restart-all.

--- a/cmd/bench/outage.go
+++ b/cmd/bench/outage.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
@@ -29,12 +30,17 @@
 	Outages   []string `long:"outage" description:"name of an outage, once for each, in the order to play; default: all, shuffled"`
 	Grown     bool     `long:"grown" description:"eight instances with a disk, two of which may be lost, instead of three and one"`
 	Instances int      `long:"instances" description:"number of instances; default: 9, or 69 with --grown"`
+	Binary    string   `long:"binary" description:"program of an earlier release to run, on plain loopback; default: this program"`
 	Folder    string   `long:"folder" description:"where settings, disks and logs are kept; default: a temporary directory"`
 }
 
 // Execute runs the seeds one after the other. It keeps the directories of failed seeds and prints their paths.
 func (c *outageCommand) Execute([]string) error {
-	binary, err := os.Executable()
+	find := os.Executable
+	if c.Binary != "" {
+		find = func() (string, error) { return filepath.Abs(c.Binary) }
+	}
+	binary, err := find()
 	if err != nil {
 		return err
 	}
@@ -49,7 +55,7 @@
 	return runs.run(func(ctx context.Context, seed uint64, directory string) error {
 		_, _ = fmt.Fprintf(c.out, "seed %d: %d instances, %d with a disk, outages %s\n", seed, size.Instances, size.Disks, strings.Join(c.Outages, " "))
 		return outage.Run(ctx, outage.Options{
-			Dialect: dialect.Dialect{}, Binary: binary, Directory: directory, Seed: seed, Size: size, Patterns: c.Outages, Rounds: c.Rounds,
+			Dialect: dialect.Dialect{}, Binary: binary, Plain: c.Binary != "", Directory: directory, Seed: seed, Size: size, Patterns: c.Outages, Rounds: c.Rounds,
 			Timer: timer.NewSystem(), Out: c.out,
 		})
 	})
--- a/internal/bench/outage/actions.go
+++ b/internal/bench/outage/actions.go
@@ -67,6 +67,10 @@
 
 // vanish kills instances whose connections to all others fall silent before.
 func (r *run) vanish(list ...*instance) {
+	if r.Plain {
+		r.kill(list...)
+		return
+	}
 	r.printf("%s vanish", namesOf(list))
 	r.impair(true, list...)
 	r.updateLinks(func(ls *links) {
--- /dev/null
+++ b/internal/bench/outage/losses.go
@@ -0,0 +1,132 @@
+package outage
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+)
+
+// withoutNetwork lists the outages that a program without the network of this package can play.
+var withoutNetwork = []string{"freeze", "lost-hosts", "replace", "restart-all", "silent-leader", "wipe-again", "wipe-in-turn", "wipe-once"}
+
+// catchUp is how long after its start or return an instance still counts as lost.
+const catchUp = 4 * time.Second
+
+// outages returns the names of the outages to play: all that can be played, shuffled, if none are
+// named.
+func (r *run) outages() ([]string, error) {
+	names := slices.Clone(r.Patterns)
+	if len(names) == 0 {
+		names = Patterns()
+		if r.Plain {
+			names = slices.Clone(withoutNetwork)
+		}
+		r.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	}
+	for _, name := range names {
+		if r.Plain && !slices.Contains(withoutNetwork, name) {
+			return nil, errors.Newf("%s needs the network of bench gateway, other programs play %s", name, strings.Join(withoutNetwork, ", "))
+		}
+	}
+	return names, nil
+}
+
+// wipeOnce wipes the disk of one instance right after an acknowledgement. In the first round the
+// deployment has just started.
+func wipeOnce(ctx context.Context, r *run) error {
+	n := r.core[r.random.IntN(len(r.core))]
+	r.awaitChange(ctx)
+	r.kill(n)
+	if err := r.sleep(ctx, time.Second, time.Second); err != nil {
+		return err
+	}
+	return r.restore(true, n)
+}
+
+// wipeInTurn wipes one disk, and a second one when the first has caught up and all lose power.
+func wipeInTurn(ctx context.Context, r *run) error {
+	list := slices.Clone(r.core)
+	r.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if err := r.sleep(ctx, catchUp, catchUp); err != nil {
+		return err
+	}
+	r.kill(list[0])
+	if err := r.sleep(ctx, time.Second, time.Second); err != nil {
+		return err
+	}
+	if err := r.restore(true, list[0]); err != nil {
+		return err
+	}
+	if err := r.sleep(ctx, catchUp, catchUp+time.Second); err != nil {
+		return err
+	}
+	return r.restartWith(ctx, list[1])
+}
+
+// wipeAgain wipes the same disk again and again, soon after each start of its instance.
+func wipeAgain(ctx context.Context, r *run) error {
+	if err := r.sleep(ctx, catchUp, catchUp); err != nil {
+		return err
+	}
+	leader := r.leader()
+	at := slices.IndexFunc(r.core, func(n *instance) bool { return n != leader })
+	for range 9 {
+		r.kill(r.core[at])
+		if err := r.sleep(ctx, 300*time.Millisecond, 300*time.Millisecond); err != nil {
+			return err
+		}
+		if err := r.restore(true, r.core[at]); err != nil {
+			return err
+		}
+		if err := r.sleep(ctx, 250*time.Millisecond, 700*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restartAll kills all instances and wipes one disk in half of the cases.
+func restartAll(ctx context.Context, r *run) error {
+	if err := r.sleep(ctx, catchUp, catchUp); err != nil {
+		return err
+	}
+	var wiped *instance
+	if r.random.IntN(2) == 0 {
+		wiped = r.core[r.random.IntN(len(r.core))]
+	}
+	return r.restartWith(ctx, wiped)
+}
+
+// awaitChange waits for the next acknowledged change, but no longer than the recovery time: a
+// deployment that was lost before acknowledges none.
+func (r *run) awaitChange(ctx context.Context) {
+	ctx, cancel := timer.WithTimeout(ctx, r.Timer, r.Size.Recovery)
+	defer cancel()
+	_ = r.awaitAcknowledgement(ctx)
+}
+
+// restartWith kills all instances right after an acknowledgement, wipes the disk of one unless it is
+// nil, and starts all.
+func (r *run) restartWith(ctx context.Context, wiped *instance) error {
+	r.awaitChange(ctx)
+	// Some changes are on their way.
+	if err := r.sleep(ctx, 0, 400*time.Millisecond); err != nil {
+		return err
+	}
+	all := slices.Clone(r.instances)
+	r.kill(all...)
+	if err := r.sleep(ctx, time.Second, 3*time.Second); err != nil {
+		return err
+	}
+	if wiped != nil {
+		if err := r.restore(true, wiped); err != nil {
+			return err
+		}
+	}
+	return r.restore(false, slices.DeleteFunc(all, func(n *instance) bool { return n == wiped })...)
+}
--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -55,8 +55,11 @@
 
 // Options configures a run.
 type Options struct {
-	Dialect   soak.Dialect
-	Binary    string // absolute path of bench
+	Dialect soak.Dialect
+	Binary  string // absolute path of bench, or of a program with the same command gateway
+	// Plain is set for a program without the network of this package, such as an earlier release.
+	// Connections to a lost host are then reset, and outages that only the network can play are refused.
+	Plain     bool
 	Directory string // for settings, data directories and logs
 	Seed      uint64
 	Size      Size
@@ -116,13 +119,12 @@
 	defer func() { err = errors.CombineErrors(err, r.launcher.Close()) }()
 	defer func() { _ = r.group.Stop() }()
 	defer func() { err = errors.Wrapf(err, "seed %d", o.Seed) }()
-	if err := r.start(ctx); err != nil {
+	names, err := r.outages()
+	if err != nil {
 		return err
 	}
-	names := o.Patterns
-	if len(names) == 0 {
-		names = Patterns()
-		r.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	if err := r.start(ctx); err != nil {
+		return err
 	}
 	for i := range o.Rounds {
 		if err := r.playRound(ctx, names[i%len(names)]); err != nil {
--- a/internal/bench/outage/outage_test.go
+++ b/internal/bench/outage/outage_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -64,6 +66,19 @@
 	play(t, 600, "stale", len(seeds))
 }
 
+// Guards against an earlier release that plays an outage without the network that it needs, and so
+// appears to hold.
+func TestNetworkNeeded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	err := outage.Run(context.Background(), outage.Options{
+		Dialect: dialect.Dialect{}, Binary: binary, Plain: true, Directory: t.TempDir(), Size: outage.Small,
+		Patterns: []string{"freeze", "isolate"}, Rounds: 2, Timer: timer.NewSystem(), Out: io.Discard,
+	})
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "isolate needs the network"))
+}
+
 // play plays one outage on the small deployment.
 func play(t *testing.T, seed uint64, pattern string, subnet int) {
 	is := is.New(t)
--- a/internal/bench/outage/patterns.go
+++ b/internal/bench/outage/patterns.go
@@ -11,6 +11,7 @@
 var patterns = map[string]func(ctx context.Context, r *run) error{
 	"isolate": isolate, "behind": behind, "relieve": relieve, "both": both, "halves": halves, "dark": dark, "long-cut": longCut,
 	"silent-leader": silentLeader, "lost-hosts": lostHosts, "orphan": orphan, "stale": stale, "freeze": freeze, "replace": replace, "series": series, "stale-lost": staleLost,
+	"wipe-once": wipeOnce, "wipe-in-turn": wipeInTurn, "wipe-again": wipeAgain, "restart-all": restartAll,
 }
 
 // Patterns returns the names of all outages.
