gateway/caller: a body that does not arrive ends with the time limit

What callers saw: a request whose body stops arriving got no answer at all, whatever the time limit of its route or its own.

Cause: the time limit was set only once the body had been read.

Change: the time limit holds while the body is read too; it ends with 408, which says that the request has not run. A time limit of the caller that is no number gets 400 before the body is read.

--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -263,9 +263,6 @@
 	if !q.authenticate() {
 		return false
 	}
-	if !q.readBody() {
-		return false
-	}
 	q.timeout = q.route.Timeout
 	if v := q.httpRequest.Header.Get(q.Protocol.Deadline); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
@@ -274,6 +271,9 @@
 		}
 		q.timeout = min(q.timeout, time.Duration(ms)*time.Millisecond)
 	}
+	if !q.readBody() {
+		return false
+	}
 	q.service = q.route.PickService(q.randomFloat())
 	q.readRoutingHeaders()
 	q.fingerprint = q.computeFingerprint()
@@ -338,7 +338,7 @@
 	return true
 }
 
-// readBody reads the body up to the size limit of the layout.
+// readBody reads the body up to the size limit of the layout, and within the time limit.
 func (q *request) readBody() bool {
 	limit := int64(defaultMaxBodyBytes)
 	if q.layout.Limits.MaxBodyBytes > 0 {
@@ -349,6 +349,8 @@
 	}
 	q.readingBody.Store(true)
 	defer q.readingBody.Store(false)
+	stop := q.Timer.AfterFunc(q.remaining(), func() { q.end(errTimeout) })
+	defer stop()
 	if q.finishing.Load() {
 		return q.reject(http.StatusServiceUnavailable, "instance is stopping", retryOtherInstance)
 	}
@@ -363,6 +365,9 @@
 	if err != nil && errors.Is(context.Cause(q.ctx), errStopping) {
 		return q.reject(http.StatusServiceUnavailable, "instance is stopping", retryOtherInstance)
 	}
+	if err != nil && errors.Is(context.Cause(q.ctx), errTimeout) {
+		return q.reject(http.StatusRequestTimeout, "time limit passed before the body had arrived", 0)
+	}
 	if err != nil {
 		q.log("cannot read the request body", journal.Error(err))
 		return q.reject(http.StatusBadRequest, "body cannot be read", 0)
--- a/internal/gateway/caller/shutdown.go
+++ b/internal/gateway/caller/shutdown.go
@@ -35,7 +35,7 @@
 	defer h.progressMu.Unlock()
 	for q := range h.inProgress {
 		if selected(q) {
-			q.end()
+			q.end(errStopping)
 		}
 	}
 }
@@ -54,9 +54,9 @@
 	}
 }
 
-// end cancels the request, or the reading of its body.
-func (q *request) end() {
-	q.cancel(errStopping)
+// end cancels the request, and the reading of its body.
+func (q *request) end(cause error) {
+	q.cancel(cause)
 	if q.readingBody.Load() {
 		if err := http.NewResponseController(q.writer).SetReadDeadline(time.Unix(1, 0)); err != nil {
 			q.Log.Debug("cannot end the reading of a body", journal.Error(err))
