gateway/httpserver: OPTIONS * is answered by the handler

Cause: net/http answers OPTIONS * with 200 by itself, so a caller got a success that no upstream had sent, also while the instance knew no configuration.

Change: the handler gets such a request and answers 404, since no route matches it, or 503.

Measured: TestOptionsForServer gets 200 before and 404 now.

--- a/internal/gateway/httpserver/server.go
+++ b/internal/gateway/httpserver/server.go
@@ -107,7 +107,7 @@
 		}
 		s.endpoints = append(s.endpoints, &endpoint{Endpoint: e, listener: &halfReadListener{l, &s.halfRead}, server: &http.Server{
 			Handler: e.Handler, ConnState: recordState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
+			MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, DisableGeneralOptionsHandler: true,
 		}})
 	}
 	return s, nil
--- a/internal/gateway/httpserver/server_test.go
+++ b/internal/gateway/httpserver/server_test.go
@@ -1,7 +1,11 @@
 package httpserver
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -79,3 +83,23 @@
 		})
 	}
 }
+
+// Guards against a success that no upstream has sent: net/http answers OPTIONS * by itself.
+func TestOptionsForServer(t *testing.T) {
+	is := is.New(t)
+	s, err := New(Options{
+		Endpoints: []Endpoint{{Name: "callers", Address: freeAddress(t), Handler: http.NotFoundHandler()}}, Timer: timer.NewSystem(), Log: zap.NewNop(),
+	})
+	is.NoErr(err)
+	e := s.endpoints[0]
+	defer func() { _ = e.listener.Close() }()
+	conn, err := net.Dial("tcp", e.listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	go func() { _ = e.serve(context.Background()) }()
+	_, err = io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusNotFound)
+}
