fleet/view: announcements of ready upstreams wait for the first layout

Cause: an instance without a layout, as in the second after a restart, took announcements for any service. One of another writer, for a service that no layout names and with the address of an upstream in use, took that upstream out at all instances for good, since the later start at an address counts and an incarnation that has left never returns.

Change: ready upstreams that the instance doesn't know wait until the first layout names their service, as they do later. It sends no requests before. One that drains is still passed on: its leave is acknowledged.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -273,10 +273,16 @@
 }
 
 // isNamed reports whether an upstream is known, or the layout names its service. The end of any
-// upstream counts, and before the first layout any service may be named. v.mu must be held.
+// upstream counts. Before the first layout no service is named, and no upstream gets requests; one that
+// drains is reported all the same, since it may rely on the acknowledgement. v.mu must be held.
 func (v *View) isNamed(u *wire.Upstream) bool {
-	l := v.Layout()
-	return l == nil || l.Pool(layout.Service(u.GetService())) != nil || v.upstreams[u.GetId()] != nil || u.GetStage() == wire.Stage_STAGE_LEFT
+	if v.upstreams[u.GetId()] != nil || u.GetStage() == wire.Stage_STAGE_LEFT {
+		return true
+	}
+	if l := v.Layout(); l != nil {
+		return l.Pool(layout.Service(u.GetService())) != nil
+	}
+	return u.GetStage() != wire.Stage_STAGE_READY
 }
 
 // applyNamed applies the announcements that waited for the current layout. v.mu must be held.
