bench/soak: documents may have further routes, services and accounts

Cause: the documents of the benches had one route and one key that change. Routes that move, are split or public, services that are dropped, accounts that pass a key on and invalid documents could not be sent.

Change: a document names further routes, services and accounts, and may be cut short. The documents of the soak stay as they were.

--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -36,6 +36,8 @@
 	PoolService = "pool"
 	Account     = "steady"
 	APIKey      = "steady-key"
+	// ChangingAccount has the API key of the document.
+	ChangingAccount = "changing"
 	// RouteTimeout is the time limit of a request on every route.
 	RouteTimeout = 4 * time.Second
 )
@@ -90,8 +92,37 @@
 	APIKey    string
 	// ExtraRoutes is the number of further routes, which make the document larger.
 	ExtraRoutes int
+	// Routes, Services and Accounts come on top of those that all documents have.
+	Routes   []Route
+	Services []string
+	Accounts []ClientAccount
+	// Truncated cuts the end of the document off.
+	Truncated bool
 }
 
+// Route is a route of idempotent requests.
+type Route struct {
+	Host, Path string
+	Shares     []Share
+	Timeout    time.Duration
+	Public     bool
+}
+
+// Share is a service with its weight in a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// ClientAccount is a client account with its API keys.
+type ClientAccount struct {
+	Name string
+	Keys []string
+}
+
+// ExtraPath returns the path of one of the extra routes.
+func (d *Document) ExtraPath(i int) string { return fmt.Sprintf("/extra-%d-%d/", d.Version, i) }
+
 // Announcement is what an upstream announces to an instance.
 type Announcement struct {
 	ID, Service, Address, Zone string
