bench/outage: each promise about changes is a check on real processes

Cause: the run checked reads, refusals for want of confirmation and the newest route only. Nothing ran behind the instances, so a dropped route, a withdrawn key, an old service or an invalid document that was obeyed went unseen.

Change: ten upstreams of five services record what runs. Documents change routes, services, shares, time limits, keys and spellings of the host with the version. The operator also sends invalid documents, two contents of one version, other content under the version held, and older and acknowledged changes again. Each outcome is compared with the versions that may be in force; probes go to instances that are cut off or frozen, too.

--- a/internal/bench/outage/actions.go
+++ b/internal/bench/outage/actions.go
@@ -169,27 +169,6 @@
 	return nil
 }
 
-// insister sends a change to one instance until it answers.
-type insister struct {
-	*run
-	change *pendingChange
-	to     *instance
-}
-
-func (i *insister) loop(ctx context.Context) error {
-	for ctx.Err() == nil && !i.attempt(ctx, i.change, i.to) {
-		_ = timer.Sleep(ctx, i.Timer, pause)
-	}
-	return nil
-}
-
-// insist sends two changes at once to one instance until it answers.
-func (r *run) insist(to *instance) {
-	for range 2 {
-		r.group.Go("insister", (&insister{r, r.nextChange(), to}).loop)
-	}
-}
-
 // awaitAcknowledgement waits for the next acknowledged change.
 func (r *run) awaitAcknowledgement(ctx context.Context) error {
 	acknowledged := func() int {
--- a/internal/bench/outage/checks.go
+++ b/internal/bench/outage/checks.go
@@ -8,12 +8,10 @@
 	"net/http"
 	"regexp"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"wisteriakeel.example/wisteriakeel/internal/bench/soak"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
@@ -23,19 +21,45 @@
 	acknowledged   int // newest version that was acknowledged
 	acknowledgedAt timer.Instant
 	counts         map[string]int
-	violations     []string
-	round          string
-	firstRead      timer.Instant
-	lastRead       timer.Instant
-	gap            time.Duration
-	slowestChange  time.Duration
-	stall          time.Duration // of this process
-	lateAt         timer.Instant // when this process last ran late by more than maxLate
+	history        history
+	requests       map[string]*request // by ID
+	// Requests on the route of all documents and on routes that were added later, and requests that
+	// exceeded the time limit of their route, those with an answer in time and all.
+	first, later, exceeded share
+	violations             []string
+	round                  string
+	firstRead              timer.Instant
+	lastRead               timer.Instant
+	gap                    time.Duration
+	slowestChange          time.Duration
+	stall                  time.Duration // of this process
+	lateAt                 timer.Instant // when this process last ran late by more than maxLate
+}
+
+// share counts requests, and those of them that were served.
+type share struct{ asked, served int }
+
+func (s *share) add(served bool) {
+	s.asked++
+	if served {
+		s.served++
+	}
+}
+
+// below reports whether less of the requests were served than a quarter of the share of others.
+func (s share) below(other share) bool {
+	return s.served*other.asked*4 < other.served*s.asked
 }
 
 // maxViolations bounds the report.
 const maxViolations = 40
 
+// Least numbers of requests from which shares count.
+const (
+	leastLater = 20
+	leastLate  = 8
+)
+
 // maxLate is how late this process may run for its times to count. The instances, which run beside
 // it, miss their election timeouts when they run that late.
 const maxLate = 300 * time.Millisecond
@@ -62,9 +86,6 @@
 func (r *run) count(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.checks.counts == nil {
-		r.checks.counts = map[string]int{}
-	}
 	r.checks.counts[name]++
 }
 
@@ -81,107 +102,10 @@
 	return reply.StatusCode, string(text), err
 }
 
-// document returns the document of a version.
-func document(version int) soak.Document {
-	return soak.Document{Version: version, AddedPath: fmt.Sprintf("/added-%d/", version), APIKey: fmt.Sprint("key-", version), ExtraRoutes: extraRoutes}
-}
-
-// pendingChange is a document on its way.
-type pendingChange struct {
-	document soak.Document
-	sent     timer.Instant
-}
-
-// attempt sends a change to one instance. done is false if the outcome is unknown.
-func (r *run) attempt(ctx context.Context, p *pendingChange, to *instance) (done bool) {
-	q, err := r.Dialect.ReplaceRequest(to.ip, p.document)
-	if err != nil {
-		r.violation("change", "%v", err)
-		return true
-	}
-	status, body, err := r.send(ctx, q, r.Size.Ack)
-	v := p.document.Version
-	switch {
-	case err == nil && status == http.StatusOK:
-		r.acknowledge(v)
-		return true
-	case err == nil && status >= 400 && status < 500:
-		r.mu.Lock()
-		superseded := r.checks.newest > v
-		r.mu.Unlock()
-		if !superseded {
-			r.violation("change", "%s refuses version %d: %d %.100s", to.name, v, status, body)
-		}
-		return true
-	}
-	r.count("changes sent again")
-	return false
-}
-
-// acknowledge records the acknowledgement of a version.
-func (r *run) acknowledge(v int) {
-	r.count("changes")
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if v > r.checks.acknowledged {
-		r.checks.acknowledged, r.checks.acknowledgedAt = v, r.Timer.Now()
-	}
-}
-
-// change sends a change to random instances until the outcome is known. It returns false if the
-// context is done before.
-func (r *run) change(ctx context.Context, p *pendingChange) bool {
-	random := rand.New(rand.NewPCG(r.Seed, uint64(p.document.Version)))
-	for ctx.Err() == nil {
-		if r.attempt(ctx, p, r.up(random)) {
-			took := r.Timer.Now().Sub(p.sent)
-			if !r.calmSince(p.sent) {
-				return true
-			}
-			r.mu.Lock()
-			r.checks.slowestChange = max(r.checks.slowestChange, took)
-			r.mu.Unlock()
-			if took > r.Size.Ack {
-				r.violation("ack", "version %d took %s in calm", p.document.Version, took)
-			}
-			return true
-		}
-		_ = timer.Sleep(ctx, r.Timer, 100*time.Millisecond)
-	}
-	return false
-}
-
-// nextChange returns a change with the next version.
-func (r *run) nextChange() *pendingChange {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.checks.newest++
-	return &pendingChange{document: document(r.checks.newest), sent: r.Timer.Now()}
-}
-
-// operator sends changes one after the other.
-type operator struct {
-	*run
-	random *rand.Rand
-}
-
-func (o *operator) loop(ctx context.Context) error {
-	for ctx.Err() == nil {
-		o.change(ctx, o.nextChange())
-		wait := time.Duration(100+o.random.IntN(400)) * time.Millisecond
-		if o.random.IntN(4) == 0 {
-			// Long enough for a route to be in force everywhere.
-			wait = soak.PropagationDelay + time.Duration(o.random.IntN(2000))*time.Millisecond
-		}
-		_ = timer.Sleep(ctx, o.Timer, wait)
-	}
-	return nil
-}
-
 // versionPattern finds the version in a document.
 var versionPattern = regexp.MustCompile(`"version":\s*(\d+)[,}\s]`)
 
-// read reads the document from an instance.
+// read reads the document from an instance and checks that it is what was sent.
 func (r *run) read(ctx context.Context, from *instance) (version int, err error) {
 	q, err := r.Dialect.ReadRequest(from.ip)
 	if err != nil {
@@ -195,7 +119,16 @@
 	if status != http.StatusOK || m == nil {
 		return 0, errors.Newf("%d %.100s", status, body)
 	}
-	return strconv.Atoi(m[1])
+	if version, err = strconv.Atoi(m[1]); err != nil {
+		return 0, err
+	}
+	r.mu.Lock()
+	failed := r.checks.history.checkText(version, body)
+	r.mu.Unlock()
+	if failed != "" {
+		r.violation(failed, "%s reads version %d: %s: %.200s", from.name, version, failed, body)
+	}
+	return version, nil
 }
 
 // readInTime reads the document from an instance, which may refuse at first: one refusal says
@@ -272,56 +205,6 @@
 	return nil
 }
 
-// prober asks random instances for routes.
-type prober struct {
-	*run
-	random *rand.Rand
-}
-
-func (p *prober) loop(ctx context.Context) error {
-	for timer.Sleep(ctx, p.Timer, pause) == nil {
-		if err := p.probe(ctx); err != nil && ctx.Err() == nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (p *prober) probe(ctx context.Context) error {
-	begin, to, path := p.Timer.Now(), p.up(p.random), soak.ReadPath
-	p.mu.Lock()
-	c := &p.checks
-	current := c.newest == c.acknowledged && c.acknowledgedAt.Add(soak.PropagationDelay) < begin
-	if current {
-		path = document(c.acknowledged).AddedPath
-	}
-	p.mu.Unlock()
-	q, err := http.NewRequest(http.MethodGet, "http://"+p.Dialect.FrontendAddress(to.ip)+path+"x", nil)
-	if err != nil {
-		return err
-	}
-	names := p.Dialect.Protocol()
-	q.Host = soak.Host
-	q.Header.Set(names.Authorization, names.AuthScheme+" "+soak.APIKey)
-	q.Header.Set(names.RequestID, fmt.Sprintf("%x-%x", p.Seed, p.random.Uint64()))
-	q.Header.Set(names.Deadline, strconv.FormatInt(readTimeout.Milliseconds(), 10))
-	status, body, err := p.send(ctx, q, readTimeout)
-	p.count(fmt.Sprint("probes answered ", status))
-	if err != nil || !p.servesSince(to, begin) {
-		return nil
-	}
-	p.mu.Lock()
-	current = current && c.newest == c.acknowledged
-	p.mu.Unlock()
-	switch {
-	case strings.Contains(body, "not confirmed"):
-		p.violation("refused", "%s refuses: %d %.100s", to.name, status, body)
-	case status == http.StatusNotFound && (current || path == soak.ReadPath):
-		p.violation("missing", "%s does not know %s", to.name, path)
-	}
-	return nil
-}
-
 // roundFigures returns the longest time without a read and the slowest change of the round in calm,
 // and how late this process ran.
 func (r *run) roundFigures() (gap, change, stall time.Duration) {
@@ -341,12 +224,28 @@
 	if c.counts["reads"] == 0 || c.counts["changes"] == 0 {
 		return errors.New("no read or no change was answered, so the run checked nothing")
 	}
+	_, _ = fmt.Fprintf(r.Out, "outage seed %d: first routes %+v, later routes %+v, time limits exceeded %+v\n", r.Seed, c.first, c.later, c.exceeded)
+	for _, broken := range c.brokenShares() {
+		c.violations = append(c.violations, broken)
+		_, _ = fmt.Fprintln(r.Out, "BROKEN", broken)
+	}
 	if len(c.violations) > 0 {
 		return ErrChecksFailed
 	}
 	return nil
 }
 
+// brokenShares returns the checks of shares of requests that fail.
+func (c *checks) brokenShares() (list []string) {
+	if c.later.asked >= leastLater && c.later.below(c.first) {
+		list = append(list, fmt.Sprintf("routes that were added later are served %+v, the first ones %+v", c.later, c.first))
+	}
+	if late := c.exceeded.asked - c.exceeded.served; late*2 > c.exceeded.asked || late >= leastLate && late*4 > c.exceeded.asked {
+		list = append(list, fmt.Sprintf("of %d requests that exceed the time limit of their route, %d are answered too late", c.exceeded.asked, late))
+	}
+	return list
+}
+
 // checkRecovered checks that every instance answers a read at the end of the recovery time.
 func (r *run) checkRecovered(ctx context.Context) {
 	r.mu.Lock()
--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -30,11 +30,13 @@
 // Load of a run.
 const (
 	readers = 4
-	probers = 4
+	probers = 8
 	// pause lies between two requests of a reader or a prober.
 	pause = 100 * time.Millisecond
 	// extraRoutes make a document of about 16 KB.
 	extraRoutes = 70
+	// manyRoutes make one of about 120 KB.
+	manyRoutes = 500
 )
 
 // Size is the size of a deployment with its time limits.
@@ -112,6 +114,7 @@
 		Options: o, launcher: cluster.NewLauncher(o.Directory), group: group.New(ctx), started: o.Timer.Now(),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		random: rand.New(rand.NewPCG(o.Seed, 1)), links: links{acks: o.Seed%2 == 0, blocked: map[link]bool{}},
+		checks: checks{counts: map[string]int{}, requests: map[string]*request{}, history: history{effects: map[any][]effect{}}},
 	}
 	defer func() { err = errors.CombineErrors(err, r.launcher.Close()) }()
 	defer func() { _ = r.group.Stop() }()
@@ -150,10 +153,12 @@
 	}
 	r.touch()
 	r.setQuiet(true)
-	r.checks.newest = 1
-	if !r.change(ctx, &pendingChange{document: document(1), sent: r.Timer.Now()}) {
+	if !r.change(ctx, r.nextChange()) {
 		return errors.New("the first document was not acknowledged")
 	}
+	if err := r.startUpstreams(ctx); err != nil {
+		return err
+	}
 	r.group.Go("operator", (&operator{run: r, random: rand.New(rand.NewPCG(r.Seed, 2))}).loop)
 	r.group.Go("staller", (&staller{r}).loop)
 	for i := range readers {
@@ -162,6 +167,9 @@
 	for i := range probers {
 		r.group.Go("prober", (&prober{run: r, random: rand.New(rand.NewPCG(r.Seed, uint64(200+i)))}).loop)
 	}
+	for i := range r.Size.Instances {
+		r.group.Go("sweeper", (&sweeper{run: r, number: i, random: rand.New(rand.NewPCG(r.Seed, uint64(400+i)))}).loop)
+	}
 	return nil
 }
 
@@ -170,7 +178,7 @@
 	r.addresses++
 	n := &instance{
 		name: fmt.Sprint("gateway-", r.addresses), zone: fmt.Sprint("zone-", r.addresses%r.Size.Zones),
-		ip: fmt.Sprintf("127.%d.%d.%d", 128+32*r.Subnet+os.Getpid()>>8&0x1f, os.Getpid()&0xff, r.addresses),
+		ip: r.address(r.addresses),
 	}
 	r.instances = append(r.instances, n)
 	if disk {
@@ -180,6 +188,11 @@
 	return n
 }
 
+// address returns the IP address with a number below 256.
+func (r *run) address(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 128+32*r.Subnet+os.Getpid()>>8&0x1f, os.Getpid()&0xff, n)
+}
+
 func (r *run) linksPath() string { return filepath.Join(r.Directory, "links") }
 
 func (r *run) settingsPath(n *instance) string { return filepath.Join(r.Directory, n.name+".settings") }
@@ -202,9 +215,12 @@
 	if err := r.writeSettings(n, initial); err != nil {
 		return err
 	}
-	n.process, err = r.launcher.StartWithEnv([]string{
+	p, err := r.launcher.StartWithEnv([]string{
 		r.Dialect.EnvironmentVariable(r.settingsPath(n)), LinksVariable + "=" + r.linksPath(), AddressVariable + "=" + n.ip,
 	}, n.name, r.Binary, "gateway")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n.process = p
 	return err
 }
 
