--- a/internal/bench/outage/transport.go
+++ b/internal/bench/outage/transport.go
@@ -41,7 +41,6 @@
 // transport sends each request in a random manner.
 type transport struct {
 	timer    timer.Service
-	callers  string // Host header of requests that do not go to the operators' API
 	separate http.RoundTripper
 	kept     http.RoundTripper
 
@@ -50,14 +49,15 @@
 	dropped bool // the last change; the next one is not
 }
 
-func newTransport(seed uint64, callers string, t timer.Service) *transport {
+func newTransport(seed uint64, t timer.Service) *transport {
 	return &transport{
-		timer: t, callers: callers, separate: &http.Transport{DisableKeepAlives: true},
+		timer: t, separate: &http.Transport{DisableKeepAlives: true},
 		kept: &http.Transport{IdleConnTimeout: 5 * time.Second}, random: rand.New(rand.NewPCG(seed, 4)),
 	}
 }
 
-// draw draws the manner for a request. The end of the input cancels requests of callers, reads have
+// draw draws the manner for a request. The end of the input cancels requests of callers, which name a
+// host other than the address of the instance. Reads have
 // a time limit that repetitions would use up, and a change is dropped at most once in a row for the
 // same reason.
 func (t *transport) draw(q *http.Request) (m manner, random *rand.Rand) {
@@ -65,7 +65,7 @@
 	defer t.mu.Unlock()
 	m = manner(t.random.IntN(int(manners)))
 	switch {
-	case q.Host == t.callers && m >= halfClosing:
+	case q.Host != q.URL.Host && m >= halfClosing: // a request of a caller
 		m = newConnection
 	case m == dropping && (q.Method == http.MethodGet || t.dropped):
 		m = halfClosing
--- a/internal/bench/outage/transport_test.go
+++ b/internal/bench/outage/transport_test.go
@@ -22,7 +22,7 @@
 		_, _ = w.Write(text)
 	}))
 	defer server.Close()
-	tr := newTransport(1, "callers.example", timer.NewSystem())
+	tr := newTransport(1, timer.NewSystem())
 	client, text := &http.Client{Transport: tr}, strings.Repeat("text", 500)
 	answered, dropped := 0, 0
 	for range 15 {
