--- a/internal/control/disk/directory.go
+++ b/internal/control/disk/directory.go
@@ -117,6 +117,9 @@
 	return nil
 }
 
+// SetSegmentBytes sets the size at which groups that are opened later start a new segment of their logs.
+func (d *Directory) SetSegmentBytes(n int) { d.segmentBytes = n }
+
 // Identity returns the replica identity stored in the directory.
 func (d *Directory) Identity() replica.Identity { return d.identity }
 
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -28,7 +28,7 @@
 	dir          string
 	identity     replica.Identity
 	reserveBytes uint64
-	segmentBytes int // size at which a new segment is started; maxSegmentBytes except in tests
+	segmentBytes int // size at which a new segment is started; maxSegmentBytes unless SetSegmentBytes was called
 
 	logMu       sync.Mutex    // guards the log
 	active      File          // the last segment, open for appending; nil while there is none
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -42,9 +42,18 @@
 	changeTimeout = 2 * time.Second
 )
 
-// compaction keeps the log small: a layout may hold hundreds of routes, and the disks
+// Retention sets how much of the log is kept.
+type Retention struct {
+	// Compaction sets when a snapshot replaces a part of the log.
+	Compaction replica.Compaction
+	// SegmentBytes is the size at which a new segment of the log is started, or 0 for the
+	// default of package disk.
+	SegmentBytes int
+}
+
+// defaultRetention keeps the log small: a layout may hold hundreds of routes, and the disks
 // hold 64 MB.
-var compaction = replica.Compaction{MaxEntries: 256, MaxBytes: 4 << 20, TrailingEntries: 64}
+var defaultRetention = Retention{Compaction: replica.Compaction{MaxEntries: 256, MaxBytes: 4 << 20, TrailingEntries: 64}}
 
 // Options configures a replica.
 type Options struct {
@@ -61,6 +70,8 @@
 	// Files is the file system of the data directory. If it is nil, the replica uses that of
 	// the operating system.
 	Files disk.FileSystem
+	// Retention is that of the log; the default if it is zero.
+	Retention Retention
 	// Dial opens a connection to another replica. If it is nil, the replica connects over TCP.
 	Dial func(ctx context.Context, to string) (net.Conn, error)
 	// AllowBootstrap is true if the control group may not exist yet.
@@ -100,6 +111,9 @@
 	if o.Files == nil {
 		o.Files = disk.OSFileSystem{}
 	}
+	if o.Retention == (Retention{}) {
+		o.Retention = defaultRetention
+	}
 	// Use a subdirectory: DataDirectory may be the root of a file system, whose parent cannot
 	// be synced.
 	path := filepath.Join(o.DataDirectory, "control")
@@ -130,6 +144,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.Retention.SegmentBytes > 0 {
+		directory.SetSegmentBytes(o.Retention.SegmentBytes)
+	}
 	r.identity = directory.Identity()
 	if r.store, err = directory.OpenGroup(0); err != nil {
 		return nil, err
@@ -137,7 +154,7 @@
 	r.node, err = replica.New(replica.Options{
 		Self:         replica.Member{Identity: r.identity, Address: replica.Address(o.Address), Voter: true},
 		StateMachine: o.State, Store: r.store, Transport: r.transport, Timer: o.Timer, Random: o.Random,
-		Log: o.Log, Compaction: compaction,
+		Log: o.Log, Compaction: o.Retention.Compaction,
 	})
 	if err != nil {
 		return nil, errors.CombineErrors(err, r.store.Close())
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -78,8 +78,10 @@
 	// Files is the file system of the data directory. If it is nil, the instance uses that of the
 	// operating system.
 	Files disk.FileSystem
-	Timer timer.Service
-	Log   *zap.Logger
+	// Retention is that of the control group's log; see consensus.Options.
+	Retention consensus.Retention
+	Timer     timer.Service
+	Log       *zap.Logger
 }
 
 // Instance is one process of a deployment.
@@ -144,7 +146,7 @@
 	}
 	i.state = st
 	i.replica, err = consensus.New(consensus.Options{
-		DataDirectory: o.DataDirectory, Files: o.Files, Dial: o.DialPeer, Address: string(o.PeerAddress), PeerToken: o.PeerToken, State: st, Timer: o.Timer,
+		DataDirectory: o.DataDirectory, Files: o.Files, Retention: o.Retention, Dial: o.DialPeer, Address: string(o.PeerAddress), PeerToken: o.PeerToken, State: st, Timer: o.Timer,
 		Random: random.New(), Log: o.Log.Named("core"), AllowBootstrap: o.AllowBootstrap,
 		RequestBootstrap: func(ctx context.Context, identity string) bool {
 			return i.Client.RequestBootstrap(ctx, o.Seeds[0], identity)
