bench/outage: instances lose power, not only their processes

Cause: a killed process leaves all that it wrote. Names and bytes that were not synced are lost only with the power, which no run of real processes has played.

--- a/cmd/bench/gateway.go
+++ b/cmd/bench/gateway.go
@@ -32,9 +32,13 @@
 	if err != nil {
 		return err
 	}
+	files, retention, err := outage.Storage(timer.NewSystem())
+	if err != nil {
+		return err
+	}
 	g := group.New(context.Background())
 	defer func() { _ = g.Stop() }()
 	g.Go("network", n.Run)
 	g.Go("clock", clock.Run)
-	return platform.RunGateway(c.out, platform.Host{DialPeer: n.Dial, Timer: clock})
+	return platform.RunGateway(c.out, platform.Host{DialPeer: n.Dial, Files: files, Retention: retention, Timer: clock})
 }
--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -79,6 +79,7 @@
 type instance struct {
 	name, ip, zone string
 	disk           string // data directory; empty without one
+	mounted        int64  // size of the journal when the process was started
 	process        *cluster.Process
 	// impaired is set while the instance is down, frozen or cut off; guarded by run.mu.
 	impaired bool
@@ -109,6 +110,7 @@
 	disturbed    timer.Instant // the last disturbance or return
 	quiet        bool          // no disturbance goes on
 	checks       checks
+	power        power
 }
 
 // Run plays the rounds with one seed and prints a report. It returns ErrChecksFailed if a check
@@ -127,6 +129,7 @@
 	if err != nil {
 		return err
 	}
+	r.power = newPower(o.Seed, names)
 	if err := r.start(ctx); err != nil {
 		return err
 	}
@@ -135,6 +138,7 @@
 			return err
 		}
 	}
+	r.reportPower()
 	return r.report()
 }
 
@@ -201,7 +205,7 @@
 // startProcess starts the process of an instance.
 func (r *run) startProcess(n *instance, initial bool) (err error) {
 	if n.disk != "" {
-		if err := os.MkdirAll(n.disk, 0o700); err != nil {
+		if err := r.mount(n); err != nil {
 			return err
 		}
 	}
@@ -211,10 +215,10 @@
 	if err := r.bootClocks(n); err != nil {
 		return err
 	}
-	n.process, err = r.launcher.StartWithEnv([]string{
-		r.Dialect.EnvironmentVariable(r.settingsPath(n)), LinksVariable + "=" + r.linksPath(), AddressVariable + "=" + n.ip,
-		ClockVariable + "=" + r.clockPath(n),
-	}, n.name, r.Binary, "gateway")
+	n.process, err = r.launcher.StartWithEnv(append(r.storageEnvironment(n),
+		r.Dialect.EnvironmentVariable(r.settingsPath(n)), LinksVariable+"="+r.linksPath(), AddressVariable+"="+n.ip,
+		ClockVariable+"="+r.clockPath(n),
+	), n.name, r.Binary, "gateway")
 	return err
 }
 
