control/disk/faulty: a loss of power may keep a length without its data

Cause: a file system may have stored the new length of a file and not the bytes, which then read as zeros up to the end. A loss of power in tests left zeros only before later data.

Change: it is one more outcome of each write that was not synced, also in bench outage.

--- a/internal/bench/outage/power.go
+++ b/internal/bench/outage/power.go
@@ -385,11 +385,15 @@
 	}
 	f.LosePower(func(outcomes int) int {
 		outcome := choose(outcomes)
-		switch {
-		case outcomes == 2:
+		isName := outcomes == 2
+		if isName {
 			taken.Open++
-			taken.Names += 1 - outcome
-		case outcome != 1:
+		}
+		switch {
+		case outcome == 1: // kept
+		case isName:
+			taken.Names++
+		default:
 			taken.Writes++
 		}
 		return outcome
--- a/internal/bench/outage/power_test.go
+++ b/internal/bench/outage/power_test.go
@@ -22,12 +22,13 @@
 		name    string
 		act     func(is *is.I, f disk.FileSystem, dir string)
 		torn    string // appended to the journal, as by a process that was killed within a step
-		outcome int    // 0 takes back all that was not synced, 1 nothing
+		outcome int    // 0 takes back all that was not synced, 1 nothing, 4 the bytes but not their number
 		want    string // names and contents
 	}{
 		{name: "synced", act: writeSynced, want: "a=one"},
 		{name: "write", act: appendUnsynced, want: "a=one"},
 		{name: "write kept", act: appendUnsynced, outcome: 1, want: "a=onetwo"},
+		{name: "length kept", act: appendUnsynced, outcome: 4, want: "a=one\x00\x00\x00"},
 		{name: "name", act: renameUnsynced, want: "a=one"},
 		{name: "name kept", act: renameUnsynced, outcome: 1, want: "b=one"},
 		{name: "removal", act: removeUnsynced, want: "a=one"},
--- a/internal/control/disk/faulty/loss.go
+++ b/internal/control/disk/faulty/loss.go
@@ -75,8 +75,9 @@
 
 // LosePower ends the access of the running process. For each change of a name that was not
 // synced, choose decides whether it is lost (0) or kept (1), and for each write that was not
-// synced, whether it is missing (0), present (1), or only its first (2) or second half (3) is.
-// choose gets the number of outcomes. What is missing before later data reads as zeros.
+// synced, whether it is missing (0), present (1), only its first (2) or second half (3) is, or
+// only its length (4). choose gets the number of outcomes. What is missing before later data or
+// before the end of the file reads as zeros.
 func (f *FileSystem) LosePower(choose func(outcomes int) int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -110,15 +111,17 @@
 	start := len(i.synced)
 	for _, end := range i.writeEnds {
 		from, to := start, end
-		switch choose(4) {
+		switch choose(5) {
 		case 0:
 			to = start
+		case 4:
+			from = end
 		case 2:
 			to = start + (end-start)/2
 		case 3:
 			from = start + (end-start)/2
 		}
-		if from < to {
+		if start < to {
 			data = append(data, make([]byte, from-len(data))...)
 			data = append(data, i.data[from:to]...)
 		}
