--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -81,6 +81,7 @@
 type instance struct {
 	name, ip, zone string
 	disk           string // data directory; empty without one
+	mounted        int64  // size of the journal when the process was started
 	process        *cluster.Process
 	// impaired is set while the instance is down, frozen or cut off; guarded by run.mu.
 	impaired bool
@@ -111,6 +112,7 @@
 	disturbed    timer.Instant // the last disturbance or return
 	quiet        bool          // no disturbance goes on
 	checks       checks
+	power        power
 }
 
 // Run plays the rounds with one seed and prints a report. It returns ErrChecksFailed if a check
@@ -130,6 +132,7 @@
 	if err != nil {
 		return err
 	}
+	r.power = newPower(o.Seed, names)
 	if err := r.start(ctx); err != nil {
 		return err
 	}
@@ -138,6 +141,7 @@
 			return err
 		}
 	}
+	r.reportPower()
 	return r.report()
 }
 
@@ -214,7 +218,7 @@
 // startProcess starts the process of an instance.
 func (r *run) startProcess(n *instance, initial bool) (err error) {
 	if n.disk != "" {
-		if err := os.MkdirAll(n.disk, 0o700); err != nil {
+		if err := r.mount(n); err != nil {
 			return err
 		}
 	}
@@ -224,10 +228,10 @@
 	if err := r.bootClocks(n); err != nil {
 		return err
 	}
-	p, err := r.launcher.StartWithEnv([]string{
-		r.Dialect.EnvironmentVariable(r.settingsPath(n)), LinksVariable + "=" + r.linksPath(), AddressVariable + "=" + n.ip,
-		ClockVariable + "=" + r.clockPath(n),
-	}, n.name, r.Binary, "gateway")
+	p, err := r.launcher.StartWithEnv(append(r.storageEnvironment(n),
+		r.Dialect.EnvironmentVariable(r.settingsPath(n)), LinksVariable+"="+r.linksPath(), AddressVariable+"="+n.ip,
+		ClockVariable+"="+r.clockPath(n),
+	), n.name, r.Binary, "gateway")
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n.process = p
