--- a/internal/bench/outage/checks.go
+++ b/internal/bench/outage/checks.go
@@ -17,14 +17,13 @@
 
 // checks holds what was observed. It is guarded by run.mu unless a method says otherwise.
 type checks struct {
-	newest         int // version that was sent last
-	acknowledged   int // newest version that was acknowledged
-	acknowledgedAt timer.Instant
-	counts         map[string]int
-	history        history
-	requests       map[string]*request // by ID
-	// Requests on the route of all documents and on routes that were added later, and requests that
-	// exceeded the time limit of their route, those with an answer in time and all.
+	newest       int // version that was sent last
+	acknowledged int // newest version that was acknowledged
+	counts       map[string]int
+	history      history
+	requests     map[string]*request // by ID
+	// Requests on the route of all documents, on routes that were added later, and on those that
+	// exceeded the time limit of their route. The last count as served if the answer was in time.
 	first, later, exceeded share
 	violations             []string
 	round                  string
