bench/outage: documents are passed on in several pieces

Cause: the extra routes differed in two numbers only, so a document of 130 KB packed into 2 KB.

Change: names of extra routes hardly compress, and one in twelve documents has 1000 of them.

--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -33,10 +33,10 @@
 	probers = 8
 	// pause lies between two requests of a reader or a prober.
 	pause = 100 * time.Millisecond
-	// extraRoutes make a document of about 16 KB.
+	// extraRoutes make a document of about 26 KB.
 	extraRoutes = 70
-	// manyRoutes make one of about 120 KB.
-	manyRoutes = 500
+	// manyRoutes make one that instances pass on in several pieces.
+	manyRoutes = 1000
 )
 
 // Size is the size of a deployment with its time limits.
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"maps"
@@ -120,8 +121,12 @@
 	Keys []string
 }
 
-// ExtraPath returns the path of one of the extra routes.
-func (d *Document) ExtraPath(i int) string { return fmt.Sprintf("/extra-%d-%d/", d.Version, i) }
+// ExtraPath returns the path of one of the extra routes. The paths hardly compress, so that the size
+// of a document counts where instances pass it on.
+func (d *Document) ExtraPath(i int) string {
+	name := fmt.Sprintf("extra-%d-%d", d.Version, i)
+	return fmt.Sprintf("/%s-%x/", name, sha256.Sum256([]byte(name)))
+}
 
 // Announcement is what an upstream announces to an instance.
 type Announcement struct {
