fleet/view: a leave without a start ends an upstream that waits for a layout

Cause: a leave that does not state the start of its upstream takes it from the known record. An upstream whose announcements wait for a layout has none, since also before the first layout. It was recorded as left with start 0, and a late announcement with its true start put it back into use after its leave was acknowledged.

Change: the start is taken from the waiting announcement. Service and address stay empty: a foreign upstream that leaves displaces none.

Measured: TestDeregisterBeforeFirstLayout finds one upstream in use before and none now.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -328,16 +328,17 @@
 }
 
 // Deregister marks an incarnation of an upstream as left; incarnation 0 stands for the known
-// one. For an unknown upstream the service and address are not known either and stay empty.
+// one. For an unknown upstream the service and address are not known either and stay empty, as do those
+// of one that waits for a layout: it must not displace another one at its address.
 func (v *View) Deregister(id string, incarnation int64, sequence uint64) {
 	v.mu.Lock()
-	old := v.upstreams[id]
+	old, waiting := v.upstreams[id], v.unnamed[id]
 	v.mu.Unlock()
 	u := &wire.Upstream{Id: id, Born: incarnation, Sequence: sequence, Stage: wire.Stage_STAGE_LEFT}
+	if incarnation == 0 {
+		u.Born = max(old.GetBorn(), waiting.GetBorn())
+	}
 	if old != nil {
-		if incarnation == 0 {
-			u.Born = old.GetBorn()
-		}
 		u.Service, u.Address, u.Zone, u.Version = old.GetService(), old.GetAddress(), old.GetZone(), old.GetVersion()
 		u.Slots = old.GetSlots()
 	}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -177,6 +177,20 @@
 	is.Equal(len(v.Table().Services["b"]), 0)
 }
 
+// Guards against an upstream that a late announcement puts back into use: its leave, which did not state its
+// start, came while its announcements waited for a layout that names its service.
+func TestDeregisterBeforeFirstLayout(t *testing.T) {
+	is := is.New(t)
+	v := newNamingView(is, "")
+	v.ApplyAnnouncement(&wire.Upstream{Id: "sound", Born: 1, Sequence: 1, Address: "1", Service: "a"})
+	v.ApplyAnnouncement(&wire.Upstream{Id: "x", Born: 5, Sequence: 1, Address: "1", Service: "b"})
+	v.Deregister("x", 0, 2)
+	is.NoErr(v.ApplyLayout(1, []byte("a b")))
+	v.ApplyAnnouncement(&wire.Upstream{Id: "x", Born: 5, Sequence: 1, Address: "1", Service: "b"})
+	is.Equal(len(v.Table().Services["b"]), 0)
+	is.Equal(len(v.Table().Services["a"]), 1) // an upstream that had no requests displaces none
+}
+
 // Guards against changes that are lost when a report cannot be delivered, and against a
 // new leader that is never sent the known upstreams.
 func TestReport(t *testing.T) {
