bench/outage: a run in which no request ran fails

Cause: all checks of what instances do with a change rest on runs of requests and refusals. If no upstream is in use, all requests get 503 and the shares of the first and the later routes are both 0, so the run passed as long as reads and changes were answered.

Change: such a run fails as one that checked nothing.

Measured: TestReportWithoutRuns passes a report without runs before, and fails it now.

--- a/internal/bench/outage/checks.go
+++ b/internal/bench/outage/checks.go
@@ -221,8 +221,8 @@
 	if _, err := fmt.Fprintf(r.Out, "outage seed %d: %v\n", r.Seed, c.counts); err != nil {
 		return err
 	}
-	if c.counts["reads"] == 0 || c.counts["changes"] == 0 {
-		return errors.New("no read or no change was answered, so the run checked nothing")
+	if c.counts["reads"] == 0 || c.counts["changes"] == 0 || c.counts["runs"] == 0 {
+		return errors.New("no read or no change was answered or no request ran, so the run checked nothing")
 	}
 	_, _ = fmt.Fprintf(r.Out, "outage seed %d: first routes %+v, later routes %+v, time limits exceeded %+v\n", r.Seed, c.first, c.later, c.exceeded)
 	for _, broken := range c.brokenShares() {
--- a/internal/bench/outage/history_test.go
+++ b/internal/bench/outage/history_test.go
@@ -1,6 +1,7 @@
 package outage
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -88,3 +89,18 @@
 	is.Equal(h.checkText(4, `{"version":4,"a":3}`), "other content read back than was sent")
 	is.Equal(h.checkText(5, `{"version":5}`), "version read back that was not sent")
 }
+
+// Guards against a run that passes although no request reached an upstream, so that nothing was judged.
+func TestReportWithoutRuns(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		runs int
+		ok   bool
+	}{{"none", 0, false}, {"one", 1, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &run{Options: Options{Out: io.Discard}, checks: checks{counts: map[string]int{"reads": 1, "changes": 1, "runs": c.runs}}}
+			is.Equal(r.report() == nil, c.ok)
+		})
+	}
+}
