bench/outage: only slowed instances may go back for 2 s

Cause: an instance must not act on an older version 0.25 s after an effect of a newer one. Eight times as long is allowed on a slowed machine only; the check allowed it to all instances while there was any disturbance.

Change: it is allowed on bad links, or while the machine of the run is too busy.

--- a/internal/bench/outage/history_test.go
+++ b/internal/bench/outage/history_test.go
@@ -104,3 +104,24 @@
 		})
 	}
 }
+
+// Guards against the tolerance of slowed instances for instances that are merely disturbed.
+func TestSlowedSince(t *testing.T) {
+	at := func(d time.Duration) timer.Instant { return timer.Instant(d) }
+	for _, c := range []struct {
+		name     string
+		run      *run
+		expected bool
+	}{
+		{"calm", &run{}, false},
+		{"just disturbed", &run{disturbed: at(10 * time.Second)}, false},
+		{"bad links", &run{badLinks: true}, true},
+		{"busy machine", &run{checks: checks{lateAt: at(8 * time.Second)}}, true},
+		{"machine that was busy before", &run{checks: checks{lateAt: at(6 * time.Second)}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.run.Size = Small
+			is.New(t).Equal(c.run.slowedSince(at(10*time.Second)), c.expected)
+		})
+	}
+}
--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -317,6 +317,12 @@
 	return !at.Before(r.disturbed.Add(contact)) && (r.checks.lateAt == 0 || !at.Before(r.checks.lateAt.Add(contact)))
 }
 
+// slowedSince reports whether instances may be slowed down since an instant: by bad links, or since the
+// machine is too busy. Other disturbances slow none down. r.mu must be held.
+func (r *run) slowedSince(at timer.Instant) bool {
+	return r.badLinks || r.checks.lateAt != 0 && at.Before(r.checks.lateAt.Add(r.Size.Contact))
+}
+
 // servesSince reports whether an instance must serve since an instant: in calm, and while no more
 // of the core is impaired than may be lost at a time.
 func (r *run) servesSince(n *instance, at timer.Instant) bool {
--- a/internal/bench/outage/requests.go
+++ b/internal/bench/outage/requests.go
@@ -76,7 +76,7 @@
 	inTouch := r.servesSince(q.to, q.sent)
 	r.mu.Lock()
 	now := r.Timer.Now()
-	failed := r.checks.history.judge(q, o, now, inTouch, !r.settledBefore(q.sent))
+	failed := r.checks.history.judge(q, o, now, inTouch, r.slowedSince(q.sent))
 	newest, acknowledged := r.checks.newest, r.checks.acknowledged
 	r.mu.Unlock()
 	if failed != "" {
