--- a/internal/bench/outage/history_test.go
+++ b/internal/bench/outage/history_test.go
@@ -1,6 +1,7 @@
 package outage
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -88,3 +89,39 @@
 	is.Equal(h.checkText(4, `{"version":4,"a":3}`), "other content read back than was sent")
 	is.Equal(h.checkText(5, `{"version":5}`), "version read back that was not sent")
 }
+
+// Guards against a run that passes although no request reached an upstream, so that nothing was judged.
+func TestReportWithoutRuns(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		runs int
+		ok   bool
+	}{{"none", 0, false}, {"one", 1, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &run{Options: Options{Out: io.Discard}, checks: checks{counts: map[string]int{"reads": 1, "changes": 1, "runs": c.runs}}}
+			is.Equal(r.report() == nil, c.ok)
+		})
+	}
+}
+
+// Guards against the tolerance of slowed instances for instances that are merely disturbed.
+func TestSlowedSince(t *testing.T) {
+	at := func(d time.Duration) timer.Instant { return timer.Instant(d) }
+	for _, c := range []struct {
+		name     string
+		run      *run
+		expected bool
+	}{
+		{"calm", &run{}, false},
+		{"just disturbed", &run{disturbed: at(10 * time.Second)}, false},
+		{"bad links", &run{badLinks: true}, true},
+		{"busy machine", &run{checks: checks{lateAt: at(8 * time.Second)}}, true},
+		{"machine that was busy before", &run{checks: checks{lateAt: at(6 * time.Second)}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.run.Size = Small
+			is.New(t).Equal(c.run.slowedSince(at(10*time.Second)), c.expected)
+		})
+	}
+}
