fleet/view: one that drains before the first layout displaces none

Cause: an instance without a layout passes announcements of draining upstreams on for any service, since their leave is acknowledged. One of another writer, for a service that no layout names and with the address of an upstream in use, still took that upstream out at all instances for good; covers ready ones only.

Change: before the first layout such a record is passed on without its address. A record without an address replaces none, and an upstream that is known only so counts as named once a layout names its service.

Measured: TestDrainingBeforeFirstLayout finds no upstream in use before and the sound one now; the tests of fleet/view, registry, coordinator, instance, gateway/caller and platform pass.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -60,8 +60,11 @@
 
 // RetireReplaced marks records as left that share the address of u with an upstream
 // that started later. all holds the records by id, including u, which may itself be marked.
-// It returns the ids of the records that it marked.
+// It returns the ids of the records that it marked. A record without an address replaces none.
 func RetireReplaced(all map[string]*wire.Upstream, u *wire.Upstream) (retired []string) {
+	if u.GetAddress() == "" {
+		return nil
+	}
 	latest := int64(0)
 	for _, o := range all {
 		if o.GetAddress() == u.GetAddress() {
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -269,14 +269,19 @@
 		}
 		return
 	}
+	if v.Layout() == nil && v.upstreams[u.GetId()].GetAddress() == "" && u.GetAddress() != "" {
+		u = proto.Clone(u).(*wire.Upstream)
+		u.Address = ""
+	}
 	v.applyAnnouncement(u)
 }
 
-// isNamed reports whether an upstream is known, or the layout names its service. The end of any
-// upstream counts. Before the first layout no service is named, and no upstream gets requests; one that
-// drains is reported all the same, since it may rely on the acknowledgement. v.mu must be held.
+// isNamed reports whether an upstream is known with its address, or the layout names its service. The
+// end of any upstream counts. Before the first layout no service is named, and no upstream gets requests;
+// one that drains is reported all the same, since it may rely on the acknowledgement, but without its
+// address, so that it displaces none. v.mu must be held.
 func (v *View) isNamed(u *wire.Upstream) bool {
-	if v.upstreams[u.GetId()] != nil || u.GetStage() == wire.Stage_STAGE_LEFT {
+	if v.upstreams[u.GetId()].GetAddress() != "" || u.GetStage() == wire.Stage_STAGE_LEFT {
 		return true
 	}
 	if l := v.Layout(); l != nil {
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -177,6 +177,33 @@
 	is.Equal(len(v.Table().Services["b"]), 0)
 }
 
+// Guards against an upstream that is taken out of use for good by one that drains, for a service that no
+// layout names, and announced itself to an instance that knew no layout; and against requests to one that
+// drains and whose service is named.
+func TestDrainingBeforeFirstLayout(t *testing.T) {
+	is := is.New(t)
+	v, other := newNamingView(is, ""), newNamingView(is, "a")
+	upstream := func(id string, born int64, sequence uint64, address, service string, stage wire.Stage) *wire.Upstream {
+		return &wire.Upstream{Id: id, Born: born, Sequence: sequence, Address: address, Service: service, Stage: stage}
+	}
+	const ready, draining = wire.Stage_STAGE_READY, wire.Stage_STAGE_DRAINING
+	other.ApplyAnnouncement(upstream("sound", 1, 1, "1", "a", ready))
+	other.ApplyAnnouncement(upstream("leaving", 1, 1, "2", "a", ready))
+	v.ApplyAnnouncement(upstream("foreign", 2, 1, "1", "b", draining))
+	v.ApplyAnnouncement(upstream("foreign", 2, 2, "1", "b", draining))
+	v.ApplyAnnouncement(upstream("leaving", 1, 2, "2", "a", draining))
+	other.ApplySync(&wire.SyncReply{Term: 1, Upstreams: v.TakeReport().GetUpstreams()}, 0)
+	is.NoErr(v.ApplyLayout(1, []byte("a")))
+	v.ApplyAnnouncement(upstream("foreign", 2, 3, "1", "b", draining))
+	v.ApplyAnnouncement(upstream("sound", 1, 2, "1", "a", ready))
+	v.ApplyAnnouncement(upstream("leaving", 1, 1, "2", "a", ready)) // late
+	for _, w := range []*View{v, other} {
+		list := w.Table().Services["a"]
+		is.Equal(len(list), 1)
+		is.Equal(list[0].GetId(), "sound")
+	}
+}
+
 // Guards against an upstream that a late announcement puts back into use: its leave, which did not state its
 // start, came while its announcements waited for a layout that names its service.
 func TestDeregisterBeforeFirstLayout(t *testing.T) {
