bench/outage: a run does not end while an impaired instance is replaced

Cause: probers draw from the impaired instances of the core if their count is not 0. A replaced instance leaves the core before it is counted again, so the list is empty for a moment, and a draw from it panics.

Change: probers draw from that list only if it has an instance.

--- a/internal/bench/outage/history_test.go
+++ b/internal/bench/outage/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -125,3 +126,15 @@
 		})
 	}
 }
+
+// Guards against a run that ends with a panic while an impaired instance is being replaced.
+func TestTargetDuringReplacement(t *testing.T) {
+	old, next := &instance{impaired: true}, &instance{}
+	r := &run{instances: []*instance{old}, core: []*instance{old}, impaired: 1}
+	r.replaceInstance(old, next)
+	r.instances, r.core = append(r.instances, next), append(r.core, next)
+	p := &prober{run: r, random: rand.New(rand.NewPCG(1, 1))}
+	for range 20 {
+		is.New(t).Equal(p.target(), next)
+	}
+}
--- a/internal/bench/outage/requests.go
+++ b/internal/bench/outage/requests.go
@@ -139,8 +139,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.instances
-	if p.impaired > 0 && p.random.IntN(2) == 0 {
-		list = slices.DeleteFunc(slices.Clone(p.core), func(n *instance) bool { return !n.impaired })
+	// An instance that is being replaced is not in the core any more.
+	impaired := slices.DeleteFunc(slices.Clone(p.core), func(n *instance) bool { return !n.impaired })
+	if len(impaired) > 0 && p.random.IntN(2) == 0 {
+		list = impaired
 	}
 	return list[p.random.IntN(len(list))]
 }
