--- a/cmd/bench/seeds.go
+++ b/cmd/bench/seeds.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 )
 
 // seedRuns makes one run after the other, each with a seed and a directory of its own.
@@ -21,6 +22,14 @@
 func (s *seedRuns) run(play func(ctx context.Context, seed uint64, directory string) error) error {
 	ctx, cancel := signalContext()
 	defer cancel()
+	// Instances run in the directory of a run, where a relative path names another one.
+	if s.folder != "" {
+		folder, err := filepath.Abs(s.folder)
+		if err != nil {
+			return err
+		}
+		s.folder = folder
+	}
 	var failed error
 	for i := range s.count {
 		seed := s.first + uint64(i)
