--- a/cmd/bench/outage.go
+++ b/cmd/bench/outage.go
@@ -36,11 +36,10 @@
 
 // Execute runs the seeds one after the other. It keeps the directories of failed seeds and prints their paths.
 func (c *outageCommand) Execute([]string) error {
-	find := os.Executable
+	binary, err := os.Executable()
 	if c.Binary != "" {
-		find = func() (string, error) { return filepath.Abs(c.Binary) }
+		binary, err = filepath.Abs(c.Binary)
 	}
-	binary, err := find()
 	if err != nil {
 		return err
 	}
--- a/internal/bench/outage/checks.go
+++ b/internal/bench/outage/checks.go
@@ -223,10 +223,14 @@
 	if c.counts["reads"] == 0 || c.counts["changes"] == 0 || c.counts["runs"] == 0 {
 		return errors.New("no read or no change was answered or no request ran, so the run checked nothing")
 	}
-	_, _ = fmt.Fprintf(r.Out, "outage seed %d: first routes %+v, later routes %+v, time limits exceeded %+v\n", r.Seed, c.first, c.later, c.exceeded)
+	if _, err := fmt.Fprintf(r.Out, "outage seed %d: first routes %+v, later routes %+v, time limits exceeded %+v\n", r.Seed, c.first, c.later, c.exceeded); err != nil {
+		return err
+	}
 	for _, broken := range c.brokenShares() {
 		c.violations = append(c.violations, broken)
-		_, _ = fmt.Fprintln(r.Out, "BROKEN", broken)
+		if _, err := fmt.Fprintln(r.Out, "BROKEN", broken); err != nil {
+			return err
+		}
 	}
 	if len(c.violations) > 0 {
 		return ErrChecksFailed
--- a/internal/bench/outage/losses.go
+++ b/internal/bench/outage/losses.go
@@ -50,8 +50,7 @@
 
 // wipeInTurn wipes one disk, and a second one when the first has caught up and all lose power.
 func wipeInTurn(ctx context.Context, r *run) error {
-	list := slices.Clone(r.core)
-	r.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	list := r.drawCore(len(r.core))
 	if err := r.sleep(ctx, catchUp, catchUp); err != nil {
 		return err
 	}
--- a/internal/bench/outage/patterns.go
+++ b/internal/bench/outage/patterns.go
@@ -19,11 +19,17 @@
 // Patterns returns the names of all outages.
 func Patterns() []string { return slices.Sorted(maps.Keys(patterns)) }
 
+// drawCore draws instances with a disk.
+func (r *run) drawCore(count int) []*instance {
+	list := slices.Clone(r.core)
+	r.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:count]
+}
+
 // minority draws a minority of the core that may be lost, with the leader in half of the cases,
 // and returns the others too.
 func (r *run) minority() (some, others []*instance) {
-	list, leader := slices.Clone(r.core), r.leader()
-	r.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	list, leader := r.drawCore(len(r.core)), r.leader()
 	if i := slices.Index(list, leader); i >= 0 {
 		end := 0
 		if r.random.IntN(2) == 0 {
@@ -113,9 +119,7 @@
 
 // halves splits the core in halves.
 func halves(ctx context.Context, r *run) error {
-	list := slices.Clone(r.core)
-	r.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	leader := r.leader()
+	list, leader := r.drawCore(len(r.core)), r.leader()
 	r.cut(list[:len(list)/2], list[len(list)/2:], bothWays)
 	if leader != nil {
 		r.insist(leader)
--- a/internal/bench/outage/power_patterns.go
+++ b/internal/bench/outage/power_patterns.go
@@ -259,13 +259,6 @@
 	return r.losePowerOfAll(ctx, r.drawCore(r.Size.Losses)...)
 }
 
-// drawCore draws instances with a disk.
-func (r *run) drawCore(count int) []*instance {
-	list := slices.Clone(r.core)
-	r.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:count]
-}
-
 // losePowerOfAll lets all instances lose power at one moment, of which some lose their disks too.
 func (r *run) losePowerOfAll(ctx context.Context, wiped ...*instance) error {
 	watched := r.core[r.random.IntN(len(r.core))]
