consensus: warnings tell slow disks, slow repairs and groups without reserve apart

Change: warnings for syncs of 0.25 s and more (one a second, with the number of others) and for one that has not ended after 2 s; for a replica without a vote 3 s after its start; whenever the losses that the group bears change, a line with voters and missing ones, a warning if it bears none. "leader lost", "election failed" and "no majority" are warnings.

--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -63,7 +63,7 @@
 	if n.leader.Identity == "" {
 		return
 	}
-	n.log.Info("leader lost", zap.String("leader", string(n.leader.Identity)), zap.Uint64("term", uint64(n.term)))
+	n.log.Warn("leader lost", zap.String("leader", string(n.leader.Identity)), zap.Uint64("term", uint64(n.term)))
 	n.leader = Member{}
 }
 
@@ -184,7 +184,7 @@
 	votes := n.electionVotes()
 	if result := fmt.Sprint(n.role, votes); result != n.loggedElection {
 		n.loggedElection = result
-		n.log.Info("election failed", append(votes, zap.Bool("prevote", n.role == preCandidate), zap.Uint64("term", uint64(n.term)))...)
+		n.log.Warn("election failed", append(votes, zap.Bool("prevote", n.role == preCandidate), zap.Uint64("term", uint64(n.term)))...)
 	}
 }
 
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -247,7 +247,7 @@
 	switch {
 	case n.role == leader:
 		if now.Sub(max(n.lastQuorumContact(), n.electedAt)) > MinElectionTimeout {
-			n.log.Info("no majority, stepping down", zap.Uint64("term", uint64(n.term)))
+			n.log.Warn("no majority, stepping down", zap.Uint64("term", uint64(n.term)))
 			n.becomeFollower(n.term, Member{})
 		}
 	case !now.Before(n.electionDeadline):
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -98,6 +98,7 @@
 	// lost contact. Only the goroutine of loop uses them.
 	liveSince        map[replica.Identity]timer.Instant
 	unreachableSince map[replica.Identity]timer.Instant
+	reporter         *reporter
 }
 
 // New opens the data directory. If its log is damaged before the tail, New moves the
@@ -111,6 +112,7 @@
 	if o.Files == nil {
 		o.Files = disk.OSFileSystem{}
 	}
+	o.Files = disk.Monitor(o.Files, o.Timer, o.Log)
 	if o.Retention == (Retention{}) {
 		o.Retention = defaultRetention
 	}
@@ -138,7 +140,7 @@
 	}
 	r = &Replica{
 		options: o, liveSince: map[replica.Identity]timer.Instant{}, unreachableSince: map[replica.Identity]timer.Instant{},
-		transport: replica.NewTransport(transport),
+		transport: replica.NewTransport(transport), reporter: newReporter(o.Timer, o.Log),
 	}
 	directory, err := disk.Open(o.Files, path, reserveBytes)
 	if err != nil {
@@ -183,6 +185,7 @@
 // replica leads.
 func (r *Replica) loop(ctx context.Context) error {
 	for {
+		r.reporter.reportVote(r.identity, r.Members())
 		pause := membershipInterval
 		switch {
 		case len(r.Members()) == 0:
@@ -222,6 +225,7 @@
 	if _, ok := r.node.HoldsLease(); !ok {
 		r.liveSince = map[replica.Identity]timer.Instant{}
 		r.unreachableSince = map[replica.Identity]timer.Instant{}
+		r.reporter.forgetLosses()
 		return false
 	}
 	ctx, cancel := timer.WithTimeout(ctx, r.options.Timer, changeTimeout)
@@ -234,7 +238,9 @@
 	if err != nil {
 		return false
 	}
-	change := NextChange(r.observe(caughtUp, acknowledging))
+	observed := r.observe(caughtUp, acknowledging)
+	r.reporter.reportLosses(observed)
+	change := NextChange(observed)
 	if change.Action == NoChange {
 		return false
 	}
