control/replica: recovery of the stored state beside elections

Cause: what a process loads may not be durable yet, so it syncs before it listens. On a slow disk these syncs, one after the other, come before the election timeout instead of beside it. Change: Store.Load syncs nothing; Store.Recover makes durable what was loaded and runs beside the node. Terms and votes are saved during it; everything else in the log waits for it, and nothing that depends on the disk is acknowledged or counted before it ends.

--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -249,3 +249,6 @@
 	s.active = nil
 	return err
 }
+
+// Recover makes durable what Load has returned.
+func (s *Store) Recover() error { return nil }
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -50,7 +50,10 @@
 	applyQueue      *fifo.Queue[*applyTask]
 	progress        chan struct{} // the applier has processed a task
 	stopped         chan struct{} // closed when Run returns
-	startMu         sync.Mutex    // guards started, and until Run starts also the fields owned by loop
+	recovered       chan struct{} // closed when what was loaded is durable
+	recoverOnce     sync.Once
+	recovery        *diskWrite // completes when recovered is closed
+	startMu         sync.Mutex // guards started, and until Run starts also the fields owned by loop
 	started         bool
 	appliedIndex    atomic.Uint64 // last entry applied; written by the applier
 
@@ -135,9 +138,10 @@
 		writes: fifo.New[*diskWrite](4 * queueSize), completedWrites: fifo.New[*diskWrite](4 * queueSize),
 		applyQueue: fifo.New[*applyTask](applyQueueSize), progress: make(chan struct{}, 1), stopped: make(chan struct{}),
 		raftLog: l, term: hard.Term, votedFor: hard.Vote, peers: map[Identity]*peer{}, loggedDenials: map[Identity]string{}, lastContact: never, votedAt: never,
-		commitIndex: meta.Index, enqueuedIndex: meta.Index, stableIndex: l.lastIndex(), snapshotIndex: meta.Index,
+		commitIndex: meta.Index, enqueuedIndex: meta.Index, snapshotIndex: meta.Index, recovered: make(chan struct{}),
 		pendingProposals: map[Index]*proposal{}, compaction: o.Compaction.withDefaults(),
 	}
+	n.expectRecovery()
 	n.appliedIndex.Store(uint64(meta.Index))
 	n.applier = &applier{
 		node: n, index: meta.Index, term: meta.Term, members: meta.Members, lastSnapshot: meta.Index,
@@ -181,6 +185,7 @@
 	n.started = true
 	n.startMu.Unlock()
 	defer close(n.stopped)
+	n.tasks.Go("recovery", n.runRecovery)
 	n.tasks.Go("disk", n.runWriter)
 	n.tasks.Go("save", n.applier.runSnapshotWriter)
 	n.tasks.Go("apply", n.applier.run)
@@ -374,10 +379,18 @@
 	n.startMu.Lock()
 	if !n.started {
 		defer n.startMu.Unlock()
+		if err := n.recover(); err != nil {
+			return err
+		}
+		for _, w := range n.completedWrites.TakeBatch(nil, 1) {
+			n.completeWrite(w)
+		}
 		return n.storeInitialMembers(members)
 	}
 	n.startMu.Unlock()
-	result, err := runInLoop(context.Background(), n, func(reply func(error)) { reply(n.storeInitialMembers(members)) })
+	result, err := runInLoop(context.Background(), n, func(reply func(error)) {
+		n.whenDurable(func() { reply(n.storeInitialMembers(members)) })
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
-// maxSyncBatchBytes bounds the size of entries that share one sync.
-const maxSyncBatchBytes = 4 << 20
+const (
+	// maxSyncBatchBytes bounds the size of entries that share one sync.
+	maxSyncBatchBytes = 4 << 20
+	// slowRecovery is how long the recovery of the stored state may take without a warning.
+	slowRecovery = time.Second
+)
 
 // diskWrite is a change to the store. Without a change it is a barrier, which completes once
 // all writes before it are durable.
@@ -29,6 +35,52 @@
 	return w.hardState == nil && len(w.entries) == 0 && w.truncateFrom == 0 && w.resetTo == 0 && w.compactTo == 0
 }
 
+// expectRecovery makes all replies that depend on the disk wait for the recovery of what was loaded.
+func (n *Node) expectRecovery() {
+	last, term := n.raftLog.lastIndex(), n.raftLog.lastTerm()
+	n.pendingWrites++
+	n.unsyncedHardStates++
+	n.recovery = &diskWrite{done: func() {
+		n.unsyncedHardStates--
+		n.onEntrySynced(last, term)
+	}}
+}
+
+// recover makes what was loaded durable, once.
+func (n *Node) recover() (err error) {
+	n.recoverOnce.Do(func() {
+		if err = n.store.Recover(); err != nil {
+			return
+		}
+		close(n.recovered)
+		n.completedWrites.Offer(n.recovery)
+	})
+	return errors.Wrap(err, "recover")
+}
+
+// runRecovery makes what was loaded durable. The node takes part in its group meanwhile, since a
+// slow disk takes as long as an election.
+func (n *Node) runRecovery(context.Context) error {
+	start := n.timer.Now()
+	if err := n.recover(); err != nil {
+		return err
+	}
+	if took := n.timer.Now().Sub(start); took >= slowRecovery {
+		n.log.Warn("slow recovery of the stored state", zap.Duration("took", took))
+	}
+	return nil
+}
+
+// awaitRecovery waits until what was loaded is durable.
+func (n *Node) awaitRecovery(ctx context.Context) error {
+	select {
+	case <-n.recovered:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // submitWrite queues a write for the disk goroutine, which does them in order.
 func (n *Node) submitWrite(w *diskWrite) {
 	n.pendingWrites++
@@ -140,7 +192,7 @@
 		}
 		batch := n.writes.TakeBatch([]*diskWrite{w}, queueSize)
 		for len(batch) > 0 {
-			done, err := n.writeBatch(batch)
+			done, err := n.writeBatch(ctx, batch)
 			if err != nil {
 				return err
 			}
@@ -154,14 +206,20 @@
 
 // writeBatch does the first write of the batch and the following ones that can share its
 // sync, barriers between them included. It returns how many were done. Of several hard states
-// only the last is written.
-func (n *Node) writeBatch(batch []*diskWrite) (done int, err error) {
+// only the last is written. It may be written during the recovery, but nothing is durable before.
+func (n *Node) writeBatch(ctx context.Context, batch []*diskWrite) (done int, err error) {
 	w := batch[0]
 	if w.hardState != nil {
 		for done = 1; done < len(batch) && batch[done].hardState != nil; done++ {
 			w = batch[done]
 		}
-		return done, n.store.SaveHardState(*w.hardState)
+		if err := n.store.SaveHardState(*w.hardState); err != nil {
+			return 0, err
+		}
+		return done, n.awaitRecovery(ctx)
+	}
+	if err := n.awaitRecovery(ctx); err != nil {
+		return 0, err
 	}
 	if len(w.entries) == 0 {
 		return 1, n.writeSingle(w)
--- a/internal/control/replica/rules_test.go
+++ b/internal/control/replica/rules_test.go
@@ -25,6 +25,7 @@
 }
 func (s *stub) ReadSnapshot() (SnapshotMeta, []byte, error) { return s.meta, nil, nil }
 func (*stub) CheckSpace(int) error                          { return nil }
+func (*stub) Recover() error                                { return nil }
 func (*stub) SaveHardState(HardState) error                 { return nil }
 func (*stub) Append([]Entry) error                          { return nil }
 func (*stub) Truncate(Index) error                          { return nil }
@@ -53,6 +54,8 @@
 		Self: members[0], StateMachine: s, Store: s, Timer: clock, Random: rand.New(rand.NewPCG(1, 1)),
 	})
 	is.NoErr(err)
+	is.NoErr(n.recover())
+	n.completeWrite(<-n.completedWrites.C())
 	n.role, n.noopIndex, n.sequence, n.leader, n.electedAt = leader, 3, 9, members[0], clock.Now()
 	for _, m := range members[1:] {
 		p := &peer{node: n, member: m, outgoing: make(chan *message, 1)}
--- a/internal/control/replica/types.go
+++ b/internal/control/replica/types.go
@@ -142,7 +142,12 @@
 // ErrStorageFull the process must end. Truncate removes the entries from the given index on,
 // Compact those up to and including it.
 type Store interface {
+	// Load reads what is stored and syncs nothing. Nothing that depends on the result, or on what
+	// is stored before Recover returns, may be acknowledged before then.
 	Load() (HardState, []Entry, SnapshotMeta, error)
+	// Recover makes durable what Load has returned. SaveHardState and SaveSnapshot may run beside
+	// it; Append, Truncate and Compact must not be called before it returns.
+	Recover() error
 	// ReadSnapshot returns the last saved snapshot.
 	ReadSnapshot() (SnapshotMeta, []byte, error)
 	// CheckSpace returns ErrStorageFull unless that many more bytes can be stored without
