consensus: a lost disk is replaced in one membership change

After a disk is lost, the group of three bears no further loss until the new identity has a vote. On the way there are three membership changes, each a commit with a sync; two are the removal of the lost identity and the addition of the new one. Change: both are one change.

--- a/internal/control/replica/member.go
+++ b/internal/control/replica/member.go
@@ -56,6 +56,28 @@
 	return errors.Wrapf(err, "remove %s", i)
 }
 
+// ReplaceMember removes a member and adds another one without a vote in one change, and returns
+// once that is committed. The majorities before and after it overlap, since only one vote changes.
+func (n *Node) ReplaceMember(ctx context.Context, lost Identity, m Member) (err error) {
+	m.Voter = false
+	_, err = n.changeMembership(ctx, func(members []Member) ([]Member, error) {
+		_, present := findMember(members, lost)
+		_, added := findMember(members, m.Identity)
+		if added && !present {
+			return nil, nil
+		}
+		members = slices.DeleteFunc(members, func(o Member) bool { return o.Identity == lost })
+		if !slices.ContainsFunc(members, func(o Member) bool { return o.Voter }) {
+			return nil, errors.Wrap(ErrInvalidChange, "the last voter stays")
+		}
+		if !added {
+			members = append(members, m)
+		}
+		return members, nil
+	})
+	return errors.Wrapf(err, "replace %s by %s", lost, m.Identity)
+}
+
 // PromoteLearner waits until a learner has caught up and makes it a voter. It returns once
 // the change is committed and the member stores the log up to and including its promotion.
 // The loss of another member right afterwards then loses no committed entry.
--- a/internal/fleet/consensus/membership.go
+++ b/internal/fleet/consensus/membership.go
@@ -32,15 +32,20 @@
 	Add
 	Promote
 	Remove
+	// Replace removes a member that has lost its disk and adds the new identity of its instance,
+	// in one change.
+	Replace
 )
 
 // String returns the name of the action for the log.
-func (a Action) String() string { return [...]string{"keep", "add", "promote", "remove"}[a] }
+func (a Action) String() string { return [...]string{"keep", "add", "promote", "remove", "replace"}[a] }
 
 // Change is a membership change and its reason.
 type Change struct {
 	Action Action
 	Member replica.Member
+	// Lost is the member that Member replaces.
+	Lost   replica.Identity
 	Reason string
 }
 
@@ -81,10 +86,10 @@
 		}
 	}
 	if lost, ok := o.replacedVoter(voters); ok {
-		return Change{Remove, lost, "voter has lost its disk"}
+		return o.removeLost(known, lost, "voter has lost its disk")
 	}
 	if lost, ok := o.lostLearner(learners); ok {
-		return Change{Remove, lost, "learner is out of contact or has lost its disk"}
+		return o.removeLost(known, lost, "learner is out of contact or has lost its disk")
 	}
 	if change, ok := nextAddition(known, o.Live); ok {
 		return change
@@ -95,15 +100,27 @@
 	target := max(largestOdd(min(maxVoters, len(o.Live))), largestOdd(len(voters)))
 	if len(voters) < target || (hasFailed && len(voters) <= target) {
 		if learner, ok := o.nextVoter(voters, learners); ok {
-			return Change{Promote, learner, "live learner can become a voter"}
+			return Change{Action: Promote, Member: learner, Reason: "live learner can become a voter"}
 		}
 	}
 	if hasFailed && len(voters) > target {
-		return Change{Remove, failed, "voter was replaced"}
+		return Change{Action: Remove, Member: failed, Reason: "voter was replaced"}
 	}
 	return Change{}
 }
 
+// removeLost returns the change that removes a lost member. If its instance is in contact with a new
+// identity that is no member, the same change adds that: on a slow disk each change takes long, and
+// the group bears no further loss before the new identity has a vote.
+func (o *Observation) removeLost(known map[replica.Identity]replica.Member, lost replica.Member, reason string) Change {
+	for identity, address := range o.Live {
+		if _, member := known[identity]; !member && address == lost.Address {
+			return Change{Action: Replace, Member: replica.Member{Identity: identity, Address: address}, Lost: lost.Identity, Reason: reason}
+		}
+	}
+	return Change{Action: Remove, Member: lost, Reason: reason}
+}
+
 // hasLostDisk reports whether the address of a member that is out of contact belongs to an
 // instance with another identity.
 func (o *Observation) hasLostDisk(m replica.Member) bool {
@@ -181,7 +198,8 @@
 		if ok && change.Member.Identity < identity {
 			continue
 		}
-		change, ok = Change{Add, replica.Member{Identity: identity, Address: address}, "instance with a disk is not a member at this address"}, true
+		change = Change{Action: Add, Member: replica.Member{Identity: identity, Address: address}, Reason: "instance with a disk is not a member at this address"}
+		ok = true
 	}
 	return change, ok
 }
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -251,10 +251,12 @@
 		err = r.node.PromoteLearner(ctx, change.Member.Identity)
 	case Remove:
 		err = r.node.RemoveMember(ctx, change.Member.Identity)
+	case Replace:
+		err = r.node.ReplaceMember(ctx, change.Lost, change.Member)
 	}
 	r.options.Log.Info("membership of the control group", zap.String("action", change.Action.String()),
 		zap.String("identity", string(change.Member.Identity)), zap.String("address", string(change.Member.Address)),
-		zap.String("reason", change.Reason), journal.Error(err))
+		zap.String("lost", string(change.Lost)), zap.String("reason", change.Reason), journal.Error(err))
 	return err == nil
 }
 
