--- a/internal/observe/journal/bounded.go
+++ b/internal/observe/journal/bounded.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -12,8 +14,14 @@
 	maxBufferedBytes = 256 << 10
 	// flushInterval is the pause between two writes, so that one write covers many lines.
 	flushInterval = 50 * time.Millisecond
+	// closeTimeout limits the wait of Close for the output. A process ends within a grace period, also if
+	// nobody reads its log.
+	closeTimeout = 200 * time.Millisecond
 )
 
+// ErrOutputBlocked is returned by Close if the output did not take the buffered lines in time.
+var ErrOutputBlocked = errors.New("output of the log is blocked")
+
 // BoundedWriter buffers log lines and writes them in the background. Its Write never
 // blocks: lines that do not fit into the buffer are dropped and counted, and a line with
 // their number is logged once there is space again.
@@ -90,12 +98,17 @@
 	return !closed
 }
 
-// Close writes the buffered lines and stops the writer. It does not close out.
+// Close writes the buffered lines and stops the writer. It does not close out. If the output is
+// blocked, Close returns without the lines that are left.
 func (b *BoundedWriter) Close() error {
 	b.mu.Lock()
 	b.closed = true
 	b.signal()
 	b.mu.Unlock()
-	<-b.done
-	return nil
+	select {
+	case <-b.done:
+		return nil
+	case <-time.After(closeTimeout):
+		return ErrOutputBlocked
+	}
 }
--- a/internal/observe/journal/bounded_test.go
+++ b/internal/observe/journal/bounded_test.go
@@ -43,3 +43,21 @@
 	is.True(strings.HasSuffix(text, "last\n"))
 	is.True(len(text) < 3*maxBufferedBytes)
 }
+
+// Guards against a process that does not end while its output is blocked, so that it is not started again.
+func TestCloseWithBlockedOutput(t *testing.T) {
+	is := is.New(t)
+	out := &blockedWriter{release: make(chan struct{})}
+	defer close(out.release)
+	b := NewBoundedWriter(out)
+	_, err := b.Write([]byte("line\n"))
+	is.NoErr(err)
+	closed := make(chan error, 1)
+	go func() { closed <- b.Close() }()
+	select {
+	case err := <-closed:
+		is.True(err != nil) // lines are lost
+	case <-time.After(2 * time.Second):
+		t.Fatal("Close waits for the output")
+	}
+}
