--- a/internal/bench/outage/days.go
+++ b/internal/bench/outage/days.go
@@ -38,6 +38,8 @@
 	*run
 	// ending are the instances that drain after SIGTERM, with the time when they must have ended.
 	ending map[*instance]timer.Instant
+	// frozen are the instances whose processes are frozen.
+	frozen map[*instance]bool
 	// later is what is to be done at an instant.
 	later []dueAction
 	// stormUntil is the end of a storm of changes, and nextChanges when its next changes are sent.
@@ -49,7 +51,9 @@
 	act func() error
 }
 
-func newDay(r *run) *day { return &day{run: r, ending: map[*instance]timer.Instant{}} }
+func newDay(r *run) *day {
+	return &day{run: r, ending: map[*instance]timer.Instant{}, frozen: map[*instance]bool{}}
+}
 
 // after lets an action follow after a random time.
 func (d *day) after(least, most time.Duration, act func() error) {
@@ -107,7 +111,7 @@
 			continue
 		}
 		if n.process.Alive() {
-			if now.Before(limit) {
+			if now.Before(limit) || d.frozen[n] {
 				continue
 			}
 			d.violation("end", "%s has not ended %s after SIGTERM", n.name, soak.GracePeriod+time.Second)
@@ -180,22 +184,24 @@
 // freezeLeader stops the process of the leader for some seconds while changes are sent to it.
 func (d *day) freezeLeader() error {
 	n := d.leader()
-	if n == nil || !n.process.Alive() {
+	if n == nil || !n.process.Alive() || d.frozen[n] {
 		return nil
 	}
 	d.printf("freeze %s", n.name)
 	d.impair(true, n)
 	frozen := n.process
 	frozen.Signal(syscall.SIGSTOP)
-	if limit, ending := d.ending[n]; ending {
-		d.ending[n] = limit.Add(freezeTime)
-	}
+	d.frozen[n] = true
 	d.insist(n)
 	d.after(freezeTime, freezeTime, func() error {
 		frozen.Signal(syscall.SIGCONT)
-		if _, ending := d.ending[n]; !ending {
-			d.impair(false, n)
+		delete(d.frozen, n)
+		if _, ending := d.ending[n]; ending {
+			// It may get the signal only now.
+			d.ending[n] = d.Timer.Now().Add(soak.GracePeriod + time.Second)
+			return nil
 		}
+		d.impair(false, n)
 		return nil
 	})
 	return nil
@@ -244,6 +250,7 @@
 	d.reportUse()
 	d.printf("final fault, wiped %s", nameOf(wiped))
 	clear(d.ending)
+	clear(d.frozen)
 	d.later, d.stormUntil = nil, 0
 	return d.restartWith(ctx, wiped)
 }
