control/disk: a file that can't be opened for want of a descriptor is opened again

Callers saw refusals, since a replica ended for good while connections of clients held all descriptors of its process. A failed open counted as a failed disk, which ends the replica. A sync that failed is still never repeated.

--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -112,7 +112,7 @@
 	if o.Files == nil {
 		o.Files = disk.OSFileSystem{}
 	}
-	o.Files = disk.Monitor(o.Files, o.Timer, o.Log)
+	o.Files = disk.WaitForDescriptors(disk.Monitor(o.Files, o.Timer, o.Log), o.Timer, o.Log)
 	if o.Retention == (Retention{}) {
 		o.Retention = defaultRetention
 	}
