disk/faulty: delays of syncs of directories, delays that vary

A sync of a directory took no time in simulations, while each new file and each new term costs one. SetSyncDelay now delays both kinds, and SetVaryingSyncDelay draws the delays from the seed. A sync ends with its process, so a kill takes no longer than on a machine.

--- a/internal/control/disk/faulty/faulty.go
+++ b/internal/control/disk/faulty/faulty.go
@@ -34,6 +34,10 @@
 	syncsUntilFailure int // syncs that succeed before one fails; negative if none is to fail
 	syncCount         int
 	syncDelay         time.Duration
+	dirSyncDelay      bool // syncs of directories are delayed as well
+	varySyncDelay     bool
+	delays            *rand.Rand    // draws the delays of syncs
+	ended             chan struct{} // closed when the running process ends
 }
 
 // inode is the content of a file, independent of its names.
@@ -65,6 +69,7 @@
 		random: rand.New(rand.NewPCG(seed, 0)), files: map[string]*inode{}, durableFiles: map[string]*inode{},
 		dirs:      map[string]bool{},
 		freeBytes: 1 << 40, syncsUntilFailure: -1,
+		delays: rand.New(rand.NewPCG(seed, 1)), ended: make(chan struct{}),
 	}
 }
 
@@ -100,20 +105,61 @@
 	f.syncsUntilFailure = n
 }
 
-// SetSyncDelay delays each sync of a file.
-func (f *FileSystem) SetSyncDelay(d time.Duration) {
+// SetSyncDelay delays each sync of a file or directory. Syncs of several goroutines go on side by
+// side, and end with the process.
+func (f *FileSystem) SetSyncDelay(d time.Duration) { f.setSyncDelay(d, true, false) }
+
+// SetFileSyncDelay delays each sync of a file, but not those of directories.
+func (f *FileSystem) SetFileSyncDelay(d time.Duration) { f.setSyncDelay(d, false, false) }
+
+// SetVaryingSyncDelay delays each sync by 0.5 to 1 times d, and one in 20 by three times that.
+func (f *FileSystem) SetVaryingSyncDelay(d time.Duration) { f.setSyncDelay(d, true, true) }
+
+func (f *FileSystem) setSyncDelay(d time.Duration, dirs, vary bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.syncDelay = d
+	f.syncDelay, f.dirSyncDelay, f.varySyncDelay = d, dirs, vary
 }
 
-func (f *FileSystem) waitSyncDelay() {
-	f.mu.Lock()
+// nextSyncDelay returns the delay of the next sync of a file system whose lock is held.
+func (f *FileSystem) nextSyncDelay() time.Duration {
 	d := f.syncDelay
-	f.mu.Unlock()
-	if d > 0 {
-		time.Sleep(d)
+	if d <= 0 || !f.varySyncDelay {
+		return d
+	}
+	d = d/2 + time.Duration(f.delays.Int64N(int64(d/2)+1))
+	if f.delays.IntN(20) == 0 {
+		d *= 3
 	}
+	return d
+}
+
+// waitSyncDelay delays a sync of a file or directory, at most until the process ends.
+func (p *Process) waitSyncDelay(dir bool) {
+	unlock, err := p.lock()
+	if err != nil {
+		return
+	}
+	d, ended := p.fileSystem.nextSyncDelay(), p.fileSystem.ended
+	if dir && !p.fileSystem.dirSyncDelay {
+		d = 0
+	}
+	unlock()
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-ended:
+	}
+}
+
+// endProcess ends the access of the running process. f.mu must be held.
+func (f *FileSystem) endProcess() {
+	f.generation++
+	f.syncsUntilFailure = -1
+	close(f.ended)
+	f.ended = make(chan struct{})
 }
 
 // SyncCount returns the number of syncs of files and directories so far.
@@ -128,8 +174,7 @@
 func (f *FileSystem) Crash() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.generation++
-	f.syncsUntilFailure = -1
+	f.endProcess()
 	for _, c := range f.changes {
 		if c.kind == createDir {
 			f.loseDir(c.name, f.durableFiles)
@@ -330,6 +375,7 @@
 
 // SyncDir makes creations, renames and removals in a directory durable.
 func (p *Process) SyncDir(dir string) error {
+	p.waitSyncDelay(true)
 	unlock, err := p.lock()
 	if err != nil {
 		return err
@@ -382,7 +428,7 @@
 }
 
 func (h *handle) Sync() error {
-	h.process.fileSystem.waitSyncDelay()
+	h.process.waitSyncDelay(false)
 	unlock, err := h.process.lock()
 	if err != nil {
 		return err
--- a/internal/control/disk/faulty/loss.go
+++ b/internal/control/disk/faulty/loss.go
@@ -69,8 +69,7 @@
 func (f *FileSystem) Kill() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.generation++
-	f.syncsUntilFailure = -1
+	f.endProcess()
 }
 
 // LosePower ends the access of the running process. For each change of a name that was not
@@ -81,8 +80,7 @@
 func (f *FileSystem) LosePower(choose func(outcomes int) int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.generation++
-	f.syncsUntilFailure = -1
+	f.endProcess()
 	files := f.durableFiles
 	var lostDirs []string
 	for _, c := range f.changes {
--- a/internal/control/replica/storage_test.go
+++ b/internal/control/replica/storage_test.go
@@ -198,7 +198,7 @@
 				l := c.leader()
 				c.sleep(time.Second)
 				f := c.others(l)[0]
-				f.files.SetSyncDelay(10 * time.Second)
+				f.files.SetFileSyncDelay(10 * time.Second)
 				before := f.node.Status()
 				c.propose("before")
 				c.isolate(f, true)
