--- a/internal/fleet/consensus/group_test.go
+++ b/internal/fleet/consensus/group_test.go
@@ -56,6 +56,7 @@
 	index   int
 	files   *faulty.FileSystem
 	process *process // nil while the machine is down
+	starts  int      // number of starts and kills
 	mute    bool     // its instance doesn't poll
 }
 
@@ -78,6 +79,15 @@
 }
 
 func newCore(t *testing.T, seed uint64, size int) *core {
+	c := newStoppedCore(t, seed, size)
+	for _, m := range c.machines {
+		m.start(true)
+	}
+	return c
+}
+
+// newStoppedCore returns a core whose machines are down and have empty disks.
+func newStoppedCore(t *testing.T, seed uint64, size int) *core {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &core{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), log: zaptest.NewLogger(t), cut: map[[2]int]bool{}, stop: cancel,
@@ -85,9 +95,6 @@
 	for i := range size {
 		c.machines = append(c.machines, &machine{core: c, index: i, files: faulty.New(c.random.Uint64())})
 	}
-	for _, m := range c.machines {
-		m.start(true)
-	}
 	c.ended.Go(func() { c.loop(ctx) })
 	t.Cleanup(func() {
 		cancel()
@@ -156,28 +163,62 @@
 	return out
 }
 
-func (m *machine) start(found bool) {
+// start starts the process and waits until its replica answers.
+func (m *machine) start(found bool) { <-m.boot(found) }
+
+// boot starts the process. Its replica answers once the returned channel is closed, unless the
+// process is killed before.
+func (m *machine) boot(found bool) (done <-chan struct{}) {
 	c := m.core
-	p := &process{machine: m, state: state.New(), polls: map[int]poll{}}
+	c.mu.Lock()
+	m.starts++
+	start, files, seed := m.starts, m.files.Process(), c.random.Uint64()
+	c.mu.Unlock()
+	ended := make(chan struct{})
+	c.ended.Go(func() {
+		defer close(ended)
+		p, err := m.open(found, files, seed)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		switch {
+		case m.starts != start:
+			if err == nil {
+				p.cancel()
+			}
+		case err != nil:
+			c.t.Errorf("%+v", err)
+		default:
+			m.process = p
+		}
+		if err == nil {
+			p.ended.Go(func() { _ = p.replica.Run(p.ctx) })
+			c.ended.Go(p.ended.Wait)
+		}
+	})
+	return ended
+}
+
+// open opens the disk and returns a process that doesn't run yet.
+func (m *machine) open(found bool, files *faulty.Process, seed uint64) (p *process, err error) {
+	c := m.core
+	p = &process{machine: m, state: state.New(), polls: map[int]poll{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	r, err := New(Options{
+	p.replica, err = New(Options{
 		DataDirectory: "data", Address: peerAddress(m.index), PeerToken: "t", State: p.state, Timer: timer.NewSystem(),
-		Random: rand.New(rand.NewPCG(c.random.Uint64(), 3)), Log: c.log.Named(peerAddress(m.index)), Files: m.files.Process(),
+		Random: rand.New(rand.NewPCG(seed, 3)), Log: c.log.Named(peerAddress(m.index)), Files: files,
 		Dial: p.dial, AllowBootstrap: found, LiveReplicas: p.live,
-		RequestBootstrap: func(context.Context, string) bool { return m.index == 0 },
+		RequestBootstrap: func(context.Context, string) bool {
+			time.Sleep(time.Millisecond) // a round trip, within which the replica starts to run
+			return m.index == 0
+		},
 	})
 	if err != nil {
-		c.t.Fatalf("%+v", err)
+		p.cancel()
+		return nil, err
 	}
 	mux := drpcmux.New()
-	if err := replicawire.DRPCRegisterReplica(mux, r.Server()); err != nil {
-		c.t.Fatal(err)
-	}
-	p.replica, p.server = r, drpcserver.New(mux)
-	p.ended.Go(func() { _ = r.Run(p.ctx) })
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	m.process = p
+	p.server = drpcserver.New(mux)
+	return p, replicawire.DRPCRegisterReplica(mux, p.replica.Server())
 }
 
 // kill ends the process, if there is one. What it has not synced is lost.
@@ -185,11 +226,12 @@
 	m.core.mu.Lock()
 	p := m.process
 	m.process = nil
+	m.starts++
 	m.core.mu.Unlock()
+	m.files.Crash()
 	if p == nil {
 		return
 	}
-	m.files.Crash()
 	p.cancel()
 	p.ended.Wait()
 }
