control/replica: the founder of a group leads it without an election

Cause: the first replica stored term 1 and the members on the goroutine of its loop, three syncs, and was then elected in term 2: an election timeout and two syncs more. Change: a replica that is new and founds a group alone votes for itself in term 1 and leads. The term is written beside the creation of the directory, the members and the no-op in one write after it, so nothing is committed before the term is durable. Groups of several founders are created as before.

--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -391,6 +391,10 @@
 	}
 	n.startMu.Unlock()
 	result, err := runInLoop(context.Background(), n, func(reply func(error)) {
+		if n.isNew() && len(members) == 1 {
+			n.found(members, reply)
+			return
+		}
 		n.whenDurable(func() { reply(n.storeInitialMembers(members)) })
 	})
 	if err != nil {
@@ -399,6 +403,30 @@
 	return result
 }
 
+// isNew reports whether this replica has never been a member or heard of a term.
+func (n *Node) isNew() bool {
+	return n.term == 0 && n.votedFor == "" && n.raftLog.lastIndex() == 0 && !n.raftLog.hasMembers() && n.changedHardState == nil
+}
+
+// found creates a group of this replica alone, which leads it in term 1: its own vote is the
+// majority. What it appends is committed only once the term is durable too, since the disk does the
+// writes in order.
+func (n *Node) found(members []Member, reply func(error)) {
+	data, err := encodeMembers(members)
+	if err != nil {
+		reply(err)
+		return
+	}
+	n.term, n.votedFor = 1, n.self.Identity
+	n.saveHardState(nil)
+	if err := n.appendEntries([]Entry{{Index: 1, Term: n.term, Kind: wire.Kind_KIND_MEMBERS, Data: data}}); err != nil {
+		reply(err)
+		return
+	}
+	n.becomeLeader()
+	n.whenDurable(func() { reply(nil) })
+}
+
 // storeInitialMembers stores the first entry, which holds the initial members. It is the
 // same on every member and therefore counts as committed in term 1 before any election.
 func (n *Node) storeInitialMembers(members []Member) error {
