consensus: tests fail when a replica ends by itself

Cause: the simulated core ignored the result of a replica, so that a replica that fails for an error of its own looked like one that is slow. Change: an end without a kill fails the test.

--- a/internal/fleet/consensus/group_test.go
+++ b/internal/fleet/consensus/group_test.go
@@ -191,13 +191,22 @@
 			m.process = p
 		}
 		if err == nil {
-			p.ended.Go(func() { _ = p.replica.Run(p.ctx) })
+			p.ended.Go(func() { m.checkEnd(start, p.replica.Run(p.ctx)) })
 			c.ended.Go(p.ended.Wait)
 		}
 	})
 	return ended
 }
 
+// checkEnd fails the test if a replica has ended although its process was not killed.
+func (m *machine) checkEnd(start int, err error) {
+	m.core.mu.Lock()
+	defer m.core.mu.Unlock()
+	if m.starts == start {
+		m.core.t.Errorf("replica %d has ended by itself: %+v", m.index, err)
+	}
+}
+
 // open opens the disk and returns a process that doesn't run yet.
 func (m *machine) open(found bool, files *faulty.Process, seed uint64) (p *process, err error) {
 	c := m.core
