bench/outage: disks that refuse terms

The outage failed-disks lets the disks of two instances refuse the next term, the second some seconds after the first is back, and expects that each process ends by itself within its grace period, so that it is started again.

--- a/internal/bench/outage/days.go
+++ b/internal/bench/outage/days.go
@@ -24,6 +24,8 @@
 	seedAddresses = 3
 	// freezeTime is how long the leader is frozen.
 	freezeTime = 7 * time.Second
+	// electionTime is how long after the loss of the leader all voters have stored a new term.
+	electionTime = 5 * time.Second
 )
 
 // Limits of an instance on the platform.
@@ -317,6 +319,64 @@
 	return d.finish(ctx)
 }
 
+// failedDisks lets the disks of two instances refuse the next term or vote, one some seconds after the
+// other has caught up. An instance whose disk has failed ends by itself and is started again.
+func failedDisks(ctx context.Context, r *run) error {
+	d := newDay(r)
+	var before *instance
+	for range 2 {
+		leader := d.leader()
+		n := slices.DeleteFunc(d.drawCore(len(d.core)), func(n *instance) bool { return n == leader || n == before })[0]
+		before = n
+		if err := d.refuseWrites(ctx, n); err != nil {
+			return err
+		}
+		if err := d.pass(ctx, catchUp, catchUp+time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// refuseWrites lets the disk of an instance refuse a term until the process has ended, and takes the
+// leader from it.
+func (d *day) refuseWrites(ctx context.Context, n *instance) error {
+	leader := d.leader()
+	if leader == nil {
+		return nil
+	}
+	d.printf("the disk of %s refuses terms", n.name)
+	d.impair(true, n)
+	// A directory can't be opened as a file.
+	blocked := filepath.Join(n.disk, "control", "group-0", "hard.tmp")
+	if err := os.Mkdir(blocked, 0o700); err != nil {
+		return err
+	}
+	d.kill(leader)
+	if err := d.pass(ctx, time.Second, 2*time.Second); err != nil {
+		return err
+	}
+	if err := d.restore(false, leader); err != nil {
+		return err
+	}
+	// The election comes within seconds, and the process ends within its grace period.
+	limit := d.Timer.Now().Add(electionTime + soak.GracePeriod + time.Second)
+	for n.process.Alive() && d.Timer.Now().Before(limit) {
+		if err := d.step(ctx); err != nil {
+			return err
+		}
+	}
+	if err := os.RemoveAll(blocked); err != nil {
+		return err
+	}
+	if n.process.Alive() {
+		d.violation("end", "%s goes on although its disk has failed", n.name)
+		d.impair(false, n)
+		return nil
+	}
+	return d.restore(false, n)
+}
+
 // reportUse prints the largest use of disk, memory and descriptors of an instance, and checks them
 // against the limits of the platform.
 func (d *day) reportUse() {
