control/replica: replicas that request pre-votes at the same time don't split the votes

Cause: two replicas whose election timeouts end within one tick give each other a pre-vote, vote for themselves and deny each other the vote. The next election waits for the disks again: two syncs of all voters, and an election timeout. Change: of two with the same log the one with the lower identity goes on and the other yields. The precedence ends after two ticks, since the requests of the first may be lost. A candidate also denies pre-votes for a while after its own vote is durable, as other voters do.

--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -76,7 +76,7 @@
 	n.leader = Member{}
 	n.votesGranted, n.votesDenied = map[Identity]bool{}, map[Identity]bool{}
 	if preVote {
-		n.role = preCandidate
+		n.role, n.campaignedAt = preCandidate, n.timer.Now()
 		n.requestVotes(round, n.term+1, true)
 		n.recordVote(round, n.self.Identity)
 		return
@@ -92,6 +92,7 @@
 		if n.electionRound != round {
 			return
 		}
+		n.votedAt = n.timer.Now()
 		n.resetElectionTimeout()
 		n.electionDeadline = n.electionDeadline.Add(n.timer.Now().Sub(start))
 		n.recordVote(round, n.self.Identity)
@@ -238,6 +239,22 @@
 	return ""
 }
 
+// hasPrecedence reports whether this replica has begun to request pre-votes at about the same time as a
+// candidate with the same log, and goes on while the candidate yields. Otherwise both could get pre-votes
+// of each other and split the votes, and the next election waits for the disks again. Precedence ends
+// after maxPrecedence, since the requests of this replica may be lost.
+func (n *Node) hasPrecedence(candidate Identity, last Index, lastTerm Term) bool {
+	return n.role == preCandidate && n.timer.Now().Sub(n.campaignedAt) < maxPrecedence && n.self.Identity < candidate &&
+		last == n.raftLog.lastIndex() && lastTerm == n.raftLog.lastTerm()
+}
+
+// yield ends the request for pre-votes in favour of another candidate.
+func (n *Node) yield() {
+	n.electionRound++
+	n.role = follower
+	n.resetElectionTimeout()
+}
+
 // Vote handles a vote request of another replica.
 func (n *Node) Vote(ctx context.Context, r *wire.VoteRequest) (*wire.VoteReply, error) {
 	if Identity(r.GetTarget()) != n.self.Identity {
@@ -271,6 +288,9 @@
 	}
 	delete(n.loggedDenials, Identity(r.GetCandidate().GetIdentity()))
 	if r.GetPrevote() {
+		if n.role == preCandidate {
+			n.yield()
+		}
 		return true
 	}
 	if n.votedFor == "" {
@@ -304,6 +324,8 @@
 			return "log is behind"
 		case electing:
 			return "voted for another candidate"
+		case n.hasPrecedence(candidateID, last, lastTerm):
+			return "requesting votes itself"
 		}
 		return ""
 	}
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -69,6 +69,7 @@
 	lastContact      timer.Instant // time of the last message from a leader of the current term
 	electionDeadline timer.Instant // when to start an election unless a leader is heard from
 	electionRound    uint64        // increases with every campaign and change of role; votes of earlier rounds are ignored
+	campaignedAt     timer.Instant // when this replica last began to request pre-votes
 	votesGranted     map[Identity]bool
 	votesDenied      map[Identity]bool
 	loggedElection   string              // result of the last failed election that was logged
@@ -83,7 +84,7 @@
 	unsyncedHardStates int
 	changedHardState   *diskWrite // a term or vote that is not submitted yet; nil if there is none
 	lateReplies        []lateReply
-	votedAt            timer.Instant // when the last vote for another replica became durable
+	votedAt            timer.Instant // when the last vote became durable
 	pendingProposals   map[Index]*proposal
 	snapshotIndex      Index
 	incoming           *incomingSnapshot
--- a/internal/control/replica/rules_test.go
+++ b/internal/control/replica/rules_test.go
@@ -256,6 +256,46 @@
 	is.Equal(n.raftLog.lastIndex(), Index(4))
 }
 
+// Guards against split votes of two replicas that request pre-votes at the same time: only one of them
+// gets the pre-vote of the other. Neither is kept from an election for long.
+func TestPreVotesAtTheSameTime(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		candidate Identity
+		after     time.Duration
+		last      Index
+		granted   bool
+	}{
+		{"higher identity", "b", 0, 3, false},
+		{"higher identity with a longer log", "b", 0, 4, true},
+		{"higher identity, after a while", "b", maxPrecedence, 3, true},
+		{"lower identity", "A", 0, 3, true},
+		{"lower identity with a shorter log", "A", 0, 2, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n, clock := leadingNode(t)
+			for _, p := range n.peers {
+				p.voteRequests = make(chan *voteRequest, 1)
+			}
+			n.becomeFollower(4, Member{})
+			clock.Advance(MinElectionTimeout)
+			n.campaign(true)
+			clock.Advance(c.after)
+			round := n.electionRound
+			lastTerm := Term(4)
+			if c.last == 2 {
+				lastTerm = 2
+			}
+			is.Equal(n.decideVote(&wire.VoteRequest{
+				Prevote: true, Term: 5, Candidate: memberToWire(Member{Identity: c.candidate}), Lastindex: uint64(c.last), Lastterm: uint64(lastTerm),
+			}), c.granted)
+			is.Equal(n.role == preCandidate, !c.granted)
+			is.Equal(n.electionRound == round, !c.granted)
+		})
+	}
+}
+
 // Guards against votes that take twice the time of a write on a slow disk: the term and the vote of a
 // voter are written together.
 func TestVoteIsOneWrite(t *testing.T) {
--- a/internal/control/replica/types.go
+++ b/internal/control/replica/types.go
@@ -71,6 +71,9 @@
 	// maxReplyDelay is how long a follower waits for its disk before it replies to a leader. A
 	// leader needs replies of a majority within LeaseDuration, however slow the disks are.
 	maxReplyDelay = HeartbeatInterval / 2
+	// maxPrecedence is how long a replica that requests pre-votes denies them to others that do the
+	// same: election timeouts that end within one tick, and a message.
+	maxPrecedence = 2 * tickInterval
 	// maxVoteSync is how long a candidate waits for its own vote to become durable before it
 	// starts another election.
 	maxVoteSync = 10 * time.Second
