control/disk: a restart listens before it syncs what it has loaded

Cause: a restart made five syncs in series before the instance listened: of the parent, the directory and the group, and two to rewrite the last segment. With 300 ms a sync the instance was away for 1.5 s more, and elections after it. Change: Open, OpenGroup and Load read only. Recover makes durable what they found: the names of all directories and the new content of the last segment are synced in parallel, then the segment is replaced, two syncs in series. Control servers still call it before they disclose their identity. Operations that several rows repeat are checked in one of them, in all orders. TestLeaseDuringInstallation waits for a voter that acknowledges: one that knows the leader did so before, and now acknowledges only once it has recovered.

--- a/internal/control/disk/directory.go
+++ b/internal/control/disk/directory.go
@@ -33,14 +33,18 @@
 	reserveBytes uint64
 	segmentBytes int // see Store
 	identity     replica.Identity
+	inParallel   func(calls ...func() error) error
 
-	mu     sync.Mutex
-	groups []string // directory names of the groups that were created
+	mu           sync.Mutex
+	groups       []string // directory names of the groups that were created
+	recovered    bool     // the names that Open found were synced, without success if recoverError is set
+	recoverError error
 }
 
 // Open opens a data directory and creates it if necessary. A new identity is generated
-// only if the directory is empty, and it is durable before Open returns. reserveBytes is
-// the disk space to keep free; see DefaultReserveBytes.
+// only if the directory is empty, and it is durable before Open returns. Names that a previous
+// process left may be lost with the power until Recover returns for a store of the directory.
+// reserveBytes is the disk space to keep free; see DefaultReserveBytes.
 func Open(f FileSystem, path string, reserveBytes uint64) (d *Directory, err error) {
 	defer func() {
 		if err != nil {
@@ -50,15 +54,15 @@
 	if err := f.MkdirAll(path); err != nil {
 		return nil, markFatal(err)
 	}
-	if err := f.SyncDir(filepath.Dir(path)); err != nil {
-		return nil, markFatal(err)
-	}
 	names, err := f.List(path)
 	if err != nil {
 		return nil, markFatal(err)
 	}
-	d = &Directory{files: f, path: path, reserveBytes: reserveBytes, segmentBytes: maxSegmentBytes}
+	d = &Directory{files: f, path: path, reserveBytes: reserveBytes, segmentBytes: maxSegmentBytes, inParallel: inParallel}
 	if isUninitialized(names) {
+		if err := f.SyncDir(filepath.Dir(path)); err != nil {
+			return nil, markFatal(err)
+		}
 		return d, d.generateIdentity()
 	}
 	return d, d.load(names)
@@ -86,10 +90,6 @@
 }
 
 func (d *Directory) load(names []string) error {
-	// A previous process may have ended after a rename and before the sync of the directory.
-	if err := d.files.SyncDir(d.path); err != nil {
-		return markFatal(err)
-	}
 	if !slices.Contains(names, identityFile) {
 		return errors.Wrap(ErrCorrupt, "directory is not empty but has no identity file")
 	}
@@ -131,7 +131,7 @@
 	name := fmt.Sprintf("group-%d", g)
 	dir := filepath.Join(d.path, name)
 	s = &Store{
-		files: d.files, dir: dir, identity: d.identity, reserveBytes: d.reserveBytes, segmentBytes: d.segmentBytes,
+		directory: d, files: d.files, dir: dir, identity: d.identity, reserveBytes: d.reserveBytes, segmentBytes: d.segmentBytes,
 	}
 	// A listed group is not created again: if its files were lost, it must not vote as if it were new.
 	if slices.Contains(d.groups, name) {
--- a/internal/control/disk/disk_test.go
+++ b/internal/control/disk/disk_test.go
@@ -25,6 +25,17 @@
 	return d, s
 }
 
+// reopen opens group 0 as a new process, loads it and makes durable what was loaded.
+func reopen(t *testing.T, f *faulty.FileSystem) (s *disk.Store, h replica.HardState, e []replica.Entry, m replica.SnapshotMeta) {
+	t.Helper()
+	is := is.New(t)
+	_, s = openGroup(t, f)
+	h, e, m, err := s.Load()
+	is.NoErr(err)
+	is.NoErr(s.Recover())
+	return s, h, e, m
+}
+
 func entries(from, to replica.Index, term replica.Term) (out []replica.Entry) {
 	for i := from; i <= to; i++ {
 		out = append(out, replica.Entry{Index: i, Term: term, Data: []byte(fmt.Sprint("entry ", i, " of term ", term))})
@@ -37,9 +48,7 @@
 	t.Helper()
 	is := is.New(t)
 	f := faulty.New(1)
-	_, s := openGroup(t, f)
-	_, _, _, err := s.Load()
-	is.NoErr(err)
+	s, _, _, _ := reopen(t, f)
 	is.NoErr(s.SaveHardState(replica.HardState{Term: 3, Vote: "x"}))
 	for i := replica.Index(1); i <= 9; i += 2 {
 		is.NoErr(s.Append(entries(i, i+1, 3)))
@@ -80,9 +89,7 @@
 	is := is.New(t)
 	f := newFilledGroup(t)
 	f.Crash()
-	_, s := openGroup(t, f)
-	h, e, m, err := s.Load()
-	is.NoErr(err)
+	s, h, e, m := reopen(t, f)
 	is.Equal(h, replica.HardState{Term: 3, Vote: "x"})
 	is.Equal(e, entries(1, 10, 3))
 	is.Equal(m.Index, replica.Index(0))
@@ -90,9 +97,7 @@
 	is.NoErr(s.SaveHardState(replica.HardState{Term: 4}))
 	is.NoErr(s.Append(entries(6, 7, 4)))
 	f.Crash()
-	_, s = openGroup(t, f)
-	_, e, _, err = s.Load()
-	is.NoErr(err)
+	s, _, e, _ = reopen(t, f)
 	is.Equal(e, append(entries(1, 5, 3), entries(6, 7, 4)...))
 }
 
@@ -127,11 +132,10 @@
 			}
 			is.NoErr(err)
 			is.Equal(e, entries(1, tt.kept, 3))
+			is.NoErr(s.Recover())
 			is.NoErr(s.Append(entries(tt.kept+1, 20, 3)))
 			f.Crash()
-			_, s = openGroup(t, f)
-			_, e, _, err = s.Load()
-			is.NoErr(err)
+			_, _, e, _ = reopen(t, f)
 			is.Equal(e, entries(1, 20, 3))
 		})
 	}
@@ -157,9 +161,7 @@
 func TestSnapshotAndSegments(t *testing.T) {
 	is := is.New(t)
 	f := newFilledGroup(t)
-	_, s := openGroup(t, f)
-	_, _, _, err := s.Load()
-	is.NoErr(err)
+	s, _, _, _ := reopen(t, f)
 	members := []replica.Member{{Identity: "x", Address: "a", Voter: true}}
 	meta := replica.SnapshotMeta{Index: 10, Term: 3, Members: members}
 	data := make([]byte, 3<<20)
@@ -169,9 +171,7 @@
 	is.NoErr(s.Append(entries(11, 12, 3)))
 	is.Equal(f.Names(groupDir+"log"), []string{groupDir + "log-0000000000000002"})
 	f.Crash()
-	_, s = openGroup(t, f)
-	_, e, m, err := s.Load()
-	is.NoErr(err)
+	s, _, e, m := reopen(t, f)
 	is.Equal(e, entries(11, 12, 3))
 	is.Equal(m, meta)
 	_, got, err := s.ReadSnapshot()
@@ -180,15 +180,11 @@
 	// The process crashes after a snapshot superseded the log and before the log is removed.
 	is.NoErr(s.SaveSnapshot(replica.SnapshotMeta{Index: 20, Term: 3, Members: members}, data))
 	f.Crash()
-	_, s = openGroup(t, f)
-	_, e, _, err = s.Load()
-	is.NoErr(err)
+	s, _, e, _ = reopen(t, f)
 	is.Equal(len(e), 0)
 	is.NoErr(s.Append(entries(21, 22, 3)))
 	f.Crash()
-	_, s = openGroup(t, f)
-	_, e, _, err = s.Load()
-	is.NoErr(err)
+	s, _, e, _ = reopen(t, f)
 	is.Equal(e, entries(21, 22, 3))
 	f.Corrupt(groupDir+"snapshot", func(b []byte) []byte { b[2<<20]++; return b })
 	_, s = openGroup(t, f)
@@ -204,9 +200,7 @@
 func TestFailedSync(t *testing.T) {
 	is := is.New(t)
 	f := newFilledGroup(t)
-	_, s := openGroup(t, f)
-	_, _, _, err := s.Load()
-	is.NoErr(err)
+	s, _, _, _ := reopen(t, f)
 	f.FailSyncAfter(0)
 	is.True(errors.Is(s.Append(entries(11, 11, 3)), disk.ErrFatal))
 	is.True(errors.Is(s.Append(entries(11, 11, 3)), disk.ErrFatal))
@@ -215,16 +209,14 @@
 
 // Guards against a vote or an identity that a process loads and uses, but that a later
 // crash loses because the directory was never synced after the rename.
-func TestLoadSyncsDirectory(t *testing.T) {
+func TestRecoverSyncsDirectory(t *testing.T) {
 	is := is.New(t)
 	f := faulty.New(1)
 	_, s := openGroup(t, f)
 	f.FailSyncAfter(1) // the sync of the directory fails
 	is.True(errors.Is(s.SaveHardState(replica.HardState{Term: 5, Vote: "x"}), disk.ErrFatal))
 	for range 2 {
-		_, s = openGroup(t, f)
-		h, _, _, err := s.Load()
-		is.NoErr(err)
+		_, h, _, _ := reopen(t, f)
 		is.Equal(h, replica.HardState{Term: 5, Vote: "x"})
 		f.Crash()
 	}
@@ -232,8 +224,8 @@
 	f.FailSyncAfter(2)
 	_, err := disk.Open(f.Process(), "data", 0)
 	is.True(errors.Is(err, disk.ErrFatal))
-	d, err := disk.Open(f.Process(), "data", 0)
-	is.NoErr(err)
+	d, s := openGroup(t, f)
+	is.NoErr(s.Recover())
 	f.Crash()
 	again, err := disk.Open(f.Process(), "data", 0)
 	is.NoErr(err)
@@ -242,22 +234,16 @@
 
 // Guards against an entry that was written but not synced before a restart, is treated
 // as durable afterwards, and is lost in a later crash.
-func TestLoadSyncsLog(t *testing.T) {
+func TestRecoverSyncsLog(t *testing.T) {
 	is := is.New(t)
 	f := newFilledGroup(t)
-	_, s := openGroup(t, f)
-	_, _, _, err := s.Load()
-	is.NoErr(err)
+	s, _, _, _ := reopen(t, f)
 	f.FailSyncAfter(0)
 	is.True(s.Append(entries(11, 11, 3)) != nil)
-	_, s = openGroup(t, f)
-	_, e, _, err := s.Load()
-	is.NoErr(err)
+	_, _, e, _ := reopen(t, f)
 	is.Equal(e, entries(1, 11, 3))
 	f.Crash()
-	_, s = openGroup(t, f)
-	_, e, _, err = s.Load()
-	is.NoErr(err)
+	s, _, e, _ = reopen(t, f)
 	is.Equal(e, entries(1, 11, 3))
 }
 
@@ -266,9 +252,7 @@
 func TestReserve(t *testing.T) {
 	is := is.New(t)
 	f := newFilledGroup(t)
-	_, s := openGroup(t, f)
-	_, _, _, err := s.Load()
-	is.NoErr(err)
+	s, _, _, _ := reopen(t, f)
 	f.SetFreeBytes(1100) // openGroup keeps 1000 of them in reserve
 	is.NoErr(s.CheckSpace(100))
 	is.True(errors.Is(s.CheckSpace(101), disk.ErrStorageFull))
@@ -306,6 +290,7 @@
 		is.NoErr(err)
 		is.Equal(m.Index, 4*k)
 		is.Equal(len(e), int(4*k)) // compaction keeps the active segment
+		is.NoErr(s.Recover())
 		is.NoErr(s.SaveHardState(replica.HardState{Term: 1}))
 		is.NoErr(s.Append(entries(4*k+1, 4*k+4, 1)))
 		is.NoErr(s.SaveSnapshot(replica.SnapshotMeta{Index: 4*k + 4, Term: 1}, []byte("state")))
--- a/internal/control/disk/files.go
+++ b/internal/control/disk/files.go
@@ -118,7 +118,11 @@
 // The new content is durable once it returns. It is the concatenation of parts.
 func WriteFileAtomic(f FileSystem, dir, name string, parts ...[]byte) (err error) {
 	temp := filepath.Join(dir, name+tempSuffix)
-	if err := writeAndSync(f, temp, parts); err != nil {
+	sync, err := writeFile(f, temp, parts...)
+	if err != nil {
+		return err
+	}
+	if err := sync(); err != nil {
 		return err
 	}
 	if err := f.Rename(temp, filepath.Join(dir, name)); err != nil {
@@ -127,16 +131,16 @@
 	return f.SyncDir(dir)
 }
 
-func writeAndSync(f FileSystem, name string, parts [][]byte) (err error) {
+// writeFile writes a file and returns a call that syncs and closes it.
+func writeFile(f FileSystem, name string, parts ...[]byte) (sync func() error, err error) {
 	file, err := f.Create(name)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer func() { err = errors.CombineErrors(err, file.Close()) }()
 	for _, p := range parts {
 		if _, err := file.Write(p); err != nil {
-			return err
+			return nil, errors.CombineErrors(err, file.Close())
 		}
 	}
-	return file.Sync()
+	return func() error { return errors.CombineErrors(file.Sync(), file.Close()) }, nil
 }
--- a/internal/control/disk/load.go
+++ b/internal/control/disk/load.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"path/filepath"
 	"slices"
 	"strings"
 
@@ -14,8 +13,8 @@
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/replica"
 )
 
-// Load reads the hard state, the log and the metadata of the snapshot. A record that
-// was cut off at the end of the log is removed.
+// Load reads the hard state, the log and the metadata of the snapshot. It syncs nothing: what
+// it returns may be lost with the power until Recover returns.
 func (s *Store) Load() (h replica.HardState, entries []replica.Entry, m replica.SnapshotMeta, err error) {
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
@@ -49,21 +48,18 @@
 		return h, nil, m, err
 	}
 	if h.Term < s.snapshotMeta.Term {
-		h, err = s.adoptSnapshotTerm()
-	}
-	return h, entries, s.snapshotMeta, err
-}
-
-// adoptSnapshotTerm stores the term of a snapshot that was saved before the hard state of its
-// term: a new leader may send a snapshot while its term still waits for the disk. In that term
-// a leader has been elected, so this replica gives its vote to nobody else.
-func (s *Store) adoptSnapshotTerm() (replica.HardState, error) {
-	h := replica.HardState{Term: s.snapshotMeta.Term, Vote: s.identity}
-	return h, s.SaveHardState(h)
+		// The snapshot was saved before the hard state of its term: a new leader may send a
+		// snapshot while its term still waits for the disk. In that term a leader has been
+		// elected, so this replica gives its vote to nobody else.
+		h = replica.HardState{Term: s.snapshotMeta.Term, Vote: s.identity}
+		s.hardMu.Lock()
+		s.adopted = &h
+		s.hardMu.Unlock()
+	}
+	return h, entries, s.snapshotMeta, nil
 }
 
-// removeTempFiles removes temporary files and syncs the directory: the previous process
-// may have ended after a rename and before the sync of the directory.
+// removeTempFiles removes temporary files and returns the other names.
 func (s *Store) removeTempFiles(names []string) (kept []string, err error) {
 	for _, n := range names {
 		if !strings.HasSuffix(n, tempSuffix) {
@@ -74,7 +70,7 @@
 			return nil, err
 		}
 	}
-	return kept, s.files.SyncDir(s.dir)
+	return kept, nil
 }
 
 func (s *Store) loadHardState(names []string) (h replica.HardState, err error) {
@@ -123,8 +119,7 @@
 	return entries, nil
 }
 
-// loadSegment applies the records of segment i to the entries of the earlier segments. It
-// opens the last segment for appending.
+// loadSegment applies the records of segment i to the entries of the earlier segments.
 func (s *Store) loadSegment(i int, entries []replica.Entry) (_ []replica.Entry, err error) {
 	name := s.segmentPath(s.segments[i].sequence)
 	b, err := s.files.ReadFile(name)
@@ -143,27 +138,11 @@
 		return nil, errors.Wrap(err, name)
 	}
 	if last {
-		return entries, markFatal(s.reopenSegment(name, b[:valid]))
+		s.lastSegment = b[:valid]
 	}
 	return entries, nil
 }
 
-// reopenSegment opens the last segment for appending, without a torn tail. The file is
-// rewritten, because the previous process may have ended between a write and its sync,
-// or after a failed sync: the kernel may report success for a second sync of the same
-// pages without having stored them.
-func (s *Store) reopenSegment(name string, valid []byte) error {
-	if err := WriteFileAtomic(s.files, s.dir, filepath.Base(name), valid); err != nil {
-		return err
-	}
-	file, err := s.files.OpenAppend(name)
-	if err != nil {
-		return err
-	}
-	s.active, s.activeBytes = file, len(valid)
-	return nil
-}
-
 // applyRecord applies one record of the log to the entries read so far.
 func applyRecord(entries []replica.Entry, t recordType, payload []byte) ([]replica.Entry, error) {
 	switch t {
@@ -193,9 +172,9 @@
 }
 
 // checkConsistency checks the log against hard state and snapshot. A term is always stored
-// before the entries that have it, but not always before the snapshot. It discards a log that
+// before the entries that have it, but not always before the snapshot. It truncates a log that
 // ends before the snapshot or conflicts with its last entry, which is left behind by a crash
-// while a snapshot is installed.
+// while a snapshot is installed. Recover stores the truncation.
 func (s *Store) checkConsistency(h replica.HardState, entries []replica.Entry) ([]replica.Entry, error) {
 	if len(entries) == 0 {
 		return nil, nil
@@ -214,5 +193,7 @@
 	if !superseded {
 		return entries, nil
 	}
-	return nil, s.setError(s.appendTruncation(first.Index))
+	s.lastSegment = append(slices.Clip(s.lastSegment), truncationRecord(first.Index)...)
+	s.dropIndexesFrom(first.Index)
+	return nil, nil
 }
--- a/internal/control/disk/power_loss_test.go
+++ b/internal/control/disk/power_loss_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+
 	"wisteriakeel.example/wisteriakeel/internal/control/disk"
 	"wisteriakeel.example/wisteriakeel/internal/control/disk/faulty"
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
@@ -36,15 +38,18 @@
 	seen    map[string]bool // states that were checked since the expectations last changed
 	checked int
 	failed  bool
+	order   int // of calls that are made in parallel, see inOrder
+	// unchecked is true while operations repeat those that another row has checked.
+	unchecked bool
 	// interleaved is an operation of another goroutine to run after the given number of changes.
 	interleaved func()
 	after       int
 }
 
-func newLossCheck(t *testing.T) *lossCheck {
+func newLossCheck(t *testing.T, order int, unchecked bool) *lossCheck {
 	t.Helper()
 	c := &lossCheck{
-		t: t, files: faulty.New(1), seen: map[string]bool{},
+		t: t, order: order, unchecked: unchecked, files: faulty.New(1), seen: map[string]bool{},
 		hard: []replica.HardState{{}}, logs: [][]replica.Entry{nil}, metas: []replica.SnapshotMeta{{}},
 	}
 	c.files.AfterChange(c.onChange)
@@ -74,12 +79,34 @@
 	}
 }
 
-func load(f *faulty.FileSystem) (out stored, s *disk.Store, err error) {
+// orders is the number of orders in which parallel calls are made.
+const orders = 4
+
+// inOrder makes calls one after the other: in their order or the reverse, from the first or from
+// the one in the middle.
+func (c *lossCheck) inOrder(calls ...func() error) error {
+	calls = slices.Clone(calls)
+	if c.order%2 == 1 {
+		slices.Reverse(calls)
+	}
+	first := c.order / 2 * len(calls) / 2
+	for _, f := range slices.Concat(calls[first:], calls[:first]) {
+		if err := f(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// read opens the directory as a new process, without making durable what it finds.
+func (c *lossCheck) read(f *faulty.FileSystem) (out stored, s *disk.Store, err error) {
+	syncs := f.SyncCount()
 	d, err := disk.Open(f.Process(), "data", 0)
 	if err != nil {
 		return out, nil, err
 	}
 	d.SetSegmentBytes(testSegmentBytes)
+	d.InSequence(c.inOrder)
 	if s, err = d.OpenGroup(0); err != nil {
 		return out, nil, err
 	}
@@ -91,10 +118,21 @@
 		s.Close()
 		return out, nil, disk.ErrCorrupt
 	}
+	if c.identity != "" && f.SyncCount() != syncs {
+		return out, nil, errors.New("synced before the recovery")
+	}
 	out.entries = slices.DeleteFunc(slices.Clone(out.entries), func(e replica.Entry) bool { return e.Index <= out.meta.Index })
 	return out, s, nil
 }
 
+// load opens the directory as a new process, up to the end of the recovery.
+func (c *lossCheck) load(f *faulty.FileSystem) (out stored, s *disk.Store, err error) {
+	if out, s, err = c.read(f); err != nil {
+		return out, nil, err
+	}
+	return out, s, s.Recover()
+}
+
 func (a stored) equal(b stored) bool {
 	return a.identity == b.identity && a.hard == b.hard && a.meta.Index == b.meta.Index && a.meta.Term == b.meta.Term &&
 		slices.EqualFunc(a.entries, b.entries, func(x, y replica.Entry) bool {
@@ -146,7 +184,7 @@
 			f()
 		}
 	}
-	if c.failed {
+	if c.failed || c.unchecked {
 		return
 	}
 	killed := c.files.Clone()
@@ -175,10 +213,11 @@
 		return
 	}
 	c.checked++
+	fresh := f.Clone()
 	if depth > 0 {
 		f.AfterChange(func() { c.checkLosses(f, depth-1) })
 	}
-	got, s, err := load(f)
+	got, s, err := c.load(f)
 	f.AfterChange(nil)
 	if err != nil || !c.allows(got) {
 		c.failed = true
@@ -194,6 +233,55 @@
 		c.t.Fatal(err)
 	}
 	c.checkReloads(f, voted, "stored", description)
+	if depth > 0 {
+		c.checkBeside(fresh, description)
+	}
+}
+
+// checkBeside opens the directory and stores a term, a vote and a snapshot before the recovery.
+func (c *lossCheck) checkBeside(f *faulty.FileSystem, description string) {
+	if c.failed {
+		return
+	}
+	got, s, err := c.read(f)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	h := replica.HardState{Term: got.hard.Term + 1, Vote: "z"}
+	m := replica.SnapshotMeta{Index: 90, Term: got.hard.Term}
+	seen, hard, metas := c.seen, c.hard, c.metas
+	c.seen, c.hard, c.metas = map[string]bool{}, append(slices.Clone(hard), h), append(slices.Clone(metas), m)
+	f.AfterChange(func() { c.checkReads(f, description) })
+	for _, store := range []func() error{
+		func() error { return s.SaveHardState(h) },
+		func() error { return s.SaveSnapshot(m, nil) },
+		s.Recover,
+	} {
+		if err := store(); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	f.AfterChange(nil)
+	c.seen, c.hard, c.metas = seen, hard, metas
+	c.checkReloads(f, stored{identity: got.identity, hard: h, meta: m}, "stored before the recovery", description)
+}
+
+// checkReads checks what each state that a loss of power may leave now yields.
+func (c *lossCheck) checkReads(f *faulty.FileSystem, description string) {
+	eachOutcome(func(choose func(int) int) {
+		lost := f.Clone()
+		lost.LosePower(choose)
+		dump := lost.Dump()
+		if c.failed || c.seen[dump] {
+			return
+		}
+		c.seen[dump] = true
+		if got, _, err := c.read(lost); err != nil || !c.allows(got) {
+			c.failed = true
+			c.t.Errorf("read %+v, error %v;\nidentity %s, hard states %v, snapshots %v, logs %v;\n%q, then %q",
+				got, err, c.identity, c.hard, c.metas, c.logs, description, dump)
+		}
+	})
 }
 
 // checkReloads checks that what was loaded or stored is loaded again after another loss of power.
@@ -201,7 +289,7 @@
 	eachOutcome(func(choose func(int) int) {
 		again := f.Clone()
 		again.LosePower(choose)
-		if next, _, err := load(again); !c.failed && (err != nil || !known.equal(next)) {
+		if next, _, err := c.load(again); !c.failed && (err != nil || !known.equal(next)) {
 			c.failed = true
 			c.t.Errorf("%s %+v, and loaded %+v after another loss of power, error %v;\n%q", how, known, next, err, description)
 		}
@@ -220,14 +308,26 @@
 
 // open opens the directory as a new process.
 func (c *lossCheck) open() {
+	c.t.Helper()
+	c.reopen(nil, 0)
+}
+
+// reopen opens the directory as a new process, and makes an operation of another goroutine, if
+// there is one, after the given number of changes of the recovery.
+func (c *lossCheck) reopen(beside func(), after int) {
 	c.t.Helper()
 	c.files.Kill()
 	c.do(func() error {
 		var got stored
 		var err error
-		if got, c.store, err = load(c.files); err == nil && !c.allows(got) {
+		if got, c.store, err = c.read(c.files); err != nil {
+			return err
+		}
+		if !c.allows(got) {
 			c.t.Fatalf("loaded %+v after a kill", got)
 		}
+		c.interleaved, c.after = beside, after
+		err = c.store.Recover()
 		c.identity = got.identity
 		return err
 	})
@@ -282,6 +382,10 @@
 type lossTest struct {
 	name string
 	run  func(c *lossCheck)
+	// checked is true if the operations of fill are checked too, orders how many orders of parallel
+	// calls are tried from order on, 0 for one.
+	checked       bool
+	order, orders int
 }
 
 // Guards against a data directory that is taken for damaged, changes its identity, or lacks an
@@ -293,15 +397,16 @@
 		for i := replica.Index(1); i <= 9; i += 2 {
 			c.append(i, i+1, 3)
 		}
+		c.unchecked = false
 	}
 	tests := []lossTest{
-		{"founding and appends", fill},
-		{"new terms and votes", func(c *lossCheck) {
+		{name: "founding and appends", run: fill, checked: true, orders: orders},
+		{name: "new terms and votes", run: func(c *lossCheck) {
 			fill(c)
 			c.saveHardState(replica.HardState{Term: 4})
 			c.saveHardState(replica.HardState{Term: 4, Vote: "y"})
 		}},
-		{"truncation", func(c *lossCheck) {
+		{name: "truncation", run: func(c *lossCheck) {
 			fill(c)
 			c.truncate(6)
 			c.saveHardState(replica.HardState{Term: 4})
@@ -309,7 +414,7 @@
 			c.truncate(2)
 			c.append(2, 9, 4)
 		}},
-		{"restarts", func(c *lossCheck) {
+		{name: "restarts", orders: orders, run: func(c *lossCheck) {
 			fill(c)
 			c.open()
 			c.append(11, 12, 3)
@@ -317,7 +422,7 @@
 			c.open()
 			c.append(13, 14, 3)
 		}},
-		{"compaction", func(c *lossCheck) {
+		{name: "compaction", run: func(c *lossCheck) {
 			fill(c)
 			c.saveSnapshot(9, 3)
 			c.compact(8)
@@ -327,7 +432,7 @@
 			c.compact(12)
 			c.append(13, 14, 3)
 		}},
-		{"compaction after a truncation", func(c *lossCheck) {
+		{name: "compaction after a truncation", run: func(c *lossCheck) {
 			fill(c)
 			c.saveHardState(replica.HardState{Term: 4})
 			c.truncate(5)
@@ -339,7 +444,7 @@
 			c.saveSnapshot(11, 4)
 			c.compact(10)
 		}},
-		{"installed snapshot", func(c *lossCheck) {
+		{name: "installed snapshot", run: func(c *lossCheck) {
 			fill(c)
 			c.saveHardState(replica.HardState{Term: 5})
 			c.saveSnapshot(20, 4)
@@ -348,7 +453,7 @@
 			c.open()
 			c.append(23, 24, 5)
 		}},
-		{"installed snapshot that conflicts with the log", func(c *lossCheck) {
+		{name: "installed snapshot that conflicts with the log", run: func(c *lossCheck) {
 			fill(c)
 			c.saveHardState(replica.HardState{Term: 5})
 			c.saveSnapshot(5, 4)
@@ -358,18 +463,18 @@
 			c.saveSnapshot(8, 5)
 			c.compact(7)
 		}},
-		{"snapshot after the end of the log", func(c *lossCheck) {
+		{name: "snapshot after the end of the log", run: func(c *lossCheck) {
 			fill(c)
 			c.saveSnapshot(14, 3)
 			c.append(11, 16, 3)
 			c.compact(12)
 		}},
-		{"snapshot of a term that is not stored yet", func(c *lossCheck) {
+		{name: "snapshot of a term that is not stored yet", run: func(c *lossCheck) {
 			fill(c)
 			c.saveSnapshot(14, 4)
 			c.saveHardState(replica.HardState{Term: 4, Vote: "y"})
 		}},
-		{"snapshot of a term that was not stored before a restart", func(c *lossCheck) {
+		{name: "snapshot of a term that was not stored before a restart", run: func(c *lossCheck) {
 			fill(c)
 			c.saveSnapshot(14, 4)
 			c.open()
@@ -377,7 +482,7 @@
 			c.open()
 			c.saveHardState(replica.HardState{Term: 5, Vote: "y"})
 		}},
-		{"installed snapshot after the whole log was compacted", func(c *lossCheck) {
+		{name: "installed snapshot after the whole log was compacted", run: func(c *lossCheck) {
 			fill(c)
 			c.append(11, 20, 3)
 			c.saveHardState(replica.HardState{Term: 4})
@@ -392,14 +497,14 @@
 		}},
 	}
 	for after := range 6 {
-		tests = append(tests, lossTest{fmt.Sprint("snapshot saved during a reset, after change ", after), func(c *lossCheck) {
+		tests = append(tests, lossTest{name: fmt.Sprint("snapshot saved during a reset, after change ", after), run: func(c *lossCheck) {
 			fill(c)
 			c.saveHardState(replica.HardState{Term: 5})
 			c.saveSnapshot(20, 4)
 			c.interleaved, c.after = func() { c.saveSnapshot(25, 5) }, after
 			c.reset(20)
 			c.append(21, 26, 5)
-		}}, lossTest{fmt.Sprint("appends while a snapshot is saved, after change ", after), func(c *lossCheck) {
+		}}, lossTest{name: fmt.Sprint("appends while a snapshot is saved, after change ", after), run: func(c *lossCheck) {
 			fill(c)
 			c.interleaved, c.after = func() {
 				c.saveHardState(replica.HardState{Term: 4})
@@ -410,14 +515,36 @@
 			c.compact(9)
 		}})
 	}
+	// A restart makes seven changes from the recovery on, eight with a truncation.
+	for after := range 7 {
+		tests = append(tests, lossTest{name: fmt.Sprint("term saved during a restart, after change ", after), order: after % orders, run: func(c *lossCheck) {
+			fill(c)
+			c.reopen(func() { c.saveHardState(replica.HardState{Term: 4, Vote: "y"}) }, after)
+			c.append(11, 12, 4)
+		}}, lossTest{name: fmt.Sprint("snapshot saved during a restart, after change ", after), order: after % orders, run: func(c *lossCheck) {
+			fill(c)
+			c.reopen(func() { c.saveSnapshot(20, 3) }, after)
+			c.reset(20)
+			c.append(21, 22, 3)
+		}}, lossTest{name: fmt.Sprint("snapshot saved while a recovery truncates the log, after change ", after), order: after % orders, run: func(c *lossCheck) {
+			fill(c)
+			c.unchecked = after > 0 // the first of these rows checks it
+			c.saveSnapshot(20, 3)
+			c.unchecked = false
+			c.reopen(func() { c.saveSnapshot(25, 3) }, after)
+			c.append(26, 27, 3)
+		}})
+	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			c := newLossCheck(t)
-			tt.run(c)
-			if c.interleaved != nil {
-				t.Error("the interleaved operation was not run")
-			}
-			t.Logf("%d states", c.checked)
-		})
+		for order := tt.order; order < tt.order+max(1, tt.orders); order++ {
+			t.Run(fmt.Sprintf("%s, order %d", tt.name, order), func(t *testing.T) {
+				c := newLossCheck(t, order, !tt.checked)
+				tt.run(c)
+				if c.interleaved != nil {
+					t.Error("the interleaved operation was not run")
+				}
+				t.Logf("%d states", c.checked)
+			})
+		}
 	}
 }
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -24,21 +24,27 @@
 
 // Store holds the log, hard state and snapshot of one group. It implements replica.Store.
 type Store struct {
+	directory    *Directory
 	files        FileSystem
 	dir          string
 	identity     replica.Identity
 	reserveBytes uint64
 	segmentBytes int // size at which a new segment is started; maxSegmentBytes unless SetSegmentBytes was called
 
+	recoverMu sync.Mutex // held during Recover
+	recovered bool       // Recover has succeeded; guarded by recoverMu and logMu
+
 	logMu       sync.Mutex    // guards the log
 	active      File          // the last segment, open for appending; nil while there is none
 	segments    []segment     // ascending; the last is active
 	activeBytes int           // size of the last segment
 	firstIndex  replica.Index // 0 while the log is empty
 	lastIndex   replica.Index
+	lastSegment []byte // content that Load found in the last segment, until Recover has rewritten it
 
-	hardMu       sync.Mutex // held while the hard state is written
-	snapshotMu   sync.Mutex // guards snapshotMeta; held while the snapshot is read or written
+	hardMu       sync.Mutex         // held while the hard state is written
+	adopted      *replica.HardState // hard state that Load derived and Recover stores; nil if there is none
+	snapshotMu   sync.Mutex         // guards snapshotMeta; held while the snapshot is read or written
 	snapshotMeta replica.SnapshotMeta
 
 	errorMu    sync.Mutex // guards firstError
@@ -79,6 +85,15 @@
 	return s.firstError
 }
 
+// checkRecovered returns the error of the first failed operation, or an error if the log may not
+// be changed yet.
+func (s *Store) checkRecovered() error {
+	if err := s.priorError(); err != nil || s.recovered {
+		return err
+	}
+	return s.setError(errors.New("the log is changed before its recovery"))
+}
+
 // CheckSpace returns ErrStorageFull if storing that many bytes would use the reserve.
 func (s *Store) CheckSpace(bytes int) error {
 	free, err := s.files.FreeBytes(s.dir)
@@ -98,18 +113,24 @@
 	if err := s.priorError(); err != nil {
 		return err
 	}
-	b, err := proto.Marshal(&wire.Hard{Term: uint64(h.Term), Vote: string(h.Vote)})
+	record, err := hardStateRecord(h)
 	if err != nil {
 		return s.setError(err)
 	}
-	return s.setError(WriteFileAtomic(s.files, s.dir, hardStateFile, encodeRecord(recordHardState, b)))
+	s.adopted = nil // h is newer
+	return s.setError(WriteFileAtomic(s.files, s.dir, hardStateFile, record))
+}
+
+func hardStateRecord(h replica.HardState) ([]byte, error) {
+	b, err := proto.Marshal(&wire.Hard{Term: uint64(h.Term), Vote: string(h.Vote)})
+	return encodeRecord(recordHardState, b), err
 }
 
 // Append adds entries that follow the last one, with a single write and sync.
 func (s *Store) Append(entries []replica.Entry) error {
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
-	if err := s.priorError(); err != nil || len(entries) == 0 {
+	if err := s.checkRecovered(); err != nil || len(entries) == 0 {
 		return err
 	}
 	if s.lastIndex != 0 && entries[0].Index != s.lastIndex+1 {
@@ -139,20 +160,20 @@
 func (s *Store) Truncate(from replica.Index) error {
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
-	if err := s.priorError(); err != nil || s.lastIndex == 0 || from > s.lastIndex {
+	if err := s.checkRecovered(); err != nil || s.lastIndex == 0 || from > s.lastIndex {
 		return err
 	}
-	return s.setError(s.appendTruncation(from))
-}
-
-func (s *Store) appendTruncation(from replica.Index) error {
-	if err := s.appendRecord(encodeRecord(recordTruncate, binary.LittleEndian.AppendUint64(nil, uint64(from)))); err != nil {
-		return err
+	if err := s.appendRecord(truncationRecord(from)); err != nil {
+		return s.setError(err)
 	}
 	s.dropIndexesFrom(from)
 	return nil
 }
 
+func truncationRecord(from replica.Index) []byte {
+	return encodeRecord(recordTruncate, binary.LittleEndian.AppendUint64(nil, uint64(from)))
+}
+
 // dropIndexesFrom updates firstIndex and lastIndex after a truncation.
 func (s *Store) dropIndexesFrom(from replica.Index) {
 	s.lastIndex = min(s.lastIndex, from-1)
@@ -205,7 +226,7 @@
 func (s *Store) Compact(upTo replica.Index) error {
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
-	if err := s.priorError(); err != nil {
+	if err := s.checkRecovered(); err != nil {
 		return err
 	}
 	return s.setError(s.removeSegments(upTo))
@@ -249,6 +270,3 @@
 	s.active = nil
 	return err
 }
-
-// Recover makes durable what Load has returned.
-func (s *Store) Recover() error { return nil }
--- a/internal/control/replica/slow_sync_test.go
+++ b/internal/control/replica/slow_sync_test.go
@@ -87,7 +87,12 @@
 				is.True(l.node.Status().FirstIndex > 2)
 				c.start(behind)
 				behind.files.SetSyncDelay(sync)
-				c.waitFor("contact", func() bool { _, _, known := behind.node.Leader(); return known })
+				c.sleep(5 * replica.HeartbeatInterval) // what it acknowledged before the crash no longer counts
+				c.waitFor("contact", func() bool {
+					acknowledging, err := l.node.Acknowledging(t.Context())
+					return err == nil && acknowledging[behind.self.Identity]
+				})
+				is.True(sync < 100*time.Millisecond || behind.node.Status().AppliedIndex < l.node.Status().CommitIndex)
 				c.stop(lost, true)
 				for behind.node.Status().AppliedIndex < l.node.Status().CommitIndex {
 					_, leads := l.node.HoldsLease()
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -229,7 +229,8 @@
 		return err
 	}
 	s.nodes = append(s.nodes, n)
-	return nil
+	// The identity is durable before it is disclosed to other instances.
+	return store.Recover()
 }
 
 // buildServices creates the services on top of the nodes and registers them.
