control/replica: a candidate waits for voters with slow disks

A candidate called the next election 0.6 to 1.2 s after its own vote was stored. Where the majority needed a voter whose disk took longer, the new term superseded the vote that the disk was about to store, and the voter had to store another. A voter, too, called an election of its own while its disk stored its vote for the candidate.

A candidate that no voter has refused now asks for the missing votes again in the same term, which costs the voters no further write. A voter calls no election while its vote for another candidate is being stored, since its vote for itself would wait for the same disk. Where another replica collects a majority of pre-votes, it still starts a new term.

The recovery of the stored state no longer counts as a vote in progress: replicas denied pre-votes until the end of it, because of the vote that they had loaded.

--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -51,7 +51,7 @@
 		n.role = follower
 	}
 	if term > n.term {
-		n.term, n.votedFor = term, ""
+		n.term, n.votedFor, n.voteUnsynced = term, "", false
 		n.saveHardState(nil)
 	}
 	n.leader = newLeader
@@ -74,7 +74,7 @@
 	n.electionRound++
 	round := n.electionRound
 	n.leader = Member{}
-	n.votesGranted, n.votesDenied = map[Identity]bool{}, map[Identity]bool{}
+	n.votesGranted, n.votesDenied, n.outvoted = map[Identity]bool{}, map[Identity]bool{}, false
 	if preVote {
 		n.role, n.campaignedAt = preCandidate, n.timer.Now()
 		n.requestVotes(round, n.term+1, true)
@@ -88,7 +88,7 @@
 	// takes here is how long it may take there.
 	start := n.timer.Now()
 	n.electionDeadline = start.Add(maxVoteSync)
-	n.saveHardState(func() {
+	n.saveVote(func() {
 		if n.electionRound != round {
 			return
 		}
@@ -101,11 +101,39 @@
 	n.requestVotes(round, n.term, false)
 }
 
-// requestVotes sends the vote requests of a round.
+// saveVote submits the vote of the current term.
+func (n *Node) saveVote(done func()) {
+	term := n.term
+	n.voteUnsynced = true
+	n.saveHardState(func() {
+		if n.term == term {
+			n.voteUnsynced = false
+		}
+		if done != nil {
+			done()
+		}
+	})
+}
+
+// callElection starts an election after an election timeout. A candidate that no voter has refused
+// asks for the missing votes once more instead: their disks may be slow, and a new term would make all
+// voters store another vote. Nor does a replica call one while its disk stores its vote for another
+// candidate, which its vote for itself would have to wait for.
+func (n *Node) callElection() {
+	switch {
+	case n.role == candidate && n.votesGranted[n.self.Identity] && !n.outvoted:
+		n.requestVotes(n.electionRound, n.term, false)
+	case n.role == follower && n.voteUnsynced:
+	case n.canCampaign() && n.pendingWrites < queueSize:
+		n.campaign(true)
+	}
+}
+
+// requestVotes sends the vote requests of a round to the voters that have granted none yet.
 func (n *Node) requestVotes(round uint64, term Term, preVote bool) {
 	for _, m := range n.raftLog.latestMembership().members {
 		p, ok := n.peers[m.Identity]
-		if !ok || !m.Voter {
+		if !ok || !m.Voter || n.votesGranted[m.Identity] {
 			continue
 		}
 		p.requestVote(newVoteRequest(round, &wire.VoteRequest{
@@ -156,6 +184,8 @@
 		n.recordVote(q.round, p.member.Identity)
 	} else if q.round == n.electionRound {
 		n.votesDenied[p.member.Identity] = true
+		// A voter in an older term may not vote yet; one in this term has refused.
+		n.outvoted = n.outvoted || (!q.request.GetPrevote() && Term(r.GetTerm()) == n.term)
 	}
 }
 
@@ -295,7 +325,7 @@
 	}
 	if n.votedFor == "" {
 		n.votedFor = Identity(r.GetCandidate().GetIdentity())
-		n.saveHardState(nil)
+		n.saveVote(nil)
 	}
 	n.resetElectionTimeout()
 	return true
@@ -316,7 +346,7 @@
 	if r.GetPrevote() {
 		// While an election is in progress, another one would only split the votes.
 		electing := n.votedFor != "" && n.votedFor != candidateID && n.leader.Identity == "" &&
-			(n.unsyncedHardStates > 0 || n.timer.Now().Sub(n.votedAt) < MinElectionTimeout)
+			(n.voteUnsynced || n.timer.Now().Sub(n.votedAt) < MinElectionTimeout)
 		switch {
 		case term <= n.term:
 			return "old term"
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -72,6 +72,7 @@
 	campaignedAt     timer.Instant // when this replica last began to request pre-votes
 	votesGranted     map[Identity]bool
 	votesDenied      map[Identity]bool
+	outvoted         bool                // a voter has refused its vote in this round for good
 	loggedElection   string              // result of the last failed election that was logged
 	loggedDenials    map[Identity]string // the last reason logged for which a candidate was denied a vote
 	commitIndex      Index
@@ -84,6 +85,7 @@
 	unsyncedHardStates int
 	changedHardState   *diskWrite // a term or vote that is not submitted yet; nil if there is none
 	lateReplies        []lateReply
+	voteUnsynced       bool          // the vote of the current term is not durable
 	votedAt            timer.Instant // when the last vote became durable
 	pendingProposals   map[Index]*proposal
 	snapshotIndex      Index
@@ -262,9 +264,7 @@
 		n.resetElectionTimeout()
 		n.forgetLeader()
 		n.logFailedElection()
-		if n.canCampaign() && n.pendingWrites < queueSize {
-			n.campaign(true)
-		}
+		n.callElection()
 	}
 	n.stepDownIfRemoved()
 }
