--- a/internal/fleet/consensus/slow_disk_test.go
+++ b/internal/fleet/consensus/slow_disk_test.go
@@ -233,8 +233,8 @@
 							s, term := c.run(t, seed)
 							took, limit := s.until(s.read), electionTimeouts+leaderSyncs*sync
 							t.Logf("first read after %v, limit %v", took, limit)
-							is.True(took <= limit)
 							is.True(s.term() <= term)
+							is.True(took <= limit)
 						})
 					})
 				}
@@ -284,9 +284,9 @@
 							s.until(s.repaired)
 							took := time.Since(start)
 							t.Logf("repaired after %v", took)
-							is.True(took <= catchUp)
 							is.True(s.until(s.complete) < noResult)
 							is.True(s.term() <= term+elections)
+							is.True(took <= catchUp)
 						})
 					})
 				}
