control/disk: the first record of a segment waits for one sync

Cause: a new segment synced its empty file and the directory before its first record was written and synced: three syncs in series, of which two acknowledge nothing. Change: the record is written first; file and directory are synced at the same time. Until both are done the segment is the last one, whose tail may be cut off, and nothing follows it. Measured: an entry in a new segment takes one sync instead of three (TestSyncsInSeries); TestLossOfPower holds.

--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -182,11 +182,13 @@
 	}
 }
 
-// appendRecord appends a record to the active segment and syncs it. It starts a new
-// segment if there is none or it is full.
+// appendRecord appends a record to the active segment and syncs it. It starts a new segment if
+// there is none or it is full, and syncs its name at the same time: until both are durable the
+// segment is the last one, whose content may be cut off.
 func (s *Store) appendRecord(record []byte) error {
-	if s.active == nil || s.activeBytes >= s.segmentBytes {
-		if err := s.startSegment(); err != nil {
+	started := s.active == nil || s.activeBytes >= s.segmentBytes
+	if started {
+		if err := s.createSegment(); err != nil {
 			return err
 		}
 	}
@@ -194,12 +196,19 @@
 		return err
 	}
 	s.activeBytes += len(record)
+	if started {
+		return s.syncNewSegment()
+	}
 	return s.active.Sync()
 }
 
-// startSegment creates a new active segment. Its name is durable before anything is
-// written to it.
-func (s *Store) startSegment() error {
+// syncNewSegment makes name and content of the active segment durable.
+func (s *Store) syncNewSegment() error {
+	return s.directory.inParallel(s.active.Sync, func() error { return s.files.SyncDir(s.dir) })
+}
+
+// createSegment creates a new active segment, which is not synced.
+func (s *Store) createSegment() error {
 	next := uint64(1)
 	if n := len(s.segments); n > 0 {
 		next = s.segments[n-1].sequence + 1
@@ -208,9 +217,6 @@
 	if err != nil {
 		return err
 	}
-	if err := errors.CombineErrors(file.Sync(), s.files.SyncDir(s.dir)); err != nil {
-		return errors.CombineErrors(err, file.Close())
-	}
 	if s.active != nil {
 		if err := s.active.Close(); err != nil {
 			return errors.CombineErrors(err, file.Close())
@@ -237,7 +243,10 @@
 func (s *Store) removeSegments(upTo replica.Index) error {
 	removeAll := s.lastIndex <= upTo && s.activeBytes > 0
 	if removeAll {
-		if err := s.startSegment(); err != nil {
+		if err := s.createSegment(); err != nil {
+			return err
+		}
+		if err := s.syncNewSegment(); err != nil {
 			return err
 		}
 	}
--- a/internal/control/disk/sync_count_test.go
+++ b/internal/control/disk/sync_count_test.go
@@ -63,6 +63,7 @@
 		{name: "term beside a recovery", filled: true, run: func(s *disk.Store) error { return together(s.Recover, saveTerm, s) }, syncs: 2},
 		{name: "snapshot", filled: true, before: (*disk.Store).Recover, run: saveState, syncs: 2},
 		{name: "snapshot beside a recovery", filled: true, run: func(s *disk.Store) error { return together(s.Recover, saveState, s) }, syncs: 2},
+		{name: "entry in a new segment", filled: true, before: (*disk.Store).Recover, run: appendEntry, syncs: 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -91,6 +92,8 @@
 	return s.SaveSnapshot(replica.SnapshotMeta{Index: 9, Term: 3}, []byte("state"))
 }
 
+func appendEntry(s *disk.Store) error { return s.Append(entries(11, 11, 3)) }
+
 // together makes two calls at the same time and returns the error of one that failed.
 func together(a func() error, b func(s *disk.Store) error, s *disk.Store) error {
 	failed := make(chan error, 1)
