bench/outage: slow syncs, and outages that aim at the repair of a group of three

A repair of the control group waits for some twenty syncs, so that no run had a disk lost during one. New outages repair-lost, wipe-repair and power-repair. A first read later than the recovery time and as long a gap in calm are violations; a group without a read for three times that has ended for good. The report shows up to 5 violations of each kind instead of 40 in all, so that refusals do not hide the others.

--- a/internal/bench/outage/actions.go
+++ b/internal/bench/outage/actions.go
@@ -132,6 +132,15 @@
 	return r.restore(mayLoseDisks && r.random.IntN(2) == 0, list...)
 }
 
+// killFor kills instances and starts them again after a time.
+func (r *run) killFor(ctx context.Context, down time.Duration, wiped bool, list ...*instance) error {
+	r.kill(list...)
+	if err := r.sleep(ctx, down, down); err != nil {
+		return err
+	}
+	return r.restore(wiped, list...)
+}
+
 func namesOf(list []*instance) (names []string) {
 	for _, n := range list {
 		names = append(names, n.name)
@@ -173,6 +182,22 @@
 	return nil
 }
 
+// replaceAfter lets an instance vanish for good, and starts one with an empty disk and a new address
+// after a time.
+func (r *run) replaceAfter(ctx context.Context, down time.Duration, old *instance) (next *instance, err error) {
+	r.vanish(old)
+	if err := timer.Sleep(ctx, r.Timer, down); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	next = r.add(true)
+	r.mu.Unlock()
+	r.printf("%s replaces %s", next.name, old.name)
+	err = r.startReplacement(old, next)
+	r.touch()
+	return next, err
+}
+
 // awaitAcknowledgement waits for the next acknowledged change.
 func (r *run) awaitAcknowledgement(ctx context.Context) error {
 	acknowledged := func() int {
--- a/internal/bench/outage/checks.go
+++ b/internal/bench/outage/checks.go
@@ -50,8 +50,8 @@
 	return s.served*other.asked*4 < other.served*s.asked
 }
 
-// maxViolations bounds the report.
-const maxViolations = 40
+// maxViolations is how many violations of a kind are reported.
+const maxViolations = 5
 
 // Least numbers of requests from which shares count.
 const (
@@ -69,15 +69,15 @@
 
 // violation records a failed check.
 func (r *run) violation(kind, format string, args ...any) {
-	r.count("broken " + kind)
 	text := fmt.Sprintf(format, args...)
 	r.mu.Lock()
-	round, n := r.checks.round, len(r.checks.violations)
-	if n < maxViolations {
+	r.checks.counts["broken "+kind]++
+	round, n := r.checks.round, r.checks.counts["broken "+kind]
+	if n <= maxViolations {
 		r.checks.violations = append(r.checks.violations, round+": "+text)
 	}
 	r.mu.Unlock()
-	if n < maxViolations {
+	if n <= maxViolations {
 		r.printf("BROKEN %s: %s", round, text)
 	}
 }
@@ -266,12 +266,55 @@
 	}
 }
 
+// patience is how many recovery times a first read may take until the group counts as ended for good.
+const patience = 3
+
+// checkFirstRead checks that a read was confirmed within the recovery time after an instant. It waits
+// longer for one that is late, to tell a group that is slow from one that has ended for good.
+func (r *run) checkFirstRead(ctx context.Context, at timer.Instant) error {
+	for r.sinceFirstRead(at) == never && r.Timer.Now().Before(at.Add(patience*r.Size.Recovery)) {
+		if err := timer.Sleep(ctx, r.Timer, pause); err != nil {
+			return err
+		}
+	}
+	r.mu.Lock()
+	r.ended = r.checks.firstRead < r.disturbed
+	took := r.checks.firstRead.Sub(at)
+	r.mu.Unlock()
+	switch {
+	case r.ended:
+		r.violation("end", "no read is confirmed for %s, the group has ended for good", r.Timer.Now().Sub(at))
+	case took > r.Size.Recovery:
+		r.violation("first read", "the first read comes %s after the return, at most %s are allowed", took, r.Size.Recovery)
+	}
+	return nil
+}
+
+// checkGap checks the longest time without a confirmed read in calm, with the one that has not ended.
+func (r *run) checkGap() {
+	now := r.Timer.Now()
+	calm := r.calmSince(now)
+	r.mu.Lock()
+	c := &r.checks
+	if calm {
+		c.gap = max(c.gap, now.Sub(max(c.lastRead, r.disturbed)))
+	}
+	gap := c.gap
+	r.mu.Unlock()
+	if gap > r.Size.Recovery {
+		r.violation("gap", "no read is confirmed for %s in calm, at most %s are allowed", gap, r.Size.Recovery)
+	}
+}
+
+// never is the time to a read that did not come.
+const never = "never"
+
 // sinceFirstRead returns the time from an instant to the first confirmed read after it.
 func (r *run) sinceFirstRead(at timer.Instant) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.checks.firstRead < r.disturbed {
-		return "never"
+		return never
 	}
-	return r.checks.firstRead.Sub(at).Round(time.Millisecond).String()
+	return "after " + r.checks.firstRead.Sub(at).Round(time.Millisecond).String()
 }
--- a/internal/bench/outage/losses.go
+++ b/internal/bench/outage/losses.go
@@ -12,7 +12,7 @@
 )
 
 // withoutNetwork lists the outages that a program without the network of this package can play.
-var withoutNetwork = []string{"freeze", "lost-hosts", "replace", "restart-all", "silent-leader", "wipe-again", "wipe-in-turn", "wipe-once"}
+var withoutNetwork = []string{"freeze", "lost-hosts", "repair-lost", "replace", "restart-all", "silent-leader", "wipe-again", "wipe-in-turn", "wipe-once", "wipe-repair"}
 
 // catchUp is how long after its start or return an instance still counts as lost.
 const catchUp = 4 * time.Second
@@ -117,6 +117,15 @@
 	if err := r.sleep(ctx, 0, 400*time.Millisecond); err != nil {
 		return err
 	}
+	return r.restartNow(ctx, wiped)
+}
+
+// restartNow kills all instances, wipes the disk of one unless it is nil, and starts all. With
+// journals the instances lose power.
+func (r *run) restartNow(ctx context.Context, wiped *instance) error {
+	if r.power.on && wiped != nil {
+		return r.powerCycle(ctx, wiped, wiped)
+	}
 	all := slices.Clone(r.instances)
 	r.kill(all...)
 	if err := r.sleep(ctx, time.Second, 3*time.Second); err != nil {
@@ -129,3 +138,54 @@
 	}
 	return r.restore(false, slices.DeleteFunc(all, func(n *instance) bool { return n == wiped })...)
 }
+
+// wipeRepair wipes one disk, and a second one as soon as the first no longer counts as lost, alone or
+// with all others down.
+func wipeRepair(ctx context.Context, r *run) error {
+	list := r.drawCore(len(r.core))
+	if err := r.sleep(ctx, catchUp, catchUp); err != nil {
+		return err
+	}
+	if err := r.killFor(ctx, time.Second, true, list[0]); err != nil {
+		return err
+	}
+	if err := r.sleep(ctx, catchUp, catchUp+time.Second); err != nil {
+		return err
+	}
+	if r.random.IntN(2) == 0 {
+		return r.restartNow(ctx, list[1])
+	}
+	return r.killFor(ctx, time.Second, true, list[1])
+}
+
+// repairLost lets one instance vanish for good while another is down, kills a third as soon as the
+// replacement and the other one are started, and all with one disk wiped as soon as none of them
+// counts as lost.
+func repairLost(ctx context.Context, r *run) error {
+	list := r.drawCore(len(r.core))
+	if err := r.sleep(ctx, catchUp, catchUp); err != nil {
+		return err
+	}
+	r.kill(list[0])
+	if err := r.sleep(ctx, time.Second, 3*time.Second); err != nil {
+		return err
+	}
+	next, err := r.replaceAfter(ctx, 2*time.Second, list[1])
+	if err != nil {
+		return err
+	}
+	if err := r.sleep(ctx, 0, time.Second); err != nil {
+		return err
+	}
+	if err := r.restore(false, list[0]); err != nil {
+		return err
+	}
+	if err := r.killFor(ctx, time.Second, false, list[2]); err != nil {
+		return err
+	}
+	if err := r.sleep(ctx, catchUp, catchUp+time.Second); err != nil {
+		return err
+	}
+	last := []*instance{list[0], next, list[2]}
+	return r.restartNow(ctx, last[r.random.IntN(len(last))])
+}
--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -68,6 +68,8 @@
 	// Patterns are the names of the outages to play, in this order; all of them, shuffled, if empty.
 	Patterns []string
 	Rounds   int
+	// Syncs describes the disks of all instances that have one. Its seed is not used.
+	Syncs SlowSyncs
 	// Subnet tells runs of one process apart, which use addresses of their own. It is below 4.
 	Subnet int
 	Timer  timer.Service
@@ -96,6 +98,7 @@
 	random   *rand.Rand // for the outages
 	// clockRandom draws the clocks of processes.
 	clockRandom *rand.Rand
+	syncRandom  *rand.Rand // for the seeds of slow syncs
 	started     timer.Instant
 
 	mu        sync.Mutex
@@ -111,6 +114,7 @@
 	badLinks     bool
 	disturbed    timer.Instant // the last disturbance or return
 	quiet        bool          // no disturbance goes on
+	ended        bool          // no read was confirmed for long, so that further rounds would check nothing
 	checks       checks
 	power        power
 }
@@ -122,8 +126,9 @@
 		Options: o, launcher: cluster.NewLauncher(o.Directory), group: group.New(ctx), started: o.Timer.Now(),
 		client: &http.Client{Transport: newTransport(o.Seed, o.Timer)},
 		random: rand.New(rand.NewPCG(o.Seed, 1)), clockRandom: rand.New(rand.NewPCG(o.Seed, 3)),
-		links:  links{acks: o.Seed%2 == 0, blocked: map[link]bool{}, seed: o.Seed},
-		checks: checks{counts: map[string]int{}, requests: map[string]*request{}, history: history{effects: map[any][]effect{}}},
+		syncRandom: rand.New(rand.NewPCG(o.Seed, 4)),
+		links:      links{acks: o.Seed%2 == 0, blocked: map[link]bool{}, seed: o.Seed},
+		checks:     checks{counts: map[string]int{}, requests: map[string]*request{}, history: history{effects: map[any][]effect{}}},
 	}
 	defer func() { err = errors.CombineErrors(err, r.launcher.Close()) }()
 	defer func() { _ = r.group.Stop() }()
@@ -140,6 +145,9 @@
 		if err := r.playRound(ctx, names[i%len(names)]); err != nil {
 			return err
 		}
+		if r.ended {
+			break
+		}
 	}
 	r.reportPower()
 	return r.report()
@@ -262,8 +270,12 @@
 		return err
 	}
 	r.checkRecovered(ctx)
+	if err := r.checkFirstRead(ctx, end); err != nil {
+		return err
+	}
+	r.checkGap()
 	gap, change, stall := r.roundFigures()
-	r.printf("%s: first read after %s, longest time without one in calm %s, slowest change in calm %s, late by %s, leader %s",
+	r.printf("%s: first read %s, longest time without one in calm %s, slowest change in calm %s, late by %s, leader %s",
 		name, r.sinceFirstRead(end), gap, change, stall, nameOf(r.leader()))
 	return nil
 }
--- a/internal/bench/outage/patterns.go
+++ b/internal/bench/outage/patterns.go
@@ -12,9 +12,10 @@
 	"clock-step": clockStep, "half-closed": halfClosed, "lossy": lossy, "slow-links": slowLinks,
 	"isolate": isolate, "behind": behind, "relieve": relieve, "both": both, "halves": halves, "dark": dark, "long-cut": longCut,
 	"silent-leader": silentLeader, "lost-hosts": lostHosts, "orphan": orphan, "stale": stale, "freeze": freeze, "replace": replace, "series": series, "stale-lost": staleLost,
-	"wipe-once": wipeOnce, "wipe-in-turn": wipeInTurn, "wipe-again": wipeAgain, "restart-all": restartAll,
+	"wipe-once": wipeOnce, "wipe-in-turn": wipeInTurn, "wipe-again": wipeAgain, "wipe-repair": wipeRepair, "repair-lost": repairLost, "restart-all": restartAll,
 	"rolling": rolling, "whole-day": wholeDay,
 	"power-leader": powerLeader, "power-all": powerAll, "power-twice": powerTwice, "power-setup": powerSetup, "power-series": powerSeries,
+	"power-repair": repairLost,
 }
 
 // Patterns returns the names of all outages.
@@ -206,16 +207,7 @@
 // replace lets an instance with a disk vanish for good and adds one at a new address.
 func replace(ctx context.Context, r *run) error {
 	old := r.core[r.random.IntN(len(r.core))]
-	r.vanish(old)
-	if err := r.sleep(ctx, time.Second, 4*time.Second); err != nil {
-		return err
-	}
-	r.mu.Lock()
-	next := r.add(true)
-	r.mu.Unlock()
-	r.printf("%s replaces %s", next.name, old.name)
-	err := r.startReplacement(old, next)
-	r.touch()
+	_, err := r.replaceAfter(ctx, time.Second+time.Duration(r.random.Int64N(int64(3*time.Second)+1)), old)
 	return err
 }
 
--- a/internal/bench/outage/power.go
+++ b/internal/bench/outage/power.go
@@ -41,15 +41,24 @@
 	if os.Getenv(SegmentsVariable) != "" {
 		retention = smallRetention
 	}
+	slow, err := slowSyncs()
+	if err != nil {
+		return nil, retention, err
+	}
+	files = disk.OSFileSystem{}
+	if slow.Time > 0 {
+		files = SlowFiles(files, slow, t)
+	}
 	path := os.Getenv(JournalVariable)
 	if path == "" {
-		return nil, retention, nil
+		return files, retention, nil
 	}
 	delay, err := time.ParseDuration(os.Getenv(SyncVariable))
 	if err != nil {
 		return nil, retention, errors.Wrap(err, SyncVariable)
 	}
-	j, err := OpenJournal(path, delay, t)
+	// A sync is in the journal for as long as it lasts, so that a loss of power can come meanwhile.
+	j, err := OpenJournal(files, path, delay, t)
 	return j, retention, err
 }
 
@@ -85,7 +94,7 @@
 // of power can be played after the process was killed at any moment: a step is in the journal before
 // it is made, and the end of a sync before the caller gets it.
 type Journal struct {
-	disk.OSFileSystem
+	disk.FileSystem
 	delay time.Duration // how long a sync takes in addition
 	timer timer.Service
 
@@ -96,14 +105,14 @@
 
 var _ disk.FileSystem = (*Journal)(nil)
 
-// OpenJournal opens the journal at path and creates it if it does not exist.
-func OpenJournal(path string, delay time.Duration, t timer.Service) (*Journal, error) {
+// OpenJournal opens the journal at path, of what is done on files, and creates it if it does not exist.
+func OpenJournal(files disk.FileSystem, path string, delay time.Duration, t timer.Service) (*Journal, error) {
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
 	size, err := f.Seek(0, io.SeekEnd)
-	return &Journal{delay: delay, timer: t, file: f, size: size}, err
+	return &Journal{FileSystem: files, delay: delay, timer: t, file: f, size: size}, err
 }
 
 // Close closes the journal.
@@ -125,12 +134,12 @@
 
 // Create creates a file, or truncates it if it exists.
 func (j *Journal) Create(name string) (disk.File, error) {
-	return j.open(step{Kind: createStep, Name: name}, j.OSFileSystem.Create)
+	return j.open(step{Kind: createStep, Name: name}, j.FileSystem.Create)
 }
 
 // OpenAppend opens an existing file for appending.
 func (j *Journal) OpenAppend(name string) (disk.File, error) {
-	return j.open(step{Kind: openStep, Name: name}, j.OSFileSystem.OpenAppend)
+	return j.open(step{Kind: openStep, Name: name}, j.FileSystem.OpenAppend)
 }
 
 func (j *Journal) open(s step, open func(name string) (disk.File, error)) (disk.File, error) {
@@ -150,7 +159,7 @@
 	if _, err := j.record(step{Kind: renameStep, Name: from, To: to}); err != nil {
 		return err
 	}
-	return j.OSFileSystem.Rename(from, to)
+	return j.FileSystem.Rename(from, to)
 }
 
 // Remove deletes a file.
@@ -158,7 +167,7 @@
 	if _, err := j.record(step{Kind: removeStep, Name: name}); err != nil {
 		return err
 	}
-	return j.OSFileSystem.Remove(name)
+	return j.FileSystem.Remove(name)
 }
 
 // MkdirAll creates a directory and its parents.
@@ -166,12 +175,12 @@
 	if _, err := j.record(step{Kind: mkdirStep, Name: dir}); err != nil {
 		return err
 	}
-	return j.OSFileSystem.MkdirAll(dir)
+	return j.FileSystem.MkdirAll(dir)
 }
 
 // SyncDir makes creations, renames and removals in a directory durable.
 func (j *Journal) SyncDir(dir string) error {
-	return j.sync(step{Kind: syncDirStep, Name: dir}, func() error { return j.OSFileSystem.SyncDir(dir) })
+	return j.sync(step{Kind: syncDirStep, Name: dir}, func() error { return j.FileSystem.SyncDir(dir) })
 }
 
 // sync runs a sync and records its begin and its end.
@@ -412,7 +421,7 @@
 	if err := os.Remove(journal); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return taken, err
 	}
-	j, err := OpenJournal(journal, 0, t)
+	j, err := OpenJournal(disk.OSFileSystem{}, journal, 0, t)
 	if err != nil {
 		return taken, err
 	}
--- a/internal/bench/outage/power_patterns.go
+++ b/internal/bench/outage/power_patterns.go
@@ -47,10 +47,18 @@
 
 // storageEnvironment returns the variables that Storage reads.
 func (r *run) storageEnvironment(n *instance) (list []string) {
-	if !r.power.on || n.disk == "" {
+	if n.disk == "" {
 		return nil
 	}
-	list = []string{JournalVariable + "=" + r.journalPath(n), SyncVariable + "=" + r.power.delay.String()}
+	if r.Syncs.Time > 0 {
+		s := r.Syncs
+		s.Seed = r.syncRandom.Uint64()
+		list = append(list, s.variable(r.Timer.Now().Sub(r.started)))
+	}
+	if !r.power.on {
+		return list
+	}
+	list = append(list, JournalVariable+"="+r.journalPath(n), SyncVariable+"="+r.power.delay.String())
 	if r.power.smallSegments {
 		list = append(list, SegmentsVariable+"=1")
 	}
--- a/internal/bench/outage/power_test.go
+++ b/internal/bench/outage/power_test.go
@@ -41,7 +41,7 @@
 			dir, journal := filepath.Join(t.TempDir(), "disk"), filepath.Join(t.TempDir(), "journal")
 			_, err := outage.Mount(dir, journal)
 			is.NoErr(err)
-			j, err := outage.OpenJournal(journal, 0, timer.NewSystem())
+			j, err := outage.OpenJournal(disk.OSFileSystem{}, journal, 0, timer.NewSystem())
 			is.NoErr(err)
 			c.act(is, j, dir)
 			_, err = j.OpenAppend(filepath.Join(dir, "missing"))
