consensus: a new leader counts the silence of a voter from its election

Cause: a voter that is gone for good is replaced once it has been silent for 1.5 s. A new leader began to count when it held the lease, although the voter had not answered its vote requests either; on a slow disk the election itself takes three syncs. Change: the replica tells for how long a member has replied to nothing that it was sent since the election began.

--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -77,6 +77,9 @@
 	n.votesGranted, n.votesDenied, n.outvoted = map[Identity]bool{}, map[Identity]bool{}, false
 	if preVote {
 		n.role, n.campaignedAt = preCandidate, n.timer.Now()
+		for _, p := range n.peers {
+			p.askedAt = never
+		}
 		n.requestVotes(round, n.term+1, true)
 		n.recordVote(round, n.self.Identity)
 		return
@@ -176,6 +179,7 @@
 	if n.peers[p.member.Identity] != p || Identity(r.GetIdentity()) != p.member.Identity {
 		return
 	}
+	p.askedAt = never
 	if t := Term(r.GetTerm()); t > n.term && !r.GetGranted() {
 		n.becomeFollower(t, Member{})
 		return
--- a/internal/control/replica/leader.go
+++ b/internal/control/replica/leader.go
@@ -337,6 +337,7 @@
 		n.becomeFollower(term, Member{})
 		return false
 	}
+	p.askedAt = never
 	p.ackedSentAt, p.ackedSequence = max(p.ackedSentAt, m.sentAt), max(p.ackedSequence, m.sequence)
 	return true
 }
--- a/internal/control/replica/member.go
+++ b/internal/control/replica/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -159,6 +160,20 @@
 	})
 }
 
+// Silent returns for how long the other members have replied to nothing that this replica has sent as
+// leader, or as candidate in the election before.
+func (n *Node) Silent(ctx context.Context) (map[Identity]time.Duration, error) {
+	return runInLoop(ctx, n, func(reply func(map[Identity]time.Duration)) {
+		out := map[Identity]time.Duration{}
+		for i, p := range n.peers {
+			if n.role == leader && p.askedAt != never {
+				out[i] = n.timer.Now().Sub(p.askedAt)
+			}
+		}
+		reply(out)
+	})
+}
+
 // replicatedTo reports whether a member is known to store the log up to an index.
 func (n *Node) replicatedTo(ctx context.Context, i Identity, index Index) (bool, error) {
 	type answer struct{ leader, stored bool }
--- a/internal/control/replica/peer.go
+++ b/internal/control/replica/peer.go
@@ -32,6 +32,9 @@
 	installing    bool         // a snapshot is being sent
 	stalled       bool         // the last message failed: send only heartbeats until one succeeds
 	lastVote      *voteRequest // the last vote request, which may still await its reply
+	// askedAt is when the first message was sent that may be answered by now, since the last reply or
+	// the begin of the last election; never if there is none.
+	askedAt timer.Instant
 }
 
 // message is an append request, or a request to send the stored snapshot.
@@ -75,6 +78,7 @@
 		}
 		p := &peer{node: n, member: m, outgoing: make(chan *message, 1), snapshots: make(chan *message, 1), voteRequests: make(chan *voteRequest, 1)}
 		p.removed, p.remove = context.WithCancel(context.Background())
+		p.askedAt = never
 		p.reset(n.raftLog.lastIndex() + 1)
 		n.peers[m.Identity] = p
 		n.tasks.Go("replicate to "+string(m.Address), p.runReplication)
@@ -89,8 +93,16 @@
 	p.nextIndex, p.matchIndex, p.ackedSentAt, p.ackedSequence, p.lastSentAt, p.stalled = next, 0, never, 0, never, false
 }
 
+// asked records that a message is sent.
+func (p *peer) asked() {
+	if p.askedAt == never {
+		p.askedAt = p.node.timer.Now()
+	}
+}
+
 // send passes an append request to the replication goroutine. No other may be in flight.
 func (p *peer) send(m *message) {
+	p.asked()
 	p.inFlight = true
 	p.outgoing <- m
 }
@@ -98,6 +110,7 @@
 // install passes the order to send the stored snapshot to the goroutine that does so. None may
 // be under way.
 func (p *peer) install(m *message) {
+	p.asked()
 	p.installing = true
 	p.snapshots <- m
 }
@@ -105,6 +118,7 @@
 // requestVote queues a vote request and drops an older one that was not sent yet. It also ends
 // the wait for a vote of a former round, which may take long. A pre-vote ends by itself.
 func (p *peer) requestVote(q *voteRequest) {
+	p.asked()
 	if p.lastVote != nil && !p.lastVote.request.GetPrevote() {
 		p.lastVote.supersede()
 	}
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -238,7 +238,11 @@
 	if err != nil {
 		return false
 	}
-	observed := r.observe(caughtUp, acknowledging)
+	silent, err := r.node.Silent(ctx)
+	if err != nil {
+		return false
+	}
+	observed := r.observe(caughtUp, acknowledging, silent)
 	r.reporter.reportLosses(observed)
 	change := NextChange(observed)
 	if change.Action == NoChange {
@@ -263,7 +267,7 @@
 // observe returns what this replica knows about the members and the instances in contact. A
 // member that acknowledges messages can be reached even if its instance doesn't poll: a new
 // leader has heard no polls yet, and an instance may look for the leader at a wrong address.
-func (r *Replica) observe(caughtUp, acknowledging map[replica.Identity]bool) Observation {
+func (r *Replica) observe(caughtUp, acknowledging map[replica.Identity]bool, silent map[replica.Identity]time.Duration) Observation {
 	now := r.options.Timer.Now()
 	live := r.liveReplicas()
 	members := r.Members()
@@ -273,9 +277,14 @@
 			unreachable[m.Identity] = true
 		}
 	}
+	since := updateSince(r.unreachableSince, unreachable, now)
+	for i, d := range since {
+		// A member that has not replied in the election need not be waited for once more.
+		since[i] = max(d, silent[i])
+	}
 	return Observation{
 		Self: r.identity, Members: members, Live: live, CaughtUp: caughtUp,
-		Contact: updateSince(r.liveSince, live, now), Unreachable: updateSince(r.unreachableSince, unreachable, now),
+		Contact: updateSince(r.liveSince, live, now), Unreachable: since,
 	}
 }
 
