consensus: a successor does not become an additional voter while a voter is silent

Cause: the leader counts an instance as live for 1.6 s after its last poll. A successor at a new address that is there by then made 9 live instances of 8 disks, so the group got 9 voters. Once the lost one was noticed no learner was left to replace it, and it stayed a voter. Change: the number of voters rises only while all present voters acknowledge messages. Tests: the simulated membership has silent members; the lost machine is one.

--- a/internal/fleet/consensus/lost_disk_test.go
+++ b/internal/fleet/consensus/lost_disk_test.go
@@ -19,6 +19,7 @@
 	identity    []replica.Identity // of each machine
 	live        map[replica.Identity]replica.Address
 	unreachable map[replica.Identity]time.Duration
+	silent      map[replica.Identity]bool
 	losses      int
 }
 
@@ -43,7 +44,7 @@
 		contact[i], caughtUp[i] = time.Minute, true
 	}
 	c := NextChange(Observation{
-		Self: d.identity[0], Members: slices.Clone(d.members), Live: d.live, Contact: contact, Unreachable: d.unreachable, CaughtUp: caughtUp,
+		Self: d.identity[0], Members: slices.Clone(d.members), Live: d.live, Contact: contact, Unreachable: d.unreachable, Silent: d.silent, CaughtUp: caughtUp,
 	})
 	at := slices.IndexFunc(d.members, func(m replica.Member) bool { return m.Identity == c.Member.Identity })
 	lost := slices.IndexFunc(d.members, func(m replica.Member) bool { return m.Identity == c.Lost })
--- a/internal/fleet/consensus/membership.go
+++ b/internal/fleet/consensus/membership.go
@@ -61,6 +61,9 @@
 	// Unreachable holds for how long other members have neither polled nor acknowledged
 	// messages.
 	Unreachable map[replica.Identity]time.Duration
+	// Silent holds the members that acknowledge no messages at present. Their instances may still
+	// count as live.
+	Silent map[replica.Identity]bool
 	// CaughtUp holds the learners that acknowledge messages and hold the log.
 	CaughtUp map[replica.Identity]bool
 }
@@ -98,7 +101,10 @@
 	// A voter that is out of contact keeps its vote until it is replaced, so the target is
 	// never below the current number of voters.
 	target := max(largestOdd(min(maxVoters, len(o.Live))), largestOdd(len(voters)))
-	if len(voters) < target || (hasFailed && len(voters) <= target) {
+	// While a voter is silent, an additional instance may be its successor: as a further voter it
+	// could not replace it any more.
+	grows := len(voters) < target && !slices.ContainsFunc(voters, func(m replica.Member) bool { return o.Silent[m.Identity] })
+	if grows || (hasFailed && len(voters) <= target) {
 		if learner, ok := o.nextVoter(voters, learners); ok {
 			return Change{Action: Promote, Member: learner, Reason: "live learner can become a voter"}
 		}
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -271,9 +271,13 @@
 	now := r.options.Timer.Now()
 	live := r.liveReplicas()
 	members := r.Members()
-	unreachable := map[replica.Identity]bool{}
+	mute, unreachable := map[replica.Identity]bool{}, map[replica.Identity]bool{}
 	for _, m := range members {
-		if _, ok := live[m.Identity]; !ok && !acknowledging[m.Identity] {
+		if m.Identity == r.identity || acknowledging[m.Identity] {
+			continue
+		}
+		mute[m.Identity] = true
+		if _, ok := live[m.Identity]; !ok {
 			unreachable[m.Identity] = true
 		}
 	}
@@ -284,7 +288,7 @@
 	}
 	return Observation{
 		Self: r.identity, Members: members, Live: live, CaughtUp: caughtUp,
-		Contact: updateSince(r.liveSince, live, now), Unreachable: since,
+		Contact: updateSince(r.liveSince, live, now), Unreachable: since, Silent: mute,
 	}
 }
 
--- a/internal/fleet/consensus/successor_test.go
+++ b/internal/fleet/consensus/successor_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 )
 
 // Guards against a voter that is lost for good and stays a member, because its successor was there
@@ -17,6 +19,7 @@
 			gone := d.identity[1]
 			d.identity[1] = "new"
 			d.live["new"] = address(size)
+			d.silent = map[replica.Identity]bool{gone: true}
 			d.settle()
 			delete(d.live, gone)
 			d.unreachable[gone] = voterTimeout
