control/replica: the founder writes its members and its no-op together

Cause: the founder submitted its members and the no-op one after the other, and the disk may have begun to write the first when the second came: one sync more. Change: both are one write.

--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -239,17 +239,18 @@
 }
 
 // becomeLeader starts a term as leader. It appends a no-op, since committing an entry of
-// its own term also commits the entries of earlier terms.
-func (n *Node) becomeLeader() {
+// its own term also commits the entries of earlier terms. The entries in first come before it, in the
+// same write.
+func (n *Node) becomeLeader(first ...Entry) {
 	n.log.Info("elected", append(n.electionVotes(), zap.Uint64("term", uint64(n.term)))...)
 	n.loggedElection = ""
 	n.role, n.leader, n.electedAt = leader, n.self, n.timer.Now()
 	n.electionRound++
-	n.noopIndex = n.raftLog.lastIndex() + 1
+	n.noopIndex = n.raftLog.lastIndex() + 1 + Index(len(first))
 	for _, p := range n.peers {
 		p.reset(n.noopIndex)
 	}
-	if err := n.appendEntries([]Entry{{Index: n.noopIndex, Term: n.term, Kind: wire.Kind_KIND_NOOP}}); err != nil {
+	if err := n.appendEntries(append(first, Entry{Index: n.noopIndex, Term: n.term, Kind: wire.Kind_KIND_NOOP})); err != nil {
 		n.log.Error("no-op refused", zap.Error(err))
 	}
 }
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -420,11 +420,7 @@
 	}
 	n.term, n.votedFor = 1, n.self.Identity
 	n.saveHardState(nil)
-	if err := n.appendEntries([]Entry{{Index: 1, Term: n.term, Kind: wire.Kind_KIND_MEMBERS, Data: data}}); err != nil {
-		reply(err)
-		return
-	}
-	n.becomeLeader()
+	n.becomeLeader(Entry{Index: 1, Term: n.term, Kind: wire.Kind_KIND_MEMBERS, Data: data})
 	n.whenDurable(func() { reply(nil) })
 }
 
