control/disk: an empty disk is created in three syncs beside its first messages

Cause: an empty disk made nine syncs in series before its instance listened. Change: Open generates the identity in memory. Recover writes identity, hard state and list of groups, syncs them in parallel, then the three directories in parallel, and lists the group last. Remains of a creation that was interrupted belong to an identity that has acknowledged nothing; they are removed, or, if there are entries, the directory is set aside as before. A replica asks for the permission to found the group once its identity is durable. The lock of the hard state lets simulated time pass. Tests: TestIdentitySync and TestRecoverSyncsDirectory fail each sync of the creation in turn instead of the first two; rows of TestLossOfPower run beside each other. Measured: TestSyncsInSeries: creation 3, a term beside it 3.

--- a/internal/control/disk/directory.go
+++ b/internal/control/disk/directory.go
@@ -18,6 +18,8 @@
 	identityFile = "identity"
 	// groupsFile lists the directories of the groups that were created.
 	groupsFile = "groups"
+	// groupPrefix begins the names of the directories of groups.
+	groupPrefix = "group-"
 	// tempSuffix ends the names of files that WriteFileAtomic has not renamed yet.
 	tempSuffix = ".tmp"
 )
@@ -37,14 +39,15 @@
 
 	mu           sync.Mutex
 	groups       []string // directory names of the groups that were created
-	recovered    bool     // the names that Open found were synced, without success if recoverError is set
+	recovered    bool     // the identity and the names that Open found were synced, without success if recoverError is set
 	recoverError error
+	isNew        bool // the identity is not stored yet
 }
 
-// Open opens a data directory and creates it if necessary. A new identity is generated
-// only if the directory is empty, and it is durable before Open returns. Names that a previous
-// process left may be lost with the power until Recover returns for a store of the directory.
-// reserveBytes is the disk space to keep free; see DefaultReserveBytes.
+// Open opens a data directory. A new identity is generated only if the directory holds no data.
+// That, and names that a previous process left, may be lost with the power until Recover returns
+// for a store of the directory. reserveBytes is the disk space to keep free; see
+// DefaultReserveBytes.
 func Open(f FileSystem, path string, reserveBytes uint64) (d *Directory, err error) {
 	defer func() {
 		if err != nil {
@@ -60,24 +63,19 @@
 	}
 	d = &Directory{files: f, path: path, reserveBytes: reserveBytes, segmentBytes: maxSegmentBytes, inParallel: inParallel}
 	if isUninitialized(names) {
-		if err := f.SyncDir(filepath.Dir(path)); err != nil {
-			return nil, markFatal(err)
-		}
 		return d, d.generateIdentity()
 	}
 	return d, d.load(names)
 }
 
-// isUninitialized reports whether a data directory holds no data. It ignores an identity
-// that was still being written when a previous process ended, and the lost+found
-// directory that some file systems have at their root.
+// isUninitialized reports whether a data directory holds no data. It ignores what a previous
+// process that ended while it created the directory may have left, and the lost+found directory
+// that some file systems have at their root.
 func isUninitialized(names []string) bool {
-	for _, n := range names {
-		if n != identityFile+tempSuffix && n != "lost+found" {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(names, func(n string) bool {
+		remains := n == identityFile+tempSuffix || n == groupsFile+tempSuffix || strings.HasPrefix(n, groupPrefix)
+		return !remains && n != "lost+found"
+	})
 }
 
 func (d *Directory) generateIdentity() error {
@@ -85,8 +83,8 @@
 	if _, err := rand.Read(b[:]); err != nil {
 		return markFatal(err)
 	}
-	d.identity = replica.Identity(hex.EncodeToString(b[:]))
-	return markFatal(WriteFileAtomic(d.files, d.path, identityFile, encodeRecord(recordIdentity, []byte(d.identity))))
+	d.identity, d.isNew = replica.Identity(hex.EncodeToString(b[:])), true
+	return nil
 }
 
 func (d *Directory) load(names []string) error {
@@ -123,44 +121,45 @@
 // Identity returns the replica identity stored in the directory.
 func (d *Directory) Identity() replica.Identity { return d.identity }
 
-// OpenGroup opens the store of one group. It creates the store if the group was never
-// opened before.
+// OpenGroup opens the store of one group. If the group was never opened before, Recover creates
+// it.
 func (d *Directory) OpenGroup(g replica.GroupID) (s *Store, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	name := fmt.Sprintf("group-%d", g)
+	name := fmt.Sprint(groupPrefix, g)
 	dir := filepath.Join(d.path, name)
 	s = &Store{
+		hardMu:    newMutex(),
 		directory: d, files: d.files, dir: dir, identity: d.identity, reserveBytes: d.reserveBytes, segmentBytes: d.segmentBytes,
 	}
 	// A listed group is not created again: if its files were lost, it must not vote as if it were new.
 	if slices.Contains(d.groups, name) {
 		return s, nil
 	}
-	if err := d.createGroup(s, name); err != nil {
-		return nil, errors.Wrapf(markFatal(err), "create group %d", g)
-	}
-	return s, nil
+	s.created = name
+	return s, s.prepare()
 }
 
-// createGroup stores an empty hard state before it lists the group, so that every listed
-// group has one unless it was lost.
-func (d *Directory) createGroup(s *Store, name string) error {
-	if err := d.files.MkdirAll(s.dir); err != nil {
-		return err
+// prepare makes an empty directory for a group that is not listed. A previous process may have
+// ended while it created the group; entries are only stored after that.
+func (s *Store) prepare() error {
+	if err := s.files.MkdirAll(s.dir); err != nil {
+		return markFatal(err)
 	}
-	if err := d.files.SyncDir(d.path); err != nil {
-		return err
+	names, err := s.files.List(s.dir)
+	if err != nil {
+		return markFatal(err)
 	}
-	if err := s.SaveHardState(replica.HardState{}); err != nil {
-		return err
+	for _, n := range names {
+		if strings.HasPrefix(n, segmentPrefix) {
+			return errors.Wrapf(ErrCorrupt, "%s is not listed but has entries", s.dir)
+		}
 	}
-	groups := append(slices.Clone(d.groups), name)
-	record := encodeRecord(recordGroups, []byte(strings.Join(groups, "\n")))
-	if err := WriteFileAtomic(d.files, d.path, groupsFile, record); err != nil {
-		return err
+	for _, n := range names {
+		if err := s.files.Remove(s.path(n)); err != nil {
+			return markFatal(err)
+		}
 	}
-	d.groups = groups
 	return nil
 }
 
--- a/internal/control/disk/disk_test.go
+++ b/internal/control/disk/disk_test.go
@@ -61,8 +61,9 @@
 func TestIdentity(t *testing.T) {
 	is := is.New(t)
 	f := faulty.New(1)
-	d, _ := openGroup(t, f)
+	d, s := openGroup(t, f)
 	is.Equal(len(d.Identity()), 32)
+	is.NoErr(s.Recover())
 	f.Crash()
 	again, _ := openGroup(t, f)
 	is.Equal(again.Identity(), d.Identity())
@@ -73,14 +74,20 @@
 	is.True(other.Identity() != d.Identity())
 }
 
-// Guards against an identity that Open returns although its sync failed.
+// creationSyncs is the number of syncs that create a directory with a group: three files, the
+// directory, its parent and that of the group, and the directory again for the list of groups.
+const creationSyncs = 7
+
+// Guards against an identity or a group that counts as durable although a sync failed.
 func TestIdentitySync(t *testing.T) {
 	is := is.New(t)
-	for n := range 3 {
+	for n := range creationSyncs + 1 {
 		f := faulty.New(1)
 		f.FailSyncAfter(n)
-		_, err := disk.Open(f.Process(), "data", 0)
-		is.True(errors.Is(err, disk.ErrFatal))
+		_, s := openGroup(t, f)
+		err := s.Recover()
+		is.Equal(errors.Is(err, disk.ErrFatal), n < creationSyncs)
+		is.Equal(err == nil, n == creationSyncs)
 	}
 }
 
@@ -212,7 +219,7 @@
 func TestRecoverSyncsDirectory(t *testing.T) {
 	is := is.New(t)
 	f := faulty.New(1)
-	_, s := openGroup(t, f)
+	s, _, _, _ := reopen(t, f)
 	f.FailSyncAfter(1) // the sync of the directory fails
 	is.True(errors.Is(s.SaveHardState(replica.HardState{Term: 5, Vote: "x"}), disk.ErrFatal))
 	for range 2 {
@@ -220,16 +227,18 @@
 		is.Equal(h, replica.HardState{Term: 5, Vote: "x"})
 		f.Crash()
 	}
-	f = faulty.New(1)
-	f.FailSyncAfter(2)
-	_, err := disk.Open(f.Process(), "data", 0)
-	is.True(errors.Is(err, disk.ErrFatal))
-	d, s := openGroup(t, f)
-	is.NoErr(s.Recover())
-	f.Crash()
-	again, err := disk.Open(f.Process(), "data", 0)
-	is.NoErr(err)
-	is.Equal(again.Identity(), d.Identity())
+	for n := range creationSyncs {
+		f = faulty.New(1)
+		f.FailSyncAfter(n)
+		_, s = openGroup(t, f)
+		is.True(errors.Is(s.Recover(), disk.ErrFatal))
+		d, s := openGroup(t, f)
+		is.NoErr(s.Recover())
+		f.Crash()
+		again, err := disk.Open(f.Process(), "data", 0)
+		is.NoErr(err)
+		is.Equal(again.Identity(), d.Identity())
+	}
 }
 
 // Guards against an entry that was written but not synced before a restart, is treated
--- a/internal/control/disk/load.go
+++ b/internal/control/disk/load.go
@@ -25,6 +25,9 @@
 			err = errors.Wrapf(err, "load %s", s.dir)
 		}
 	}()
+	if s.created != "" {
+		return h, nil, m, nil
+	}
 	names, err := s.files.List(s.dir)
 	if err != nil {
 		// The groups file lists this group, so its directory must exist.
@@ -97,7 +100,7 @@
 	s.segments = nil
 	for _, n := range names {
 		var sequence uint64
-		if !strings.HasPrefix(n, "log-") {
+		if !strings.HasPrefix(n, segmentPrefix) {
 			continue
 		}
 		if _, err := fmt.Sscanf(n, segmentFileFormat, &sequence); err != nil {
--- a/internal/control/disk/power_loss_test.go
+++ b/internal/control/disk/power_loss_test.go
@@ -538,6 +538,7 @@
 	for _, tt := range tests {
 		for order := tt.order; order < tt.order+max(1, tt.orders); order++ {
 			t.Run(fmt.Sprintf("%s, order %d", tt.name, order), func(t *testing.T) {
+				t.Parallel()
 				c := newLossCheck(t, order, !tt.checked)
 				tt.run(c)
 				if c.interleaved != nil {
--- a/internal/control/disk/recover.go
+++ b/internal/control/disk/recover.go
@@ -3,8 +3,12 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 )
 
 // Recover makes durable what Load has returned, and opens the last segment for appending: the
@@ -16,7 +20,11 @@
 	if err := s.priorError(); err != nil || s.recovered {
 		return err
 	}
-	if err := s.recoverFiles(); err != nil {
+	run := s.recoverFiles
+	if s.created != "" {
+		run = s.create
+	}
+	if err := run(); err != nil {
 		return s.setError(errors.Wrapf(err, "recover %s", s.dir))
 	}
 	s.recovered = true
@@ -75,6 +83,92 @@
 	return d.recoverError
 }
 
+// create creates the group, and the identity if it is new. The group is listed last, so that every
+// listed group has a hard state and an identity unless they were lost.
+func (s *Store) create() error {
+	d := s.directory
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.recoverError != nil {
+		return d.recoverError
+	}
+	groups := append(slices.Clone(d.groups), s.created)
+	list := &replacement{files: d.files, dir: d.path}
+	if err := list.write(groupsFile, encodeRecord(recordGroups, []byte(strings.Join(groups, "\n")))); err != nil {
+		return err
+	}
+	writes := append(list.syncs, s.writeInitialState)
+	if d.isNew {
+		writes = append(writes, d.writeIdentity)
+	}
+	if err := d.inParallel(writes...); err != nil {
+		return err
+	}
+	d.recovered, d.recoverError = true, d.inParallel(
+		func() error { return d.files.SyncDir(filepath.Dir(d.path)) },
+		func() error { return d.files.SyncDir(d.path) },
+		func() error { return d.files.SyncDir(s.dir) },
+	)
+	if d.recoverError != nil {
+		return d.recoverError
+	}
+	if err := errors.CombineErrors(s.ensureState(), list.finish()); err != nil {
+		return err
+	}
+	d.groups, d.isNew = groups, false
+	return nil
+}
+
+// writeInitialState puts the hard state of a new group in place, unless another one is being saved.
+func (s *Store) writeInitialState() error {
+	if s.savingHard.Load() {
+		return nil
+	}
+	s.hardMu.Lock()
+	defer s.hardMu.Unlock()
+	if s.hardExists {
+		return nil
+	}
+	record, err := hardStateRecord(replica.HardState{})
+	if err != nil {
+		return err
+	}
+	s.hardExists = true
+	return putFile(s.files, s.dir, hardStateFile, record)
+}
+
+// ensureState waits until the hard state that is being saved has been written, if there is one. If it
+// is still to be written, ensureState writes the initial one.
+func (s *Store) ensureState() error {
+	s.hardMu.Lock()
+	exists := s.hardExists
+	s.hardMu.Unlock()
+	if exists {
+		return nil
+	}
+	s.savingHard.Store(false)
+	return errors.CombineErrors(s.writeInitialState(), s.files.SyncDir(s.dir))
+}
+
+// writeIdentity puts the identity in place.
+func (d *Directory) writeIdentity() error {
+	return putFile(d.files, d.path, identityFile, encodeRecord(recordIdentity, []byte(d.identity)))
+}
+
+// putFile writes and syncs a file and gives it its name, which a sync of the directory makes durable.
+func putFile(f FileSystem, dir, name string, content []byte) error {
+	r := &replacement{files: f, dir: dir}
+	if err := r.write(name, content); err != nil {
+		return err
+	}
+	for _, sync := range r.syncs {
+		if err := sync(); err != nil {
+			return err
+		}
+	}
+	return r.rename()
+}
+
 // replacement replaces files of a directory together, each by WriteFileAtomic's steps.
 type replacement struct {
 	files FileSystem
@@ -90,15 +184,20 @@
 	return err
 }
 
-// finish puts the new files in place and makes their names durable.
-func (r *replacement) finish() error {
+// rename puts the new files in place.
+func (r *replacement) rename() error {
 	for _, n := range r.names {
 		if err := r.files.Rename(filepath.Join(r.dir, n+tempSuffix), filepath.Join(r.dir, n)); err != nil {
 			return err
 		}
 	}
-	if len(r.names) == 0 {
-		return nil
+	return nil
+}
+
+// finish puts the new files in place and makes their names durable.
+func (r *replacement) finish() error {
+	if err := r.rename(); err != nil || len(r.names) == 0 {
+		return err
 	}
 	return r.files.SyncDir(r.dir)
 }
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -16,7 +17,8 @@
 const (
 	hardStateFile     = "hard"
 	snapshotFile      = "snapshot"
-	segmentFileFormat = "log-%016x" // formats the sequence number of a segment
+	segmentPrefix     = "log-"
+	segmentFileFormat = segmentPrefix + "%016x" // formats the sequence number of a segment
 	// maxSegmentBytes is the size at which a new segment is started. It is small enough
 	// to read a whole segment into memory when the log is loaded.
 	maxSegmentBytes = 8 << 20
@@ -31,8 +33,8 @@
 	reserveBytes uint64
 	segmentBytes int // size at which a new segment is started; maxSegmentBytes unless SetSegmentBytes was called
 
-	recoverMu sync.Mutex // held during Recover
-	recovered bool       // Recover has succeeded; guarded by recoverMu and logMu
+	created   string // name of the group that Recover creates; empty if it exists
+	recovered bool   // Recover has succeeded; guarded by logMu
 
 	logMu       sync.Mutex    // guards the log
 	active      File          // the last segment, open for appending; nil while there is none
@@ -42,7 +44,9 @@
 	lastIndex   replica.Index
 	lastSegment []byte // content that Load found in the last segment, until Recover has rewritten it
 
-	hardMu       sync.Mutex         // held while the hard state is written
+	hardMu       mutex              // held while the hard state is written
+	hardExists   bool               // of a new group, the hard state is being written or was; guarded by hardMu
+	savingHard   atomic.Bool        // of a new group, SaveHardState was called
 	adopted      *replica.HardState // hard state that Load derived and Recover stores; nil if there is none
 	snapshotMu   sync.Mutex         // guards snapshotMeta; held while the snapshot is read or written
 	snapshotMeta replica.SnapshotMeta
@@ -109,6 +113,7 @@
 
 // SaveHardState stores term and vote.
 func (s *Store) SaveHardState(h replica.HardState) error {
+	s.savingHard.Store(true)
 	s.hardMu.Lock()
 	defer s.hardMu.Unlock()
 	if err := s.priorError(); err != nil {
@@ -118,7 +123,7 @@
 	if err != nil {
 		return s.setError(err)
 	}
-	s.adopted = nil // h is newer
+	s.adopted, s.hardExists = nil, true // h is newer
 	return s.setError(WriteFileAtomic(s.files, s.dir, hardStateFile, record))
 }
 
--- a/internal/control/disk/sync_count_test.go
+++ b/internal/control/disk/sync_count_test.go
@@ -57,6 +57,9 @@
 		run    func(s *disk.Store) error
 		syncs  int
 	}{
+		{name: "load of an empty disk", run: func(*disk.Store) error { return nil }},
+		{name: "creation", run: (*disk.Store).Recover, syncs: 3},
+		{name: "term beside a creation", run: func(s *disk.Store) error { return together(s.Recover, saveTerm, s) }, syncs: 3},
 		{name: "load", filled: true, run: func(*disk.Store) error { return nil }},
 		{name: "recovery", filled: true, run: (*disk.Store).Recover, syncs: 2},
 		{name: "term", filled: true, before: (*disk.Store).Recover, run: saveTerm, syncs: 2},
--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -72,6 +72,9 @@
 	return nil
 }
 
+// AwaitRecovery waits until what was loaded, or the identity of a new replica, is durable.
+func (n *Node) AwaitRecovery(ctx context.Context) error { return n.awaitRecovery(ctx) }
+
 // awaitRecovery waits until what was loaded is durable.
 func (n *Node) awaitRecovery(ctx context.Context) error {
 	select {
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -206,7 +206,11 @@
 
 // bootstrap creates the group with this replica as its only member, if a seed permits that.
 func (r *Replica) bootstrap(ctx context.Context) error {
-	if !r.options.AllowBootstrap || !r.options.RequestBootstrap(ctx, r.Identity()) {
+	if !r.options.AllowBootstrap {
+		return nil
+	}
+	// The permission is given to one identity, which must not be lost with the power.
+	if r.node.AwaitRecovery(ctx) != nil || !r.options.RequestBootstrap(ctx, r.Identity()) {
 		return nil
 	}
 	self := replica.Member{Identity: r.identity, Address: replica.Address(r.options.Address), Voter: true}
