consensus: short outages cost no vote, and a hung disk does not stop the growth of the group

The silence of a voter counted from its last reply also under a leader that had heard it, so a voter that was away for 1.6 s lost its vote where a learner was there. And no voter was added as long as one polled without acknowledging, as with a hung disk. Change: silence before the first observation counts only for members that have acknowledged nothing to this leader. Growth waits for at most 3 s, in which the loss of a voter is noticed.

--- a/internal/control/replica/member.go
+++ b/internal/control/replica/member.go
@@ -160,13 +160,13 @@
 	})
 }
 
-// Silent returns for how long the other members have replied to nothing that this replica has sent as
-// leader, or as candidate in the election before.
+// Silent returns for how long the other members that have acknowledged nothing to this leader yet have
+// replied to nothing, the election before included.
 func (n *Node) Silent(ctx context.Context) (map[Identity]time.Duration, error) {
 	return runInLoop(ctx, n, func(reply func(map[Identity]time.Duration)) {
 		out := map[Identity]time.Duration{}
 		for i, p := range n.peers {
-			if n.role == leader && p.askedAt != never {
+			if n.role == leader && p.askedAt != never && p.ackedSentAt == never {
 				out[i] = n.timer.Now().Sub(p.askedAt)
 			}
 		}
--- a/internal/fleet/consensus/lost_disk_test.go
+++ b/internal/fleet/consensus/lost_disk_test.go
@@ -19,7 +19,7 @@
 	identity    []replica.Identity // of each machine
 	live        map[replica.Identity]replica.Address
 	unreachable map[replica.Identity]time.Duration
-	silent      map[replica.Identity]bool
+	silent      map[replica.Identity]time.Duration
 	losses      int
 }
 
--- a/internal/fleet/consensus/membership.go
+++ b/internal/fleet/consensus/membership.go
@@ -13,6 +13,9 @@
 	// voterTimeout is how long a voter may be out of contact before a live learner
 	// replaces it.
 	voterTimeout = 1500 * time.Millisecond
+	// noticeTime is the longest time until the loss of a voter is noticed: its instance counts as in
+	// contact for 1.6 s after its last poll.
+	noticeTime = 2 * voterTimeout
 	// learnerTimeout is how long a learner may be out of contact before it is removed.
 	learnerTimeout = 20 * time.Second
 	// minContact is how long a learner must have been in contact before it becomes an
@@ -61,9 +64,9 @@
 	// Unreachable holds for how long other members have neither polled nor acknowledged
 	// messages.
 	Unreachable map[replica.Identity]time.Duration
-	// Silent holds the members that acknowledge no messages at present. Their instances may still
+	// Silent holds for how long members have acknowledged no messages. Their instances may still
 	// count as live.
-	Silent map[replica.Identity]bool
+	Silent map[replica.Identity]time.Duration
 	// CaughtUp holds the learners that acknowledge messages and hold the log.
 	CaughtUp map[replica.Identity]bool
 }
@@ -101,9 +104,12 @@
 	// A voter that is out of contact keeps its vote until it is replaced, so the target is
 	// never below the current number of voters.
 	target := max(largestOdd(min(maxVoters, len(o.Live))), largestOdd(len(voters)))
-	// While a voter is silent, an additional instance may be its successor: as a further voter it
-	// could not replace it any more.
-	grows := len(voters) < target && !slices.ContainsFunc(voters, func(m replica.Member) bool { return o.Silent[m.Identity] })
+	// While the loss of a voter may not have been noticed, an additional instance may be its successor:
+	// as a further voter it could not replace it any more.
+	grows := len(voters) < target && !slices.ContainsFunc(voters, func(m replica.Member) bool {
+		silence, silent := o.Silent[m.Identity]
+		return silent && silence < noticeTime
+	})
 	if grows || (hasFailed && len(voters) <= target) {
 		if learner, ok := o.nextVoter(voters, learners); ok {
 			return Change{Action: Promote, Member: learner, Reason: "live learner can become a voter"}
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -98,6 +98,7 @@
 	// lost contact. Only the goroutine of loop uses them.
 	liveSince        map[replica.Identity]timer.Instant
 	unreachableSince map[replica.Identity]timer.Instant
+	silentSince      map[replica.Identity]timer.Instant
 	reporter         *reporter
 }
 
@@ -140,7 +141,8 @@
 	}
 	r = &Replica{
 		options: o, liveSince: map[replica.Identity]timer.Instant{}, unreachableSince: map[replica.Identity]timer.Instant{},
-		transport: replica.NewTransport(transport), reporter: newReporter(o.Timer, o.Log),
+		silentSince: map[replica.Identity]timer.Instant{},
+		transport:   replica.NewTransport(transport), reporter: newReporter(o.Timer, o.Log),
 	}
 	directory, err := disk.Open(o.Files, path, reserveBytes)
 	if err != nil {
@@ -229,6 +231,7 @@
 	if _, ok := r.node.HoldsLease(); !ok {
 		r.liveSince = map[replica.Identity]timer.Instant{}
 		r.unreachableSince = map[replica.Identity]timer.Instant{}
+		r.silentSince = map[replica.Identity]timer.Instant{}
 		r.reporter.forgetLosses()
 		return false
 	}
@@ -292,7 +295,8 @@
 	}
 	return Observation{
 		Self: r.identity, Members: members, Live: live, CaughtUp: caughtUp,
-		Contact: updateSince(r.liveSince, live, now), Unreachable: since, Silent: mute,
+		Contact: updateSince(r.liveSince, live, now), Unreachable: since,
+		Silent: updateSince(r.silentSince, mute, now),
 	}
 }
 
--- a/internal/fleet/consensus/successor_test.go
+++ b/internal/fleet/consensus/successor_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -19,7 +20,7 @@
 			gone := d.identity[1]
 			d.identity[1] = "new"
 			d.live["new"] = address(size)
-			d.silent = map[replica.Identity]bool{gone: true}
+			d.silent = map[replica.Identity]time.Duration{gone: noticeTime - 1}
 			d.settle()
 			delete(d.live, gone)
 			d.unreachable[gone] = voterTimeout
