control/disk: only an interrupted reading of the free space is no failure

Cause: a disk that has failed tells no free space either. As a full one it would refuse all changes for ever under a leader that keeps its lease. A group could also be listed although the hard state that was saved beside its creation had failed to be written. Change: EINTR alone refuses; other errors end the replica as before, so that its process is started again. The creation ends with the error of that write.

--- a/internal/control/disk/recover.go
+++ b/internal/control/disk/recover.go
@@ -112,7 +112,10 @@
 	if d.recoverError != nil {
 		return d.recoverError
 	}
-	if err := errors.CombineErrors(s.ensureState(), list.finish()); err != nil {
+	if err := s.ensureState(); err != nil {
+		return err
+	}
+	if err := list.finish(); err != nil {
 		return err
 	}
 	d.groups, d.isNew = groups, false
@@ -144,7 +147,7 @@
 	exists := s.hardExists
 	s.hardMu.Unlock()
 	if exists {
-		return nil
+		return s.priorError() // that of the write that has just ended, if it failed
 	}
 	s.savingHard.Store(false)
 	return errors.CombineErrors(s.writeInitialState(), s.files.SyncDir(s.dir))
--- a/internal/control/disk/space_test.go
+++ b/internal/control/disk/space_test.go
@@ -41,5 +41,7 @@
 	files.failure = nil
 	is.NoErr(s.CheckSpace(1))
 	is.NoErr(s.SaveHardState(replica.HardState{Term: 1}))
+	files.failure = syscall.EIO // a failed disk ends the replica, so that its process is started again
+	is.True(errors.Is(s.CheckSpace(1), disk.ErrFatal))
 	is.NoErr(s.Close())
 }
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -98,13 +99,16 @@
 	return s.setError(errors.New("the log is changed before its recovery"))
 }
 
-// CheckSpace returns ErrStorageFull if storing that many bytes would use the reserve, or if the free
-// space is unknown: nothing was written, so that is no failure of the disk.
+// CheckSpace returns ErrStorageFull if storing that many bytes would use the reserve, or if its call was
+// interrupted: nothing was written, so that is no failure of the disk.
 func (s *Store) CheckSpace(bytes int) error {
 	free, err := s.files.FreeBytes(s.dir)
-	if err != nil {
+	if errors.Is(err, syscall.EINTR) {
 		return errors.Mark(errors.Wrap(err, "free space"), ErrStorageFull)
 	}
+	if err != nil {
+		return s.setError(err)
+	}
 	if free < s.reserveBytes+uint64(bytes) {
 		return errors.Wrapf(ErrStorageFull, "%d bytes free, %d reserved", free, s.reserveBytes)
 	}
