control/replica: a failed recovery fails each time, and failures are logged at once

Cause: a second call of the recovery returned nil after the first had failed, and Run waited for ever. And a replica waits for a call that hangs in the disk before its failure was logged. Change: the error is kept.

--- a/internal/control/replica/apply.go
+++ b/internal/control/replica/apply.go
@@ -153,6 +153,7 @@
 	defer func() {
 		if err != nil && ctx.Err() == nil {
 			err = errors.Wrap(err, "save snapshot")
+			a.node.logFailure(err)
 		}
 	}()
 	n := a.node
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -52,6 +52,7 @@
 	stopped         chan struct{} // closed when Run returns
 	recovered       chan struct{} // closed when what was loaded is durable
 	recoverOnce     sync.Once
+	recoverErr      error      // of the recovery; set by recoverOnce
 	recovery        *diskWrite // completes when recovered is closed
 	startMu         sync.Mutex // guards started, and until Run starts also the fields owned by loop
 	started         bool
--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -47,16 +47,16 @@
 }
 
 // recover makes what was loaded durable, once.
-func (n *Node) recover() (err error) {
+func (n *Node) recover() error {
 	n.recoverOnce.Do(func() {
-		if err = n.store.Recover(); err != nil {
+		if n.recoverErr = n.store.Recover(); n.recoverErr != nil {
 			return
 		}
 		// The recovery completes before the writes that wait for it.
 		n.completedWrites.Offer(n.recovery)
 		close(n.recovered)
 	})
-	return errors.Wrap(err, "recover")
+	return errors.Wrap(n.recoverErr, "recover")
 }
 
 // runRecovery makes what was loaded durable. The node takes part in its group meanwhile, since a
@@ -64,6 +64,7 @@
 func (n *Node) runRecovery(context.Context) error {
 	start := n.timer.Now()
 	if err := n.recover(); err != nil {
+		n.logFailure(err)
 		return err
 	}
 	if took := n.timer.Now().Sub(start); took >= slowRecovery {
@@ -75,6 +76,10 @@
 // AwaitRecovery waits until what was loaded, or the identity of a new replica, is durable.
 func (n *Node) AwaitRecovery(ctx context.Context) error { return n.awaitRecovery(ctx) }
 
+// logFailure logs an error that ends the replica at once: another operation on the disk may hang, and
+// the replica waits for it.
+func (n *Node) logFailure(err error) { n.log.Error("replica failed, stopping", zap.Error(err)) }
+
 // awaitRecovery waits until what was loaded is durable.
 func (n *Node) awaitRecovery(ctx context.Context) error {
 	select {
@@ -206,6 +211,7 @@
 	defer func() {
 		if err != nil && ctx.Err() == nil {
 			err = errors.Wrap(err, "write")
+			n.logFailure(err)
 		}
 	}()
 	for {
--- a/internal/control/replica/rules_test.go
+++ b/internal/control/replica/rules_test.go
@@ -256,6 +256,23 @@
 	is.Equal(n.raftLog.lastIndex(), Index(4))
 }
 
+// failedStore is a store whose recovery fails.
+type failedStore struct{ stub }
+
+var errRecovery = errors.New("recovery failed")
+
+func (*failedStore) Recover() error { return errRecovery }
+
+// Guards against a replica that waits for ever for a recovery that has failed before it ran.
+func TestFailedRecovery(t *testing.T) {
+	is := is.New(t)
+	self, s := Member{"a", "1", true}, &failedStore{}
+	n, err := New(Options{Self: self, StateMachine: s, Store: s, Timer: timer.NewSystem(), Random: rand.New(rand.NewPCG(1, 1))})
+	is.NoErr(err)
+	is.True(errors.Is(n.Bootstrap([]Member{self}), errRecovery))
+	is.True(errors.Is(n.Run(t.Context()), errRecovery))
+}
+
 // Guards against split votes of two replicas that request pre-votes at the same time: only one of them
 // gets the pre-vote of the other. Neither is kept from an election for long.
 func TestPreVotesAtTheSameTime(t *testing.T) {
