control/disk: a term that is saved beside a recovery or creation delays neither

Cause: the creation waited for the lock of the hard state, which the term holds for two syncs, before it went on, although it had written the initial state; and it waited for it at its begin if the term came first. A recovery waited for the lock only to see whether there is an adopted term. Change: both go on if the lock is taken: a newer hard state is being saved then. The creation waits for that before it lists the group.

--- a/internal/control/disk/mutex.go
+++ b/internal/control/disk/mutex.go
@@ -9,5 +9,15 @@
 // Lock waits for the lock.
 func (m mutex) Lock() { m <- struct{}{} }
 
+// TryLock takes the lock if it is free.
+func (m mutex) TryLock() bool {
+	select {
+	case m <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 // Unlock gives the lock back.
 func (m mutex) Unlock() { <-m }
--- a/internal/control/disk/recover.go
+++ b/internal/control/disk/recover.go
@@ -37,10 +37,11 @@
 // snapshot.
 func (s *Store) recoverFiles() (err error) {
 	r := &replacement{files: s.files, dir: s.dir}
-	s.hardMu.Lock()
-	if s.adopted == nil {
+	// While the lock is held, a newer hard state than the adopted one is being saved.
+	switch locked := s.hardMu.TryLock(); {
+	case locked && s.adopted == nil:
 		s.hardMu.Unlock()
-	} else {
+	case locked:
 		defer s.hardMu.Unlock()
 		record, err := hardStateRecord(*s.adopted)
 		if err != nil {
@@ -122,35 +123,43 @@
 	return nil
 }
 
-// writeInitialState puts the hard state of a new group in place, unless another one is being saved.
+// writeInitialState puts the hard state of a new group in place, unless another one has been or is
+// being saved.
 func (s *Store) writeInitialState() error {
-	if s.savingHard.Load() {
+	if !s.hardMu.TryLock() {
 		return nil
 	}
-	s.hardMu.Lock()
 	defer s.hardMu.Unlock()
-	if s.hardExists {
+	return s.putInitialState()
+}
+
+// putInitialState puts the hard state of a new group in place unless there is one. s.hardMu must be
+// held.
+func (s *Store) putInitialState() error {
+	if s.hardExists.Load() {
 		return nil
 	}
 	record, err := hardStateRecord(replica.HardState{})
 	if err != nil {
 		return err
 	}
-	s.hardExists = true
-	return putFile(s.files, s.dir, hardStateFile, record)
+	err = putFile(s.files, s.dir, hardStateFile, record)
+	s.hardExists.Store(err == nil)
+	return err
 }
 
-// ensureState waits until the hard state that is being saved has been written, if there is one. If it
-// is still to be written, ensureState writes the initial one.
+// ensureState returns once a hard state has been written. If none has, it waits for the one that is
+// being saved, if there is one, or else writes the initial one.
 func (s *Store) ensureState() error {
+	if s.hardExists.Load() {
+		return nil
+	}
 	s.hardMu.Lock()
-	exists := s.hardExists
-	s.hardMu.Unlock()
-	if exists {
-		return s.priorError() // that of the write that has just ended, if it failed
+	defer s.hardMu.Unlock()
+	if err := s.priorError(); err != nil || s.hardExists.Load() {
+		return err
 	}
-	s.savingHard.Store(false)
-	return errors.CombineErrors(s.writeInitialState(), s.files.SyncDir(s.dir))
+	return errors.CombineErrors(s.putInitialState(), s.files.SyncDir(s.dir))
 }
 
 // writeIdentity puts the identity in place.
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -46,8 +46,7 @@
 	lastSegment []byte // content that Load found in the last segment, until Recover has rewritten it
 
 	hardMu       mutex              // held while the hard state is written
-	hardExists   bool               // of a new group, the hard state is being written or was; guarded by hardMu
-	savingHard   atomic.Bool        // of a new group, SaveHardState was called
+	hardExists   atomic.Bool        // of a new group, a hard state has been written
 	adopted      *replica.HardState // hard state that Load derived and Recover stores; nil if there is none
 	snapshotMu   sync.Mutex         // guards snapshotMeta; held while the snapshot is read or written
 	snapshotMeta replica.SnapshotMeta
@@ -117,7 +116,6 @@
 
 // SaveHardState stores term and vote.
 func (s *Store) SaveHardState(h replica.HardState) error {
-	s.savingHard.Store(true)
 	s.hardMu.Lock()
 	defer s.hardMu.Unlock()
 	if err := s.priorError(); err != nil {
@@ -127,8 +125,12 @@
 	if err != nil {
 		return s.setError(err)
 	}
-	s.adopted, s.hardExists = nil, true // h is newer
-	return s.setError(WriteFileAtomic(s.files, s.dir, hardStateFile, record))
+	s.adopted = nil // h is newer
+	if err := WriteFileAtomic(s.files, s.dir, hardStateFile, record); err != nil {
+		return s.setError(err)
+	}
+	s.hardExists.Store(true)
+	return nil
 }
 
 func hardStateRecord(h replica.HardState) ([]byte, error) {
