control/disk: one function puts a file in place, one syncs the names of the directory

Cause: the creation of a directory repeated the steps of WriteFileAtomic, and the syncs of the directory and its parent, beside the functions that had them; the field created held the name of a group that is still to be created. Change: WriteFileAtomic is putFile and a sync of the directory; recovery and creation call syncNames; the field is newGroup. No change of behaviour.

--- a/internal/control/disk/directory.go
+++ b/internal/control/disk/directory.go
@@ -129,14 +129,14 @@
 	name := fmt.Sprint(groupPrefix, g)
 	dir := filepath.Join(d.path, name)
 	s = &Store{
-		hardMu:    newMutex(),
 		directory: d, files: d.files, dir: dir, identity: d.identity, reserveBytes: d.reserveBytes, segmentBytes: d.segmentBytes,
+		hardMu: newMutex(),
 	}
 	// A listed group is not created again: if its files were lost, it must not vote as if it were new.
 	if slices.Contains(d.groups, name) {
 		return s, nil
 	}
-	s.created = name
+	s.newGroup = name
 	return s, s.prepare()
 }
 
--- a/internal/control/disk/files.go
+++ b/internal/control/disk/files.go
@@ -117,6 +117,14 @@
 // WriteFileAtomic writes a file so that a crash leaves either the old or the new content.
 // The new content is durable once it returns. It is the concatenation of parts.
 func WriteFileAtomic(f FileSystem, dir, name string, parts ...[]byte) (err error) {
+	if err := putFile(f, dir, name, parts...); err != nil {
+		return err
+	}
+	return f.SyncDir(dir)
+}
+
+// putFile writes and syncs a file and gives it its name, which a sync of the directory makes durable.
+func putFile(f FileSystem, dir, name string, parts ...[]byte) error {
 	temp := filepath.Join(dir, name+tempSuffix)
 	sync, err := writeFile(f, temp, parts...)
 	if err != nil {
@@ -125,10 +133,7 @@
 	if err := sync(); err != nil {
 		return err
 	}
-	if err := f.Rename(temp, filepath.Join(dir, name)); err != nil {
-		return err
-	}
-	return f.SyncDir(dir)
+	return f.Rename(temp, filepath.Join(dir, name))
 }
 
 // writeFile writes a file and returns a call that syncs and closes it.
--- a/internal/control/disk/load.go
+++ b/internal/control/disk/load.go
@@ -25,7 +25,7 @@
 			err = errors.Wrapf(err, "load %s", s.dir)
 		}
 	}()
-	if s.created != "" {
+	if s.newGroup != "" {
 		return h, nil, m, nil
 	}
 	names, err := s.files.List(s.dir)
--- a/internal/control/disk/recover.go
+++ b/internal/control/disk/recover.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	run := s.recoverFiles
-	if s.created != "" {
+	if s.newGroup != "" {
 		run = s.create
 	}
 	if err := run(); err != nil {
@@ -77,10 +77,16 @@
 	if d.recovered {
 		return d.recoverError
 	}
-	d.recovered, d.recoverError = true, d.inParallel(
+	return d.syncNames()
+}
+
+// syncNames makes the names in the directory and its own name durable, beside other syncs. d.mu must be
+// held.
+func (d *Directory) syncNames(others ...func() error) error {
+	d.recovered, d.recoverError = true, d.inParallel(append([]func() error{
 		func() error { return d.files.SyncDir(filepath.Dir(d.path)) },
 		func() error { return d.files.SyncDir(d.path) },
-	)
+	}, others...)...)
 	return d.recoverError
 }
 
@@ -93,7 +99,7 @@
 	if d.recoverError != nil {
 		return d.recoverError
 	}
-	groups := append(slices.Clone(d.groups), s.created)
+	groups := append(slices.Clone(d.groups), s.newGroup)
 	list := &replacement{files: d.files, dir: d.path}
 	if err := list.write(groupsFile, encodeRecord(recordGroups, []byte(strings.Join(groups, "\n")))); err != nil {
 		return err
@@ -105,13 +111,8 @@
 	if err := d.inParallel(writes...); err != nil {
 		return err
 	}
-	d.recovered, d.recoverError = true, d.inParallel(
-		func() error { return d.files.SyncDir(filepath.Dir(d.path)) },
-		func() error { return d.files.SyncDir(d.path) },
-		func() error { return d.files.SyncDir(s.dir) },
-	)
-	if d.recoverError != nil {
-		return d.recoverError
+	if err := d.syncNames(func() error { return s.files.SyncDir(s.dir) }); err != nil {
+		return err
 	}
 	if err := s.ensureState(); err != nil {
 		return err
@@ -167,20 +168,6 @@
 	return putFile(d.files, d.path, identityFile, encodeRecord(recordIdentity, []byte(d.identity)))
 }
 
-// putFile writes and syncs a file and gives it its name, which a sync of the directory makes durable.
-func putFile(f FileSystem, dir, name string, content []byte) error {
-	r := &replacement{files: f, dir: dir}
-	if err := r.write(name, content); err != nil {
-		return err
-	}
-	for _, sync := range r.syncs {
-		if err := sync(); err != nil {
-			return err
-		}
-	}
-	return r.rename()
-}
-
 // replacement replaces files of a directory together, each by WriteFileAtomic's steps.
 type replacement struct {
 	files FileSystem
@@ -196,20 +183,15 @@
 	return err
 }
 
-// rename puts the new files in place.
-func (r *replacement) rename() error {
+// finish puts the new files in place and makes their names durable.
+func (r *replacement) finish() error {
 	for _, n := range r.names {
 		if err := r.files.Rename(filepath.Join(r.dir, n+tempSuffix), filepath.Join(r.dir, n)); err != nil {
 			return err
 		}
 	}
-	return nil
-}
-
-// finish puts the new files in place and makes their names durable.
-func (r *replacement) finish() error {
-	if err := r.rename(); err != nil || len(r.names) == 0 {
-		return err
+	if len(r.names) == 0 {
+		return nil
 	}
 	return r.files.SyncDir(r.dir)
 }
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -34,7 +34,7 @@
 	reserveBytes uint64
 	segmentBytes int // size at which a new segment is started; maxSegmentBytes unless SetSegmentBytes was called
 
-	created   string // name of the group that Recover creates; empty if it exists
+	newGroup  string // name of the group if Recover is to create it
 	recovered bool   // Recover has succeeded; guarded by logMu
 
 	logMu       sync.Mutex    // guards the log
