consensus: one place forgets observations, names tell silence from unanswered messages

Cause: three maps were made in two places; silent, mute and Silent stood for two things; awaitRecovery had two names; the report of a vote built its fields five times a second to log them rarely. Change: forget makes the maps, Unanswered is the time without any reply to a new leader, AwaitRecovery is the only name, and the report returns early. No change of behaviour. Measured: tests of consensus but for TestCoreFaults, and of replica, pass.

--- a/internal/control/replica/member.go
+++ b/internal/control/replica/member.go
@@ -160,9 +160,9 @@
 	})
 }
 
-// Silent returns for how long the other members that have acknowledged nothing to this leader yet have
-// replied to nothing, the election before included.
-func (n *Node) Silent(ctx context.Context) (map[Identity]time.Duration, error) {
+// Unanswered returns, of the other members that have acknowledged nothing to this leader yet, for how
+// long they have replied to nothing, the election before included.
+func (n *Node) Unanswered(ctx context.Context) (map[Identity]time.Duration, error) {
 	return runInLoop(ctx, n, func(reply func(map[Identity]time.Duration)) {
 		out := map[Identity]time.Duration{}
 		for i, p := range n.peers {
--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -73,15 +73,12 @@
 	return nil
 }
 
-// AwaitRecovery waits until what was loaded, or the identity of a new replica, is durable.
-func (n *Node) AwaitRecovery(ctx context.Context) error { return n.awaitRecovery(ctx) }
-
 // logFailure logs an error that ends the replica at once: another operation on the disk may hang, and
 // the replica waits for it.
 func (n *Node) logFailure(err error) { n.log.Error("replica failed, stopping", zap.Error(err)) }
 
-// awaitRecovery waits until what was loaded is durable.
-func (n *Node) awaitRecovery(ctx context.Context) error {
+// AwaitRecovery waits until what was loaded is durable, the identity of a new replica included.
+func (n *Node) AwaitRecovery(ctx context.Context) error {
 	select {
 	case <-n.recovered:
 		return nil
@@ -245,9 +242,9 @@
 		if err := n.store.SaveHardState(*w.hardState); err != nil {
 			return 0, err
 		}
-		return done, n.awaitRecovery(ctx)
+		return done, n.AwaitRecovery(ctx)
 	}
-	if err := n.awaitRecovery(ctx); err != nil {
+	if err := n.AwaitRecovery(ctx); err != nil {
 		return 0, err
 	}
 	if len(w.entries) == 0 {
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -94,8 +94,8 @@
 	formed atomic.Bool
 	// formingUntil is the instant until which a group that this replica has created is forming.
 	formingUntil atomic.Int64
-	// liveSince holds when instances came into contact, and unreachableSince when members
-	// lost contact. Only the goroutine of loop uses them.
+	// liveSince holds when instances came into contact, unreachableSince when members lost contact, and
+	// silentSince when they ceased to acknowledge messages. Only the goroutine of loop uses them.
 	liveSince        map[replica.Identity]timer.Instant
 	unreachableSince map[replica.Identity]timer.Instant
 	silentSince      map[replica.Identity]timer.Instant
@@ -140,10 +140,9 @@
 		transport.Dial = func(ctx context.Context, to replica.Address) (net.Conn, error) { return o.Dial(ctx, string(to)) }
 	}
 	r = &Replica{
-		options: o, liveSince: map[replica.Identity]timer.Instant{}, unreachableSince: map[replica.Identity]timer.Instant{},
-		silentSince: map[replica.Identity]timer.Instant{},
-		transport:   replica.NewTransport(transport), reporter: newReporter(o.Timer, o.Log),
+		options: o, transport: replica.NewTransport(transport), reporter: newReporter(o.Timer, o.Log),
 	}
+	r.forget()
 	directory, err := disk.Open(o.Files, path, reserveBytes)
 	if err != nil {
 		return nil, err
@@ -229,10 +228,7 @@
 // whether a change was made.
 func (r *Replica) adjustMembership(ctx context.Context) bool {
 	if _, ok := r.node.HoldsLease(); !ok {
-		r.liveSince = map[replica.Identity]timer.Instant{}
-		r.unreachableSince = map[replica.Identity]timer.Instant{}
-		r.silentSince = map[replica.Identity]timer.Instant{}
-		r.reporter.forgetLosses()
+		r.forget()
 		return false
 	}
 	ctx, cancel := timer.WithTimeout(ctx, r.options.Timer, changeTimeout)
@@ -245,11 +241,11 @@
 	if err != nil {
 		return false
 	}
-	silent, err := r.node.Silent(ctx)
+	unanswered, err := r.node.Unanswered(ctx)
 	if err != nil {
 		return false
 	}
-	observed := r.observe(caughtUp, acknowledging, silent)
+	observed := r.observe(caughtUp, acknowledging, unanswered)
 	r.reporter.reportLosses(observed)
 	change := NextChange(observed)
 	if change.Action == NoChange {
@@ -271,32 +267,39 @@
 	return err == nil
 }
 
+// forget drops what a leader has observed of the members.
+func (r *Replica) forget() {
+	r.liveSince, r.unreachableSince = map[replica.Identity]timer.Instant{}, map[replica.Identity]timer.Instant{}
+	r.silentSince = map[replica.Identity]timer.Instant{}
+	r.reporter.forgetLosses()
+}
+
 // observe returns what this replica knows about the members and the instances in contact. A
 // member that acknowledges messages can be reached even if its instance doesn't poll: a new
 // leader has heard no polls yet, and an instance may look for the leader at a wrong address.
-func (r *Replica) observe(caughtUp, acknowledging map[replica.Identity]bool, silent map[replica.Identity]time.Duration) Observation {
+func (r *Replica) observe(caughtUp, acknowledging map[replica.Identity]bool, unanswered map[replica.Identity]time.Duration) Observation {
 	now := r.options.Timer.Now()
 	live := r.liveReplicas()
 	members := r.Members()
-	mute, unreachable := map[replica.Identity]bool{}, map[replica.Identity]bool{}
+	silent, unreachable := map[replica.Identity]bool{}, map[replica.Identity]bool{}
 	for _, m := range members {
 		if m.Identity == r.identity || acknowledging[m.Identity] {
 			continue
 		}
-		mute[m.Identity] = true
+		silent[m.Identity] = true
 		if _, ok := live[m.Identity]; !ok {
 			unreachable[m.Identity] = true
 		}
 	}
-	since := updateSince(r.unreachableSince, unreachable, now)
-	for i, d := range since {
+	outages := updateSince(r.unreachableSince, unreachable, now)
+	for i, d := range outages {
 		// A member that has not replied in the election need not be waited for once more.
-		since[i] = max(d, silent[i])
+		outages[i] = max(d, unanswered[i])
 	}
 	return Observation{
 		Self: r.identity, Members: members, Live: live, CaughtUp: caughtUp,
-		Contact: updateSince(r.liveSince, live, now), Unreachable: since,
-		Silent: updateSince(r.silentSince, mute, now),
+		Contact: updateSince(r.liveSince, live, now), Unreachable: outages,
+		Silent: updateSince(r.silentSince, silent, now),
 	}
 }
 
--- a/internal/fleet/consensus/report.go
+++ b/internal/fleet/consensus/report.go
@@ -33,19 +33,23 @@
 func (r *reporter) reportVote(self replica.Identity, members []replica.Member) {
 	voting := slices.ContainsFunc(members, func(m replica.Member) bool { return m.Identity == self && m.Voter })
 	since := r.timer.Now().Sub(r.startedAt)
-	fields := []zap.Field{zap.String("identity", string(self)), zap.Int("members", len(members)), zap.Duration("sinceStart", since)}
+	level, message := zap.WarnLevel, ""
 	switch {
-	case voting != r.voting && voting && since < slowVote:
-		r.log.Info("replica has a vote", fields...)
-	case voting != r.voting && voting:
-		r.log.Warn("replica has a vote", fields...)
-	case voting != r.voting:
-		r.log.Warn("replica has lost its vote", fields...)
+	case voting && !r.voting:
+		message = "replica has a vote"
+		if since < slowVote {
+			level = zap.InfoLevel
+		}
+	case r.voting && !voting:
+		message = "replica has lost its vote"
 	case !voting && !r.warned && since >= slowVote:
 		r.warned = true
-		r.log.Warn("replica has no vote yet", fields...)
+		message = "replica has no vote yet"
+	default:
+		return
 	}
 	r.voting = voting
+	r.log.Log(level, message, zap.String("identity", string(self)), zap.Int("members", len(members)), zap.Duration("sinceStart", since))
 }
 
 // reportLosses logs how many further voters the group can lose, whenever that changes while this
