--- a/internal/bench/outage/actions.go
+++ b/internal/bench/outage/actions.go
@@ -189,6 +189,11 @@
 	if err := timer.Sleep(ctx, r.Timer, down); err != nil {
 		return err
 	}
+	return r.replaceNow(old)
+}
+
+// replaceNow starts an instance with an empty disk and a new address in place of one that is gone.
+func (r *run) replaceNow(old *instance) error {
 	r.mu.Lock()
 	next := r.add(true)
 	r.mu.Unlock()
--- a/internal/bench/outage/days.go
+++ b/internal/bench/outage/days.go
@@ -230,15 +230,7 @@
 	old := d.core[d.random.IntN(len(d.core))]
 	delete(d.ending, old)
 	d.vanish(old)
-	d.after(time.Second, 3*time.Second, func() error {
-		d.mu.Lock()
-		next := d.add(true)
-		d.mu.Unlock()
-		d.printf("%s replaces %s", next.name, old.name)
-		err := d.startReplacement(old, next)
-		d.touch()
-		return err
-	})
+	d.after(time.Second, 3*time.Second, func() error { return d.replaceNow(old) })
 	return nil
 }
 
@@ -382,7 +374,11 @@
 func (d *day) reportUse() {
 	var disk, memory, descriptors int64
 	for _, n := range d.instances {
-		memory = max(memory, memoryKB(n.process.PID()))
+		size, err := memoryKB(n.process.PID())
+		if err != nil {
+			d.printf("memory of %s is unknown: %v", n.name, err)
+		}
+		memory = max(memory, size)
 		if list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.process.PID())); err == nil {
 			descriptors = max(descriptors, int64(len(list)))
 		}
@@ -397,15 +393,14 @@
 }
 
 // memoryKB returns the resident memory of a process.
-func memoryKB(pid int) (size int64) {
+func memoryKB(pid int) (size int64, err error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		return 0
+		return 0, err
 	}
-	if _, rest, ok := strings.Cut(string(text), "VmRSS:"); ok {
-		_, _ = fmt.Sscan(rest, &size)
-	}
-	return size
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	_, err = fmt.Sscan(rest, &size)
+	return size, err
 }
 
 // sizeOf returns the size of the files below a directory. Files may be removed meanwhile.
