--- a/internal/fleet/consensus/group_test.go
+++ b/internal/fleet/consensus/group_test.go
@@ -369,18 +369,12 @@
 		return false
 	}
 	members := l.replica.Members()
-	voters := 0
-	for _, m := range members {
-		if m.Voter {
-			voters++
-		}
-	}
 	for _, m := range c.machines {
 		if !slices.ContainsFunc(members, func(o replica.Member) bool { return o.Identity == m.process.replica.identity }) {
 			return false
 		}
 	}
-	return len(members) == len(c.machines) && voters == largestOdd(min(maxVoters, len(c.machines)))
+	return len(members) == len(c.machines) && countVoters(members) == largestOdd(min(maxVoters, len(c.machines)))
 }
 
 // await returns how long it takes until a condition holds. It fails the test after the limit.
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -339,19 +339,22 @@
 	if !r.options.AllowBootstrap || r.formed.Load() {
 		return false
 	}
-	voters := 0
-	for _, m := range r.Members() {
-		if m.Voter {
-			voters++
-		}
-	}
-	if voters >= minVoters {
+	if countVoters(r.Members()) >= minVoters {
 		r.formed.Store(true)
 		return false
 	}
 	return len(r.liveReplicas()) >= minVoters || r.options.Timer.Now().Before(timer.Instant(r.formingUntil.Load()))
 }
 
+func countVoters(members []replica.Member) (voters int) {
+	for _, m := range members {
+		if m.Voter {
+			voters++
+		}
+	}
+	return voters
+}
+
 // liveReplicas returns the addresses of the instances in contact that have a disk, this one included.
 func (r *Replica) liveReplicas() map[replica.Identity]replica.Address {
 	live := r.options.LiveReplicas()
--- a/internal/fleet/consensus/slow_disk_test.go
+++ b/internal/fleet/consensus/slow_disk_test.go
@@ -79,18 +79,12 @@
 		return false
 	}
 	status := l.replica.node.Status()
-	voters := 0
-	for _, m := range status.Members {
-		if m.Voter {
-			voters++
-		}
-	}
 	for _, i := range s.active {
 		if !slices.ContainsFunc(status.Members, func(o replica.Member) bool { return s.has(i, o) }) {
 			return false
 		}
 	}
-	return len(status.Members) == len(s.active) && voters == largestOdd(min(maxVoters, len(s.active))) && status.CommitIndex == status.LastIndex
+	return len(status.Members) == len(s.active) && s.hasAllVoters(status)
 }
 
 // repaired reports whether the voters are as many as there may be and all have their present disks,
@@ -101,17 +95,17 @@
 		return false
 	}
 	status := l.replica.node.Status()
-	voters := 0
 	for _, m := range status.Members {
-		if !m.Voter {
-			continue
-		}
-		voters++
-		if !slices.ContainsFunc(s.active, func(i int) bool { return s.has(i, m) }) {
+		if m.Voter && !slices.ContainsFunc(s.active, func(i int) bool { return s.has(i, m) }) {
 			return false
 		}
 	}
-	return voters == largestOdd(min(maxVoters, len(s.active))) && status.CommitIndex == status.LastIndex
+	return s.hasAllVoters(status)
+}
+
+// hasAllVoters reports whether the number of voters is as large as it gets, and that is committed.
+func (s *slowCore) hasAllVoters(status replica.Status) bool {
+	return countVoters(status.Members) == largestOdd(min(maxVoters, len(s.active))) && status.CommitIndex == status.LastIndex
 }
 
 // has reports whether a member is the replica that runs on a machine.
