upstream: keep the limit of connections, look for resets before sending

Cause: up to 16 idle connections of each of 67 instances exceeded what upstreams accept, and a call that may not be repeated ended with 502 when its new connection was reset. Change: each connection needs a place of connlimit's ledger until it is closed, for requests, probes and tunnels of other instances. At its share an instance closes an idle connection, passes the upstream over, waits 25 ms in order of arrival, or refuses as not run; an instance without a share sends through another one. A call that may not be repeated is written after a look for a reset of 1 to 4 ms, where a limit is configured. Connections take half of the descriptors at most. Counters resets and unconnected, two log lines. Tunnels dial with the upstream's id, since the limit is that of its service.

--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -71,7 +71,9 @@
 	Partitioned func() bool
 	// Conditions are what upstreams state to this instance.
 	Conditions   tunnel.Conditions
-	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
+	DialUpstream func(ctx context.Context, id string, born int64, address string) (net.Conn, error)
+	// DialHelper opens a connection to an instance that passes a request on to an upstream.
+	DialHelper func(ctx context.Context, address string) (net.Conn, error)
 	// DialPeer opens a connection to the peer address of another instance. If it is nil, the
 	// instance connects over TCP.
 	DialPeer func(ctx context.Context, to string) (net.Conn, error)
@@ -116,7 +118,7 @@
 		Layouts: layouts, CommittedLayout: i.committedLayout, KnownLeader: i.knownLeader, Timer: o.Timer, Random: random.New(), Log: o.Log.Named("peer"),
 	})
 	i.Detour = tunnel.NewClient(tunnel.ClientOptions{
-		Token: o.PeerToken, Self: o.Name, Zone: o.Zone, Instances: i.View.Instances, Dial: o.DialUpstream, Timer: o.Timer,
+		Token: o.PeerToken, Self: o.Name, Zone: o.Zone, Instances: i.View.Instances, Dial: o.DialHelper, Timer: o.Timer,
 		Random: random.New(), Log: o.Log.Named("tunnel"),
 	})
 	i.Tunnels = tunnel.NewServer(tunnel.Options{
--- a/internal/fleet/tunnel/server.go
+++ b/internal/fleet/tunnel/server.go
@@ -58,8 +58,9 @@
 	// Partitioned reports whether this instance does not reach the upstreams itself.
 	Partitioned func() bool
 	Conditions  Conditions
-	// Dial opens a connection to an upstream.
-	Dial  func(ctx context.Context, address string) (net.Conn, error)
+	// Dial opens a connection to an incarnation of an upstream. It returns ErrDeclined if this instance may open
+	// none.
+	Dial  func(ctx context.Context, id string, born int64, address string) (net.Conn, error)
 	Timer timer.Service
 	Log   *zap.Logger
 }
@@ -169,12 +170,15 @@
 	}
 	ctx, cancel := timer.WithTimeout(ctx, s.options.Timer, dialTimeout)
 	defer cancel()
-	c, err := s.options.Dial(ctx, address)
+	c, err := s.options.Dial(ctx, t.id, t.born, address)
 	if err != nil {
 		s.options.Log.Info("tunnel not opened", zap.String("upstream", t.id), zap.String("address", address), journal.Error(err))
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return statusRefused
 		}
+		if errors.Is(err, ErrDeclined) {
+			return statusDeclined
+		}
 		return statusUnreachable
 	}
 	t.upstream = c
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -78,6 +78,9 @@
 	failureBody   *upstream.Body
 	// placeAgain is true if nothing was sent because the upstream had closed since it was selected.
 	placeAgain bool
+	// unconnected is true if nothing was sent since the instance had no connection to use, or the upstream ended
+	// a new one. That is no failure of either.
+	unconnected bool
 }
 
 // dispatch sends the request to one upstream after another until the caller has a response.
@@ -142,12 +145,12 @@
 	switch {
 	case q.ctx.Err() != nil || q.remaining() < minRemaining || dispatched+1 >= maxDispatches || q.permissionExpired || q.quarantined || q.finishing.Load():
 		return false
-	case !q.mayRunAgain(q.executions):
+	case !q.mayRunAgain(q.executions) || q.placeWaits >= maxPlaceWaits:
 		return false
 	case q.responseStarted && q.lastEventID < 0:
 		// Without an event id, another upstream cannot resume the stream.
 		return false
-	case e.outcome == balancer.Unreachable || e.placeAgain:
+	case e.outcome == balancer.Unreachable || e.placeAgain || e.unconnected:
 		return true
 	}
 	return q.Budget.AllowRetry(string(q.service), retrybudget.UpstreamFailure, q.View.InstanceCount())
@@ -196,6 +199,8 @@
 		q.reject(http.StatusServiceUnavailable, "all slots of brittle upstreams are in use", max(q.leaseWait, minPermitRetry))
 	case q.pauseWait > 0:
 		q.reject(http.StatusServiceUnavailable, "all upstreams asked for a pause", q.pauseWait)
+	case q.unconnected > 0 && !refused:
+		q.reject(http.StatusServiceUnavailable, "no connection to an upstream is free", retryAfterUnconnected)
 	case refused || q.noRoom:
 		q.reject(http.StatusServiceUnavailable, "all upstreams are full", retryAfterOverload)
 	default:
@@ -206,6 +211,7 @@
 // nextExchange selects an upstream that is not excluded. It returns false if there is none.
 func (q *request) nextExchange(excluded []string) (e *exchange, ok bool) {
 	candidates, isCanary := q.candidates()
+	candidates = q.connectable(candidates, excluded)
 	q.leaseWait = 0
 	for lost := 0; ; lost++ {
 		target, p, found := q.pickPermitted(candidates, isCanary, excluded)
@@ -366,6 +372,9 @@
 		return actionRetryNotExecuted
 	case errors.Is(err, upstream.ErrNotSent):
 		e.notSent = true
+		if cause == nil && e.lacksConnection(err) {
+			return actionRetryNotExecuted
+		}
 		if cause == nil && !errors.IsAny(err, errNotAdmitted...) {
 			e.outcome = balancer.Unreachable
 		}
--- a/internal/gateway/caller/error_response.go
+++ b/internal/gateway/caller/error_response.go
@@ -24,6 +24,9 @@
 	retryOtherInstance = 20 * time.Millisecond
 	// retryAfterOverload gives the upstreams time to drain much of their queues.
 	retryAfterOverload = 700 * time.Millisecond
+	// retryAfterUnconnected is the time in which a few calls end, each of which has a connection. Calls of
+	// plain services take some 30 ms.
+	retryAfterUnconnected = 100 * time.Millisecond
 	// retryAfterQuarantine is longer than most requests last, since a quarantine has no end of
 	// its own.
 	retryAfterQuarantine = time.Minute
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -227,6 +227,11 @@
 	// turnDeadline is until when the request waits for its turn after a pause; 0 before it waits.
 	turnDeadline timer.Instant
 
+	// unconnected is the number of exchanges without a connection, and placeWaits of those that waited for one.
+	unconnected, placeWaits int
+	// alternatives is the number of upstreams that may serve the request, whether or not a connection is free.
+	alternatives int
+
 	executions int // exchanges in which the upstream executed or may have executed the request
 
 	// The state of the response to the caller.
--- a/internal/gateway/caller/metrics.go
+++ b/internal/gateway/caller/metrics.go
@@ -14,6 +14,9 @@
 	Requests, Rejections, Failures, Retries, Resumes, Escalations, Responses *expvar.Int
 	// Pauses and Leaves count what upstreams stated in responses.
 	Pauses, Leaves *expvar.Int
+	// Resets counts connections that upstreams ended before anything was sent, and Unconnected requests that found
+	// all connections of the instance to their upstream in use.
+	Resets, Unconnected *expvar.Int
 	// Latencies of responses, from the arrival of the request.
 	TimeToFirstByte, TimeToLastByte *latencyHistogram
 }
@@ -70,6 +73,7 @@
 		Requests: counter("requests"), Rejections: counter("refusals"), Failures: counter("failures"),
 		Retries: counter("repeats"), Resumes: counter("resumes"), Escalations: counter("climbs"), Responses: counter("answers"),
 		Pauses: counter("pauses"), Leaves: counter("leaves"),
+		Resets: counter("resets"), Unconnected: counter("unconnected"),
 		TimeToFirstByte: histogram("first"), TimeToLastByte: histogram("whole"),
 	}
 }()
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -9,11 +9,13 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"wisteriakeel.example/wisteriakeel/internal/gateway/connlimit"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/reachability"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
@@ -92,13 +94,15 @@
 	Dialer   Dialer
 	// Detour is nil if there are no other instances.
 	Detour Detour
-	Timer  timer.Service
-	Log    *zap.Logger
+	// Scope returns what is known of the limit of connections to an upstream. It is nil if there are no limits.
+	Scope func(id string) connlimit.Scope
+	Timer timer.Service
+	Log   *zap.Logger
 }
 
 // New returns a client.
 func New(o Options) *Client {
-	p := newPool(o.Timer)
+	p := newPool(o)
 	return &Client{
 		protocol: o.Protocol, pool: p, timer: o.Timer, buffers: newBuffers(), blocks: sync.Pool{New: func() any { return new(block) }},
 		connector: &connector{dialer: o.Dialer, detour: o.Detour, reach: reachability.New(o.Timer), pool: p, timer: o.Timer, log: o.Log},
@@ -183,21 +187,18 @@
 // Send sends a request and returns once the header of its response has arrived. Until
 // Close, the exchange is aborted when the context is done.
 func (c *Client) Send(ctx context.Context, t Target, q *Request) (r *Response, err error) {
-	cn, err := c.connect(ctx, t, q.NewConnection)
+	cn, err := c.connect(ctx, t, q)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", t.Address), ErrNotSent)
-	}
-	if q.BeforeSend != nil {
-		if err := q.BeforeSend(); err != nil {
-			discard(cn)
-			return nil, errors.Mark(err, ErrNotSent)
-		}
+		return nil, errors.Mark(err, ErrNotSent)
 	}
 	response := &Response{client: c, address: t.Address, conn: cn, close: cn.detour, abort: cn.abort, holder: &holder{evict: cn.abort}}
 	response.stopAbort = context.AfterFunc(ctx, cn.interrupt)
 	late := false
 	defer func() {
 		if err != nil {
+			if !cn.used && errors.Is(err, syscall.ECONNRESET) {
+				c.pool.recordReset(t)
+			}
 			if !late {
 				response.Close()
 			}
@@ -217,16 +218,6 @@
 	return response, response.readHeader(q)
 }
 
-// connect returns an idle connection unless a new one is required, or else opens one.
-func (c *Client) connect(ctx context.Context, t Target, newConnection bool) (*conn, error) {
-	if !newConnection {
-		if cn := c.pool.get(t.Address); cn != nil {
-			return cn, nil
-		}
-	}
-	return c.connector.connect(ctx, t)
-}
-
 // abort makes all reads and writes fail.
 func (c *conn) abort() { _ = c.Close() }
 
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -8,13 +8,10 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"wisteriakeel.example/wisteriakeel/internal/kernel/tcp"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -35,8 +32,6 @@
 	// Keep-Alive timeout; idleTimeoutMargin is subtracted from one that it sends.
 	defaultIdleTimeout = 4 * time.Second
 	idleTimeoutMargin  = time.Second
-	// maxIdlePerUpstream limits the idle connections to one upstream.
-	maxIdlePerUpstream = 16
 	// readBufferSize is enough for a response header and a few events.
 	readBufferSize = 4 << 10
 )
@@ -49,123 +44,25 @@
 	expiresAt timer.Instant // when it may no longer be reused
 	used      bool          // has carried a request
 	detour    bool          // leads through another instance
+	place     *place        // nil if it counts at another instance
+	dialTime  time.Duration // how long it took to open
 	// awaitsHeader is true while a request waits for the first byte of its response, and interrupted is set
 	// when interrupt has ended that.
 	awaitsHeader, interrupted atomic.Bool
 }
 
-// pool holds idle connections by address.
-type pool struct {
-	timer timer.Service
-
-	mu   sync.Mutex
-	idle map[string][]*conn
-}
-
-func newPool(t timer.Service) *pool { return &pool{timer: t, idle: map[string][]*conn{}} }
-
-// get returns an idle connection that is still usable, or nil.
-func (p *pool) get(address string) *conn {
-	now := p.timer.Now()
-	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
-		}
-		c := list[len(list)-1]
-		list[len(list)-1] = nil
-		p.idle[address] = list[:len(list)-1]
-		p.mu.Unlock()
-		if now.Before(c.expiresAt) && c.isIdle() {
-			return c
-		}
-		discard(c)
-	}
-}
-
-// put makes a connection available for reuse during idleTimeout.
-func (p *pool) put(address string, c *conn, idleTimeout time.Duration) {
-	c.expiresAt = p.timer.Now().Add(idleTimeout)
-	p.mu.Lock()
-	list := p.idle[address]
-	if len(list) < maxIdlePerUpstream {
-		p.idle[address] = append(list, c)
-		c = nil
-	}
-	p.mu.Unlock()
-	if c != nil {
-		discard(c)
-	}
-}
-
-// closeExpired closes the idle connections that may no longer be reused.
-func (p *pool) closeExpired() {
-	now := p.timer.Now()
-	var expired []*conn
-	p.mu.Lock()
-	for address, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now.Before(c.expiresAt) {
-				kept = append(kept, c)
-			} else {
-				expired = append(expired, c)
-			}
-		}
-		if len(kept) == 0 {
-			delete(p.idle, address)
-			continue
-		}
-		p.idle[address] = kept
-	}
-	p.mu.Unlock()
-	for _, c := range expired {
-		discard(c)
-	}
-}
-
-// closeAll closes all idle connections.
-func (p *pool) closeAll() {
-	p.mu.Lock()
-	all := p.idle
-	p.idle = map[string][]*conn{}
-	p.mu.Unlock()
-	for _, list := range all {
-		for _, c := range list {
-			discard(c)
-		}
+// Close closes the connection, which no longer counts then.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	if c.place != nil {
+		c.place.release()
 	}
+	return err
 }
 
 // discard closes a connection that is no longer needed, so an error is irrelevant.
 func discard(c *conn) { _ = c.Close() }
 
-// isIdle reports whether nothing has arrived on an idle connection: neither its end, nor a
-// reset, nor bytes that belong to no request.
-func (c *conn) isIdle() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	var b [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && idle
-}
-
 // Dialer opens connections that detect when the machine of the upstream is gone.
 type Dialer struct {
 	// Source is the local address; nil for the one that the system chooses.
@@ -183,15 +80,6 @@
 	return n.DialContext(ctx, "tcp", address)
 }
 
-// dial opens a connection for requests of this instance.
-func (d Dialer) dial(ctx context.Context, address string) (*conn, error) {
-	n, err := d.Dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(n), nil
-}
-
 // newConn returns a connection that was just opened.
 func newConn(n net.Conn) *conn {
 	l := &readLimit{source: n, remaining: noLimit}
--- a/internal/gateway/upstream/connect.go
+++ b/internal/gateway/upstream/connect.go
@@ -45,19 +45,54 @@
 // Partitioned reports whether upstreams can be reached only through other instances.
 func (c *Client) Partitioned() bool { return c.connector.reach.Partitioned() }
 
-// connect opens a connection. A connection through another instance is not reused: it ends with
-// its request.
-func (c *connector) connect(ctx context.Context, t Target) (*conn, error) {
-	if c.detour == nil {
-		return c.dialer.dial(ctx, t.Address)
-	}
-	if c.reach.Partitioned() {
+// connect returns an idle connection, if that may be used, or opens one. A connection through another instance
+// is not reused: it ends with its request. One is opened if this instance may have none of its own.
+func (c *connector) connect(ctx context.Context, t Target, reuse bool) (*conn, error) {
+	if c.detour != nil && c.reach.Partitioned() {
+		if reuse {
+			if cn := c.pool.get(t.Address); cn != nil {
+				return cn, nil
+			}
+		}
 		if c.reach.ShouldProbe() {
 			go (&probe{c, t}).run()
 		}
 		return c.dialDetour(ctx, t)
 	}
-	return (&race{connector: c, target: t}).run(ctx)
+	cn, l, err := c.pool.acquire(ctx, t, reuse)
+	switch {
+	case cn != nil:
+		return cn, nil
+	case errors.Is(err, errNoShare) && c.detour != nil:
+		if cn, err = c.dialDetour(ctx, t); err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+			err = errors.Mark(err, ErrNoPlace)
+		}
+		return cn, err
+	case errors.Is(err, errNoShare):
+		return nil, errors.Mark(err, ErrNoPlace)
+	case err != nil:
+		return nil, err
+	case c.detour == nil:
+		return c.dial(ctx, l)
+	}
+	return (&race{connector: c, target: t, place: l}).run(ctx)
+}
+
+// dial opens a direct connection in a place, which is given back if that fails.
+func (c *connector) dial(ctx context.Context, l *place) (*conn, error) {
+	begin := c.timer.Now()
+	n, err := c.dialer.Dial(ctx, l.target.Address)
+	if err != nil {
+		l.release()
+		// The reset may arrive before the system has reported the connection.
+		if errors.Is(err, syscall.ECONNRESET) && c.pool.recordReset(l.target) {
+			err = errors.Mark(err, ErrClosedUnused)
+		}
+		return nil, err
+	}
+	cn := newConn(n)
+	cn.place, cn.dialTime = l, c.timer.Now().Sub(begin)
+	return cn, nil
 }
 
 // dialDetour opens a connection through another instance.
@@ -96,7 +131,11 @@
 func (p *probe) run() {
 	ctx, cancel := timer.WithTimeout(context.Background(), p.timer, connectTimeout)
 	defer cancel()
-	cn, err := p.dialer.dial(ctx, p.target.Address)
+	l, err := p.pool.tryAcquire(p.target)
+	if err != nil {
+		return // another request tries again
+	}
+	cn, err := p.dial(ctx, l)
 	if err != nil {
 		return
 	}
@@ -109,6 +148,7 @@
 type race struct {
 	*connector
 	target Target
+	place  *place // of the direct connection
 }
 
 // dialResult is the result of one side of a race.
@@ -139,7 +179,7 @@
 func (r *race) run(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	direct := &contender{func(ctx context.Context) (*conn, error) { return r.dialer.dial(ctx, r.target.Address) }, make(chan dialResult, 1)}
+	direct := &contender{func(ctx context.Context) (*conn, error) { return r.dial(ctx, r.place) }, make(chan dialResult, 1)}
 	detour := &contender{func(ctx context.Context) (*conn, error) { return r.dialDetour(ctx, r.target) }, make(chan dialResult, 1)}
 	go direct.run(ctx)
 	slow := make(chan struct{})
@@ -152,7 +192,7 @@
 			r.reachedDirectly(r.target)
 			return d.conn, nil
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(d.err, ErrClosedUnused) {
 			return nil, d.err
 		}
 		directErr = d.err
@@ -190,11 +230,17 @@
 
 // AcceptsConnections reports whether an upstream accepts connections. A timeout counts as yes:
 // only a refused connection is evidence that the upstream is gone, unless another instance can
-// open one.
+// open one. So does an instance that may not open a connection: the requests of a crashed upstream
+// end and make room for one.
 func (c *Client) AcceptsConnections(ctx context.Context, t Target) bool {
 	partitioned := c.Partitioned()
 	if !partitioned {
-		cn, err := c.connector.dialer.dial(ctx, t.Address)
+		_, l, err := c.pool.acquire(ctx, t, false)
+		if err != nil {
+			c.connector.log.Debug("no probe of an upstream", zap.String("upstream", t.ID), journal.Error(err))
+			return true
+		}
+		cn, err := c.connector.dial(ctx, l)
 		if err == nil {
 			c.pool.put(t.Address, cn, defaultIdleTimeout)
 			return true
--- a/internal/gateway/upstreamtest/server.go
+++ b/internal/gateway/upstreamtest/server.go
@@ -40,6 +40,9 @@
 	listener net.Listener // nil after a crash
 	conns    map[net.Conn]bool
 	requests []*Exchange
+	// limited tells that connections beyond limit are reset, and resets counts these.
+	limited             bool
+	limit, resets, most int
 }
 
 // New starts a server on a loopback address.
@@ -97,6 +100,34 @@
 	return nil
 }
 
+// LimitConnections resets further connections beyond a number.
+func (s *Server) LimitConnections(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limited, s.limit = true, n
+}
+
+// Connections returns the greatest number of connections at a time, and how many were reset.
+func (s *Server) Connections() (most, resets int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.most, s.resets
+}
+
+// admit counts a connection. It resets one beyond the limit and returns false.
+func (s *Server) admit(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limited && len(s.conns) >= s.limit {
+		s.resets++
+		(&Exchange{Conn: c}).Reset()
+		return false
+	}
+	s.conns[c] = true
+	s.most = max(s.most, len(s.conns))
+	return true
+}
+
 // Requests returns the requests received so far.
 func (s *Server) Requests() []*Exchange {
 	s.mu.Lock()
@@ -116,9 +147,9 @@
 		if err != nil {
 			return
 		}
-		a.server.mu.Lock()
-		a.server.conns[c] = true
-		a.server.mu.Unlock()
+		if !a.server.admit(c) {
+			continue
+		}
 		go (&serverConn{server: a.server, conn: c}).run()
 	}
 }
