modelselect: the model of each run is chosen by expected value

Cause: below a fixed confidence every answer went to the largest model, also tags whose slot time is worth little, and the middle model was never used. Nothing known before the first run tells hard requests from easy ones. Change: an escalation is made if value times the gain in chance exceeds price and slot time at today's load; the model that gains most is asked. The size comes from X-Wisteriakeel-Token-Usage. With three attempts or more a second escalation leaves one attempt for a failure.

--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -16,7 +16,6 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/tunnel"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/canary"
-	"wisteriakeel.example/wisteriakeel/internal/gateway/modelselect"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/retrybudget"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -71,6 +70,8 @@
 	load           canary.LoadClass // of the upstream when it responded
 	// utilization is the mean load per slot of the candidates.
 	utilization float64
+	slotWait    time.Duration // of the request for a slot of the upstream, if its model is selected here
+	resumed     bool          // the exchange goes on with a response that has begun
 	response    *upstream.Response
 	// An error response of the upstream, relayed if no other upstream does better.
 	failureStatus int
@@ -235,42 +236,11 @@
 		request: q, target: target, candidates: candidates, permit: p, lease: l,
 		limited: q.View.RateLimited(target.ID, target.Born), brittle: q.Balancer.Brittle(target.ID),
 	}
-	if q.gatewaySelectsModel() {
-		e.utilization = q.Balancer.Utilization(candidates)
-		if !q.mayRunAgain(1) {
-			q.modelIndex = modelselect.Only(len(q.route.Models), e.utilization)
-		}
-		q.upstreamHeader.Set(q.Protocol.Model, string(q.route.Models[q.modelIndex]))
-	}
+	e.resumed = q.responseStarted
+	e.selectModel()
 	return e
 }
 
-// gatewaySelectsModel reports whether the caller leaves the choice of the model to the gateway.
-func (q *request) gatewaySelectsModel() bool {
-	return string(q.model) == q.Protocol.AutoModel && len(q.route.Models) > 0
-}
-
-// escalate selects a larger model and returns true if the response should be discarded for
-// one of that model. Nothing has been sent to the caller yet in that case.
-func (e *exchange) escalate() bool {
-	if !e.gatewaySelectsModel() || e.responseStarted || e.remaining() < minRemaining || !e.mayRunAgain(e.executions+1) {
-		return false
-	}
-	confidence := modelselect.Unreported
-	if n, err := strconv.Atoi(e.response.Header.Get(e.Protocol.Confidence)); err == nil {
-		confidence = modelselect.Confidence(n)
-	}
-	next, ok := modelselect.Escalate(e.modelIndex, len(e.route.Models), confidence, e.utilization)
-	if !ok || !e.Budget.AllowRetry(string(e.service), retrybudget.LowConfidence, e.View.InstanceCount()) {
-		return false
-	}
-	e.log("larger model", zap.Int("size", next), zap.Int("confidence", int(confidence)), zap.Float64("pressure", e.utilization),
-		zap.String("upstream", e.target.ID), zap.String("limit", e.response.Header.Get(e.Protocol.RateLimit)))
-	e.modelIndex = next
-	e.metrics.Escalations.Add(1)
-	return true
-}
-
 // buildRequest builds the request to the upstream.
 func (e *exchange) buildRequest() *upstream.Request {
 	h := e.upstreamHeader
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -129,6 +129,7 @@
 type Handler struct {
 	Options
 	metrics *metrics
+	models  *modelselect.Selector
 
 	mu      sync.Mutex   // guards Random
 	running atomic.Int64 // requests in progress
@@ -146,7 +147,7 @@
 
 // New returns a handler that publishes the metrics of the process.
 func New(o Options) *Handler {
-	return &Handler{Options: o, metrics: processMetrics, inProgress: map[*request]struct{}{}}
+	return &Handler{Options: o, metrics: processMetrics, models: modelselect.New(o.Timer), inProgress: map[*request]struct{}{}}
 }
 
 // Running returns the number of requests in progress.
@@ -206,7 +207,8 @@
 	hasSession  bool   // the caller names the session
 	model       layout.Model
 	modelIndex  int // index of the selected model in the route's list
-	priority    int
+	modelChoice
+	priority int
 
 	// permissionExpired is true if an exchange did not begin because the key or the layout was
 	// no longer valid, and quarantined if it or a part of its prompt was in quarantine.
@@ -382,8 +384,8 @@
 	header := q.httpRequest.Header
 	q.upstreamHeader = q.Protocol.RequestHeaders(header)
 	q.model = layout.Model(header.Get(q.Protocol.Model))
-	q.modelIndex = modelselect.Initial(len(q.route.Models))
 	parts := strings.Split(header.Get(q.Protocol.PromptPrefix), ",")
+	q.readModelRequest(parts[len(parts)-1])
 	for _, part := range parts[:len(parts)-1] {
 		q.sharedParts = append(q.sharedParts, promptPart(part))
 	}
--- a/internal/gateway/caller/metrics.go
+++ b/internal/gateway/caller/metrics.go
@@ -12,6 +12,9 @@
 // field names; see processMetrics.
 type metrics struct {
 	Requests, Rejections, Failures, Retries, Resumes, Escalations, Responses *expvar.Int
+	// Of the escalations, MiddleEscalations are to a model that is not the largest one. RefusedEscalations
+	// exceeded the retry budget, and LargerStarts are first runs at a model that is not the smallest one.
+	MiddleEscalations, RefusedEscalations, LargerStarts *expvar.Int
 	// Pauses and Leaves count what upstreams stated in responses.
 	Pauses, Leaves *expvar.Int
 	// Latencies of responses, from the arrival of the request.
@@ -69,6 +72,7 @@
 	return &metrics{
 		Requests: counter("requests"), Rejections: counter("refusals"), Failures: counter("failures"),
 		Retries: counter("repeats"), Resumes: counter("resumes"), Escalations: counter("climbs"), Responses: counter("answers"),
+		MiddleEscalations: counter("climbs_middle"), RefusedEscalations: counter("climbs_refused"), LargerStarts: counter("larger_starts"),
 		Pauses: counter("pauses"), Leaves: counter("leaves"),
 		TimeToFirstByte: histogram("first"), TimeToLastByte: histogram("whole"),
 	}
--- a/internal/gateway/caller/record.go
+++ b/internal/gateway/caller/record.go
@@ -27,6 +27,7 @@
 	if e.survivedStart() && !discarded {
 		e.View.RecordResponse(e.sharedParts)
 	}
+	e.recordModelEnd(discarded)
 	o := &wire.Outcome{Service: string(e.service), Version: e.target.Version, Route: e.route.Name}
 	switch e.outcome {
 	case balancer.Succeeded:
@@ -64,9 +65,7 @@
 		zap.String("framing", string(e.response.Framing)), zap.Int64("position", e.lastEventID),
 		zap.Array("parts", partList(e.sharedParts)),
 	}
-	if e.gatewaySelectsModel() {
-		fields = append(fields, zap.String("model", string(e.route.Models[e.modelIndex])), zap.Float64("pressure", e.utilization))
-	}
+	fields = append(fields, e.modelFields()...)
 	if limit := e.response.Header.Get(e.Protocol.RateLimit); limit != "" {
 		fields = append(fields, zap.String("limit", limit))
 	}
