fleet/state: evacuations of availability zones are part of the replicated state

Cause: operators will order that nothing more is sent to the upstreams of a zone; the order has to survive what committed changes survive. A late copy of an order that is contrary to a later one changes nothing. Nothing sends the command yet.

--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -1,6 +1,6 @@
 // Package state implements the replicated state machine of a deployment. It holds the
-// layout, the roll-outs, the upstreams that leave, the quarantined requests and the
-// quarantined parts of prompts.
+// layout, the roll-outs, the upstreams that leave, the quarantined requests, the
+// quarantined parts of prompts and the evacuations of availability zones.
 package state
 
 import (
@@ -33,8 +33,17 @@
 const (
 	// ConflictRolloutInProgress means that another roll-out of the service is running.
 	ConflictRolloutInProgress = "another roll-out of the service is in progress"
-	// ConflictUndecodable means that the command could not be decoded.
+	// ConflictUndecodable means that the command could not be decoded. An earlier program that leads
+	// returns it for commands that it does not know, although later ones carry them out.
 	ConflictUndecodable = "command cannot be read"
+	// ConflictSuperseded means that a contrary order for the zone was committed after the one that the
+	// proposer knew.
+	ConflictSuperseded = "a later order for the availability zone is in force"
+	// ConflictUnknownZone means that no instance or upstream names the zone. The leader returns it
+	// without a commit.
+	ConflictUnknownZone = "no instance or upstream is in this availability zone"
+	// ConflictTooManyEvacuations means that too many zones are evacuated.
+	ConflictTooManyEvacuations = "too many availability zones are evacuated"
 )
 
 // State is the replicated state. It implements replica.StateMachine and may be read while the
@@ -50,22 +59,25 @@
 	quarantined []uint64                 // fingerprints of requests, oldest first
 	parts       []string                 // quarantined parts of prompts, oldest first
 	leaves      []*wire.Upstream         // upstreams that drain or have left, oldest first
+	evacuations evacuations
 }
 
 // New returns an empty state.
-func New() *State { return &State{rollouts: map[string]*wire.Rollout{}} }
+func New() *State {
+	return &State{rollouts: map[string]*wire.Rollout{}, evacuations: decodeEvacuations(nil)}
+}
 
 var _ replica.StateMachine = (*State)(nil)
 
 // Apply carries out one command. The result is empty, or says why the command was not
 // carried out.
-func (s *State) Apply(_ replica.Index, command []byte) []byte {
+func (s *State) Apply(index replica.Index, command []byte) []byte {
 	var c wire.Command
 	if err := proto.Unmarshal(command, &c); err != nil {
 		return []byte(ConflictUndecodable)
 	}
 	s.mu.Lock()
-	changed, conflict := s.apply(&c)
+	changed, conflict := s.apply(index, &c)
 	s.mu.Unlock()
 	if changed && s.OnChange != nil {
 		s.OnChange()
@@ -73,9 +85,9 @@
 	return []byte(conflict)
 }
 
-// apply carries out a command. It acknowledges one without effect, for example for an older
+// apply carries out a command at an index of the log. It acknowledges one without effect, for example for an older
 // layout or a roll-out that has ended. s.mu must be held.
-func (s *State) apply(c *wire.Command) (changed bool, conflict string) {
+func (s *State) apply(index replica.Index, c *wire.Command) (changed bool, conflict string) {
 	switch b := c.Body.(type) {
 	case *wire.Command_Layout:
 		if s.layout != nil && b.Layout.GetVersion() <= s.layout.GetVersion() {
@@ -103,6 +115,8 @@
 			changed = s.addLeave(u) || changed
 		}
 		return changed, ""
+	case *wire.Command_Evacuation:
+		return s.evacuations.apply(index, b.Evacuation)
 	}
 	return false, ConflictUndecodable
 }
@@ -230,7 +244,10 @@
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return proto.Marshal(&wire.Snapshot{Layout: s.layout, Rollouts: s.sortedRollouts(), Quarantined: s.quarantined, QuarantinedParts: s.parts, Leaves: s.leaves})
+	return proto.Marshal(&wire.Snapshot{
+		Layout: s.layout, Rollouts: s.sortedRollouts(), Quarantined: s.quarantined, QuarantinedParts: s.parts, Leaves: s.leaves,
+		Evacuations: s.evacuations.encode(),
+	})
 }
 
 // Restore replaces the state with that of a snapshot.
@@ -241,6 +258,7 @@
 	}
 	s.mu.Lock()
 	s.layout, s.quarantined, s.parts, s.leaves = d.GetLayout(), d.GetQuarantined(), d.GetQuarantinedParts(), d.GetLeaves()
+	s.evacuations = decodeEvacuations(d.GetEvacuations())
 	s.rollouts = map[string]*wire.Rollout{}
 	for _, r := range d.GetRollouts() {
 		s.rollouts[r.GetService()] = r
