gateway/caller: nothing is sent to upstreams of evacuated zones

Cause: evacuations are in the replicated state, but no instance would follow them. Change: the view applies the evacuations in replies to polls, under the lease that the same replies extend, and says since when one has been over. They count where candidates are listed, right before the first byte, in tunnels for other instances and before crash probes. Without an upstream elsewhere, requests are refused as not run; an answer with little confidence is kept if no upstream is left for a larger model. Versions are chosen as before. Leaders name no evacuations yet.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -54,8 +54,10 @@
 	// OnCondition is called when another instance has heard whether an upstream is brittle, or
 	// when a brittle one has refused requests.
 	OnCondition func(id string, brittle, refused bool)
-	Timer       timer.Service
-	Log         *zap.Logger
+	// OnEvacuations is called with the number of evacuated zones. It may be nil.
+	OnEvacuations func(active int)
+	Timer         timer.Service
+	Log           *zap.Logger
 }
 
 // Table is an immutable snapshot of the ready and silent upstreams. Those of a service are
@@ -78,6 +80,7 @@
 	lagExpiry   atomic.Int64 // timer.Instant from which the layout is outdated; never if none newer is known
 
 	quarantinedParts atomic.Pointer[map[suspect.Part]bool]
+	evacuations      atomic.Pointer[evacuations]
 
 	permits     *permit.Stock
 	slots       *slot.Stock
@@ -115,6 +118,7 @@
 		layoutLoaded: make(chan struct{}), layoutWanted: make(chan struct{}, 1),
 	}
 	v.quarantinedParts.Store(&map[suspect.Part]bool{})
+	v.evacuations.Store(&evacuations{})
 	v.table.Store(&Table{Services: map[layout.Service][]*wire.Upstream{}})
 	v.rollouts.Store(&map[layout.Service]*Rollout{})
 	v.leaseExpiry.Store(-never)
@@ -125,12 +129,14 @@
 // Table returns the upstreams that may serve requests.
 func (v *View) Table() *Table { return v.table.Load() }
 
-// UpstreamAddress returns the address of an incarnation of an upstream that takes requests.
+// UpstreamAddress returns the address of an incarnation of an upstream that takes requests and whose zone
+// is not evacuated.
 func (v *View) UpstreamAddress(id string, born int64) (address string, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	u := v.upstreams[id]
-	ok = u != nil && u.GetBorn() == born && (u.GetStage() == wire.Stage_STAGE_READY || u.GetStage() == wire.Stage_STAGE_SILENT)
+	ok = u != nil && u.GetBorn() == born && (u.GetStage() == wire.Stage_STAGE_READY || u.GetStage() == wire.Stage_STAGE_SILENT) &&
+		!v.Evacuated(u.GetZone())
 	return u.GetAddress(), ok
 }
 
@@ -230,6 +236,7 @@
 		v.quarantined[f] = true
 	}
 	v.applyParts(r)
+	v.applyEvacuations(r.GetEvacuations())
 	v.cursor = r.GetCursor()
 	v.confirmLayout(layout.Version(r.GetLayout().GetVersion()), sent)
 }
--- a/internal/gateway/caller/before_send.go
+++ b/internal/gateway/caller/before_send.go
@@ -18,6 +18,9 @@
 // errUpstreamLeft means that the upstream drains or has left since it was selected.
 var errUpstreamLeft = errors.New("upstream takes no more requests")
 
+// errEvacuated means that the zone of the upstream has been evacuated since it was selected.
+var errEvacuated = errors.New("the availability zone of the upstream is evacuated")
+
 // errUpstreamClosed means that the upstream wants no requests for a time that began after it was selected.
 var errUpstreamClosed = errors.New("upstream wants no requests now")
 
@@ -29,7 +32,7 @@
 
 // errNotAdmitted lists the errors of beforeSend, which say nothing about the upstream.
 var errNotAdmitted = []error{
-	errTimeout, errStopping, errPermissionExpired, errQuarantined, errUpstreamLeft, errUpstreamClosed, errNoPermit, errPermitExpired, errNoLease,
+	errTimeout, errStopping, errPermissionExpired, errQuarantined, errUpstreamLeft, errEvacuated, errUpstreamClosed, errNoPermit, errPermitExpired, errNoLease,
 }
 
 // beforeSend checks right before the first byte whatever may have changed since the request was
@@ -67,9 +70,14 @@
 	return nil
 }
 
-// checkTarget checks what the upstream has stated: that it leaves, wants no requests for some time or
-// limits them.
+// checkTarget checks whether the zone of the upstream is evacuated, and what the upstream has stated: that it
+// leaves, wants no requests for some time or limits them.
 func (e *exchange) checkTarget() error {
+	if e.View.Evacuated(e.target.Zone) {
+		e.placeAgain = true
+		e.metrics.Evacuated.Add(1)
+		return errEvacuated
+	}
 	if _, ok := e.View.UpstreamAddress(e.target.ID, e.target.Born); !ok {
 		e.placeAgain = true
 		return errUpstreamLeft
--- a/internal/gateway/caller/before_send_test.go
+++ b/internal/gateway/caller/before_send_test.go
@@ -49,6 +49,8 @@
 		}, 0, "slots"},
 		{"limit", func(f *fixture) { f.view.RecordLimit("desk0", permit.Limit{Born: 1, Rate: 1}) }, 0, "limit"},
 		{"leave", func(f *fixture) { f.view.RecordLeaving("desk0", 1) }, 0, "upstream"},
+		{"zone is evacuated", func(f *fixture) { f.evacuate("") }, 0, "evacuated"},
+		{"another zone is evacuated", func(f *fixture) { f.evacuate("b") }, requests, ""},
 		{"request is quarantined", func(f *fixture) {
 			var list []uint64
 			for n := range requests {
--- a/internal/gateway/caller/candidates.go
+++ b/internal/gateway/caller/candidates.go
@@ -11,7 +11,8 @@
 // A share applies to the sessions whose hash modulo allTraffic is below it.
 const allTraffic = 1000
 
-// candidates returns the upstreams that may serve the request. isCanary is true if they run
+// candidates returns the upstreams that may serve the request. Those of evacuated zones still count for the
+// versions that a roll-out allows: an evacuation must not move sessions to another version. isCanary is true if they run
 // the target version of a roll-out that does not get all requests yet. Such upstreams are
 // filled one at a time. Sessions that moved to the target are spread instead: its prompt cache lacks their
 // prompts, and an upstream that reads many of them at once seems slow.
@@ -23,15 +24,21 @@
 		isCanary = r.GetShare() < allTraffic && allowed(r.GetTarget()) && !moved
 	}
 	out = make([]balancer.Candidate, 0, len(all))
+	evacuated := 0
 	for _, u := range all {
 		if !allowed(u.GetVersion()) {
 			continue
 		}
+		if q.View.Evacuated(u.GetZone()) {
+			evacuated++
+			continue
+		}
 		out = append(out, balancer.Candidate{
 			ID: u.GetId(), Born: u.GetBorn(), Address: u.GetAddress(), Zone: u.GetZone(), Version: u.GetVersion(), Slots: int(u.GetSlots()),
 			HeartbeatsMissed: u.GetStage() == wire.Stage_STAGE_SILENT, Cold: u.GetCold() > 0,
 		})
 	}
+	q.onlyEvacuated = len(out) == 0 && evacuated > 0
 	return out, isCanary
 }
 
--- a/internal/gateway/caller/crash_probe.go
+++ b/internal/gateway/caller/crash_probe.go
@@ -17,10 +17,16 @@
 	*Handler
 	crash  *wire.Crash
 	target upstream.Target
+	zone   string // of the target
 }
 
-// run reports a crash if the upstream no longer accepts connections.
+// run reports a crash if the upstream no longer accepts connections. Upstreams of evacuated zones are not
+// probed: no connections may be opened to them, and their end is to be expected.
 func (p *crashProbe) run() {
+	if p.View.Evacuated(p.zone) {
+		p.Log.Debug("upstream not probed, its zone is evacuated", zap.String("upstream", p.crash.GetUpstream()))
+		return
+	}
 	ctx, cancel := timer.WithTimeout(context.Background(), p.Timer, crashProbeTimeout)
 	defer cancel()
 	if p.Upstream.AcceptsConnections(ctx, p.target) {
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -190,6 +190,9 @@
 		q.reject(http.StatusServiceUnavailable, "configuration or key changed before an upstream took the request", retryAfterLeaderChange)
 	case q.remaining() < minRemaining:
 		q.reject(http.StatusServiceUnavailable, "time limit passed before an upstream took the request", 0)
+	case q.onlyEvacuated:
+		q.metrics.Evacuated.Add(1)
+		q.reject(http.StatusServiceUnavailable, "all upstreams are in evacuated availability zones", retryAfterEvacuation)
 	case q.permitWait > 0:
 		q.reject(http.StatusServiceUnavailable, "upstreams limit their requests", max(q.permitWait, minPermitRetry))
 	case q.leaseWait > 0:
@@ -260,6 +263,9 @@
 	if n, err := strconv.Atoi(e.response.Header.Get(e.Protocol.Confidence)); err == nil {
 		confidence = modelselect.Confidence(n)
 	}
+	if left, _ := e.request.candidates(); len(left) == 0 {
+		return false // an answer is better than none
+	}
 	next, ok := modelselect.Escalate(e.modelIndex, len(e.route.Models), confidence, e.utilization)
 	if !ok || !e.Budget.AllowRetry(string(e.service), retrybudget.LowConfidence, e.View.InstanceCount()) {
 		return false
@@ -380,7 +386,7 @@
 		e.outcome = balancer.Interrupted
 	}
 	if !errors.Is(err, upstream.ErrResponseMismatch) {
-		p := &crashProbe{Handler: e.Handler, crash: e.crash(), target: e.upstreamTarget()}
+		p := &crashProbe{Handler: e.Handler, crash: e.crash(), target: e.upstreamTarget(), zone: e.target.Zone}
 		go p.run()
 	}
 	return actionRetryExecuted
--- a/internal/gateway/caller/error_response.go
+++ b/internal/gateway/caller/error_response.go
@@ -24,6 +24,9 @@
 	retryOtherInstance = 20 * time.Millisecond
 	// retryAfterOverload gives the upstreams time to drain much of their queues.
 	retryAfterOverload = 700 * time.Millisecond
+	// retryAfterEvacuation bounds what callers resend while no upstream is left outside of evacuated zones.
+	// Evacuations last for minutes, but upstreams in other zones may be started meanwhile.
+	retryAfterEvacuation = time.Second
 	// retryAfterQuarantine is longer than most requests last, since a quarantine has no end of
 	// its own.
 	retryAfterQuarantine = time.Minute
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -96,6 +96,8 @@
 	ReturnSlot(l slot.Lease, use slot.Use)
 	// RecordCondition reports whether an upstream is brittle, and how many requests it has refused.
 	RecordCondition(id string, brittle bool, tolerated, refusals int)
+	// Evacuated reports whether no requests may be sent to the upstreams of an availability zone.
+	Evacuated(zone string) bool
 	// RecordLeaving records that an upstream stated that it leaves, and UpstreamAddress returns
 	// the address of one that takes requests.
 	RecordLeaving(id string, born int64) (isNew bool)
@@ -212,6 +214,8 @@
 	// no longer valid, and quarantined if it or a part of its prompt was in quarantine.
 	permissionExpired bool
 	quarantined       bool
+	// onlyEvacuated is true if all upstreams that could serve the request are in evacuated zones.
+	onlyEvacuated bool
 	// permitWait is when the first of the upstreams with a limit may have a permit again, counted
 	// from the last choice of an upstream; 0 if none is short of permits.
 	permitWait time.Duration
--- a/internal/gateway/caller/metrics.go
+++ b/internal/gateway/caller/metrics.go
@@ -14,6 +14,9 @@
 	Requests, Rejections, Failures, Retries, Resumes, Escalations, Responses *expvar.Int
 	// Pauses and Leaves count what upstreams stated in responses.
 	Pauses, Leaves *expvar.Int
+	// Evacuated counts requests that were not sent because of an evacuation: refused, or placed again right
+	// before the first byte. EvacuatedZones is the number of evacuated zones now.
+	Evacuated, EvacuatedZones *expvar.Int
 	// Latencies of responses, from the arrival of the request.
 	TimeToFirstByte, TimeToLastByte *latencyHistogram
 }
@@ -70,6 +73,10 @@
 		Requests: counter("requests"), Rejections: counter("refusals"), Failures: counter("failures"),
 		Retries: counter("repeats"), Resumes: counter("resumes"), Escalations: counter("climbs"), Responses: counter("answers"),
 		Pauses: counter("pauses"), Leaves: counter("leaves"),
+		Evacuated: counter("evacuated"), EvacuatedZones: counter("zones"),
 		TimeToFirstByte: histogram("first"), TimeToLastByte: histogram("whole"),
 	}
 }()
+
+// SetEvacuatedZones publishes the number of evacuated zones.
+func SetEvacuatedZones(n int) { processMetrics.EvacuatedZones.Set(int64(n)) }
