fleet/coordinator: evacuations are committed, spread with polls and acknowledged once they are followed

Cause: an order has to be in force 5 s after its acknowledgement at every instance in contact, and at none that is cut off. Change: the leader checks that the zone is known, commits the order, names the revision in each reply to a poll and waits until each instance in contact says in its next poll that it follows it; 600 ms at most for those that don't answer, longer where a lease exceeds the bound, and without end for programs that do not support evacuations.

--- a/internal/fleet/coordinator/applied.go
+++ b/internal/fleet/coordinator/applied.go
@@ -48,17 +48,28 @@
 func (c *Coordinator) WaitLayoutApplied(ctx context.Context, version uint64) (ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	waited, ok := c.waitUntil(ctx, func(begin timer.Instant) timer.Instant { return c.appliedAt(version, begin) })
+	if ok {
+		c.options.Log.Info("layout may be acknowledged", zap.Uint64("version", version), zap.Uint64("term", c.leaderTerm),
+			zap.Duration("waited", waited), zap.Strings("behind", c.behind(version)))
+	}
+	return ok
+}
+
+// waitUntil waits until the instant that due returns, which may change whenever an instance has applied
+// something. due gets the instant at which the wait began. ok is false if the context is done before, or if this
+// instance does not lead. c.mu must be held; it is released meanwhile.
+func (c *Coordinator) waitUntil(ctx context.Context, due func(begin timer.Instant) timer.Instant) (waited time.Duration, ok bool) {
 	// Right after an election, the records are those of an earlier period until the first poll.
 	if !c.checkLeadership() {
-		return false
+		return 0, false
 	}
 	begin := c.options.Timer.Now()
 	for {
-		wait := c.appliedAt(version, begin).Sub(c.options.Timer.Now())
+		now := c.options.Timer.Now()
+		wait := due(begin).Sub(now)
 		if wait <= 0 {
-			c.options.Log.Info("layout may be acknowledged", zap.Uint64("version", version), zap.Uint64("term", c.leaderTerm),
-				zap.Duration("waited", c.options.Timer.Now().Sub(begin)), zap.Strings("behind", c.behind(version)))
-			return true
+			return now.Sub(begin), true
 		}
 		applied, expired := c.applied, make(chan struct{})
 		stop := c.options.Timer.AfterFunc(wait, func() { close(expired) })
@@ -71,7 +82,7 @@
 		stop()
 		c.mu.Lock()
 		if ctx.Err() != nil {
-			return false
+			return c.options.Timer.Now().Sub(begin), false
 		}
 	}
 }
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -63,8 +63,11 @@
 	// for which a layout may be used without a confirmation, less the time in which an
 	// acknowledged change must be in force.
 	ConfirmationLag time.Duration
-	Timer           timer.Service
-	Log             *zap.Logger
+	// EvacuationLag is the same for evacuations: by how much the time for which a layout may be used
+	// without a confirmation exceeds the time within which an acknowledged evacuation must be in force.
+	EvacuationLag time.Duration
+	Timer         timer.Service
+	Log           *zap.Logger
 	// Random returns the identifier of a new period of leadership.
 	Random func() uint64
 }
@@ -98,6 +101,7 @@
 	partsListed   uint64                              // number of the last list of watched parts
 	active        map[string]*rollout                 // running roll-outs by service
 	stateRevision uint64                              // revision of the last change of the state machine
+	orders        map[string]orderApplied             // last orders for availability zones
 
 	committingLeaves chan struct{} // holds a value while leaves are proposed
 }
@@ -117,6 +121,7 @@
 	lastPoll      timer.Instant
 	layoutVersion uint64 // version of the layout that it has applied
 	told          toldVersion
+	evacuations   followed
 }
 
 // load is the last load that an upstream reported.
@@ -186,6 +191,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.trackRollouts()
+	c.trackEvacuations()
 	c.applyLeaves()
 	c.stateRevision = c.nextRevision()
 }
@@ -256,11 +262,12 @@
 	name := q.GetInstance().GetName()
 	known := c.instances[name]
 	if known == nil || !proto.Equal(known.record, q.GetInstance()) {
-		told := toldVersion{at: c.periodStart, olderAt: c.periodStart}
+		none := toldVersion{at: c.periodStart, olderAt: c.periodStart}
+		told, toldEvacuations := none, none
 		if known != nil {
-			told = known.told
+			told, toldEvacuations = known.told, known.evacuations.told
 		}
-		known = &instance{record: q.GetInstance(), layoutVersion: q.GetLayout(), told: told}
+		known = &instance{record: q.GetInstance(), layoutVersion: q.GetLayout(), told: told, evacuations: followed{told: toldEvacuations}}
 		c.instances[name] = known
 		known.revision = c.nextRevision()
 	}
@@ -269,6 +276,7 @@
 		known.told.heard = known.told.version
 	}
 	c.recordApplied(known, q.GetLayout())
+	c.recordFollowed(known, q)
 }
 
 // recordApplied records the version of the layout that an instance has applied. c.mu must be
@@ -295,7 +303,7 @@
 		c.namedLayout = l.GetVersion()
 		c.revision++
 	}
-	r := &wire.SyncReply{Term: c.period, Cursor: c.revision, LeasesSlots: true}
+	r := &wire.SyncReply{Term: c.period, Cursor: c.revision, LeasesSlots: true, Evacuations: c.replyEvacuations(q)}
 	since := q.GetCursor()
 	if q.GetTerm() != c.period {
 		since = 0
@@ -422,7 +430,7 @@
 			continue
 		}
 		c.options.Log.Info("instance out of contact", zap.String("instance", name))
-		i.record = &wire.Instance{Name: name, Gone: true}
+		i.record = &wire.Instance{Name: name, Zone: i.record.GetZone(), Gone: true}
 		i.revision = c.nextRevision()
 		c.wakeApplied()
 	}
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/state"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
@@ -35,7 +36,7 @@
 		return "", err
 	}
 	r.commands++
-	return string(r.state.Apply(1, data)), nil
+	return string(r.state.Apply(replica.Index(r.commands), data)), nil
 }
 
 // fixture is a coordinator with a fake replica that leads in term 1 at first.
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -59,13 +59,17 @@
 	// ConfirmationLag is how much longer than an acknowledged change may take a layout counts as
 	// confirmed; see coordinator.Options.
 	ConfirmationLag time.Duration
-	Decode          view.Decoder
+	// EvacuationLag is the same for evacuations of zones.
+	EvacuationLag time.Duration
+	Decode        view.Decoder
 	// Sessions knows the recent sessions; see view.Options.
 	Sessions view.Sessions
 	// OnLoad is called with the load that an upstream reported to another instance.
 	OnLoad func(id string, running, waiting int)
 	// OnCondition is called with what other instances heard of brittle upstreams.
 	OnCondition func(id string, brittle, refused bool)
+	// OnEvacuations is called with the number of evacuated zones; see view.Options.
+	OnEvacuations func(active int)
 	// Partitioned reports whether this instance reaches upstreams only through others, and
 	// DialUpstream opens a connection to an upstream for another instance.
 	Partitioned func() bool
@@ -109,7 +113,7 @@
 		}
 	}()
 	i = &Instance{options: o, epoch: rand.Uint64()}
-	i.View = view.New(view.Options{Name: o.Name, OnCondition: o.OnCondition, Decode: o.Decode, Sessions: o.Sessions, OnLoad: o.OnLoad, LeaseDuration: o.LeaseDuration, MaxLayoutLag: o.MaxLayoutLag, Timer: o.Timer, Log: o.Log.Named("view")})
+	i.View = view.New(view.Options{Name: o.Name, OnCondition: o.OnCondition, OnEvacuations: o.OnEvacuations, Decode: o.Decode, Sessions: o.Sessions, OnLoad: o.OnLoad, LeaseDuration: o.LeaseDuration, MaxLayoutLag: o.MaxLayoutLag, Timer: o.Timer, Log: o.Log.Named("view")})
 	layouts := relay.NewStore(o.Timer, o.Log.Named("layouts"))
 	i.Client = peer.NewClient(peer.Options{
 		Self: o.PeerAddress, Dial: o.DialPeer, Seeds: o.Seeds, PeerToken: o.PeerToken, View: i.View, DescribeInstance: i.describe,
@@ -138,7 +142,7 @@
 	o := i.options
 	st := state.New()
 	i.coordinator = coordinator.New(coordinator.Options{
-		Replica: lazyReplica{i}, State: st, Exposure: o.Exposure, HeartbeatInterval: o.HeartbeatInterval, ConfirmationLag: o.ConfirmationLag, Timer: o.Timer, Log: o.Log.Named("hub"), Random: rand.Uint64,
+		Replica: lazyReplica{i}, State: st, Exposure: o.Exposure, HeartbeatInterval: o.HeartbeatInterval, ConfirmationLag: o.ConfirmationLag, EvacuationLag: o.EvacuationLag, Timer: o.Timer, Log: o.Log.Named("hub"), Random: rand.Uint64,
 	})
 	st.OnChange = func() {
 		i.coordinator.StateChanged()
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -265,7 +265,7 @@
 	return r.GetConflict(), err
 }
 
-// Read returns the layout and roll-outs, confirmed by a majority of the voters.
+// Read returns the layout, the roll-outs and the evacuations, confirmed by a majority of the voters.
 func (c *Client) Read(ctx context.Context) (*wire.ReadReply, error) {
 	return callLeader(ctx, c, classRead, requestTimeout, func(ctx context.Context, l wire.DRPCFleetClient) (*wire.ReadReply, error) {
 		return l.Read(ctx, &wire.ReadRequest{})
--- a/internal/fleet/peer/poller.go
+++ b/internal/fleet/peer/poller.go
@@ -144,6 +144,8 @@
 	}
 	term, cursor := p.options.View.SyncPosition()
 	c := &poll{poller: p, to: to, sent: now, request: &wire.SyncRequest{Instance: p.options.DescribeInstance(), Term: term, Cursor: cursor}}
+	followed, _ := p.options.View.EvacuationRevision("")
+	c.request.Evacuations = &wire.Evacuations{Revision: followed}
 	if to == p.server {
 		c.request.Wait = uint32(pollWait.Milliseconds())
 		p.next = p.next.Add(pollWait)
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -98,8 +98,8 @@
 	return &wire.TellReply{Guide: s.leaderInfo()}, nil
 }
 
-// Propose commits a command. It returns once a new layout may be acknowledged; see
-// coordinator.WaitLayoutApplied.
+// Propose commits a command. It returns once a new layout or an evacuation may be acknowledged; see
+// coordinator.WaitLayoutApplied and WaitEvacuationsFollowed.
 func (s *Server) Propose(ctx context.Context, q *wire.ProposeRequest) (*wire.ProposeReply, error) {
 	if err := replica.CheckPeerToken(ctx, s.PeerToken); err != nil {
 		return nil, err
@@ -107,6 +107,15 @@
 	if !s.isLeader() {
 		return &wire.ProposeReply{Guide: s.leaderInfo()}, nil
 	}
+	if e := q.GetCommand().GetEvacuation(); e != nil {
+		known, ok := s.Coordinator.AwaitZone(ctx, e.GetZone())
+		switch {
+		case !ok:
+			return s.unacknowledged(ctx, "the zone is not known yet")
+		case !known:
+			return &wire.ProposeReply{Guide: &wire.Guide{Served: true}, Conflict: state.ConflictUnknownZone}, nil
+		}
+	}
 	conflict, err := s.Replica.Propose(ctx, q.GetCommand())
 	if errors.Is(err, replica.ErrNotLeader) {
 		return &wire.ProposeReply{Guide: s.leaderInfo()}, nil
@@ -118,15 +127,24 @@
 		return nil, err
 	}
 	if l := q.GetCommand().GetLayout(); l != nil && conflict == "" && !s.Coordinator.WaitLayoutApplied(ctx, l.GetVersion()) {
-		if ctx.Err() != nil {
-			return nil, errors.Wrap(context.Cause(ctx), "layout is not in force everywhere")
-		}
-		return &wire.ProposeReply{Guide: s.leaderInfo()}, nil
+		return s.unacknowledged(ctx, "layout is not in force everywhere")
+	}
+	if q.GetCommand().GetEvacuation() != nil && conflict == "" && !s.Coordinator.WaitEvacuationsFollowed(ctx) {
+		return s.unacknowledged(ctx, "evacuation is not in force everywhere")
 	}
 	return &wire.ProposeReply{Guide: &wire.Guide{Served: true}, Conflict: conflict}, nil
 }
 
-// Read returns the layout and roll-outs, confirmed by a majority of the voters.
+// unacknowledged returns the error if the time of a proposal has passed, else a redirect: this instance no
+// longer leads.
+func (s *Server) unacknowledged(ctx context.Context, reason string) (*wire.ProposeReply, error) {
+	if ctx.Err() != nil {
+		return nil, errors.Wrap(context.Cause(ctx), reason)
+	}
+	return &wire.ProposeReply{Guide: s.leaderInfo()}, nil
+}
+
+// Read returns the layout, the roll-outs and the evacuations, confirmed by a majority of the voters.
 func (s *Server) Read(ctx context.Context, _ *wire.ReadRequest) (*wire.ReadReply, error) {
 	if err := replica.CheckPeerToken(ctx, s.PeerToken); err != nil {
 		return nil, err
@@ -135,7 +153,7 @@
 		return &wire.ReadReply{Guide: s.leaderInfo()}, nil
 	}
 	return &wire.ReadReply{
-		Guide: &wire.Guide{Served: true}, Layout: s.State.Layout(), Rollouts: s.State.Rollouts(),
+		Guide: &wire.Guide{Served: true}, Layout: s.State.Layout(), Rollouts: s.State.Rollouts(), Evacuations: s.State.Evacuations(),
 	}, nil
 }
 
