--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -232,6 +232,9 @@
 // Ready reports whether the instance accepts new callers.
 func (i *Instance) Ready() bool { return !i.draining.Load() && i.View.Layout() != nil }
 
+// Draining reports whether Drain was called.
+func (i *Instance) Draining() bool { return i.draining.Load() }
+
 // Drain makes Ready return false, so that callers are no longer sent to this instance.
 func (i *Instance) Drain() { i.draining.Store(true) }
 
--- a/internal/fleet/peer/connection.go
+++ b/internal/fleet/peer/connection.go
@@ -35,8 +35,8 @@
 
 const (
 	// operatorConnections is the number of connections for each class of calls on behalf of
-	// operators, of whom several may call at the same time.
-	operatorConnections = 4
+	// operators. They send up to eight orders at a time, each of which may wait for instances.
+	operatorConnections = 8
 	// dialTimeout bounds a dial, which a lost host never answers. A first packet that was dropped,
 	// since many dial the same host, is sent again after a second.
 	dialTimeout = 1200 * time.Millisecond
