bench/soak: zones are evacuated while instances fail

Cause: no run of whole processes checked that nothing reaches an evacuated zone. One short seed is in TestSoak.

--- a/internal/bench/soak/injector.go
+++ b/internal/bench/soak/injector.go
@@ -55,6 +55,7 @@
 	{"drain", 2, true, (*injector).drainUpstream},
 	{"document", 4, true, (*injector).replaceDocument},
 	{"core", 0, false, (*injector).freezeCore},
+	{"evacuation", 0, true, (*injector).evacuateZone},
 }
 
 // newInjector returns an injector of the chosen faults.
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -157,6 +158,8 @@
 	ReadRequest(ip string) (*http.Request, error)
 	// AnnounceRequest returns the request by which an upstream announces itself to an instance.
 	AnnounceRequest(ip string, a Announcement) (*http.Request, error)
+	// EvacuationRequest returns the request to an instance that begins or ends the evacuation of a zone.
+	EvacuationRequest(ip, zone string, begin bool) (*http.Request, error)
 	// DrainDelay is how long an upstream may still get requests after an instance has
 	// acknowledged that it drains or leaves.
 	DrainDelay() time.Duration
@@ -223,6 +226,8 @@
 	brittle         map[string]*brittleTime         // by service, while its upstreams are brittle
 	documents       []acknowledgedDocument
 	documentPending bool // a document was sent and is not acknowledged yet
+	evacuation      evacuation
+	evacuating      atomic.Bool
 }
 
 // acknowledgedDocument is a document with the time of its acknowledgement.
@@ -264,7 +269,6 @@
 
 // start starts the instances, the upstreams and the callers, in this order.
 func (s *Soak) start(ctx context.Context) error {
-	zones := []string{"a", "b", "c"}
 	// Each process has its own loopback address, so that all can use the same ports.
 	block := fmt.Sprintf("127.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
 	for i := range s.options.Size.Instances {
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -26,6 +26,7 @@
 }{
 	{1, "instances that started at the same time did not bootstrap a control group", soak.DefaultSize, nil},
 	{30004, "a pause of 90 s that an upstream asked for was kept for half a second", soak.DefaultSize, nil},
+	{80001, "a build that ignored evacuations sent requests to an evacuated zone", soak.DefaultSize, []string{"evacuation", "pause"}},
 	{
 		70002, "69 instances, most of them without a share of the slots, toppled brittle upstreams",
 		soak.Size{Instances: 69, DeskUpstreams: 6, Callers: 36, Slots: 6, BrittleRoom: 6},
--- a/internal/bench/soak/upstream.go
+++ b/internal/bench/soak/upstream.go
@@ -183,6 +183,7 @@
 	u.stateLimit(w.Header())
 	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
 	u.checkLeaving(ip, id)
+	u.checkEvacuated(ip, id)
 	u.stateLeaving(w.Header())
 	u.stateBrittle(w.Header())
 	if u.refuseInPause(w.Header(), ip) {
