--- a/internal/gateway/caller/error_response.go
+++ b/internal/gateway/caller/error_response.go
@@ -27,6 +27,9 @@
 	// retryAfterUnconnected is the time in which a few calls end, each of which has a connection. Calls of
 	// plain services take some 30 ms.
 	retryAfterUnconnected = 100 * time.Millisecond
+	// retryAfterEvacuation bounds what callers resend while no upstream is left outside of evacuated zones.
+	// Evacuations last for minutes, but upstreams in other zones may be started meanwhile.
+	retryAfterEvacuation = time.Second
 	// retryAfterQuarantine is longer than most requests last, since a quarantine has no end of
 	// its own.
 	retryAfterQuarantine = time.Minute
--- a/internal/gateway/caller/metrics.go
+++ b/internal/gateway/caller/metrics.go
@@ -20,6 +20,9 @@
 	// Resets counts connections that upstreams ended before anything was sent, and Unconnected requests that found
 	// all connections of the instance to their upstream in use.
 	Resets, Unconnected *expvar.Int
+	// Evacuated counts requests that were not sent because of an evacuation: refused, or placed again right
+	// before the first byte. EvacuatedZones is the number of evacuated zones now.
+	Evacuated, EvacuatedZones *expvar.Int
 	// Latencies of responses, from the arrival of the request.
 	TimeToFirstByte, TimeToLastByte *latencyHistogram
 }
@@ -78,6 +81,10 @@
 		MiddleEscalations: counter("climbs_middle"), RefusedEscalations: counter("climbs_refused"), LargerStarts: counter("larger_starts"),
 		Pauses: counter("pauses"), Leaves: counter("leaves"),
 		Resets: counter("resets"), Unconnected: counter("unconnected"),
+		Evacuated: counter("evacuated"), EvacuatedZones: counter("zones"),
 		TimeToFirstByte: histogram("first"), TimeToLastByte: histogram("whole"),
 	}
 }()
+
+// SetEvacuatedZones publishes the number of evacuated zones.
+func SetEvacuatedZones(n int) { processMetrics.EvacuatedZones.Set(int64(n)) }
--- a/internal/gateway/caller/model.go
+++ b/internal/gateway/caller/model.go
@@ -120,6 +120,9 @@
 	if e.remaining() < minRemaining || !e.mayEscalate() {
 		return false
 	}
+	if left, _ := e.request.candidates(); len(left) == 0 {
+		return false // an answer is better than none
+	}
 	d, ok := e.models.Escalate(&e.modelRequest, e.modelIndex, confidence, e.modelConditions())
 	if !ok {
 		return false
