fleet/permit, fleet/view: permits of the leader for cold upstreams

Cause: warmup_per_s was not read. A zone of 6 upstreams that returns cold to 40 instances gets up to 60 requests a second at one upstream, where 21.5 are allowed. Change: the leader lends permits for cold upstreams within rate x overrun + slack in any second. A refused connection makes an upstream count as cold until the leader has heard it again; a hook counts those of an evacuated zone. A leader that does not answer is asked again after 200 ms for all upstreams, not for each one.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/slot"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/state"
@@ -63,8 +64,11 @@
 	// for which a layout may be used without a confirmation, less the time in which an
 	// acknowledged change must be in force.
 	ConfirmationLag time.Duration
-	Timer           timer.Service
-	Log             *zap.Logger
+	// ColdBudget returns the budget of permits for a cold upstream of a service, and false if there is
+	// no limit. If it is nil, no service has one.
+	ColdBudget func(s layout.Service) (permit.ColdBudget, bool)
+	Timer      timer.Service
+	Log        *zap.Logger
 	// Random returns the identifier of a new period of leadership.
 	Random func() uint64
 }
@@ -108,6 +112,10 @@
 	lastHeartbeat timer.Instant
 	// drainingSince is the sequence number with which it began to drain.
 	drainingSince uint64
+	// coldEnd is until when it is cold by its announcements, and suspectedAt when this leader heard
+	// of the last suspicion that it has restarted.
+	coldEnd     timer.Instant
+	suspectedAt timer.Instant
 }
 
 // instance is an instance that has polled in this period.
--- a/internal/fleet/coordinator/limits.go
+++ b/internal/fleet/coordinator/limits.go
@@ -46,6 +46,12 @@
 			c.lender.Lift(id)
 		}
 	}
+	now := c.options.Timer.Now()
+	for id, u := range c.records {
+		if !c.isCold(u, now) {
+			c.lender.DropCold(id)
+		}
+	}
 }
 
 // Lend lends permits for requests to upstreams with a limit. ok is false if this instance does
@@ -60,8 +66,12 @@
 	now := c.options.Timer.Now()
 	for _, w := range q.GetWants() {
 		n, wait, limited := c.lender.Lend(w.GetId(), w.GetBorn(), int(w.GetCount()), now)
+		cold := false
+		if n > 0 || !limited {
+			n, wait, cold = c.lendCold(w, n, limited, wait, now)
+		}
 		r.Grants = append(r.Grants, &wire.Grant{
-			Id: w.GetId(), Born: w.GetBorn(), Count: uint32(n), Wait: uint32((wait + time.Millisecond - 1) / time.Millisecond), Limited: limited,
+			Id: w.GetId(), Born: w.GetBorn(), Count: uint32(n), Wait: uint32((wait + time.Millisecond - 1) / time.Millisecond), Limited: limited, Cold: cold,
 		})
 	}
 	return r, true
--- a/internal/fleet/coordinator/upstreams.go
+++ b/internal/fleet/coordinator/upstreams.go
@@ -11,22 +11,25 @@
 // applyUpstream stores a record if it is newer than the known one. Any other record only
 // counts as a heartbeat, unless the upstream is silent. c.mu must be held.
 func (c *Coordinator) applyUpstream(u *wire.Upstream, now timer.Instant) {
-	old := c.records[u.GetId()]
-	if !registry.Newer(u, old) {
-		if known := c.upstreams[u.GetId()]; known != nil && old.GetStage() != wire.Stage_STAGE_SILENT {
-			known.lastHeartbeat = now
-		}
+	old, known := c.records[u.GetId()], c.upstreams[u.GetId()]
+	announced := registry.Newer(u, old)
+	if !announced && known != nil && old.GetStage() != wire.Stage_STAGE_SILENT && u.GetSuspected() <= old.GetSuspected() {
+		known.lastHeartbeat = now
+	}
+	if u = registry.Merge(u, old); u == nil {
 		return
 	}
-	u = registry.KeepLeaving(u, old)
 	same := registry.Equivalent(u, old)
 	c.records[u.GetId()] = u
-	known := c.upstreams[u.GetId()]
 	if known == nil {
 		known = &upstream{}
 		c.upstreams[u.GetId()] = known
 	}
-	known.lastHeartbeat = now
+	if announced {
+		known.lastHeartbeat = now
+		same = !known.recordCold(u, now) && same
+	}
+	c.recordSuspicion(known, u, old, now)
 	if u.GetStage() == wire.Stage_STAGE_DRAINING && (old.GetStage() != wire.Stage_STAGE_DRAINING || old.GetBorn() != u.GetBorn()) {
 		known.drainingSince = u.GetSequence()
 	}
@@ -51,5 +54,13 @@
 	if u.GetStage() == wire.Stage_STAGE_SILENT {
 		u.Stage = wire.Stage_STAGE_READY
 	}
+	known := c.upstreams[b.GetId()]
+	if old.GetCold() > 0 {
+		// The heartbeat says no more than that the upstream is still cold.
+		u.Cold = uint32(max(known.coldEnd.Sub(now).Milliseconds(), 1))
+	}
+	if registry.Suspected(old) && now.Sub(known.suspectedAt) >= settleDelay {
+		u = registry.Settle(u)
+	}
 	c.applyUpstream(u, now)
 }
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -17,6 +17,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/consensus"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/coordinator"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/peer"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/relay"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/state"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/tunnel"
@@ -66,6 +67,8 @@
 	OnLoad func(id string, running, waiting int)
 	// OnCondition is called with what other instances heard of brittle upstreams.
 	OnCondition func(id string, brittle, refused bool)
+	// ColdBounds bounds the requests to a cold upstream.
+	ColdBounds permit.ColdBounds
 	// Partitioned reports whether this instance reaches upstreams only through others, and
 	// DialUpstream opens a connection to an upstream for another instance.
 	Partitioned func() bool
@@ -109,7 +112,7 @@
 		}
 	}()
 	i = &Instance{options: o, epoch: rand.Uint64()}
-	i.View = view.New(view.Options{Name: o.Name, OnCondition: o.OnCondition, Decode: o.Decode, Sessions: o.Sessions, OnLoad: o.OnLoad, LeaseDuration: o.LeaseDuration, MaxLayoutLag: o.MaxLayoutLag, Timer: o.Timer, Log: o.Log.Named("view")})
+	i.View = view.New(view.Options{Name: o.Name, OnCondition: o.OnCondition, Decode: o.Decode, Sessions: o.Sessions, OnLoad: o.OnLoad, ColdBounds: o.ColdBounds, LeaseDuration: o.LeaseDuration, MaxLayoutLag: o.MaxLayoutLag, Timer: o.Timer, Log: o.Log.Named("view")})
 	layouts := relay.NewStore(o.Timer, o.Log.Named("layouts"))
 	i.Client = peer.NewClient(peer.Options{
 		Self: o.PeerAddress, Dial: o.DialPeer, Seeds: o.Seeds, PeerToken: o.PeerToken, View: i.View, DescribeInstance: i.describe,
@@ -120,7 +123,7 @@
 		Random: random.New(), Log: o.Log.Named("tunnel"),
 	})
 	i.Tunnels = tunnel.NewServer(tunnel.Options{
-		Token: o.PeerToken, Address: i.View.UpstreamAddress, Partitioned: o.Partitioned, Conditions: o.Conditions, Dial: o.DialUpstream,
+		Token: o.PeerToken, Address: i.View.UpstreamAddress, Partitioned: o.Partitioned, Cold: i.View.Cold, Conditions: o.Conditions, Dial: o.DialUpstream,
 		Timer: o.Timer, Log: o.Log.Named("tunnel"),
 	})
 	s := &peer.Server{Tunnels: i.Tunnels, PeerToken: o.PeerToken, Client: i.Client, Layouts: layouts, Log: o.Log.Named("peer"), AllowBootstrap: o.AllowBootstrap}
@@ -138,7 +141,7 @@
 	o := i.options
 	st := state.New()
 	i.coordinator = coordinator.New(coordinator.Options{
-		Replica: lazyReplica{i}, State: st, Exposure: o.Exposure, HeartbeatInterval: o.HeartbeatInterval, ConfirmationLag: o.ConfirmationLag, Timer: o.Timer, Log: o.Log.Named("hub"), Random: rand.Uint64,
+		Replica: lazyReplica{i}, State: st, Exposure: o.Exposure, HeartbeatInterval: o.HeartbeatInterval, ConfirmationLag: o.ConfirmationLag, ColdBudget: i.View.ColdBudget, Timer: o.Timer, Log: o.Log.Named("hub"), Random: rand.Uint64,
 	})
 	st.OnChange = func() {
 		i.coordinator.StateChanged()
--- a/internal/fleet/layout/layout.go
+++ b/internal/fleet/layout/layout.go
@@ -92,6 +92,10 @@
 	Name Service
 	// MaxConnections limits the connections of all callers to one upstream.
 	MaxConnections int
+	// ColdStart is how long an upstream is cold after a start during traffic, and WarmupRate the
+	// requests a second that it takes meanwhile; 0 if the service states no limit.
+	ColdStart  time.Duration
+	WarmupRate float64
 	// Engine is nil for a service without inference engines.
 	Engine *Engine
 }
--- a/internal/fleet/peer/borrower.go
+++ b/internal/fleet/peer/borrower.go
@@ -31,7 +31,7 @@
 		sent := b.options.Timer.Now()
 		r, err := b.borrow(ctx, wants)
 		if err != nil {
-			stock.Fail(wants)
+			stock.Fail()
 			b.options.Log.Debug("no permits", journal.Error(err))
 			continue
 		}
@@ -70,7 +70,7 @@
 func Grants(r *wire.BorrowReply) (out []permit.Grant) {
 	for _, g := range r.GetGrants() {
 		out = append(out, permit.Grant{
-			ID: g.GetId(), Born: g.GetBorn(), Count: int(g.GetCount()), Wait: time.Duration(g.GetWait()) * time.Millisecond, Limited: g.GetLimited(),
+			ID: g.GetId(), Born: g.GetBorn(), Count: int(g.GetCount()), Wait: time.Duration(g.GetWait()) * time.Millisecond, Limited: g.GetLimited(), Cold: g.GetCold(),
 		})
 	}
 	return out
--- a/internal/fleet/permit/lender.go
+++ b/internal/fleet/permit/lender.go
@@ -1,6 +1,6 @@
-// Package permit keeps the rate limits that upstreams state for all instances together. The
-// leader lends permits, each for one request to one upstream, and an instance sends a request
-// to an upstream with a limit only with a permit. The package does no I/O.
+// Package permit keeps the rate limits that upstreams state, and those of cold upstreams, for all
+// instances together. The leader lends permits, each for one request to one upstream, and an instance
+// sends a request to an upstream with a limit only with a permit. The package does no I/O.
 package permit
 
 import (
@@ -56,11 +56,14 @@
 
 // Lender lends the permits of the whole deployment. It is not safe for concurrent use.
 type Lender struct {
-	buckets map[string]*bucket // by upstream id
+	buckets map[string]*bucket     // by upstream id
+	cold    map[string]*coldBucket // of cold upstreams, by id
 }
 
 // NewLender returns a lender that knows no limit.
-func NewLender() *Lender { return &Lender{buckets: map[string]*bucket{}} }
+func NewLender() *Lender {
+	return &Lender{buckets: map[string]*bucket{}, cold: map[string]*coldBucket{}}
+}
 
 // Set records the limit of an upstream. Permits begin to accumulate then: the permits of a former
 // leader may still be in use.
--- a/internal/fleet/permit/permit_test.go
+++ b/internal/fleet/permit/permit_test.go
@@ -84,11 +84,11 @@
 			if now.Before(paused[i]) || random.IntN(3) > 0 {
 				continue
 			}
-			if p, ok := s.Take("u", 1); ok && p.Valid(now) {
+			if p, ok := s.Take("u", 1, false); ok && p.Valid(now) {
 				sent = append(sent, now)
 				continue
 			}
-			s.Request("u", 1)
+			s.Request("u", 1, false)
 			wants := s.TakeWants()
 			var grants []Grant
 			for _, w := range wants {
@@ -148,20 +148,20 @@
 	s := NewStock(clock)
 	is.True(s.Set("u", Limit{Born: 1, Rate: 1}))
 	s.Apply([]Grant{{ID: "u", Born: 1, Count: 2, Limited: true}}, clock.Now())
-	p, ok := s.Take("u", 1)
+	p, ok := s.Take("u", 1, false)
 	is.True(ok && p.Valid(clock.Now()))
 	clock.Advance(Lifetime)
 	is.True(!p.Valid(clock.Now()))
-	_, ok = s.Take("u", 1)
+	_, ok = s.Take("u", 1, false)
 	is.True(!ok)
 	s.Apply([]Grant{{ID: "u", Born: 1, Count: 1, Limited: true}}, clock.Now())
 	is.True(s.Set("u", Limit{Born: 2, Rate: 1}))
-	_, ok = s.Take("u", 2)
+	_, ok = s.Take("u", 2, false)
 	is.True(!ok)
 	is.True(!s.Set("u", Limit{Born: 1, Rate: 9})) // of an earlier incarnation
 	is.True(!s.Lift("u", 1))
 	is.True(s.Lift("u", 2))
-	_, ok = s.Take("u", 2)
+	_, ok = s.Take("u", 2, false)
 	is.True(ok) // no limit, no permit needed
 }
 
@@ -172,9 +172,10 @@
 	s := NewStock(timer.NewSystem())
 	s.Set("u", Limit{Born: 1, Rate: 1})
 	start := time.Now()
-	is.Equal(s.Borrow(context.Background(), "u", 1), retryDelay)
+	is.Equal(s.Borrow(context.Background(), "u", 1, false), retryDelay)
 	is.True(time.Since(start) < 4*maxWait)
-	s.Fail(s.TakeWants())
-	s.Request("u", 1)
+	s.TakeWants()
+	s.Fail()
+	s.Request("u", 1, false)
 	is.Equal(len(s.TakeWants()), 0)
 }
--- a/internal/fleet/permit/stock.go
+++ b/internal/fleet/permit/stock.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,12 +17,16 @@
 	// retryDelay is how long an instance waits before it asks again after the leader did not
 	// answer.
 	retryDelay = 200 * time.Millisecond
+	// coldRetryDelay is the same after the leader did not know that the upstream is cold. A report that
+	// tells it so takes a few milliseconds.
+	coldRetryDelay = 50 * time.Millisecond
 )
 
 // Permit allows one request to an upstream. The zero value is that of an upstream without a
 // limit.
 type Permit struct {
 	limited   bool
+	cold      bool
 	expiresAt timer.Instant
 }
 
@@ -31,6 +36,9 @@
 // Limited reports whether the upstream had a limit when the permit was taken.
 func (p Permit) Limited() bool { return p.limited }
 
+// Cold reports whether the permit counts against the limit of a cold upstream.
+func (p Permit) Cold() bool { return p.cold }
+
 // Want is how many permits of an upstream the instance needs.
 type Want struct {
 	ID    string
@@ -47,11 +55,14 @@
 	Wait  time.Duration
 	// Limited is false if the leader knows no limit of the upstream.
 	Limited bool
+	// Cold is true if the permits count against the limit of a cold upstream.
+	Cold bool
 }
 
-// account is what an instance holds for one upstream with a limit.
+// account is what an instance holds for one upstream that states a limit or is cold.
 type account struct {
 	limit    Limit
+	limited  bool     // the upstream states the limit
 	permits  []Permit // the first expires first
 	wanted   int
 	deniedBy timer.Instant // no permits are asked for before
@@ -66,6 +77,8 @@
 	accounts map[string]*account // by upstream id
 	wake     chan struct{}       // has a value if permits are wanted
 	answered chan struct{}       // closed and replaced when the leader has answered
+	// silentUntil is until when no permits are asked for, since the leader did not answer.
+	silentUntil timer.Instant
 	// taken counts the calls of TakeWants, and completed those that the leader has answered.
 	taken, completed uint64
 }
@@ -83,12 +96,12 @@
 	a := s.accounts[id]
 	switch {
 	case a == nil || a.limit.Born < limit.Born:
-		s.accounts[id] = &account{limit: limit}
+		s.accounts[id] = &account{limit: limit, limited: true}
 		return true
-	case a.limit.Born > limit.Born || a.limit == limit:
+	case a.limit.Born > limit.Born || a.limited && a.limit == limit:
 		return false
 	}
-	a.limit = limit
+	a.limit, a.limited = limit, true
 	return true
 }
 
@@ -96,11 +109,12 @@
 func (s *Stock) Lift(id string, born int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a := s.accounts[id]; a == nil || a.limit.Born != born {
+	a := s.accounts[id]
+	if a == nil || a.limit.Born != born {
 		return false
 	}
 	delete(s.accounts, id)
-	return true
+	return a.limited
 }
 
 // Limits returns all known limits by upstream id.
@@ -109,47 +123,71 @@
 	defer s.mu.Unlock()
 	out := make(map[string]Limit, len(s.accounts))
 	for id, a := range s.accounts {
-		out[id] = a.limit
+		if a.limited {
+			out[id] = a.limit
+		}
 	}
 	return out
 }
 
-// account returns the account of an incarnation, or nil if it has no limit. s.mu must be held.
-func (s *Stock) account(id string, born int64) *account {
+// incarnation returns the account of an incarnation, or nil. s.mu must be held.
+func (s *Stock) incarnation(id string, born int64) *account {
 	if a := s.accounts[id]; a != nil && a.limit.Born == born {
 		return a
 	}
 	return nil
 }
 
-// Limited reports whether requests to an incarnation of an upstream need a permit.
+// account returns the account of an incarnation, or nil if it has no limit. That of a cold upstream is
+// created, and dropped when the upstream is no longer cold. s.mu must be held.
+func (s *Stock) account(id string, born int64, cold bool) *account {
+	a := s.incarnation(id, born)
+	if a != nil && !cold && !a.limited {
+		delete(s.accounts, id)
+		return nil
+	}
+	if later := s.accounts[id]; a == nil && cold && (later == nil || later.limit.Born < born) {
+		a = &account{limit: Limit{Born: born}}
+		s.accounts[id] = a
+	}
+	return a
+}
+
+// Limited reports whether an incarnation of an upstream states a limit.
 func (s *Stock) Limited(id string, born int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.account(id, born) != nil
+	a := s.incarnation(id, born)
+	return a != nil && a.limited
 }
 
-// Has reports whether an upstream has no limit or the stock a permit for it.
-func (s *Stock) Has(id string, born int64) bool {
+// usable reports whether a permit may be used now, for a cold upstream if cold is true.
+func (p Permit) usable(cold bool, now timer.Instant) bool { return p.Valid(now) && (p.cold || !cold) }
+
+// Has reports whether requests to an upstream need no permit, or the stock has one. cold is true if the
+// upstream is cold.
+func (s *Stock) Has(id string, born int64, cold bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := s.account(id, born)
-	return a == nil || len(a.permits) > 0 && a.permits[len(a.permits)-1].Valid(s.timer.Now())
+	a, now := s.account(id, born, cold), s.timer.Now()
+	if a == nil {
+		return !cold
+	}
+	return slices.ContainsFunc(a.permits, func(p Permit) bool { return p.usable(cold, now) })
 }
 
-// Take takes a permit for a request to an upstream. It returns false if the upstream has a limit
-// and the stock no permit.
-func (s *Stock) Take(id string, born int64) (p Permit, ok bool) {
+// Take takes a permit for a request to an upstream. It returns false if the request needs one and the
+// stock has none.
+func (s *Stock) Take(id string, born int64, cold bool) (p Permit, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := s.account(id, born)
+	a, now := s.account(id, born, cold), s.timer.Now()
 	if a == nil {
-		return Permit{}, true
+		return Permit{}, !cold
 	}
-	now := s.timer.Now()
 	for len(a.permits) > 0 {
 		p, a.permits = a.permits[0], a.permits[1:]
-		if p.Valid(now) {
+		if p.usable(cold, now) {
 			return p, true
 		}
 	}
@@ -157,17 +195,17 @@
 }
 
 // Request asks for a permit for a later request.
-func (s *Stock) Request(id string, born int64) {
+func (s *Stock) Request(id string, born int64, cold bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.request(id, born)
+	s.request(id, born, cold)
 }
 
 // request is Request for callers that hold s.mu. It returns false if the leader is not asked,
 // since it has none.
-func (s *Stock) request(id string, born int64) bool {
-	a := s.account(id, born)
-	if a == nil || s.timer.Now().Before(a.deniedBy) {
+func (s *Stock) request(id string, born int64, cold bool) bool {
+	a := s.account(id, born, cold)
+	if a == nil || s.timer.Now().Before(max(a.deniedBy, s.silentUntil)) {
 		return false
 	}
 	a.wanted = min(a.wanted+1, maxWanted)
@@ -180,26 +218,29 @@
 
 // Borrow asks for a permit and waits until the leader has answered. Take tells whether it lent
 // one. It returns the time until it is worth asking again, 0 if that is now.
-func (s *Stock) Borrow(ctx context.Context, id string, born int64) (wait time.Duration) {
-	ctx, cancel := timer.WithTimeout(ctx, s.timer, maxWait)
+func (s *Stock) Borrow(ctx context.Context, id string, born int64, cold bool) (wait time.Duration) {
+	limited, cancel := timer.WithTimeout(ctx, s.timer, maxWait)
 	defer cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	asked, call := s.request(id, born), s.taken+1
+	asked, call := s.request(id, born, cold), s.taken+1
 	for asked && s.completed < call {
 		answered := s.answered
 		s.mu.Unlock()
 		select {
 		case <-answered:
-		case <-ctx.Done():
+		case <-limited.Done():
 		}
 		s.mu.Lock()
-		if ctx.Err() != nil {
+		if ctx.Err() == nil && limited.Err() != nil {
+			s.silentUntil = s.timer.Now().Add(retryDelay)
+		}
+		if limited.Err() != nil {
 			return retryDelay
 		}
 	}
-	if a := s.account(id, born); a != nil && len(a.permits) == 0 {
-		return max(a.deniedBy.Sub(s.timer.Now()), 0)
+	if a := s.incarnation(id, born); a != nil && len(a.permits) == 0 {
+		return max(max(a.deniedBy, s.silentUntil).Sub(s.timer.Now()), 0)
 	}
 	return 0
 }
@@ -227,18 +268,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.timer.Now()
+	s.silentUntil = 0
 	for _, g := range grants {
-		a := s.account(g.ID, g.Born)
+		a := s.incarnation(g.ID, g.Born)
 		if a == nil {
 			continue
 		}
+		p := Permit{limited: true, cold: g.Cold, expiresAt: sent.Add(Lifetime)}
+		if g.Cold {
+			p.expiresAt = sent.Add(ColdLifetime)
+		}
+		a.permits = slices.DeleteFunc(a.permits, func(p Permit) bool { return !p.Valid(now) })
 		for range g.Count {
-			a.permits = append(a.permits, Permit{limited: true, expiresAt: sent.Add(Lifetime)})
+			a.permits = append(a.permits, p)
 		}
-		if g.Wait > 0 {
+		switch {
+		case g.Wait > 0:
 			a.deniedBy = now.Add(g.Wait)
-		}
-		if !g.Limited {
+		case !g.Cold && !a.limited:
+			a.deniedBy = now.Add(coldRetryDelay)
+		case !g.Cold && !g.Limited:
 			// The report of the limit is still on its way to the leader.
 			a.deniedBy = now.Add(retryDelay)
 		}
@@ -246,15 +295,11 @@
 	s.wakeWaiting()
 }
 
-// Fail records that the leader did not answer for some permits.
-func (s *Stock) Fail(wants []Want) {
+// Fail records that the leader did not answer.
+func (s *Stock) Fail() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, w := range wants {
-		if a := s.account(w.ID, w.Born); a != nil {
-			a.deniedBy = s.timer.Now().Add(retryDelay)
-		}
-	}
+	s.silentUntil = s.timer.Now().Add(retryDelay)
 	s.wakeWaiting()
 }
 
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -55,7 +55,7 @@
 	return a != nil && b != nil && a.GetBorn() == b.GetBorn() && a.GetStage() == b.GetStage() && a.GetLeaving() == b.GetLeaving() &&
 		a.GetAddress() == b.GetAddress() && a.GetService() == b.GetService() &&
 		a.GetVersion() == b.GetVersion() && a.GetZone() == b.GetZone() &&
-		a.GetSlots() == b.GetSlots() && (a.GetCold() > 0) == (b.GetCold() > 0)
+		a.GetSlots() == b.GetSlots() && Suspected(a) == Suspected(b) && (a.GetCold() > 0) == (b.GetCold() > 0)
 }
 
 // RetireReplaced marks records as left that share the address of u with an upstream
--- a/internal/fleet/tunnel/server.go
+++ b/internal/fleet/tunnel/server.go
@@ -30,6 +30,8 @@
 	// checks right before it sends that the request may run, and it sends right after the reply. A
 	// request that comes later was checked before one of the two processes was paused.
 	maxRequestDelay = time.Second
+	// maxColdDelay is the same for a cold upstream. The request has a permit for a moment (permit.MaxTransit).
+	maxColdDelay = 80 * time.Millisecond
 	// lateHeadTime is how long the head of a response may still come after the instance has ended the tunnel.
 	// One that is on its way arrives within a round trip.
 	lateHeadTime = 250 * time.Millisecond
@@ -57,7 +59,9 @@
 	Address func(id string, born int64) (address string, ok bool)
 	// Partitioned reports whether this instance does not reach the upstreams itself.
 	Partitioned func() bool
-	Conditions  Conditions
+	// Cold reports whether an incarnation of an upstream takes few requests while it is cold. It may be nil.
+	Cold       func(id string, born int64) bool
+	Conditions Conditions
 	// Dial opens a connection to an upstream.
 	Dial  func(ctx context.Context, address string) (net.Conn, error)
 	Timer timer.Service
@@ -219,7 +223,11 @@
 // opened. wait is how long the upstream wants no requests, 0 for any other reason.
 func (c *requestCopier) mayPassOn() (wait time.Duration, ok bool) {
 	o := c.server.options
-	if _, ok := o.Address(c.id, c.born); !ok || o.Timer.Now().Sub(c.openedAt) > maxRequestDelay {
+	limit := maxRequestDelay
+	if o.Cold != nil && o.Cold(c.id, c.born) {
+		limit = maxColdDelay
+	}
+	if _, ok := o.Address(c.id, c.born); !ok || o.Timer.Now().Sub(c.openedAt) > limit {
 		return 0, false
 	}
 	wait = o.Conditions.Closed(c.id, c.born)
--- a/internal/fleet/view/limits.go
+++ b/internal/fleet/view/limits.go
@@ -70,22 +70,28 @@
 	}
 }
 
-// RateLimited reports whether an upstream states a limit.
-func (v *View) RateLimited(id string, born int64) bool { return v.permits.Limited(id, born) }
+// RateLimited reports whether an upstream states a limit or is cold.
+func (v *View) RateLimited(id string, born int64) bool {
+	return v.permits.Limited(id, born) || v.Cold(id, born)
+}
 
 // HasPermit reports whether TakePermit would return true.
-func (v *View) HasPermit(id string, born int64) bool { return v.permits.Has(id, born) }
+func (v *View) HasPermit(id string, born int64) bool {
+	return v.permits.Has(id, born, v.Cold(id, born))
+}
 
 // TakePermit returns the permission for a request to an upstream, or false if the upstream has
-// a limit and this instance holds no permit.
+// a limit or is cold and this instance holds no permit.
 func (v *View) TakePermit(id string, born int64) (permit.Permit, bool) {
-	return v.permits.Take(id, born)
+	return v.permits.Take(id, born, v.Cold(id, born))
 }
 
 // RequestPermit asks the leader for a permit for a later request.
-func (v *View) RequestPermit(id string, born int64) { v.permits.Request(id, born) }
+func (v *View) RequestPermit(id string, born int64) {
+	v.permits.Request(id, born, v.Cold(id, born))
+}
 
 // BorrowPermit asks the leader for a permit and waits for the answer; see permit.Stock.
 func (v *View) BorrowPermit(ctx context.Context, id string, born int64) time.Duration {
-	return v.permits.Borrow(ctx, id, born)
+	return v.permits.Borrow(ctx, id, born, v.Cold(id, born))
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -54,8 +54,10 @@
 	// OnCondition is called when another instance has heard whether an upstream is brittle, or
 	// when a brittle one has refused requests.
 	OnCondition func(id string, brittle, refused bool)
-	Timer       timer.Service
-	Log         *zap.Logger
+	// ColdBounds bounds the requests to a cold upstream.
+	ColdBounds permit.ColdBounds
+	Timer      timer.Service
+	Log        *zap.Logger
 }
 
 // Table is an immutable snapshot of the ready and silent upstreams. Those of a service are
@@ -84,9 +86,17 @@
 	leasesSlots atomic.Bool // the leader leases slots
 	rank        atomic.Pointer[rank]
 
+	// evacuationEnded returns when this instance learned that the evacuation of a zone is over. It is nil
+	// where zones are not evacuated.
+	evacuationEnded func(zone string) (at timer.Instant, ok bool)
+	zones           atomic.Pointer[[]string] // of all upstreams
+
 	mu           sync.Mutex
 	upstreams    map[string]*wire.Upstream // by id
 	unnamed      map[string]*wire.Upstream // announced, of services that the layout does not name
+	coldEnds     map[string]timer.Instant  // until when upstreams are cold by their announcement, by id
+	broken       map[string]timer.Instant  // connections that broke without a leader, by upstream id
+	evacuations  map[string]timer.Instant  // ends of evacuations whose upstreams were suspected, by zone
 	instances    map[string]*instance      // by name
 	term         uint64                    // period of leadership of the last reply to a poll
 	termStart    timer.Instant             // when the first reply of the term was applied
@@ -110,13 +120,15 @@
 // New returns a view without a layout, upstreams or instances.
 func New(o Options) *View {
 	v := &View{
-		options: o, permits: permit.NewStock(o.Timer), slots: slot.NewStock(o.Timer), upstreams: map[string]*wire.Upstream{}, unnamed: map[string]*wire.Upstream{}, instances: map[string]*instance{},
+		options: o, permits: permit.NewStock(o.Timer), slots: slot.NewStock(o.Timer), upstreams: map[string]*wire.Upstream{}, unnamed: map[string]*wire.Upstream{},
+		coldEnds: map[string]timer.Instant{}, broken: map[string]timer.Instant{}, evacuations: map[string]timer.Instant{}, instances: map[string]*instance{},
 		conditions: map[string]*wire.Condition{}, quarantined: map[uint64]bool{}, responses: suspect.NewResponses(), pending: newPendingReport(), urgent: make(chan struct{}, 1),
 		layoutLoaded: make(chan struct{}), layoutWanted: make(chan struct{}, 1),
 	}
 	v.quarantinedParts.Store(&map[suspect.Part]bool{})
 	v.table.Store(&Table{Services: map[layout.Service][]*wire.Upstream{}})
 	v.rollouts.Store(&map[layout.Service]*Rollout{})
+	v.zones.Store(new([]string))
 	v.leaseExpiry.Store(-never)
 	v.lagExpiry.Store(never)
 	return v
@@ -307,10 +319,10 @@
 	if !registry.Newer(u, old) {
 		return
 	}
-	u = registry.KeepLeaving(u, old)
-	same := registry.Equivalent(u, old)
+	u = registry.Merge(u, old)
+	end := v.coldEnds[u.GetId()]
 	v.merge(u)
-	if same {
+	if registry.Equivalent(u, old) && v.coldEnds[u.GetId()].Sub(end) < registry.MinProlongation {
 		v.pending.heartbeats[u.GetId()] = &wire.Beat{Id: u.GetId(), Born: u.GetBorn(), Sequence: u.GetSequence()}
 		return
 	}
@@ -319,7 +331,7 @@
 	v.signalUrgent()
 	v.options.Log.Info("upstream changed", zap.String("upstream", u.GetId()), zap.String("service", u.GetService()),
 		zap.String("address", u.GetAddress()), zap.String("version", u.GetVersion()), zap.Stringer("stage", u.GetStage()),
-		zap.Int64("born", u.GetBorn()), zap.Uint64("sequence", u.GetSequence()))
+		zap.Int64("born", u.GetBorn()), zap.Uint64("sequence", u.GetSequence()), zap.Uint32("cold", u.GetCold()))
 }
 
 // ReportUpstream queues the record of an upstream for the leader, whether or not the leader has
@@ -370,11 +382,17 @@
 // be held.
 func (v *View) merge(u *wire.Upstream) (changed bool) {
 	old := v.upstreams[u.GetId()]
-	if !registry.Newer(u, old) {
+	announced := registry.Newer(u, old)
+	if u = registry.Merge(u, old); u == nil {
 		return false
 	}
-	u = registry.KeepLeaving(u, old)
 	v.upstreams[u.GetId()] = u
+	if old.GetBorn() != u.GetBorn() {
+		delete(v.broken, u.GetId()) // the new incarnation says whether it is cold
+	}
+	if announced {
+		v.recordCold(u)
+	}
 	retired := registry.RetireReplaced(v.upstreams, u)
 	if old != nil && (old.GetBorn() != u.GetBorn() || u.GetStage() == wire.Stage_STAGE_LEFT) {
 		v.permits.Lift(u.GetId(), old.GetBorn())
@@ -392,6 +410,7 @@
 func (v *View) pruneLeft() {
 	for id, u := range v.upstreams {
 		if u.GetStage() == wire.Stage_STAGE_LEFT {
+			delete(v.coldEnds, id)
 			delete(v.upstreams, id)
 		}
 	}
@@ -401,7 +420,9 @@
 // held.
 func (v *View) publish() {
 	t := &Table{Services: map[layout.Service][]*wire.Upstream{}}
+	zones := map[string]bool{}
 	for _, u := range v.upstreams {
+		zones[u.GetZone()] = true
 		if u.GetStage() == wire.Stage_STAGE_READY || u.GetStage() == wire.Stage_STAGE_SILENT {
 			s := layout.Service(u.GetService())
 			t.Services[s] = append(t.Services[s], u)
@@ -411,6 +432,8 @@
 		slices.SortFunc(list, func(a, b *wire.Upstream) int { return strings.Compare(a.GetId(), b.GetId()) })
 	}
 	v.table.Store(t)
+	list := slices.Sorted(maps.Keys(zones))
+	v.zones.Store(&list)
 }
 
 // RecordLoad queues the load that an upstream reported with a response.
