gateway/caller: requests to cold upstreams need a permit

Cause: the balancer only raised the score of a cold candidate, so that all instances sent there at once. Change: whether an upstream is cold is checked where it is selected and right before the first byte. Refused and broken connections are told to the view. Counters cold_requests and cold_waits.

--- a/internal/gateway/caller/before_send.go
+++ b/internal/gateway/caller/before_send.go
@@ -21,7 +21,7 @@
 // errUpstreamClosed means that the upstream wants no requests for a time that began after it was selected.
 var errUpstreamClosed = errors.New("upstream wants no requests now")
 
-// errNoPermit means that the upstream has stated a limit since it was selected.
+// errNoPermit means that the upstream has stated a limit, or become cold, since it was selected.
 var errNoPermit = errors.New("no permit for an upstream with a limit")
 
 // errNoLease means that the upstream is brittle and the request has no valid lease of a slot.
@@ -78,14 +78,21 @@
 		e.placeAgain = true
 		return errUpstreamClosed
 	}
-	if !e.permit.Limited() && e.View.RateLimited(e.target.ID, e.target.Born) {
+	cold := e.View.Cold(e.target.ID, e.target.Born)
+	if cold && !e.permit.Cold() || !e.permit.Limited() && e.View.RateLimited(e.target.ID, e.target.Born) {
 		e.placeAgain = true
 		return errNoPermit
 	}
 	if !e.permit.Valid(e.Timer.Now()) {
 		return errPermitExpired
 	}
-	return e.checkLease()
+	if err := e.checkLease(); err != nil {
+		return err
+	}
+	if cold {
+		e.metrics.ColdRequests.Add(1)
+	}
+	return nil
 }
 
 // layoutAndKeyValid reports whether the current layout is confirmed and the key of the request, if it has
--- a/internal/gateway/caller/before_send_test.go
+++ b/internal/gateway/caller/before_send_test.go
@@ -48,6 +48,12 @@
 			f.view.Slots().Fail()
 		}, 0, "slots"},
 		{"limit", func(f *fixture) { f.view.RecordLimit("desk0", permit.Limit{Born: 1, Rate: 1}) }, 0, "limit"},
+		{"becomes cold", func(f *fixture) {
+			f.NoErr(f.view.ApplyLayout(warmupVersion, nil))
+			address, _ := f.view.UpstreamAddress("desk0", 1)
+			f.view.ApplyAnnouncement(&wire.Upstream{Id: "desk0", Born: 1, Sequence: 2, Address: address, Service: "desk", Version: "v1", Slots: 4, Cold: 3000})
+			f.view.Permits().Fail()
+		}, 0, "cold"},
 		{"leave", func(f *fixture) { f.view.RecordLeaving("desk0", 1) }, 0, "upstream"},
 		{"request is quarantined", func(f *fixture) {
 			var list []uint64
--- a/internal/gateway/caller/brittle.go
+++ b/internal/gateway/caller/brittle.go
@@ -99,6 +99,9 @@
 	if wait, ok := q.Balancer.PauseEnd(candidates); ok {
 		return q.awaitPauseEnd(wait, len(excluded) > 0)
 	}
+	if q.permitWait > 0 && len(q.cold) > 0 {
+		return q.awaitPermit()
+	}
 	left := slices.DeleteFunc(slices.Clone(candidates), func(c balancer.Candidate) bool { return slices.Contains(excluded, c.ID) })
 	if wait, ok := q.Balancer.PauseTurn(left); ok && q.permitWait == 0 && wait < q.turnPatience() {
 		return q.awaitTurn(wait)
--- a/internal/gateway/caller/caller_test.go
+++ b/internal/gateway/caller/caller_test.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
+	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/tunnel"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/view"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
@@ -103,9 +104,12 @@
 			if v == revokingVersion {
 				l.Clients[0].Keys = []string{"new"}
 			}
+			if v == warmupVersion {
+				l.Pools[0].WarmupRate = 10
+			}
 			return l, l.Prepare()
 		},
-		LeaseDuration: 4 * time.Second, MaxLayoutLag: time.Second, Timer: f.clock, Log: zap.NewNop(),
+		LeaseDuration: 4 * time.Second, MaxLayoutLag: time.Second, Timer: f.clock, ColdBounds: permit.ColdBounds{Enabled: true, Overrun: 1.5, Slack: 5}, Log: zap.NewNop(),
 	})
 	r := &wire.SyncReply{Term: 1, Cursor: 1, Layout: &wire.Layout{Version: 1}}
 	add := func(service string, list []*upstreamtest.Server) {
--- a/internal/gateway/caller/candidates.go
+++ b/internal/gateway/caller/candidates.go
@@ -17,6 +17,7 @@
 // prompts, and an upstream that reads many of them at once seems slow.
 func (q *request) candidates() (out []balancer.Candidate, isCanary bool) {
 	all := q.View.Table().Services[q.service]
+	q.cold = q.View.ColdUpstreams(q.service)
 	allowed := q.versionFilter(all)
 	if r := q.View.Rollout(q.service); r != nil && r.GetPhase() == wire.Phase_PHASE_RUNNING {
 		moved := r.HeldSessions[q.sessionHash] || q.sessionHash%allTraffic >= uint64(r.GetBucket())
@@ -29,7 +30,7 @@
 		}
 		out = append(out, balancer.Candidate{
 			ID: u.GetId(), Born: u.GetBorn(), Address: u.GetAddress(), Zone: u.GetZone(), Version: u.GetVersion(), Slots: int(u.GetSlots()),
-			HeartbeatsMissed: u.GetStage() == wire.Stage_STAGE_SILENT, Cold: u.GetCold() > 0,
+			HeartbeatsMissed: u.GetStage() == wire.Stage_STAGE_SILENT, Cold: u.GetCold() > 0 || q.cold[u.GetId()],
 		})
 	}
 	return out, isCanary
--- a/internal/gateway/caller/crash_probe.go
+++ b/internal/gateway/caller/crash_probe.go
@@ -28,5 +28,6 @@
 	}
 	p.Log.Info("upstream crashed while it ran a request", zap.String("upstream", p.crash.GetUpstream()),
 		zap.Uint64("fingerprint", p.crash.GetFingerprint()))
+	p.View.SuspectRestart(p.target.ID, p.target.Born)
 	p.View.RecordCrash(p.crash)
 }
--- a/internal/gateway/caller/crashing_part_test.go
+++ b/internal/gateway/caller/crashing_part_test.go
@@ -48,7 +48,7 @@
 func linkLeader(fixtures ...*fixture) {
 	replica := &singleReplica{state: state.New()}
 	leader := coordinator.New(coordinator.Options{
-		Replica: replica, State: replica.state, HeartbeatInterval: time.Minute, Timer: timer.NewSystem(), Log: zap.NewNop(), Random: rand.Uint64,
+		Replica: replica, State: replica.state, HeartbeatInterval: time.Minute, ColdBudget: fixtures[0].view.ColdBudget, Timer: timer.NewSystem(), Log: zap.NewNop(), Random: rand.Uint64,
 	})
 	replica.state.OnChange = leader.StateChanged
 	g := group.New(context.Background())
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -190,6 +191,8 @@
 		q.reject(http.StatusServiceUnavailable, "configuration or key changed before an upstream took the request", retryAfterLeaderChange)
 	case q.remaining() < minRemaining:
 		q.reject(http.StatusServiceUnavailable, "time limit passed before an upstream took the request", 0)
+	case q.permitWait > 0 && len(q.cold) > 0:
+		q.reject(http.StatusServiceUnavailable, "cold upstreams take no more requests now", max(q.permitWait, minPermitRetry))
 	case q.permitWait > 0:
 		q.reject(http.StatusServiceUnavailable, "upstreams limit their requests", max(q.permitWait, minPermitRetry))
 	case q.leaseWait > 0:
@@ -284,11 +287,15 @@
 	if e.responseStarted && e.lastEventID >= 0 {
 		h.Set(e.Protocol.LastEventID, strconv.FormatInt(e.lastEventID, 10))
 	}
-	return &upstream.Request{
+	r := &upstream.Request{
 		ID: e.id, Method: e.request.httpRequest.Method, URI: e.request.httpRequest.RequestURI, Host: e.request.httpRequest.Host,
 		Header: h, Body: e.request.body, NewConnection: !e.route.Retryable(),
 		BeforeSend: e.beforeSend, OnLateResponse: e.readLateResponse,
 	}
+	if _, limited := e.View.ColdBudget(e.service); limited {
+		r.OnBroken = e.connectionBroke
+	}
+	return r
 }
 
 // upstreamTarget returns the upstream that the request is sent to.
@@ -368,6 +375,9 @@
 		e.notSent = true
 		if cause == nil && !errors.IsAny(err, errNotAdmitted...) {
 			e.outcome = balancer.Unreachable
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				e.View.SuspectRestart(e.target.ID, e.target.Born)
+			}
 		}
 		return actionRetryNotExecuted
 	case cause != nil:
@@ -380,6 +390,7 @@
 		e.outcome = balancer.Interrupted
 	}
 	if !errors.Is(err, upstream.ErrResponseMismatch) {
+		e.connectionBroke()
 		p := &crashProbe{Handler: e.Handler, crash: e.crash(), target: e.upstreamTarget()}
 		go p.run()
 	}
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -76,8 +76,17 @@
 	Quarantined(fingerprint uint64) bool
 	// QuarantinedPart returns a part of a prompt with which requests must not be executed.
 	QuarantinedPart(parts []suspect.Part) (suspect.Part, bool)
-	// RateLimited reports whether an incarnation of an upstream states a limit of requests.
+	// RateLimited reports whether an incarnation of an upstream states a limit of requests or is cold.
 	RateLimited(id string, born int64) bool
+	// ColdBudget reports whether the cold upstreams of a service are limited, and how.
+	// Cold reports whether a request to an incarnation of an upstream needs a permit for a cold one,
+	// ColdUpstreams returns the ids of those upstreams of a service. SuspectRestart records that one refused
+	// a connection, and SuspectBroken that a connection to it broke: it may have become cold unheard.
+	ColdBudget(s layout.Service) (b permit.ColdBudget, limited bool)
+	Cold(id string, born int64) bool
+	ColdUpstreams(s layout.Service) map[string]bool
+	SuspectRestart(id string, born int64)
+	SuspectBroken(id string, born int64)
 	// HasPermit reports whether TakePermit would return true.
 	HasPermit(id string, born int64) bool
 	// TakePermit returns the permission for a request to an upstream, or false if the upstream
@@ -215,6 +224,10 @@
 	// permitWait is when the first of the upstreams with a limit may have a permit again, counted
 	// from the last choice of an upstream; 0 if none is short of permits.
 	permitWait time.Duration
+	// cold are the candidates of the last choice that are cold and limited, and permitDeadline is until when
+	// the request waits for a permit where all are; 0 before it waits.
+	cold           map[string]bool
+	permitDeadline timer.Instant
 	// leaseWait is when a brittle upstream may have a slot again, counted from the last choice of an
 	// upstream; 0 if that is not known.
 	leaseWait time.Duration
--- a/internal/gateway/caller/metrics.go
+++ b/internal/gateway/caller/metrics.go
@@ -14,6 +14,8 @@
 	Requests, Rejections, Failures, Retries, Resumes, Escalations, Responses *expvar.Int
 	// Pauses and Leaves count what upstreams stated in responses.
 	Pauses, Leaves *expvar.Int
+	// ColdRequests counts requests sent to cold upstreams, and ColdWaits requests that waited for a permit.
+	ColdRequests, ColdWaits *expvar.Int
 	// Latencies of responses, from the arrival of the request.
 	TimeToFirstByte, TimeToLastByte *latencyHistogram
 }
@@ -70,6 +72,7 @@
 		Requests: counter("requests"), Rejections: counter("refusals"), Failures: counter("failures"),
 		Retries: counter("repeats"), Resumes: counter("resumes"), Escalations: counter("climbs"), Responses: counter("answers"),
 		Pauses: counter("pauses"), Leaves: counter("leaves"),
+		ColdRequests: counter("cold_requests"), ColdWaits: counter("cold_waits"),
 		TimeToFirstByte: histogram("first"), TimeToLastByte: histogram("whole"),
 	}
 }()
--- a/internal/gateway/caller/permission_test.go
+++ b/internal/gateway/caller/permission_test.go
@@ -12,6 +12,9 @@
 // revokingVersion is a version of the test layout without the key of the account hill.
 const revokingVersion = 2
 
+// warmupVersion is a version of the test layout in which cold upstreams of the service desk are limited.
+const warmupVersion = 9
+
 // Guards against a request that is sent although its permission ran out after its admission,
 // because the process was paused or an upstream took long to refuse it.
 func TestPermissionIsCheckedBeforeEachDispatch(t *testing.T) {
--- a/internal/gateway/caller/rate_limit.go
+++ b/internal/gateway/caller/rate_limit.go
@@ -25,6 +25,9 @@
 // for, for a later request. Without another one the request waits for the leader's answer.
 func (q *request) pickPermitted(candidates []balancer.Candidate, isCanary bool, excluded []string) (c balancer.Candidate, p permit.Permit, ok bool) {
 	q.permitWait = 0
+	if c, p, ok = q.pickWarming(candidates, isCanary, excluded); ok {
+		return c, p, true
+	}
 	preferred, ok := q.pick(candidates, isCanary, excluded)
 	if !ok {
 		return preferred, permit.Permit{}, false
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -72,6 +72,9 @@
 	// BeforeSend, if set, is called once the connection is open, immediately before the
 	// request is written. It may change Header. If it fails, nothing is sent.
 	BeforeSend func() error
+	// OnBroken, if set, is called before the connection is opened if one that was kept has ended before its
+	// time: the upstream may have restarted.
+	OnBroken func()
 	// OnLateResponse, if set, is called with the head of a response that begins after the context is done.
 	OnLateResponse func(status int, header http.Header)
 }
@@ -183,7 +186,7 @@
 // Send sends a request and returns once the header of its response has arrived. Until
 // Close, the exchange is aborted when the context is done.
 func (c *Client) Send(ctx context.Context, t Target, q *Request) (r *Response, err error) {
-	cn, err := c.connect(ctx, t, q.NewConnection)
+	cn, err := c.connect(ctx, t, q)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", t.Address), ErrNotSent)
 	}
@@ -218,10 +221,17 @@
 }
 
 // connect returns an idle connection unless a new one is required, or else opens one.
-func (c *Client) connect(ctx context.Context, t Target, newConnection bool) (*conn, error) {
-	if !newConnection {
-		if cn := c.pool.get(t.Address); cn != nil {
-			return cn, nil
+func (c *Client) connect(ctx context.Context, t Target, q *Request) (*conn, error) {
+	if !q.NewConnection || q.OnBroken != nil {
+		kept, broken := c.pool.get(t.Address)
+		if broken && q.OnBroken != nil {
+			q.OnBroken()
+		}
+		if kept != nil && !q.NewConnection {
+			return kept, nil
+		}
+		if kept != nil {
+			c.pool.put(t.Address, kept, kept.expiresAt.Sub(c.timer.Now()))
 		}
 	}
 	return c.connector.connect(ctx, t)
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -64,22 +64,26 @@
 
 func newPool(t timer.Service) *pool { return &pool{timer: t, idle: map[string][]*conn{}} }
 
-// get returns an idle connection that is still usable, or nil.
-func (p *pool) get(address string) *conn {
+// get returns an idle connection that is still usable, or nil. broken is true if one was found ended that had
+// not expired.
+func (p *pool) get(address string) (c *conn, broken bool) {
 	now := p.timer.Now()
 	for {
 		p.mu.Lock()
 		list := p.idle[address]
 		if len(list) == 0 {
 			p.mu.Unlock()
-			return nil
+			return nil, broken
 		}
 		c := list[len(list)-1]
 		list[len(list)-1] = nil
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
-		if now.Before(c.expiresAt) && c.isIdle() {
-			return c
+		if now.Before(c.expiresAt) {
+			if c.isIdle() {
+				return c, broken
+			}
+			broken = true
 		}
 		discard(c)
 	}
