fleet/view: a suspicion that is not settled ends after 10 s

Cause: a leader of an earlier build settles no suspicion, so that an upstream that refused a connection once would get nothing from newer instances until it restarts. Change: a suspicion counts for 10 s at most, by which time an upstream that is not heard is silent; a new one counts anew. What tells which upstreams are cold has a type of its own.

--- a/internal/fleet/registry/suspicion.go
+++ b/internal/fleet/registry/suspicion.go
@@ -9,10 +9,10 @@
 // Suspected reports whether an upstream may have restarted unheard: a suspicion is not settled.
 func Suspected(u *wire.Upstream) bool { return u.GetSuspected() > u.GetSettled() }
 
-// Suspect returns the record of an upstream with a suspicion.
+// Suspect returns the record of an upstream with one more suspicion.
 func Suspect(u *wire.Upstream) *wire.Upstream {
 	n := proto.Clone(u).(*wire.Upstream)
-	n.Suspected = max(u.GetSuspected(), u.GetSettled()+1)
+	n.Suspected = max(u.GetSuspected(), u.GetSettled()) + 1
 	return n
 }
 
--- a/internal/fleet/view/cold.go
+++ b/internal/fleet/view/cold.go
@@ -8,6 +8,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/registry"
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
 
@@ -18,6 +19,9 @@
 	// announceDelay is how long after its start an upstream is known to the leader at the latest: an announcement,
 	// its report and the collection of changes.
 	announceDelay = 200 * time.Millisecond
+	// maxSuspicion is how long a suspicion counts that the leader does not settle, since it is of an earlier
+	// build. By then an upstream that is not heard is silent.
+	maxSuspicion = 10 * time.Second
 )
 
 // ColdBudget returns the budget of permits for a cold upstream of a service. ok is false if the service or
@@ -34,30 +38,70 @@
 	return v.options.ColdBounds.Budget(permit.Rate(p.WarmupRate)), true
 }
 
-// recordCold stores until when an upstream is cold by a new record of it. v.mu must be held.
-func (v *View) recordCold(u *wire.Upstream) {
-	if u.GetCold() == 0 || u.GetStage() == wire.Stage_STAGE_LEFT {
-		delete(v.coldEnds, u.GetId())
+// coldState holds what tells which upstreams are cold, by id, besides their records.
+type coldState struct {
+	ends        map[string]timer.Instant // until when they are cold by their announcement
+	suspectedAt map[string]timer.Instant // last suspicions
+	broken      map[string]timer.Instant // last connections that broke without a leader
+	evacuations map[string]timer.Instant // ends of evacuations whose upstreams were suspected, by zone
+}
+
+func newColdState() *coldState {
+	return &coldState{
+		ends: map[string]timer.Instant{}, suspectedAt: map[string]timer.Instant{}, broken: map[string]timer.Instant{},
+		evacuations: map[string]timer.Instant{},
+	}
+}
+
+// forget drops the state of an upstream.
+func (c *coldState) forget(id string) {
+	delete(c.ends, id)
+	delete(c.suspectedAt, id)
+	delete(c.broken, id)
+}
+
+// record applies a new record of an upstream. announced is false if only its suspicions are new.
+func (c *coldState) record(u, old *wire.Upstream, announced bool, now timer.Instant) {
+	id := u.GetId()
+	switch {
+	case u.GetStage() == wire.Stage_STAGE_LEFT:
+		c.forget(id)
 		return
+	case old.GetBorn() != u.GetBorn():
+		c.forget(id) // the new incarnation says whether it is cold
+		old = nil
+	}
+	if registry.Suspected(u) && u.GetSuspected() > old.GetSuspected() {
+		c.suspectedAt[id] = now
+	}
+	switch {
+	case announced && u.GetCold() == 0:
+		delete(c.ends, id)
+	case announced:
+		c.ends[id] = registry.ColdEnd(u, now)
 	}
-	v.coldEnds[u.GetId()] = registry.ColdEnd(u, v.options.Timer.Now())
 }
 
 // isCold reports whether requests to an upstream count against its limit while it is cold: by its
 // announcement, or since it is silent or suspected to have restarted. v.mu must be held.
 func (v *View) isCold(u *wire.Upstream) bool {
-	end, announced := v.coldEnds[u.GetId()]
-	if announced && v.options.Timer.Now().Before(end) || registry.Suspected(u) || u.GetStage() == wire.Stage_STAGE_SILENT {
+	end, announced := v.cold.ends[u.GetId()]
+	if announced && v.options.Timer.Now().Before(end) || v.isSuspected(u) || u.GetStage() == wire.Stage_STAGE_SILENT {
 		return true
 	}
-	broken, ok := v.broken[u.GetId()]
+	broken, ok := v.cold.broken[u.GetId()]
 	if ok && v.newest.sent.Sub(broken) > announceDelay {
-		delete(v.broken, u.GetId())
+		delete(v.cold.broken, u.GetId())
 		return false
 	}
 	return ok
 }
 
+// isSuspected reports whether an upstream is suspected to have restarted unheard. v.mu must be held.
+func (v *View) isSuspected(u *wire.Upstream) bool {
+	return registry.Suspected(u) && v.options.Timer.Now().Sub(v.cold.suspectedAt[u.GetId()]) < maxSuspicion
+}
+
 // Cold reports whether a request to an incarnation of an upstream needs a permit for a cold one.
 func (v *View) Cold(id string, born int64) bool {
 	if !v.options.ColdBounds.Enabled {
@@ -117,15 +161,15 @@
 	if _, limited := v.ColdBudget(layout.Service(u.GetService())); !limited {
 		return
 	}
-	if _, known := v.broken[id]; !known {
+	if _, known := v.cold.broken[id]; !known {
 		v.options.Log.Info("upstream counts as cold until the leader is heard", zap.String("upstream", id), zap.Int64("born", born))
 	}
-	v.broken[id] = now
+	v.cold.broken[id] = now
 }
 
 // suspect records a suspicion and reports it to the leader without delay. v.mu must be held.
 func (v *View) suspect(u *wire.Upstream, reason string) {
-	if _, limited := v.ColdBudget(layout.Service(u.GetService())); !limited || registry.Suspected(u) || u.GetStage() == wire.Stage_STAGE_LEFT {
+	if _, limited := v.ColdBudget(layout.Service(u.GetService())); !limited || v.isSuspected(u) || u.GetStage() == wire.Stage_STAGE_LEFT {
 		return
 	}
 	v.merge(registry.Suspect(u))
@@ -147,8 +191,8 @@
 			continue
 		}
 		v.mu.Lock()
-		if at > v.evacuations[zone] {
-			v.evacuations[zone] = at
+		if at > v.cold.evacuations[zone] {
+			v.cold.evacuations[zone] = at
 			for _, u := range v.upstreams {
 				if u.GetZone() == zone {
 					v.suspect(u, "evacuation of its zone has ended")
--- a/internal/fleet/view/cold_test.go
+++ b/internal/fleet/view/cold_test.go
@@ -69,6 +69,15 @@
 			v.ApplyAnnouncement(u(1, 4, 0))
 			sync(v, 0, settled) // with an earlier announcement than this instance has heard
 		}, 1, false},
+		{"refused a connection, leader of an earlier build", func(v *View, clock *timer.Manual) {
+			v.SuspectRestart("u", 1)
+			clock.Advance(maxSuspicion)
+		}, 1, false},
+		{"refused a connection again", func(v *View, clock *timer.Manual) {
+			v.SuspectRestart("u", 1)
+			clock.Advance(maxSuspicion)
+			v.SuspectRestart("u", 1)
+		}, 1, true},
 		{"silent", func(v *View, _ *timer.Manual) {
 			n := u(1, 1, 0)
 			n.Stage = wire.Stage_STAGE_SILENT
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -94,14 +94,12 @@
 	mu           sync.Mutex
 	upstreams    map[string]*wire.Upstream // by id
 	unnamed      map[string]*wire.Upstream // announced, of services that the layout does not name
-	coldEnds     map[string]timer.Instant  // until when upstreams are cold by their announcement, by id
-	broken       map[string]timer.Instant  // connections that broke without a leader, by upstream id
-	evacuations  map[string]timer.Instant  // ends of evacuations whose upstreams were suspected, by zone
-	instances    map[string]*instance      // by name
-	term         uint64                    // period of leadership of the last reply to a poll
-	termStart    timer.Instant             // when the first reply of the term was applied
-	cursor       uint64                    // revision of the leader up to which its changes are applied
-	quarantined  map[uint64]bool           // by fingerprint
+	cold         *coldState
+	instances    map[string]*instance // by name
+	term         uint64               // period of leadership of the last reply to a poll
+	termStart    timer.Instant        // when the first reply of the term was applied
+	cursor       uint64               // revision of the leader up to which its changes are applied
+	quarantined  map[uint64]bool      // by fingerprint
 	responses    *suspect.Responses
 	conditions   map[string]*wire.Condition // of upstreams that are or were brittle, by id
 	pending      *pendingReport
@@ -121,7 +119,7 @@
 func New(o Options) *View {
 	v := &View{
 		options: o, permits: permit.NewStock(o.Timer), slots: slot.NewStock(o.Timer), upstreams: map[string]*wire.Upstream{}, unnamed: map[string]*wire.Upstream{},
-		coldEnds: map[string]timer.Instant{}, broken: map[string]timer.Instant{}, evacuations: map[string]timer.Instant{}, instances: map[string]*instance{},
+		cold: newColdState(), instances: map[string]*instance{},
 		conditions: map[string]*wire.Condition{}, quarantined: map[uint64]bool{}, responses: suspect.NewResponses(), pending: newPendingReport(), urgent: make(chan struct{}, 1),
 		layoutLoaded: make(chan struct{}), layoutWanted: make(chan struct{}, 1),
 	}
@@ -320,9 +318,9 @@
 		return
 	}
 	u = registry.Merge(u, old)
-	end := v.coldEnds[u.GetId()]
+	end := v.cold.ends[u.GetId()]
 	v.merge(u)
-	if registry.Equivalent(u, old) && v.coldEnds[u.GetId()].Sub(end) < registry.MinProlongation {
+	if registry.Equivalent(u, old) && v.cold.ends[u.GetId()].Sub(end) < registry.MinProlongation {
 		v.pending.heartbeats[u.GetId()] = &wire.Beat{Id: u.GetId(), Born: u.GetBorn(), Sequence: u.GetSequence()}
 		return
 	}
@@ -387,12 +385,7 @@
 		return false
 	}
 	v.upstreams[u.GetId()] = u
-	if old.GetBorn() != u.GetBorn() {
-		delete(v.broken, u.GetId()) // the new incarnation says whether it is cold
-	}
-	if announced {
-		v.recordCold(u)
-	}
+	v.cold.record(u, old, announced, v.options.Timer.Now())
 	retired := registry.RetireReplaced(v.upstreams, u)
 	if old != nil && (old.GetBorn() != u.GetBorn() || u.GetStage() == wire.Stage_STAGE_LEFT) {
 		v.permits.Lift(u.GetId(), old.GetBorn())
@@ -410,7 +403,7 @@
 func (v *View) pruneLeft() {
 	for id, u := range v.upstreams {
 		if u.GetStage() == wire.Stage_STAGE_LEFT {
-			delete(v.coldEnds, id)
+			v.cold.forget(id)
 			delete(v.upstreams, id)
 		}
 	}
