--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -56,8 +56,10 @@
 	OnCondition func(id string, brittle, refused bool)
 	// OnEvacuations is called with the number of evacuated zones. It may be nil.
 	OnEvacuations func(active int)
-	Timer         timer.Service
-	Log           *zap.Logger
+	// ColdBounds bounds the requests to a cold upstream.
+	ColdBounds permit.ColdBounds
+	Timer      timer.Service
+	Log        *zap.Logger
 }
 
 // Table is an immutable snapshot of the ready and silent upstreams. Those of a service are
@@ -87,14 +89,20 @@
 	leasesSlots atomic.Bool // the leader leases slots
 	rank        atomic.Pointer[rank]
 
+	// evacuationEnded returns since when the last evacuation of a zone has been over; see EvacuationEnded. It is not
+	// called with mu held.
+	evacuationEnded func(zone string) (at timer.Instant, ok bool)
+	zones           atomic.Pointer[[]string] // of all upstreams
+
 	mu           sync.Mutex
 	upstreams    map[string]*wire.Upstream // by id
 	unnamed      map[string]*wire.Upstream // announced, of services that the layout does not name
-	instances    map[string]*instance      // by name
-	term         uint64                    // period of leadership of the last reply to a poll
-	termStart    timer.Instant             // when the first reply of the term was applied
-	cursor       uint64                    // revision of the leader up to which its changes are applied
-	quarantined  map[uint64]bool           // by fingerprint
+	cold         *coldState
+	instances    map[string]*instance // by name
+	term         uint64               // period of leadership of the last reply to a poll
+	termStart    timer.Instant        // when the first reply of the term was applied
+	cursor       uint64               // revision of the leader up to which its changes are applied
+	quarantined  map[uint64]bool      // by fingerprint
 	responses    *suspect.Responses
 	conditions   map[string]*wire.Condition // of upstreams that are or were brittle, by id
 	pending      *pendingReport
@@ -113,14 +121,17 @@
 // New returns a view without a layout, upstreams or instances.
 func New(o Options) *View {
 	v := &View{
-		options: o, permits: permit.NewStock(o.Timer), slots: slot.NewStock(o.Timer), upstreams: map[string]*wire.Upstream{}, unnamed: map[string]*wire.Upstream{}, instances: map[string]*instance{},
+		options: o, permits: permit.NewStock(o.Timer), slots: slot.NewStock(o.Timer), upstreams: map[string]*wire.Upstream{}, unnamed: map[string]*wire.Upstream{},
+		cold: newColdState(), instances: map[string]*instance{},
 		conditions: map[string]*wire.Condition{}, quarantined: map[uint64]bool{}, responses: suspect.NewResponses(), pending: newPendingReport(), urgent: make(chan struct{}, 1),
 		layoutLoaded: make(chan struct{}), layoutWanted: make(chan struct{}, 1),
 	}
 	v.quarantinedParts.Store(&map[suspect.Part]bool{})
 	v.evacuations.Store(&evacuations{})
+	v.evacuationEnded = v.EvacuationEnded
 	v.table.Store(&Table{Services: map[layout.Service][]*wire.Upstream{}})
 	v.rollouts.Store(&map[layout.Service]*Rollout{})
+	v.zones.Store(new([]string))
 	v.leaseExpiry.Store(-never)
 	v.lagExpiry.Store(never)
 	return v
@@ -314,10 +325,10 @@
 	if !registry.Newer(u, old) {
 		return
 	}
-	u = registry.KeepLeaving(u, old)
-	same := registry.Equivalent(u, old)
+	u = registry.Merge(u, old)
+	end := v.cold.ends[u.GetId()]
 	v.merge(u)
-	if same {
+	if registry.Equivalent(u, old) && v.cold.ends[u.GetId()].Sub(end) < registry.MinProlongation {
 		v.pending.heartbeats[u.GetId()] = &wire.Beat{Id: u.GetId(), Born: u.GetBorn(), Sequence: u.GetSequence()}
 		return
 	}
@@ -326,7 +337,7 @@
 	v.signalUrgent()
 	v.options.Log.Info("upstream changed", zap.String("upstream", u.GetId()), zap.String("service", u.GetService()),
 		zap.String("address", u.GetAddress()), zap.String("version", u.GetVersion()), zap.Stringer("stage", u.GetStage()),
-		zap.Int64("born", u.GetBorn()), zap.Uint64("sequence", u.GetSequence()))
+		zap.Int64("born", u.GetBorn()), zap.Uint64("sequence", u.GetSequence()), zap.Uint32("cold", u.GetCold()))
 }
 
 // ReportUpstream queues the record of an upstream for the leader, whether or not the leader has
@@ -377,11 +388,12 @@
 // be held.
 func (v *View) merge(u *wire.Upstream) (changed bool) {
 	old := v.upstreams[u.GetId()]
-	if !registry.Newer(u, old) {
+	announced := registry.Newer(u, old)
+	if u = registry.Merge(u, old); u == nil {
 		return false
 	}
-	u = registry.KeepLeaving(u, old)
 	v.upstreams[u.GetId()] = u
+	v.cold.record(u, old, announced, v.options.Timer.Now())
 	retired := registry.RetireReplaced(v.upstreams, u)
 	if old != nil && (old.GetBorn() != u.GetBorn() || u.GetStage() == wire.Stage_STAGE_LEFT) {
 		v.permits.Lift(u.GetId(), old.GetBorn())
@@ -399,6 +411,7 @@
 func (v *View) pruneLeft() {
 	for id, u := range v.upstreams {
 		if u.GetStage() == wire.Stage_STAGE_LEFT {
+			v.cold.forget(id)
 			delete(v.upstreams, id)
 		}
 	}
@@ -408,7 +421,9 @@
 // held.
 func (v *View) publish() {
 	t := &Table{Services: map[layout.Service][]*wire.Upstream{}}
+	zones := map[string]bool{}
 	for _, u := range v.upstreams {
+		zones[u.GetZone()] = true
 		if u.GetStage() == wire.Stage_STAGE_READY || u.GetStage() == wire.Stage_STAGE_SILENT {
 			s := layout.Service(u.GetService())
 			t.Services[s] = append(t.Services[s], u)
@@ -418,6 +433,8 @@
 		slices.SortFunc(list, func(a, b *wire.Upstream) int { return strings.Compare(a.GetId(), b.GetId()) })
 	}
 	v.table.Store(t)
+	list := slices.Sorted(maps.Keys(zones))
+	v.zones.Store(&list)
 }
 
 // RecordLoad queues the load that an upstream reported with a response.
--- a/internal/gateway/caller/metrics.go
+++ b/internal/gateway/caller/metrics.go
@@ -23,6 +23,8 @@
 	// Evacuated counts requests that were not sent because of an evacuation: refused, or placed again right
 	// before the first byte. EvacuatedZones is the number of evacuated zones now.
 	Evacuated, EvacuatedZones *expvar.Int
+	// ColdRequests counts requests sent to cold upstreams, and ColdWaits requests that waited for a permit.
+	ColdRequests, ColdWaits *expvar.Int
 	// Latencies of responses, from the arrival of the request.
 	TimeToFirstByte, TimeToLastByte *latencyHistogram
 }
@@ -82,6 +84,7 @@
 		Pauses: counter("pauses"), Leaves: counter("leaves"),
 		Resets: counter("resets"), Unconnected: counter("unconnected"),
 		Evacuated: counter("evacuated"), EvacuatedZones: counter("zones"),
+		ColdRequests: counter("cold_requests"), ColdWaits: counter("cold_waits"),
 		TimeToFirstByte: histogram("first"), TimeToLastByte: histogram("whole"),
 	}
 }()
--- a/internal/gateway/upstream/accepted.go
+++ b/internal/gateway/upstream/accepted.go
@@ -102,6 +102,9 @@
 // connect returns a connection on which the request may be written: an idle one unless a new one is
 // required, or else one that is opened. One that the upstream has ended is never used, so that nothing was sent.
 func (c *Client) connect(ctx context.Context, t Target, q *Request) (*conn, error) {
+	if q.OnBroken != nil && c.pool.dropEnded(t.Address) {
+		q.OnBroken()
+	}
 	cn, err := c.connector.connect(ctx, t, !q.NewConnection)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", t.Address)
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -74,6 +74,9 @@
 	// BeforeSend, if set, is called once the connection is open, immediately before the
 	// request is written. It may change Header. If it fails, nothing is sent.
 	BeforeSend func() error
+	// OnBroken, if set, is called before the connection is opened if one that was kept has ended before its
+	// time: the upstream may have restarted.
+	OnBroken func()
 	// OnLateResponse, if set, is called with the head of a response that begins after the context is done.
 	OnLateResponse func(status int, header http.Header)
 }
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -269,6 +269,31 @@
 	}
 }
 
+// dropEnded closes the most recently used idle connections up to one that is still usable. It reports whether one
+// of them has ended before its time.
+func (p *pool) dropEnded(address string) (ended bool) {
+	for {
+		now := p.timer.Now()
+		p.mu.Lock()
+		list := p.idle[address]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return ended
+		}
+		c := list[len(list)-1]
+		expired := !now.Before(c.expiresAt)
+		if !expired && c.isIdle() {
+			p.mu.Unlock()
+			return ended
+		}
+		list[len(list)-1] = nil
+		p.setIdle(address, list[:len(list)-1])
+		p.mu.Unlock()
+		ended = ended || !expired
+		discard(c)
+	}
+}
+
 // put makes a connection available for reuse during idleTimeout, or for a shorter time if the instance may have few.
 func (p *pool) put(address string, c *conn, idleTimeout time.Duration) {
 	s := connlimit.Scope{}
