memory: account of the memory and the connections held for clients

Cause: nothing counts what a process holds for its clients, so no decision can be made when it is short. Change: internal/gateway/memory. A budget reserves memory by kind before it is allocated, and picks the connection to refuse or close: the heaviest of the client (address or account) whose connections hold most without progress. Bodies are read into blocks as they arrive. Nothing uses it yet.

--- /dev/null
+++ b/internal/gateway/memory/body.go
@@ -0,0 +1,104 @@
+package memory
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// blockBytes is the size of the blocks of a long body.
+	blockBytes = 64 << 10
+	// firstBlockBytes is the size of the first block of a body whose length is not announced. Most are short.
+	firstBlockBytes = 4 << 10
+)
+
+// Blocks is a body in the blocks into which it was read.
+type Blocks [][]byte
+
+// Size returns the number of bytes.
+func (b Blocks) Size() (n int) {
+	for _, block := range b {
+		n += len(block)
+	}
+	return n
+}
+
+// ReadBody reads a body of up to limit bytes. announced is its length, -1 if that is not known. Each
+// block is reserved before it is allocated, so that memory grows with what has arrived. All is given back
+// if it fails, and otherwise by Release or at the end of the request.
+func (c *Connection) ReadBody(k Kind, r io.Reader, announced, limit int64) (body Blocks, err error) {
+	if announced > limit {
+		return nil, ErrTooLong
+	}
+	var size, reserved int64
+	defer func() {
+		if err != nil {
+			c.Release(k, Bytes(reserved))
+			body = nil
+		}
+	}()
+	for {
+		n := nextBlock(size, announced)
+		if err := c.Reserve(k, Bytes(n)); err != nil {
+			return body, err
+		}
+		reserved += n
+		block := make([]byte, n)
+		read, err := readFull(r, block)
+		size += int64(read)
+		if size > limit {
+			return body, ErrTooLong
+		}
+		if read > 0 {
+			body = append(body, block[:read])
+		}
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
+// nextBlock returns the size of the next block of a body of which size bytes are read. A body that is
+// announced has room for one byte more, so that its end is read without a further block.
+func nextBlock(size, announced int64) int64 {
+	switch {
+	case announced >= size:
+		return min(announced-size+1, blockBytes)
+	case size == 0:
+		return firstBlockBytes
+	default:
+		return blockBytes
+	}
+}
+
+// readFull reads until the block is full or an error occurs. Other than in io.ReadFull, the end of the
+// body is io.EOF also after some bytes.
+func readFull(r io.Reader, block []byte) (n int, err error) {
+	for n < len(block) && err == nil {
+		var read int
+		read, err = r.Read(block[n:])
+		n += read
+	}
+	return n, err
+}
+
+// Join returns a body in one piece and gives back its blocks. Both are held for a moment.
+func (c *Connection) Join(k Kind, b Blocks) ([]byte, error) {
+	if len(b) == 1 {
+		return b[0], nil
+	}
+	size := b.Size()
+	if err := c.Reserve(k, Bytes(size)); err != nil {
+		return nil, err
+	}
+	out := make([]byte, 0, size)
+	for _, block := range b {
+		out = append(out, block...)
+	}
+	c.Release(k, Bytes(size))
+	return out, nil
+}
--- /dev/null
+++ b/internal/gateway/memory/weight.go
@@ -0,0 +1,88 @@
+package memory
+
+import (
+	"net/netip"
+	"time"
+
+	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
+)
+
+const (
+	// progressGrace is added to the time without progress, so that size counts between connections that
+	// have just made some.
+	progressGrace = 50 * time.Millisecond
+	// maxStall limits the time without progress that counts. Without it the body of a long stream, which has
+	// arrived long ago, would weigh more than a large one that has just come to a halt.
+	maxStall = time.Second
+	// runningShare is how much less the memory of a request counts that an upstream runs: its client has
+	// sent all, and to end it wastes the work.
+	runningShare = 4
+	// creditTime is how long a finished request speaks for its client, and maxCredit is by how much at
+	// most: small requests must not pay for bodies that are never completed.
+	creditTime = 2 * time.Second
+	maxCredit  = 3
+)
+
+// weight is what counts against a connection or a client when memory is short: bytes held times the
+// seconds without progress, up to a bound.
+type weight float64
+
+// weight returns the weight of a connection if it held n more bytes.
+func (c *Connection) weight(now timer.Instant, n Bytes) weight {
+	w := weight(c.held+n) * weight((min(now.Sub(c.progressAt), maxStall) + progressGrace).Seconds())
+	if Phase(c.phase.Load()) == Running {
+		w /= runningShare
+	}
+	return w
+}
+
+// countFinished records a finished request.
+func (c *client) countFinished(now timer.Instant) {
+	if now.Sub(c.finishedAt) > creditTime {
+		c.finished = 0
+	}
+	c.finished = min(c.finished+1, maxCredit)
+	c.finishedAt = now
+}
+
+// divisor returns by how much less a client weighs for its finished requests.
+func (c *client) divisor(now timer.Instant) weight {
+	if now.Sub(c.finishedAt) > creditTime {
+		return 1
+	}
+	return weight(1 + c.finished)
+}
+
+// heaviest returns the heaviest connection of the heaviest client, or nil if there is none. asking needs n
+// bytes, which count as if it held them. b.mu must be held.
+func (b *Budget) heaviest(asking *Connection, n Bytes) *Connection {
+	now := b.options.Timer.Now()
+	byAddress, byAccount := map[netip.Addr]weight{}, map[string]weight{}
+	// A new connection has no progress yet; it begins now.
+	if asking.held == 0 {
+		asking.progressAt = now
+	}
+	each := func(visit func(c *Connection, w weight)) {
+		for c := range b.holders {
+			if !c.evicted && c != asking {
+				visit(c, c.weight(now, 0)/c.client.divisor(now))
+			}
+		}
+		visit(asking, asking.weight(now, n)/asking.client.divisor(now))
+	}
+	each(func(c *Connection, w weight) {
+		byAddress[c.address] += w
+		if c.account != "" {
+			byAccount[c.account] += w
+		}
+	})
+	var out *Connection
+	var heaviestClient, heaviest weight
+	each(func(c *Connection, w weight) {
+		ofClient := max(byAddress[c.address], byAccount[c.account])
+		if ofClient > heaviestClient || (ofClient == heaviestClient && w > heaviest) {
+			out, heaviestClient, heaviest = c, ofClient, w
+		}
+	})
+	return out
+}
