gateway: memory and connections of clients are bounded

Cause: bodies were read by io.ReadAll, which doubles, copied for each dispatch and counted nowhere; 256 KB of header were held for each connection; connections were not bounded. Few clients took any amount of memory (TestHostileClients). Change: callers', operators' and upstreams' bodies, long headers and responses being written are reserved in one account, derived from limits.memory_mb (held_mb, connections, header_kb change that). A request is written as its head and the blocks of its body. A refused request is cancelled first: 503 with Retry-After and "not run" if it was not sent, else 502. Connections are bounded by a third of the descriptors. Tests that build requests by hand give the body as parts now; they check the same. Tests of gateway/caller, httpserver, upstream, memory and platform pass with the race detector, one package at a time.

--- a/internal/gateway/caller/before_send.go
+++ b/internal/gateway/caller/before_send.go
@@ -4,6 +4,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 )
 
 // errQuarantined means that the request or a part of its prompt is in quarantine.
@@ -41,6 +43,7 @@
 		return errTimeout
 	}
 	e.request.sent.Store(true)
+	e.memory.SetPhase(memory.Running)
 	if e.finishing.Load() {
 		return errStopping
 	}
--- a/internal/gateway/caller/before_send_test.go
+++ b/internal/gateway/caller/before_send_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/permit"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/retrybudget"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
@@ -21,7 +22,7 @@
 func fingerprintOf(f *fixture, method, path, body string) uint64 {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Host, r.RequestURI = "h", path
-	q := &request{Handler: f.handler, httpRequest: r, client: testLayout().Clients[0], body: []byte(body)}
+	q := &request{Handler: f.handler, httpRequest: r, client: testLayout().Clients[0], body: memory.Blocks{[]byte(body)}}
 	return q.computeFingerprint()
 }
 
--- a/internal/gateway/caller/benchmark_test.go
+++ b/internal/gateway/caller/benchmark_test.go
@@ -4,12 +4,14 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
 
 	"go.uber.org/zap"
 
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
 	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
 )
@@ -38,12 +40,15 @@
 		path   string
 		events int
 		log    bool
+		body   int // bytes of the request
 	}{
-		{"plain, log off", "/look/1", 0, false},
-		{"plain, log on", "/look/1", 0, true},
-		{"stream of 10, log off", "/draft/1", 10, false},
-		{"stream of 10, log on", "/draft/1", 10, true},
-		{"stream of 110, log off", "/draft/1", 110, false},
+		{"plain, log off", "/look/1", 0, false, 0},
+		{"plain, log on", "/look/1", 0, true, 0},
+		{"stream of 10, log off", "/draft/1", 10, false, 0},
+		{"stream of 10, log on", "/draft/1", 10, true, 0},
+		{"stream of 110, log off", "/draft/1", 110, false, 0},
+		{"body of 1 KB, log off", "/look/1", 0, false, 1 << 10},
+		{"body of 48 KB, log off", "/look/1", 0, false, 48 << 10},
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			u := startUpstream(b, func(e *upstreamtest.Exchange) bool {
@@ -68,9 +73,12 @@
 			} else {
 				f.handler.Log = zap.NewNop()
 			}
+			connection, _ := memory.New(memory.Options{Limit: 28 << 20, Timer: f.handler.Timer, Log: zap.NewNop()}).Open(netip.Addr{}, func() {})
+			body := strings.Repeat("x", c.body)
 			b.ReportAllocs()
 			for b.Loop() {
-				q := httptest.NewRequest("GET", c.path, strings.NewReader(""))
+				q := httptest.NewRequest("GET", c.path, strings.NewReader(body))
+				q = q.WithContext(memory.WithConnection(q.Context(), connection))
 				q.Host = "h"
 				q.Header.Set("Request-Id", "r1")
 				q.Header.Set("Authorization", "Token k1")
--- a/internal/gateway/caller/caller_test.go
+++ b/internal/gateway/caller/caller_test.go
@@ -25,6 +25,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/tunnel"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/view"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/retrybudget"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/session"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
@@ -441,7 +442,7 @@
 func TestQuarantine(t *testing.T) {
 	u := startUpstream(t, func(e *upstreamtest.Exchange) bool { return respondSigned(e, "ok") })
 	f := newFixture(t, []*upstreamtest.Server{u}, nil)
-	q := &request{Handler: f.handler, client: &layout.Client{Name: "hill"}, body: []byte("poison")}
+	q := &request{Handler: f.handler, client: &layout.Client{Name: "hill"}, body: memory.Blocks{[]byte("poison")}}
 	q.httpRequest = httptest.NewRequest("POST", "http://h/look/1", nil)
 	q.httpRequest.RequestURI = "/look/1"
 	f.view.ApplySync(&wire.SyncReply{Term: 1, Quarantined: []uint64{q.computeFingerprint()}}, f.clock.Now())
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -16,6 +16,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/tunnel"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/canary"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/modelselect"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/retrybudget"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
@@ -99,6 +100,9 @@
 			return
 		}
 		q.sent.Store(false)
+		if !q.responseStarted {
+			q.memory.SetPhase(memory.Reading)
+		}
 		if a != actionRetryNotExecuted {
 			q.executions++
 		}
@@ -176,6 +180,10 @@
 	case failed != nil && failed.failureBody.Claim():
 		q.log("failure of the upstream passed on", zap.Int("status", failed.failureStatus), zap.String("upstream", failed.target.ID))
 		q.writeResponse(failed.failureStatus, failed.failureHeader, failed.failureBody)
+	case errors.Is(context.Cause(q.ctx), memory.ErrShort) && q.executions > 0:
+		q.failRequest(http.StatusBadGateway, "memory is short")
+	case errors.Is(context.Cause(q.ctx), memory.ErrShort):
+		q.rejectMemory()
 	case q.finishing.Load() && q.executions > 0:
 		q.failRequest(http.StatusBadGateway, "the instance stops before the upstream has answered")
 	case q.finishing.Load():
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -16,7 +15,6 @@
 	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
@@ -25,20 +23,16 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/view"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/modelselect"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/retrybudget"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/session"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
-	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
 
 const (
-	// defaultMaxBodyBytes limits request bodies if the layout sets no limit.
-	defaultMaxBodyBytes = 4 << 20
-	// maxDiscardedBytes limits how much of an oversized body is read and discarded.
-	maxDiscardedBytes = 4 << 20
 	// maxLayoutWait limits the wait for the first layout, which a starting deployment has
 	// after the election of a leader. An election takes up to 1.2 s.
 	maxLayoutWait = 900 * time.Millisecond
@@ -169,6 +163,9 @@
 	q.ctx, q.cancel = context.WithCancelCause(r.Context())
 	defer q.cancel(nil)
 	defer q.begin()()
+	q.memory = memory.FromContext(r.Context())
+	q.memory.Begin(q)
+	defer q.memory.End()
 	if !q.admit() {
 		return
 	}
@@ -193,8 +190,9 @@
 	route          *layout.Route
 	service        layout.Service
 	client         *layout.Client
-	key            string // of the client account
-	body           []byte
+	key            string             // of the client account
+	memory         *memory.Connection // accounts for what the request holds
+	body           memory.Blocks
 	fingerprint    uint64
 	timeout        time.Duration // from the arrival
 	upstreamHeader http.Header
@@ -333,50 +331,13 @@
 		return q.reject(http.StatusUnauthorized, "key is not known", 0)
 	}
 	q.key = key
+	q.memory.SetAccount(string(q.client.Name))
 	if q.client.Priority >= 0 {
 		q.priority = q.client.Priority
 	}
 	return true
 }
 
-// readBody reads the body up to the size limit of the layout, and within the time limit.
-func (q *request) readBody() bool {
-	limit := int64(defaultMaxBodyBytes)
-	if q.layout.Limits.MaxBodyBytes > 0 {
-		limit = int64(q.layout.Limits.MaxBodyBytes)
-	}
-	if q.httpRequest.ContentLength == 0 {
-		return true
-	}
-	q.readingBody.Store(true)
-	defer q.readingBody.Store(false)
-	stop := q.Timer.AfterFunc(q.remaining(), func() { q.end(errTimeout) })
-	defer stop()
-	if q.finishing.Load() {
-		return q.reject(http.StatusServiceUnavailable, "instance is stopping", retryOtherInstance)
-	}
-	body, err := io.ReadAll(io.LimitReader(q.httpRequest.Body, limit+1))
-	if int64(len(body)) > limit {
-		// A caller that is still sending would see a closed connection instead of the response.
-		if _, err := io.CopyN(io.Discard, q.httpRequest.Body, maxDiscardedBytes); err != nil && !errors.Is(err, io.EOF) {
-			q.log("cannot discard the rest of an oversized body", journal.Error(err))
-		}
-		return q.reject(http.StatusRequestEntityTooLarge, "body too large", 0)
-	}
-	if err != nil && errors.Is(context.Cause(q.ctx), errStopping) {
-		return q.reject(http.StatusServiceUnavailable, "instance is stopping", retryOtherInstance)
-	}
-	if err != nil && errors.Is(context.Cause(q.ctx), errTimeout) {
-		return q.reject(http.StatusRequestTimeout, "time limit passed before the body had arrived", 0)
-	}
-	if err != nil {
-		q.log("cannot read the request body", journal.Error(err))
-		return q.reject(http.StatusBadRequest, "body cannot be read", 0)
-	}
-	q.body = body
-	return true
-}
-
 // readRoutingHeaders reads the headers that the choice of the upstream depends on.
 func (q *request) readRoutingHeaders() {
 	header := q.httpRequest.Header
@@ -447,6 +408,8 @@
 	}
 	// Writes to the digest never fail.
 	_, _ = d.WriteString(account + "\x00" + q.httpRequest.Method + "\x00" + q.httpRequest.Host + q.httpRequest.RequestURI + "\x00")
-	_, _ = d.Write(q.body)
+	for _, part := range q.body {
+		_, _ = d.Write(part)
+	}
 	return d.Sum64()
 }
--- a/internal/gateway/caller/relay.go
+++ b/internal/gateway/caller/relay.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
@@ -54,12 +55,18 @@
 
 // writeResponse writes a complete response of an upstream to the caller.
 func (q *request) writeResponse(status int, header http.Header, body *upstream.Body) {
+	if n := body.Size(); n >= minHeldResponse {
+		if err := q.memory.Reserve(memory.Response, memory.Bytes(n)); err != nil {
+			q.failRequest(http.StatusBadGateway, "memory is short")
+			return
+		}
+	}
 	q.copyHeader(header)
 	q.writer.Header().Set("Content-Length", strconv.Itoa(body.Size()))
 	q.writer.WriteHeader(status)
 	q.markResponseStarted()
 	q.metrics.Responses.Add(1)
-	if _, err := body.WriteTo(q.writer); err != nil {
+	if err := q.writeBody(body); err != nil {
 		q.log("client disconnected during the response", journal.Error(err))
 	}
 }
@@ -67,6 +74,7 @@
 // markResponseStarted records the time of the first byte to the caller.
 func (q *request) markResponseStarted() {
 	q.responseStarted = true
+	q.memory.SetPhase(memory.Writing)
 	q.timeToFirstByte = q.Timer.Now().Sub(q.arrived)
 	q.metrics.TimeToFirstByte.record(q.timeToFirstByte)
 }
@@ -111,6 +119,9 @@
 				e.lastEventID = id
 			}
 			flusher.Flush()
+			if len(e.body) > 1 {
+				e.memory.Progress()
+			}
 			switch {
 			case firstAt == 0:
 				firstID, firstAt = e.lastEventID, e.Timer.Now()
--- a/internal/gateway/caller/shutdown.go
+++ b/internal/gateway/caller/shutdown.go
@@ -1,13 +1,6 @@
 package caller
 
-import (
-	"net/http"
-	"time"
-
-	"github.com/cockroachdb/errors"
-
-	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
-)
+import "github.com/cockroachdb/errors"
 
 // errStopping is the cancellation cause of a request that ends because the instance stops.
 var errStopping = errors.New("instance is stopping")
@@ -58,8 +51,6 @@
 func (q *request) end(cause error) {
 	q.cancel(cause)
 	if q.readingBody.Load() {
-		if err := http.NewResponseController(q.writer).SetReadDeadline(time.Unix(1, 0)); err != nil {
-			q.Log.Debug("cannot end the reading of a body", journal.Error(err))
-		}
+		q.stopReading()
 	}
 }
--- a/internal/gateway/httpserver/half_read_test.go
+++ b/internal/gateway/httpserver/half_read_test.go
@@ -72,7 +72,7 @@
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})}
-	go func() { _ = s.Serve(&halfReadListener{l, new(atomic.Int64)}) }()
+	go func() { _ = s.Serve(&halfReadListener{Listener: l, halfRead: new(atomic.Int64)}) }()
 	defer func() { _ = s.Close() }()
 	conn, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
--- a/internal/gateway/httpserver/server.go
+++ b/internal/gateway/httpserver/server.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
@@ -22,7 +23,7 @@
 	// callers may use a connection until just before its limit.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 90 * time.Second
-	// maxHeaderBytes bounds the header of a request before the configuration is known.
+	// maxHeaderBytes bounds the header of a request, whatever the configuration says.
 	maxHeaderBytes = 256 << 10
 )
 
@@ -75,8 +76,12 @@
 	Deregister func()
 	// GracePeriod is the time from the start of the shutdown until the process is killed.
 	GracePeriod time.Duration
-	Timer       timer.Service
-	Log         *zap.Logger
+	// Memory accounts for connections and headers; nil if they are not limited. MaxHeaderBytes returns the
+	// limit of a header, which maxHeaderBytes bounds.
+	Memory         *memory.Budget
+	MaxHeaderBytes func() int
+	Timer          timer.Service
+	Log            *zap.Logger
 }
 
 // Server serves a set of endpoints.
@@ -105,8 +110,8 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen for endpoint %s", e.Name)
 		}
-		s.endpoints = append(s.endpoints, &endpoint{Endpoint: e, listener: &halfReadListener{l, &s.halfRead}, server: &http.Server{
-			Handler: e.Handler, ConnState: recordState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		s.endpoints = append(s.endpoints, &endpoint{Endpoint: e, listener: &halfReadListener{l, &s.halfRead, o.Memory, o.MaxHeaderBytes}, server: &http.Server{
+			Handler: e.Handler, ConnState: recordState, ConnContext: withConnection, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, DisableGeneralOptionsHandler: true,
 		}})
 	}
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -1,13 +1,10 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"mime"
 	"net/http"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -66,7 +63,8 @@
 	URI    string // path and query
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is in parts, which are written as they are: a copy for each dispatch would double the memory.
+	Body [][]byte
 	// NewConnection requires a connection that was not used before.
 	NewConnection bool
 	// BeforeSend, if set, is called once the connection is open, immediately before the
@@ -230,54 +228,6 @@
 // abort makes all reads and writes fail.
 func (c *conn) abort() { _ = c.Close() }
 
-// writeRequest sends the request, in the background if it is long.
-func (r *Response) writeRequest(q *Request) error {
-	message := encodeRequest(q)
-	if len(message) <= maxInlineBytes {
-		_, err := r.conn.Write(message)
-		return err
-	}
-	w := &requestWriter{conn: r.conn, message: message, done: make(chan error, 1)}
-	r.sendResult = w.done
-	go w.run()
-	return nil
-}
-
-// requestWriter sends a long request in the background.
-type requestWriter struct {
-	conn    *conn
-	message []byte
-	done    chan error
-}
-
-func (w *requestWriter) run() {
-	_, err := w.conn.Write(w.message)
-	w.done <- err
-}
-
-// encodeRequest returns the bytes of a request. The header fields are sorted by name.
-func encodeRequest(q *Request) []byte {
-	var b bytes.Buffer
-	b.Grow(1024 + len(q.Body))
-	b.WriteString(q.Method + " " + q.URI + " HTTP/1.1\r\nHost: " + q.Host + "\r\n")
-	names := make([]string, 0, len(q.Header))
-	for name := range q.Header {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		for _, v := range q.Header[name] {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
-	if len(q.Body) > 0 || (q.Method != http.MethodGet && q.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	b.Write(q.Body)
-	return b.Bytes()
-}
-
 // readHeader reads the header of the response and skips late responses to other requests.
 func (r *Response) readHeader(q *Request) error {
 	r.conn.limit.set(maxHeaderBytes)
--- a/internal/gateway/upstream/client_test.go
+++ b/internal/gateway/upstream/client_test.go
@@ -47,7 +47,7 @@
 }
 
 func newRequest(id string) *Request {
-	return &Request{ID: id, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}, Body: []byte("body")}
+	return &Request{ID: id, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}, Body: [][]byte{[]byte("body")}}
 }
 
 // send sends a request and returns the body of its response.
