--- a/internal/gateway/memory/memory.go
+++ b/internal/gateway/memory/memory.go
@@ -234,6 +234,15 @@
 	return nil
 }
 
+// Fits reports whether n bytes fit if nothing else is held.
+func (c *Connection) Fits(n Bytes) bool {
+	if c == nil || c.budget.options.Limit <= 0 {
+		return true
+	}
+	limit := c.budget.options.Limit
+	return n <= limit-limit/smallShare
+}
+
 // limitFor returns how much may be used with n more bytes of a connection. b.mu must be held.
 func (b *Budget) limitFor(c *Connection, n Bytes) Bytes {
 	if c.held+n <= smallBytes {
