gateway/upstream: the end of the connection ends a body only if the request was sent

Cause: a reset during an upload is reported once. The write in the background took the error, the read saw a plain end, and the part that had arrived was returned as a complete body or stream of events.

--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -161,6 +161,7 @@
 	// sendResult receives the result of sending the request in the background. It is nil if
 	// the request was sent before its response was read.
 	sendResult <-chan error
+	sendErr    error // the result of sending, once it was received
 	// stopAbort keeps the context from aborting the exchange. It returns false if that has begun.
 	stopAbort func() bool
 	complete  bool   // the body was read to its end
@@ -317,6 +318,9 @@
 func (r *Response) Read(b []byte) (n int, err error) {
 	n, err = r.body.Read(b)
 	if errors.Is(err, io.EOF) {
+		if endErr := r.checkEnd(); endErr != nil {
+			return n, endErr
+		}
 		r.complete = true
 	}
 	return n, err
@@ -373,7 +377,7 @@
 // requestSent reports whether the whole request has been sent.
 func (r *Response) requestSent() bool {
 	if r.sendResult == nil {
-		return true
+		return r.sendErr == nil
 	}
 	select {
 	case err := <-r.sendResult:
