gateway/upstream: a response with an impossible status ends the exchange

Cause: every status below 200, 000 and 101 included, was taken for an interim response, so that the bytes of its body were read as the next head. Statuses above 599 were passed on to callers.

--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -379,7 +379,7 @@
 	if !e.Upstream.Partitioned() { // else the fault may be on this side
 		e.outcome = balancer.Interrupted
 	}
-	if !errors.Is(err, upstream.ErrResponseMismatch) {
+	if !errors.IsAny(err, upstream.ErrResponseMismatch, upstream.ErrInvalidStatus) {
 		p := &crashProbe{Handler: e.Handler, crash: e.crash(), target: e.upstreamTarget()}
 		go p.run()
 	}
--- a/internal/gateway/caller/run_once_test.go
+++ b/internal/gateway/caller/run_once_test.go
@@ -50,6 +50,9 @@
 		}, false},
 		{"no signature", func(e *upstreamtest.Exchange) bool { return respond(e, 200, "x") }, false},
 		{"short body", func(e *upstreamtest.Exchange) bool { e.Write(signed + "Content-Length: 9\r\n\r\nhalf"); return false }, false},
+		{"status 0", func(e *upstreamtest.Exchange) bool { return respond(e, 0, "x", "Signature: s") }, false},
+		{"status 101", func(e *upstreamtest.Exchange) bool { return respond(e, 101, "x", "Signature: s") }, false},
+		{"status 600", func(e *upstreamtest.Exchange) bool { return respond(e, 600, "x", "Signature: s") }, false},
 		{"failure", func(e *upstreamtest.Exchange) bool { return respond(e, 500, "bad", "Signature: s") }, false},
 		{"failure without a length", func(e *upstreamtest.Exchange) bool {
 			e.Write("HTTP/1.1 503 x\r\nRequest-Id: r1\r\nSignature: s\r\n\r\nbad")
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -284,12 +284,9 @@
 	r.conn.limit.set(maxHeaderBytes)
 	defer r.conn.limit.set(noLimit)
 	for range maxSkippedResponses + 1 {
-		res, err := http.ReadResponse(r.conn.reader, &http.Request{Method: q.Method})
+		res, err := readHead(r.conn.reader, q.Method)
 		if err != nil {
-			return errors.Wrap(err, "read response header")
-		}
-		if res.StatusCode < http.StatusOK {
-			continue
+			return err
 		}
 		echo := res.Header.Get(r.client.protocol.RequestID)
 		notExecuted := res.Header.Get(r.client.protocol.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest
--- a/internal/gateway/upstream/client_test.go
+++ b/internal/gateway/upstream/client_test.go
@@ -74,8 +74,17 @@
 	return s.String(), err
 }
 
-// Guards against accepting a response that is truncated or meant for another request, and
-// against reusing a connection that carried a late response or surplus bytes.
+// interim returns the head of an interim response.
+func interim(status string) string { return "HTTP/1.1 " + status + " x\r\nContent-Length: 9\r\n\r\n" }
+
+// withStatus returns a response with another status, whose body is a response of its own.
+func withStatus(status string) string {
+	return strings.Replace(response("a", response("a", "nested")), "200 OK", status, 1)
+}
+
+// Guards against accepting a response that is truncated, meant for another request or has an invalid
+// status, against reading the body of one as the next response, and against reusing a connection that
+// carried a late response or surplus bytes.
 func TestResponseFraming(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -95,6 +104,16 @@
 		{"without a length", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\ngood", "good", nil, false},
 		{"chunks without an end", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n", "", ErrInterrupted, false},
 		{"Connection: close", strings.Replace(response("a", "good"), "\r\n", "\r\nConnection: close\r\n", 1), "good", nil, false},
+		{"interim responses", interim("100") + interim("102") + interim("103") + interim("199") + response("a", "good"), "good", nil, true},
+		{"too many interim responses", strings.Repeat(interim("102"), maxInterimResponses+1) + response("a", "good"), "", ErrInterrupted, false},
+		{"long interim responses", strings.Repeat(interim("103 "+strings.Repeat("x", maxHeaderBytes/4)), 5) + response("a", "good"), "", ErrInterrupted, false},
+		{"protocol switched", interim("101") + response("a", "good"), "", ErrInterrupted, false},
+		{"status 000", "HTTP/1.1 000\r\nContent-Length: 0\r\n\r\n" + response("a", "good"), "", ErrInterrupted, false},
+		{"status 099", withStatus("099"), "", ErrInterrupted, false},
+		{"status 99", withStatus("99"), "", ErrInterrupted, false},
+		{"status 2000", withStatus("2000"), "", ErrInterrupted, false},
+		{"status 600", withStatus("600"), "", ErrInterrupted, false},
+		{"status 999", withStatus("999 x"), "", ErrInterrupted, false},
 		{"no idle timeout", strings.Replace(response("a", "good"), "\r\n", "\r\nKeep-Alive: timeout=0\r\n", 1), "good", nil, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
