gateway/upstream: a fuzz target for heads with impossible statuses

Cause: the two faults in the reading of heads were found by hand; the seeds of the target hold both. Change: FuzzReadHead checks that a response has a status from 200 to 599 and that no head other than an interim one is read over. Its 32 seeds cover 000, 99, 099, signs, 1xx, 101, 599, 600, 999 and 1000.

--- a/internal/gateway/upstream/fuzz_test.go
+++ b/internal/gateway/upstream/fuzz_test.go
@@ -1,8 +1,12 @@
 package upstream
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 )
 
@@ -56,3 +60,29 @@
 		}
 	})
 }
+
+// Guards against a response with a status that none may have, and against bytes behind such a head that are
+// read as the next response.
+func FuzzReadHead(f *testing.F) {
+	for _, status := range []string{"000", "099", "99", "-01", "+10", "100", "101", "102", "103", "199", "200", "304", "599", "600", "999", "1000"} {
+		f.Add("HTTP/1.1 " + status + " x\r\nContent-Length: 3\r\n\r\n" + response("a", "good"))
+		f.Add("HTTP/1.1 100\r\n\r\nHTTP/1.1 " + status + "\r\nTransfer-Encoding: chunked\r\n\r\n" + response("a", "good"))
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		reader := bufio.NewReader(&partReader{text, len(text)})
+		r, err := readHead(reader, http.MethodPost)
+		if err != nil {
+			return
+		}
+		if r.StatusCode < 200 || r.StatusCode > 599 {
+			t.Fatalf("%q has status %d", text, r.StatusCode)
+		}
+		line, _, _ := strings.Cut(text, "\n")
+		_, status, _ := strings.Cut(line, " ")
+		status = strings.TrimLeft(status, " ")
+		interim := strings.HasPrefix(status, "1") && !strings.HasPrefix(status, "101")
+		if !interim && !strings.HasPrefix(status, strconv.Itoa(r.StatusCode)) {
+			t.Fatalf("%q is read as status %d", text, r.StatusCode)
+		}
+	})
+}
