fleet/tunnel: no mark of a complete response after a failed write of the request

Cause: when the upstream reset the connection during an upload, the write of the helping instance took the error and its read saw a plain end, so that the part that had arrived was marked as complete. Change: before the mark, a write in progress is awaited for up to a second; if it or an earlier one failed, there is no mark. After the mark the rest of the request is passed on for up to a second, since the upstream may still read it and the other instance waits for the end of its own write. Result: without the check, the row "reset" of TestResetDuringUpload fails; without the wait after the mark, the row "read" does.

--- a/internal/fleet/tunnel/server.go
+++ b/internal/fleet/tunnel/server.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -33,6 +34,9 @@
 	// lateHeadTime is how long the head of a response may still come after the instance has ended the tunnel.
 	// One that is on its way arrives within a round trip.
 	lateHeadTime = 250 * time.Millisecond
+	// maxSendTime limits how long a write of the request, and then the rest of the request, may take after
+	// the upstream has ended its response. The instance waits as long for the end of its request.
+	maxSendTime = time.Second
 )
 
 // keepAlive detects the loss of the machine of the other instance, so that the upstream does not
@@ -136,8 +140,9 @@
 	// A process that ends closes its connections by itself; this one ends its tunnels first.
 	stop := context.AfterFunc(ctx, t.abort)
 	defer stop()
-	go (&requestCopier{t}).loop()
-	t.copyResponse()
+	c := &requestCopier{tunnel: t, done: make(chan struct{})}
+	go c.loop()
+	t.copyResponse(c)
 }
 
 // handshake reads the request and checks the token.
@@ -188,11 +193,35 @@
 }
 
 // requestCopier passes the bytes of the request on.
-type requestCopier struct{ *tunnel }
+type requestCopier struct {
+	*tunnel
+	done   chan struct{} // closed when loop returns
+	mu     sync.Mutex    // held during a write
+	failed bool          // a write has failed
+}
+
+// write passes bytes on.
+func (c *requestCopier) write(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, err := c.upstream.Write(b)
+	c.failed = err != nil
+	return err
+}
+
+// writeFailed waits for the write in progress, which fails after maxSendTime, and reports whether it failed.
+func (c *requestCopier) writeFailed() bool {
+	stop := c.server.options.Timer.AfterFunc(maxSendTime, func() { _ = c.upstream.Close() })
+	defer stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
 
 // loop ends both connections once the instance ends its own, so that the upstream stops work. It
 // answers a request that may not be passed on any more when its first byte arrives.
 func (c *requestCopier) loop() {
+	defer close(c.done)
 	buffer := make([]byte, blockBytes)
 	for sent := false; ; sent = true {
 		n, err := c.instance.Read(buffer)
@@ -203,7 +232,8 @@
 			}
 		}
 		if n > 0 {
-			if _, err := c.upstream.Write(buffer[:n]); err != nil {
+			if err := c.write(buffer[:n]); err != nil {
+				c.server.options.Log.Debug("request of another instance not passed on completely", zap.String("upstream", c.id), journal.Error(err))
 				break
 			}
 		}
@@ -249,8 +279,8 @@
 }
 
 // copyResponse passes the bytes of the response on in blocks. It marks the end of the response
-// unless the connection to the upstream was interrupted.
-func (t *tunnel) copyResponse() {
+// unless the connection to the upstream was interrupted. A reset may be seen by the write of the request only.
+func (t *tunnel) copyResponse(request *requestCopier) {
 	defer t.abort()
 	buffer := make([]byte, lengthBytes+blockBytes)
 	head := responseHead{}
@@ -267,11 +297,22 @@
 			}
 		}
 		if err != nil {
-			if isEnd(err) {
-				// The instance notices a lost end as an interruption.
-				_, _ = t.instance.Write(make([]byte, lengthBytes))
+			if isEnd(err) && !request.writeFailed() {
+				t.endResponse(request)
 			}
 			return
 		}
 	}
 }
+
+// endResponse marks the end of the response. The upstream may still read the request, and the instance
+// ends the tunnel once all of it is sent.
+func (t *tunnel) endResponse(request *requestCopier) {
+	if _, err := t.instance.Write(make([]byte, lengthBytes)); err != nil {
+		t.server.options.Log.Debug("tunnel", journal.Error(err)) // the instance notices a lost end as an interruption
+		return
+	}
+	stop := t.server.options.Timer.AfterFunc(maxSendTime, t.abort)
+	defer stop()
+	<-request.done
+}
