entry/upstream: a response with an impossible status is a failure of the upstream

Cause: net/http returns 101, which was not asked for, with the connection as its body, and statuses below 100 or above 599. They were passed on to callers with what followed. Change: such a response is a failure with an unknown outcome that counts against the upstream, like the response to another request. Truncated bodies do not occur here, since a response without a length and without chunks is refused already.

--- a/internal/entry/upstream/client.go
+++ b/internal/entry/upstream/client.go
@@ -290,9 +290,19 @@
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
 
-// checkResponse verifies that the response belongs to the request and has a
-// detectable end: a content length or chunked encoding.
+// maxStatus is the largest status of HTTP.
+const maxStatus = 599
+
+// checkResponse verifies that the response has a status that one may have, belongs to the
+// request and has a detectable end: a content length or chunked encoding.
 func (c *call) checkResponse(resp *http.Response, method, id string) error {
+	// net/http returns a 101, which was not asked for, and statuses that are none of HTTP.
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return &Failure{
+			Outcome: Unknown, Reason: "answer has the invalid status " + strconv.Itoa(resp.StatusCode),
+			Status: resp.StatusCode, UpstreamFault: true,
+		}
+	}
 	got := resp.Header.Get(HeaderRequestID)
 	rejected := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == string(NotRun)
 	// Without an id, a refusal on a connection in use again may be a copy of an earlier one.
