fleet/tunnel: no conditions are read behind a response with an impossible status

Cause: every status below 200 was taken for an interim response, so that the bytes behind 101 or 000 could state a pause or a leave of the upstream, as could a response with a status above 599. Change: only 1xx other than 101 are skipped; behind any other status outside of 200 to 599 nothing is read. The bytes are passed on as before, and the instance that reads them ends the exchange. Result: the three new rows of TestReadResponse fail with the former rule; all tests of the package pass with -race.

--- a/internal/fleet/tunnel/head.go
+++ b/internal/fleet/tunnel/head.go
@@ -10,6 +10,9 @@
 // and not read.
 const maxHeadBytes = 16 << 10
 
+// maxStatus is the largest status of HTTP.
+const maxStatus = 599
+
 // headEnd ends the head of a response.
 var headEnd = []byte("\r\n\r\n")
 
@@ -20,7 +23,7 @@
 }
 
 // add adds bytes of the response. It returns the head, once, when its end is among them. Interim
-// responses are skipped.
+// responses are skipped, and a response with a status that is none of HTTP is not read.
 func (h *responseHead) add(b []byte) *http.Response {
 	if h.done || len(b) == 0 {
 		return nil
@@ -37,14 +40,20 @@
 		}
 		end := searched + at + len(headEnd)
 		r, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(h.buffer[:end])), nil)
-		if err == nil && r.StatusCode < http.StatusOK {
+		if err == nil && isInterim(r.StatusCode) {
 			h.buffer, searched = h.buffer[end:], 0
 			continue
 		}
 		h.done, h.buffer = true, nil
-		if err != nil {
+		if err != nil || r.StatusCode < http.StatusOK || r.StatusCode > maxStatus {
 			return nil // not a response; the instance that reads it will say so
 		}
 		return r
 	}
 }
+
+// isInterim reports whether another response follows one with a status. None follows a 101, which was
+// not asked for.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
--- a/internal/fleet/tunnel/tunnel_test.go
+++ b/internal/fleet/tunnel/tunnel_test.go
@@ -329,6 +329,9 @@
 		{"whole", []string{head + "ok"}, "7"},
 		{"in parts", []string{head[:9], head[9 : len(head)-3], head[len(head)-3:] + "o", "k"}, "7"},
 		{"after an interim response", []string{"HTTP/1.1 100 Continue\r\n\r\n", head + "ok"}, "7"},
+		{"behind a switch of the protocol", []string{"HTTP/1.1 101 x\r\n\r\n", head + "ok"}, ""},
+		{"behind a status that is too small", []string{"HTTP/1.1 000 x\r\n\r\n", head + "ok"}, ""},
+		{"status that is too large", []string{strings.Replace(head, "503", "603", 1) + "ok"}, ""},
 		{"no response", []string{"hello\r\n\r\n"}, ""},
 		{"endless head", []string{"HTTP/1.1 503 x\r\nA: " + strings.Repeat("x", 2*maxHeadBytes), "\r\nRetry-After: 7\r\n\r\n"}, ""},
 	} {
