gateway/upstream: a test of early answers on connections in use again

Cause: no test covered a complete answer to an upload that is still being written on a connection that was used before; only the check in Close keeps the connection from the pool. Change: TestEarlyAnswerOnReusedConnection sends a short request, an upload and a short request to an upstream that reads no uploads. The upload uses the connection of the first, and the last one a new connection.

--- a/internal/gateway/upstream/truncated_test.go
+++ b/internal/gateway/upstream/truncated_test.go
@@ -109,3 +109,64 @@
 	}
 	return nil
 }
+
+// Guards against reusing a connection whose request was not read to its end: the next request would be
+// read as the rest of the upload.
+func TestEarlyAnswerOnReusedConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	u := &skippingUpstream{listener: l, ids: make(chan string, 9)}
+	go u.loop()
+	client := newClient()
+	for _, id := range []string{"a", "b", "c"} {
+		q := newRequest(id)
+		if id == "b" {
+			q.Body = make([]byte, uploadBytes)
+		}
+		body, err := send(client, l.Addr().String(), q)
+		is.NoErr(err)
+		is.Equal(body, "good")
+	}
+	is.Equal(<-u.ids+<-u.ids+<-u.ids, "new aused bnew c")
+}
+
+// skippingUpstream answers each request once its head has arrived, and reads no long bodies.
+type skippingUpstream struct {
+	listener net.Listener
+	ids      chan string // of the requests, and whether their connection was used before
+}
+
+func (u *skippingUpstream) loop() {
+	for {
+		c, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		go (&skippingConn{u, c}).run()
+	}
+}
+
+// skippingConn is a connection of a skippingUpstream.
+type skippingConn struct {
+	upstream *skippingUpstream
+	conn     net.Conn
+}
+
+func (c *skippingConn) run() {
+	defer func() { _ = c.conn.Close() }()
+	reader := bufio.NewReader(c.conn)
+	for use := "new "; ; use = "used " {
+		q, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		id := q.Header.Get("Request-Id")
+		c.upstream.ids <- use + id
+		if q.ContentLength < uploadBytes {
+			_, _ = io.Copy(io.Discard, q.Body)
+		}
+		_, _ = io.WriteString(c.conn, response(id, "good"))
+	}
+}
