gateway/upstream: the log states why a request was not sent completely

Cause: the error of the writer was attached to the error of the exchange in a way that its text does not show, so that the log line of a possibly truncated body did not state what ended the write.

--- a/internal/gateway/upstream/sent.go
+++ b/internal/gateway/upstream/sent.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,7 +31,8 @@
 		return nil
 	}
 	if err := r.awaitSent(); err != nil {
-		return errors.Wrap(errors.WithSecondaryError(io.ErrUnexpectedEOF, err), "request was not sent completely")
+		// Readers take an io.EOF for the end of the body, so the error must not match one.
+		return errors.Wrap(errors.Handled(err), "request was not sent completely")
 	}
 	return nil
 }
