--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -166,6 +166,7 @@
 	// sendResult receives the result of sending the request in the background. It is nil if
 	// the request was sent before its response was read.
 	sendResult <-chan error
+	sendErr    error // the result of sending, once it was received
 	// stopAbort keeps the context from aborting the exchange. It returns false if that has begun.
 	stopAbort func() bool
 	complete  bool   // the body was read to its end
@@ -227,12 +228,9 @@
 	r.conn.limit.set(maxHeaderBytes)
 	defer r.conn.limit.set(noLimit)
 	for range maxSkippedResponses + 1 {
-		res, err := http.ReadResponse(r.conn.reader, &http.Request{Method: q.Method})
+		res, err := readHead(r.conn.reader, q.Method)
 		if err != nil {
-			return errors.Wrap(err, "read response header")
-		}
-		if res.StatusCode < http.StatusOK {
-			continue
+			return err
 		}
 		echo := res.Header.Get(r.client.protocol.RequestID)
 		notExecuted := res.Header.Get(r.client.protocol.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest
@@ -261,6 +259,9 @@
 func (r *Response) Read(b []byte) (n int, err error) {
 	n, err = r.body.Read(b)
 	if errors.Is(err, io.EOF) {
+		if endErr := r.checkEnd(); endErr != nil {
+			return n, endErr
+		}
 		r.complete = true
 	}
 	return n, err
@@ -317,7 +318,7 @@
 // requestSent reports whether the whole request has been sent.
 func (r *Response) requestSent() bool {
 	if r.sendResult == nil {
-		return true
+		return r.sendErr == nil
 	}
 	select {
 	case err := <-r.sendResult:
