gateway/canary: a slow version needs more certainty before its end

Cause: first bytes and gaps are compared whenever new ones are known, so that chance has many tries.

Change: 3.7 standard errors for first bytes, which is maxChance, and 3.2 for gaps, since with 3.3 TestSlowEventsOfFewResponses misses its bad version. What exceeds the factors at the end still goes back then.

--- a/internal/gateway/canary/canary.go
+++ b/internal/gateway/canary/canary.go
@@ -127,6 +127,11 @@
 	// latencyDeviations is by how many standard errors the logarithm of the ratio of
 	// latencies must exceed that of the expected factor.
 	latencyDeviations = 3.0
+	// firstByteDeviations and gapDeviations are the same for first bytes and gaps of any load. These are compared
+	// whenever new ones are known, and with 3 a good version went back by chance after 13 to 29 of them. 3.7 is
+	// maxChance in standard errors; with more than 3.2 a bad version with gaps 3.5 times as long was missed.
+	firstByteDeviations = 3.7
+	gapDeviations       = 3.2
 	// minVariance is the least variance of the logarithms that is assumed, so that a few
 	// equal latencies do not count as certain.
 	minVariance = 0.25
--- a/internal/gateway/canary/compare.go
+++ b/internal/gateway/canary/compare.go
@@ -8,11 +8,11 @@
 	if c.Samples < minLatencies {
 		return false
 	}
-	slow, expected := slowLatencyFactor, expectedLatencyFactor
+	slow, expected, deviations := slowLatencyFactor, expectedLatencyFactor, firstByteDeviations
 	if eventGaps {
-		slow, expected = slowGapFactor, expectedGapFactor
+		slow, expected, deviations = slowGapFactor, expectedGapFactor, gapDeviations
 	}
-	return c.logRatio() > math.Log(slow) && c.logRatio()-math.Log(expected) > latencyDeviations*c.deviation()
+	return c.logRatio() > math.Log(slow) && c.logRatio()-math.Log(expected) > deviations*c.deviation()
 }
 
 // Comparison compares the latencies of the versions.
