--- a/internal/gateway/canary/canary.go
+++ b/internal/gateway/canary/canary.go
@@ -101,6 +101,10 @@
 	slowFactorAtSameLoad     = 2.0
 	expectedFactorAtSameLoad = 1.5
 	minLatenciesAtSameLoad   = 5
+	// slowFactorAtLowerLoad is the ratio of latencies from which a version seems slow whose upstreams run less
+	// than those of the former one. Good versions took 0.6 times as long then, and one of which 3 in 10
+	// requests are slow 1.3 times.
+	slowFactorAtLowerLoad = 1.2
 	// minOpenLatencies is the number of latencies from which a version that seems slow is not
 	// promoted, although chance may explain it.
 	minOpenLatencies = 2
@@ -118,9 +122,16 @@
 	// it is rolled back at the end, although no regression is certain. Without it, most of the short
 	// roll-outs of a version that is slow in 3 of 10 requests were promoted.
 	openChance = 0.03
+	// openDeviations is the same in standard errors of a mean.
+	openDeviations = 1.9
 	// latencyDeviations is by how many standard errors the logarithm of the ratio of
 	// latencies must exceed that of the expected factor.
 	latencyDeviations = 3.0
+	// firstByteDeviations and gapDeviations are the same for first bytes and gaps of any load. These are compared
+	// whenever new ones are known, and with 3 a good version went back by chance after 13 to 29 of them. 3.7 is
+	// maxChance in standard errors; with more than 3.2 a bad version with gaps 3.5 times as long was missed.
+	firstByteDeviations = 3.7
+	gapDeviations       = 3.2
 	// minVariance is the least variance of the logarithms that is assumed, so that a few
 	// equal latencies do not count as certain.
 	minVariance = 0.25
@@ -171,6 +182,15 @@
 // CanaryShare returns the share that the target version gets in the canary phase.
 func (r *Rollout) CanaryShare() Share { return r.canaryShare }
 
+// NextStage returns when the target is to get all traffic or to be promoted next, as a time since the start of
+// the roll-out. ok is false if neither is ahead of the elapsed time.
+func (r *Rollout) NextStage(elapsed time.Duration) (at time.Duration, ok bool) {
+	if elapsed < r.allTrafficAt {
+		return r.allTrafficAt, true
+	}
+	return r.promoteAt, elapsed < r.promoteAt
+}
+
 // Observe adds statistics of the target version, or of the former one if target is false.
 func (r *Rollout) Observe(k Key, target bool, s Stats) {
 	m := r.former
@@ -272,6 +292,8 @@
 		e.SameLoad.Samples >= minLatenciesAtSameLoad && e.SameLoad.Ratio() > expectedFactorAtSameLoad,
 		e.SameLoad.hasOutliers(openChance):
 		return "responses seem to take several times as long"
+	case e.LowerLoad.seemsSlowerAtLowerLoad():
+		return "responses seem to take longer than those of upstreams that run more"
 	}
 	return r.findFailures(openChance, minOpenFailures)
 }
