gateway: place at engines by expected time, heavy prompts apart from light ones

Engines read prompts in the order of arrival. While one reads a long prompt, no response brings a newer report, and instances send further requests to an upstream that looks idle.

Package sizeclass decides from the reading work of recent requests whether heavy ones get upstreams of their own, from which work on, and which upstreams. The score of an engine is the expected time to the first event: reported and own work, own prompts by their reading work, times how long work takes there (fourth figure of the load header, relayed as field 4 of Load). Services without engines are scored as before.

One run of the caller's tests with -race at a load of 40 on 7 cores failed in TestManyInstancesBeforeBrittleUpstreams/69_instances,_double (refusals without Retry-After); alone it passed.

--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -63,7 +63,7 @@
 	// Sessions knows the recent sessions; see view.Options.
 	Sessions view.Sessions
 	// OnLoad is called with the load that an upstream reported to another instance.
-	OnLoad func(id string, running, waiting int)
+	OnLoad func(id string, running, waiting, slowdown int)
 	// OnCondition is called with what other instances heard of brittle upstreams.
 	OnCondition func(id string, brittle, refused bool)
 	// Partitioned reports whether this instance reaches upstreams only through others, and
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -50,7 +50,7 @@
 	// Sessions is asked when a roll-out begins. It may be nil.
 	Sessions Sessions
 	// OnLoad is called with the load that an upstream reported to another instance.
-	OnLoad func(id string, running, waiting int)
+	OnLoad func(id string, running, waiting, slowdown int)
 	// OnCondition is called when another instance has heard whether an upstream is brittle, or
 	// when a brittle one has refused requests.
 	OnCondition func(id string, brittle, refused bool)
@@ -218,7 +218,7 @@
 	}
 	if v.options.OnLoad != nil {
 		for _, l := range r.GetLoads() {
-			v.options.OnLoad(l.GetId(), int(l.GetRunning()), int(l.GetWaiting()))
+			v.options.OnLoad(l.GetId(), int(l.GetRunning()), int(l.GetWaiting()), int(l.GetSlowdown()))
 		}
 	}
 	v.leasesSlots.Store(r.GetLeasesSlots())
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -265,11 +265,11 @@
 	clock := timer.NewManual()
 	got := ""
 	v := New(Options{
-		OnLoad: func(id string, running, waiting int) { got += fmt.Sprintln(id, running, waiting) },
+		OnLoad: func(id string, running, waiting, slowdown int) { got += fmt.Sprintln(id, running, waiting, slowdown) },
 		Timer:  clock, Log: zap.NewNop(),
 	})
-	v.ApplySync(&wire.SyncReply{Term: 1, Loads: []*wire.Load{{Id: "a", Running: 3, Waiting: 1}, {Id: "b"}}}, clock.Now())
-	is.Equal(got, "a 3 1\nb 0 0\n")
+	v.ApplySync(&wire.SyncReply{Term: 1, Loads: []*wire.Load{{Id: "a", Running: 3, Waiting: 1, Slowdown: 250}, {Id: "b"}}}, clock.Now())
+	is.Equal(got, "a 3 1 250\nb 0 0 0\n")
 }
 
 // Guards against a first layout that is announced before the upstreams of the same reply and
--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -86,6 +86,8 @@
 	HeartbeatsMissed bool
 	// Cold is true if the upstream is still slow after its start.
 	Cold bool
+
+	score float64 // while one is selected; see rate
 }
 
 // Outcome is the result of a request sent to an upstream.
@@ -117,15 +119,20 @@
 	reportedAt       timer.Instant
 	// inflightAtReport is the value of inflight when the load was reported.
 	inflightAtReport int
-	inflight         int     // requests of this instance that are not done
-	pending          int     // those of them whose response has not started
-	failureRate      float64 // 0 to 1, at failureRateAt
-	failureRateAt    timer.Instant
-	connectFailures  int // failed connections in a row
-	backoffUntil     timer.Instant
-	brittle          *brittleState // nil unless the upstream is brittle
-	soundAt          timer.Instant // last response without that statement while others made it
-	pause            *pause        // nil unless the upstream asked for one recently
+	inflight         int // requests of this instance that are not done
+	pending          int // those of them whose response has not started
+	// reading is the delay by the prompts of these, and readingAtReport that of those that the last
+	// report counts; see Request.Reading.
+	reading, readingAtReport float64
+	slowdownExcess           float64 // of the time that work takes, relative to the usual one, at slowdownAt
+	slowdownAt               timer.Instant
+	failureRate              float64 // 0 to 1, at failureRateAt
+	failureRateAt            timer.Instant
+	connectFailures          int // failed connections in a row
+	backoffUntil             timer.Instant
+	brittle                  *brittleState // nil unless the upstream is brittle
+	soundAt                  timer.Instant // last response without that statement while others made it
+	pause                    *pause        // nil unless the upstream asked for one recently
 }
 
 // Balancer tracks the load and the health of upstreams as one instance sees them.
@@ -187,7 +194,9 @@
 func (b *Balancer) ReportLoad(id string, running, waiting int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(id).setLoad(running, waiting, b.timer.Now())
+	s := b.state(id)
+	s.setLoad(running, waiting, b.timer.Now())
+	s.readingAtReport = s.reading
 }
 
 // ReportRelayedLoad records a load that an upstream recently reported to another
@@ -200,6 +209,7 @@
 		return
 	}
 	s.setLoad(running, waiting, now)
+	s.readingAtReport = 0 // the load is older than the prompts that are being read
 }
 
 // setLoad stores a reported load.
@@ -214,13 +224,7 @@
 	if s.reportedAt == 0 {
 		return own
 	}
-	reported := s.running + queuedWeight*s.waiting
-	for age := now.Sub(s.reportedAt); age > reportHalfLife; age -= reportHalfLife {
-		reported /= 2
-		if reported < 1 {
-			break
-		}
-	}
+	reported := agedLoad(s.running+queuedWeight*s.waiting, now.Sub(s.reportedAt))
 	sinceReport := float64(s.inflight-s.inflightAtReport) + pendingWeight*float64(s.pending)
 	return max(reported+sinceReport, own)
 }
@@ -230,11 +234,16 @@
 	return s.failureRate * math.Exp2(-float64(now.Sub(s.failureRateAt))/float64(failureHalfLife))
 }
 
-// score returns the estimated load of a candidate, raised by penalties for failures,
-// missed heartbeats and a recent start. Lower is better.
-func (b *Balancer) score(c Candidate, now timer.Instant) float64 {
+// score returns the estimated load of a candidate, for an engine the expected time to the first event,
+// raised by penalties for failures, missed heartbeats and a recent start. Lower is better.
+func (b *Balancer) score(c *Candidate, engine bool, now timer.Instant) float64 {
 	s := b.state(c.ID)
-	score := b.estimateLoad(s, now)
+	score := 0.0
+	if engine {
+		score = s.expectedDelay(now)
+	} else {
+		score = b.estimateLoad(s, now)
+	}
 	if c.Cold {
 		score = score*coldLoadFactor + 1
 	}
@@ -272,49 +281,51 @@
 	Tokens int
 }
 
-// Pick selects one of the candidates. It returns false if all are excluded.
+// Pick is PickFor for a request of which only the prefix counts.
 func (b *Balancer) Pick(candidates []Candidate, prefix Prefix, excluded []string) (c Candidate, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.timer.Now()
-	usable, backedOff := b.partition(candidates, excluded, now)
-	if len(usable) == 0 {
-		usable = backedOff
-	}
-	if len(usable) == 0 {
-		return c, false
+	c, _, ok = b.PickFor(candidates, Request{Prefix: prefix}, excluded)
+	return c, ok
+}
+
+// rate sets the scores of the candidates.
+func (b *Balancer) rate(usable []Candidate, engine bool, now timer.Instant) {
+	for i := range usable {
+		usable[i].score = b.score(&usable[i], engine, now)
 	}
-	local := b.preferLocal(usable, now)
-	if prefix.Key != 0 {
+}
+
+// pickWithin selects one of the upstreams of the request's part.
+func (b *Balancer) pickWithin(usable []Candidate, r Request) Candidate {
+	local := b.preferLocal(usable)
+	if r.Prefix.Key != 0 {
 		near := local
-		if prefix.Tokens >= longPrefixTokens {
+		if r.Prefix.Tokens >= longPrefixTokens {
 			near = usable
 		}
-		if c, ok := b.pickByAffinity(near, prefix.Key, now); ok {
-			return c, true
+		if c, ok := b.pickByAffinity(near, r); ok {
+			return c
 		}
 	}
-	best := b.pickByLoad(local, now)
+	best := b.pickByLoad(local)
 	if len(local) == len(usable) {
-		return best, true
+		return best
 	}
-	if remote := b.pickByLoad(usable, now); b.score(best, now) > remoteLoadFactor*b.score(remote, now)+remoteLoadMargin {
-		return remote, true
+	if remote := b.pickByLoad(usable); best.score > remoteLoadFactor*remote.score+remoteLoadMargin {
+		return remote
 	}
-	return best, true
+	return best
 }
 
 // preferLocal returns the upstreams in the instance's availability zone if there are at
 // least minLocalCandidates and they are not clearly more loaded than the average.
-func (b *Balancer) preferLocal(usable []Candidate, now timer.Instant) []Candidate {
+func (b *Balancer) preferLocal(usable []Candidate) []Candidate {
 	var local []Candidate
 	total, localTotal := 0.0, 0.0
 	for _, c := range usable {
-		s := b.score(c, now)
-		total += s
+		total += c.score
 		if c.Zone == b.Zone {
 			local = append(local, c)
-			localTotal += s
+			localTotal += c.score
 		}
 	}
 	if len(local) < minLocalCandidates {
@@ -326,10 +337,10 @@
 	return local
 }
 
-// PickForCanary returns the first candidate that is filled to less than canaryFillRatio,
-// or else one with little load. It concentrates the small traffic share of a new version
+// PickForCanary returns the first candidate of the request's part that is filled to less than
+// canaryFillRatio, or else one with little load. It concentrates the small traffic share of a new version
 // on few upstreams, so that the version is observed under the load it will carry later.
-func (b *Balancer) PickForCanary(candidates []Candidate, excluded []string) (c Candidate, ok bool) {
+func (b *Balancer) PickForCanary(candidates []Candidate, r Request, excluded []string) (c Candidate, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.timer.Now()
@@ -337,12 +348,16 @@
 	if len(usable) == 0 {
 		return c, false
 	}
-	for _, c := range usable {
+	own, _ := b.separate(usable, r, excluded, now)
+	for _, c := range own {
 		if b.estimateLoad(b.state(c.ID), now) < canaryFillRatio*float64(c.Slots) {
 			return c, true
 		}
 	}
-	return b.pickByLoad(usable, now), true
+	b.rate(own, r.usesEngine(), now)
+	c = b.pickByLoad(own)
+	c.score = 0
+	return c, true
 }
 
 // partition drops the excluded candidates and separates those that are backed off.
@@ -366,13 +381,13 @@
 
 // pickByAffinity ranks the candidates for the key by rendezvous hashing and returns one of
 // the two highest, or false if its load is well above the mean.
-func (b *Balancer) pickByAffinity(usable []Candidate, key uint64, now timer.Instant) (Candidate, bool) {
+func (b *Balancer) pickByAffinity(usable []Candidate, r Request) (Candidate, bool) {
 	var first, second Candidate
 	var firstHash, secondHash uint64
 	sum := 0.0
 	for _, c := range usable {
-		sum += b.score(c, now)
-		h := mixHash(key ^ xxhash.Sum64String(c.ID))
+		sum += c.score
+		h := mixHash(r.Prefix.Key ^ xxhash.Sum64String(c.ID))
 		switch {
 		case h > firstHash:
 			second, secondHash = first, firstHash
@@ -381,21 +396,21 @@
 			second, secondHash = c, h
 		}
 	}
-	best, score := first, b.score(first, now)
+	best := first
 	if secondHash > 0 {
 		// The second is used only if it is clearly less loaded, since a prefix cached at two
 		// upstreams takes twice the memory.
-		if s := b.score(second, now); s+affinityLoadMargin < score {
-			best, score = second, s
+		if second.score+affinityLoadMargin < first.score {
+			best = second
 		}
 	}
-	return best, score <= sum/float64(len(usable))*affinityLoadFactor+affinityLoadMargin
+	return best, best.score <= sum/float64(len(usable))*affinityLoadFactor+max(affinityLoadMargin, r.PrefixReading)
 }
 
 // pickByLoad draws two candidates at random and returns the less loaded, so that
 // instances with the same stale reports do not all select the same upstream. On a tie,
 // one in the instance's availability zone is preferred.
-func (b *Balancer) pickByLoad(usable []Candidate, now timer.Instant) Candidate {
+func (b *Balancer) pickByLoad(usable []Candidate) Candidate {
 	i := b.random.IntN(len(usable))
 	if len(usable) == 1 {
 		return usable[0]
@@ -405,7 +420,7 @@
 		j++
 	}
 	first, second := usable[i], usable[j]
-	x, y := b.score(first, now), b.score(second, now)
+	x, y := first.score, second.score
 	switch {
 	case x < y:
 		return first
--- a/internal/gateway/balancer/balancer_test.go
+++ b/internal/gateway/balancer/balancer_test.go
@@ -219,7 +219,7 @@
 	b, _ := newBalancer(9)
 	counts := map[string]int{}
 	for range 15 {
-		c, ok := b.PickForCanary(candidates, nil)
+		c, ok := b.PickForCanary(candidates, Request{}, nil)
 		is.True(ok)
 		b.RequestSent(c.ID)
 		b.ResponseStarted(c.ID)
@@ -228,7 +228,7 @@
 	is.Equal(counts, map[string]int{"u0": 10, "u1": 5})
 	b.RequestSent("u0")
 	b.RequestDone("u0", Unreachable, false)
-	c, ok := b.PickForCanary(candidates, []string{"u1"})
+	c, ok := b.PickForCanary(candidates, Request{}, []string{"u1"})
 	is.True(ok)
 	is.Equal(c.ID, "u2")
 }
--- a/internal/gateway/caller/brittle_test.go
+++ b/internal/gateway/caller/brittle_test.go
@@ -224,7 +224,7 @@
 	time.Sleep(slot.TakeoverDelay + 200*time.Millisecond)
 	now := f.handler.Timer.Now()
 	q := &request{
-		Handler: f.handler, ctx: context.Background(), arrived: now, timeout: time.Second, service: "desk",
+		Handler: f.handler, ctx: context.Background(), layout: f.view.Layout(), arrived: now, timeout: time.Second, service: "desk",
 		route: f.view.Layout().Match("h", "/look/1"), roomDeadline: now.Add(-time.Millisecond),
 	}
 	e, ok := q.nextExchange(nil)
--- a/internal/gateway/caller/caller_test.go
+++ b/internal/gateway/caller/caller_test.go
@@ -36,7 +36,7 @@
 var testProtocol = &upstream.Protocol{
 	RequestID: "Request-Id", Deadline: "Deadline", PromptPrefix: "Prompt", LastEventID: "Last-Event-Id", Signature: "Signature",
 	Account: "Account", ExpectedUpstream: "Expected", Load: "Load", RateLimit: "Limit", Brittle: "Brittle", Leaving: "Leaving", NotExecuted: "Refused", Model: "Model",
-	Urgency: "Urgency", Confidence: "Confidence", Session: "Session", Authorization: "Authorization",
+	Urgency: "Urgency", TokenUsage: "Usage", Confidence: "Confidence", Session: "Session", Authorization: "Authorization",
 	AuthScheme: "Token", GatewayOnly: []string{"Hold"}, AutoModel: "*", UrgencyPerPriority: 2,
 }
 
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -69,9 +69,8 @@
 	headerReceived bool // status line and headers
 	headerAt       timer.Instant
 	load           canary.LoadClass // of the upstream when it responded
-	// utilization is the mean load per slot of the candidates.
-	utilization float64
-	response    *upstream.Response
+	readingSent    float64          // to the target, if it has not read it yet; see balancer.Request
+	response       *upstream.Response
 	// An error response of the upstream, relayed if no other upstream does better.
 	failureStatus int
 	failureHeader http.Header
@@ -206,6 +205,8 @@
 // nextExchange selects an upstream that is not excluded. It returns false if there is none.
 func (q *request) nextExchange(excluded []string) (e *exchange, ok bool) {
 	candidates, isCanary := q.candidates()
+	q.selectModel(candidates)
+	q.prepare(candidates)
 	q.leaseWait = 0
 	for lost := 0; ; lost++ {
 		target, p, found := q.pickPermitted(candidates, isCanary, excluded)
@@ -235,16 +236,22 @@
 		request: q, target: target, candidates: candidates, permit: p, lease: l,
 		limited: q.View.RateLimited(target.ID, target.Born), brittle: q.Balancer.Brittle(target.ID),
 	}
-	if q.gatewaySelectsModel() {
-		e.utilization = q.Balancer.Utilization(candidates)
-		if !q.mayRunAgain(1) {
-			q.modelIndex = modelselect.Only(len(q.route.Models), e.utilization)
-		}
-		q.upstreamHeader.Set(q.Protocol.Model, string(q.route.Models[q.modelIndex]))
-	}
+	e.beginReading()
 	return e
 }
 
+// selectModel selects the model of the next dispatch. The choice of the upstream depends on it.
+func (q *request) selectModel(candidates []balancer.Candidate) {
+	if !q.gatewaySelectsModel() {
+		return
+	}
+	q.utilization = q.Balancer.Utilization(candidates)
+	if !q.mayRunAgain(1) {
+		q.modelIndex = modelselect.Only(len(q.route.Models), q.utilization)
+	}
+	q.upstreamHeader.Set(q.Protocol.Model, string(q.route.Models[q.modelIndex]))
+}
+
 // gatewaySelectsModel reports whether the caller leaves the choice of the model to the gateway.
 func (q *request) gatewaySelectsModel() bool {
 	return string(q.model) == q.Protocol.AutoModel && len(q.route.Models) > 0
@@ -307,6 +314,7 @@
 	}
 	e.headerReceived, e.headerAt = true, e.Timer.Now()
 	e.Balancer.ResponseStarted(e.target.ID)
+	e.endReading()
 	e.readLoad()
 	e.readLimit()
 	e.readCondition()
@@ -336,7 +344,8 @@
 	return e.relayBuffered()
 }
 
-// readLoad reads the load header of the response: running and waiting requests.
+// readLoad reads the load header of the response: running and waiting requests, slots, and how long work
+// takes where the upstream shares its machine.
 func (e *exchange) readLoad() {
 	fields := strings.Split(e.response.Header.Get(e.Protocol.Load), ",")
 	if len(fields) < 2 {
@@ -349,7 +358,9 @@
 	}
 	e.load = canary.ClassifyLoad(running)
 	e.Balancer.ReportLoad(e.target.ID, running, waiting)
-	e.View.RecordLoad(&wire.Load{Id: e.target.ID, Running: uint32(running), Waiting: uint32(waiting)})
+	slowdown := parseSlowdown(fields)
+	e.Balancer.ReportSlowdown(e.target.ID, slowdown)
+	e.View.RecordLoad(&wire.Load{Id: e.target.ID, Running: uint32(running), Waiting: uint32(waiting), Slowdown: uint32(slowdown)})
 }
 
 // interrupted handles an exchange without a usable response.
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -28,6 +28,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/gateway/modelselect"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/retrybudget"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/session"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/sizeclass"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
@@ -123,12 +124,16 @@
 	// Random is shared by all requests; the handler serializes access to it.
 	Random *rand.Rand
 	Log    *zap.Logger
+	// ReadingTime returns the reading time per token of a model relative to the smallest one of its service. If it
+	// is nil or returns false, that follows from the prices of the models.
+	ReadingTime func(s layout.Service, m layout.Model) (relative float64, ok bool)
 }
 
 // Handler is the HTTP handler for callers.
 type Handler struct {
 	Options
 	metrics *metrics
+	sizes   *sizeclass.Classifier
 
 	mu      sync.Mutex   // guards Random
 	running atomic.Int64 // requests in progress
@@ -146,7 +151,7 @@
 
 // New returns a handler that publishes the metrics of the process.
 func New(o Options) *Handler {
-	return &Handler{Options: o, metrics: processMetrics, inProgress: map[*request]struct{}{}}
+	return &Handler{Options: o, metrics: processMetrics, sizes: sizeclass.New(o.Timer), inProgress: map[*request]struct{}{}}
 }
 
 // Running returns the number of requests in progress.
@@ -206,7 +211,10 @@
 	hasSession  bool   // the caller names the session
 	model       layout.Model
 	modelIndex  int // index of the selected model in the route's list
+	// utilization is the mean load per slot of the candidates when the model was selected.
+	utilization float64
 	priority    int
+	placement
 
 	// permissionExpired is true if an exchange did not begin because the key or the layout was
 	// no longer valid, and quarantined if it or a part of its prompt was in quarantine.
--- a/internal/gateway/caller/metrics.go
+++ b/internal/gateway/caller/metrics.go
@@ -14,6 +14,9 @@
 	Requests, Rejections, Failures, Retries, Resumes, Escalations, Responses *expvar.Int
 	// Pauses and Leaves count what upstreams stated in responses.
 	Pauses, Leaves *expvar.Int
+	// HeavyPlacements and LightPlacements count requests that were sent while the upstreams were separated,
+	// and OverflowPlacements the light ones sent to the heavy part.
+	HeavyPlacements, LightPlacements, OverflowPlacements *expvar.Int
 	// Latencies of responses, from the arrival of the request.
 	TimeToFirstByte, TimeToLastByte *latencyHistogram
 }
@@ -70,6 +73,7 @@
 		Requests: counter("requests"), Rejections: counter("refusals"), Failures: counter("failures"),
 		Retries: counter("repeats"), Resumes: counter("resumes"), Escalations: counter("climbs"), Responses: counter("answers"),
 		Pauses: counter("pauses"), Leaves: counter("leaves"),
+		HeavyPlacements: counter("placed_heavy"), LightPlacements: counter("placed_light"), OverflowPlacements: counter("placed_overflow"),
 		TimeToFirstByte: histogram("first"), TimeToLastByte: histogram("whole"),
 	}
 }()
--- a/internal/gateway/caller/rate_limit.go
+++ b/internal/gateway/caller/rate_limit.go
@@ -68,12 +68,15 @@
 
 // pick selects an upstream that is not excluded, whatever it limits.
 func (q *request) pick(candidates []balancer.Candidate, isCanary bool, excluded []string) (c balancer.Candidate, ok bool) {
+	r := q.balancerRequest()
 	if isCanary {
-		if c, ok = q.Balancer.PickForCanary(candidates, excluded); ok {
+		if c, ok = q.Balancer.PickForCanary(candidates, r, excluded); ok {
+			q.placed = balancer.Placement{}
 			return c, true
 		}
 	}
-	return q.Balancer.Pick(candidates, q.prefix, excluded)
+	c, q.placed, ok = q.Balancer.PickFor(candidates, r, excluded)
+	return c, ok
 }
 
 // readLimit reads the limit that the upstream states in the head of its response. A response
--- a/internal/gateway/caller/record.go
+++ b/internal/gateway/caller/record.go
@@ -18,6 +18,7 @@
 	if e.response != nil {
 		e.response.Close()
 	}
+	e.endReading()
 	e.Balancer.RequestDone(e.target.ID, e.outcome, e.headerReceived)
 	e.View.ReturnSlot(e.lease, e.slotUse(discarded))
 	if e.hasSession && e.headerReceived {
@@ -64,6 +65,7 @@
 		zap.String("framing", string(e.response.Framing)), zap.Int64("position", e.lastEventID),
 		zap.Array("parts", partList(e.sharedParts)),
 	}
+	fields = append(fields, e.placementFields()...)
 	if e.gatewaySelectsModel() {
 		fields = append(fields, zap.String("model", string(e.route.Models[e.modelIndex])), zap.Float64("pressure", e.utilization))
 	}
--- a/internal/gateway/upstream/protocol.go
+++ b/internal/gateway/upstream/protocol.go
@@ -38,6 +38,8 @@
 	Model string
 	// Urgency is the rank of the request in the upstream's queue, 0 to 9.
 	Urgency string
+	// TokenUsage is the size of a request: tokens in and maximum tokens out.
+	TokenUsage string
 	// Confidence is the model's rating of its own answer, 0 to 100.
 	Confidence string
 	// Session is the session that the request belongs to.
