--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -70,11 +70,10 @@
 	headerReceived bool // status line and headers
 	headerAt       timer.Instant
 	load           canary.LoadClass // of the upstream when it responded
-	// utilization is the mean load per slot of the candidates.
-	utilization float64
-	slotWait    time.Duration // of the request for a slot of the upstream, if its model is selected here
-	resumed     bool          // the exchange goes on with a response that has begun
-	response    *upstream.Response
+	slotWait       time.Duration    // of the request for a slot of the upstream, if its model is selected here
+	resumed        bool             // the exchange goes on with a response that has begun
+	readingSent    float64          // to the target, if it has not read it yet; see balancer.Request
+	response       *upstream.Response
 	// An error response of the upstream, relayed if no other upstream does better.
 	failureStatus int
 	failureHeader http.Header
@@ -227,6 +226,8 @@
 func (q *request) nextExchange(excluded []string) (e *exchange, ok bool) {
 	candidates, isCanary := q.candidates()
 	candidates = q.connectable(candidates, excluded)
+	q.selectModel(candidates)
+	q.prepare(candidates)
 	q.leaseWait = 0
 	for lost := 0; ; lost++ {
 		target, p, found := q.pickPermitted(candidates, isCanary, excluded)
@@ -257,7 +258,7 @@
 		limited: q.View.RateLimited(target.ID, target.Born), brittle: q.Balancer.Brittle(target.ID),
 	}
 	e.resumed = q.responseStarted
-	e.selectModel()
+	e.beginReading()
 	return e
 }
 
@@ -301,6 +302,7 @@
 	}
 	e.headerReceived, e.headerAt = true, e.Timer.Now()
 	e.Balancer.ResponseStarted(e.target.ID)
+	e.endReading()
 	e.readLoad()
 	e.readLimit()
 	e.readCondition()
@@ -330,7 +332,8 @@
 	return e.relayBuffered()
 }
 
-// readLoad reads the load header of the response: running and waiting requests.
+// readLoad reads the load header of the response: running and waiting requests, slots, and how long work
+// takes where the upstream shares its machine.
 func (e *exchange) readLoad() {
 	fields := strings.Split(e.response.Header.Get(e.Protocol.Load), ",")
 	if len(fields) < 2 {
@@ -343,7 +346,9 @@
 	}
 	e.load = canary.ClassifyLoad(running)
 	e.Balancer.ReportLoad(e.target.ID, running, waiting)
-	e.View.RecordLoad(&wire.Load{Id: e.target.ID, Running: uint32(running), Waiting: uint32(waiting)})
+	slowdown := parseSlowdown(fields)
+	e.Balancer.ReportSlowdown(e.target.ID, slowdown)
+	e.View.RecordLoad(&wire.Load{Id: e.target.ID, Running: uint32(running), Waiting: uint32(waiting), Slowdown: uint32(slowdown)})
 }
 
 // interrupted handles an exchange without a usable response.
--- a/internal/gateway/caller/metrics.go
+++ b/internal/gateway/caller/metrics.go
@@ -25,6 +25,9 @@
 	Evacuated, EvacuatedZones *expvar.Int
 	// ColdRequests counts requests sent to cold upstreams, and ColdWaits requests that waited for a permit.
 	ColdRequests, ColdWaits *expvar.Int
+	// HeavyPlacements and LightPlacements count requests that were sent while the upstreams were separated,
+	// and OverflowPlacements the light ones sent to the heavy part.
+	HeavyPlacements, LightPlacements, OverflowPlacements *expvar.Int
 	// Latencies of responses, from the arrival of the request.
 	TimeToFirstByte, TimeToLastByte *latencyHistogram
 }
@@ -85,6 +88,7 @@
 		Resets: counter("resets"), Unconnected: counter("unconnected"),
 		Evacuated: counter("evacuated"), EvacuatedZones: counter("zones"),
 		ColdRequests: counter("cold_requests"), ColdWaits: counter("cold_waits"),
+		HeavyPlacements: counter("placed_heavy"), LightPlacements: counter("placed_light"), OverflowPlacements: counter("placed_overflow"),
 		TimeToFirstByte: histogram("first"), TimeToLastByte: histogram("whole"),
 	}
 }()
--- a/internal/gateway/caller/model.go
+++ b/internal/gateway/caller/model.go
@@ -4,6 +4,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -75,29 +76,29 @@
 	return modelselect.Confidence(math.Round(min(v, modelselect.MaxConfidence)))
 }
 
-// modelConditions returns the conditions of a choice of the model now.
-func (e *exchange) modelConditions() modelselect.Conditions {
-	return modelselect.Conditions{Utilization: e.utilization, Elapsed: e.Timer.Now().Sub(e.arrived), Wait: e.slotWait}
+// modelConditions returns the conditions of a choice of the model now. wait is that for a slot.
+func (q *request) modelConditions(wait time.Duration) modelselect.Conditions {
+	return modelselect.Conditions{Utilization: q.utilization, Elapsed: q.Timer.Now().Sub(q.arrived), Wait: wait}
 }
 
-// selectModel selects the model of the exchange. Once the request has run, it keeps its model until it
-// escalates.
-func (e *exchange) selectModel() {
-	if !e.gatewaySelectsModel() {
+// selectModel selects the model of the next dispatch, on which the choice of the upstream depends. Once the
+// request has run, it keeps its model until it escalates.
+func (q *request) selectModel(candidates []balancer.Candidate) {
+	if !q.gatewaySelectsModel() {
 		return
 	}
-	e.utilization = e.Balancer.Utilization(e.candidates)
+	q.utilization = q.Balancer.Utilization(candidates)
 	switch {
-	case !e.mayRunAgain(1):
-		e.modelIndex = e.models.Only(&e.modelRequest, e.modelConditions()).Index
-	case e.executions == 0:
-		d := e.models.Initial(&e.modelRequest, e.modelConditions())
-		if e.modelIndex = d.Index; d.Index > 0 {
-			e.metrics.LargerStarts.Add(1)
-			e.log("starts at a larger model", append(decisionFields(d), zap.Float64("pressure", e.utilization))...)
+	case !q.mayRunAgain(1):
+		q.modelIndex = q.models.Only(&q.modelRequest, q.modelConditions(0)).Index
+	case q.executions == 0:
+		d := q.models.Initial(&q.modelRequest, q.modelConditions(0))
+		if q.modelIndex = d.Index; d.Index > 0 {
+			q.metrics.LargerStarts.Add(1)
+			q.log("starts at a larger model", append(decisionFields(d), zap.Float64("pressure", q.utilization))...)
 		}
 	}
-	e.upstreamHeader.Set(e.Protocol.Model, string(e.route.Models[e.modelIndex]))
+	q.upstreamHeader.Set(q.Protocol.Model, string(q.route.Models[q.modelIndex]))
 }
 
 // decisionFields returns the log fields with the inputs that decided on a model.
@@ -123,7 +124,7 @@
 	if left, _ := e.request.candidates(); len(left) == 0 {
 		return false // an answer is better than none
 	}
-	d, ok := e.models.Escalate(&e.modelRequest, e.modelIndex, confidence, e.modelConditions())
+	d, ok := e.models.Escalate(&e.modelRequest, e.modelIndex, confidence, e.modelConditions(e.slotWait))
 	if !ok {
 		return false
 	}
--- a/internal/gateway/caller/record.go
+++ b/internal/gateway/caller/record.go
@@ -18,6 +18,7 @@
 	if e.response != nil {
 		e.response.Close()
 	}
+	e.endReading()
 	e.Balancer.RequestDone(e.target.ID, e.outcome, e.headerReceived)
 	e.View.ReturnSlot(e.lease, e.slotUse(discarded))
 	if e.hasSession && e.headerReceived {
@@ -65,7 +66,7 @@
 		zap.String("framing", string(e.response.Framing)), zap.Int64("position", e.lastEventID),
 		zap.Array("parts", partList(e.sharedParts)),
 	}
-	fields = append(fields, e.modelFields()...)
+	fields = append(append(fields, e.placementFields()...), e.modelFields()...)
 	if limit := e.response.Header.Get(e.Protocol.RateLimit); limit != "" {
 		fields = append(fields, zap.String("limit", limit))
 	}
