--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -27,6 +27,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/gateway/modelselect"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/retrybudget"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/session"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/sizeclass"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
@@ -128,6 +129,9 @@
 	// Random is shared by all requests; the handler serializes access to it.
 	Random *rand.Rand
 	Log    *zap.Logger
+	// ReadingTime returns the reading time per token of a model relative to the smallest one of its service. If it
+	// is nil or returns false, that follows from the prices of the models.
+	ReadingTime func(s layout.Service, m layout.Model) (relative float64, ok bool)
 }
 
 // Handler is the HTTP handler for callers.
@@ -135,6 +139,7 @@
 	Options
 	metrics *metrics
 	models  *modelselect.Selector
+	sizes   *sizeclass.Classifier
 
 	mu      sync.Mutex   // guards Random
 	running atomic.Int64 // requests in progress
@@ -152,7 +157,7 @@
 
 // New returns a handler that publishes the metrics of the process.
 func New(o Options) *Handler {
-	return &Handler{Options: o, metrics: processMetrics, models: modelselect.New(o.Timer), inProgress: map[*request]struct{}{}}
+	return &Handler{Options: o, metrics: processMetrics, models: modelselect.New(o.Timer), sizes: sizeclass.New(o.Timer), inProgress: map[*request]struct{}{}}
 }
 
 // Running returns the number of requests in progress.
@@ -217,7 +222,10 @@
 	model       layout.Model
 	modelIndex  int // index of the selected model in the route's list
 	modelChoice
-	priority int
+	// utilization is the mean load per slot of the candidates when the model was selected.
+	utilization float64
+	priority    int
+	placement
 
 	// permissionExpired is true if an exchange did not begin because the key or the layout was
 	// no longer valid, and quarantined if it or a part of its prompt was in quarantine.
