gateway/caller: urgency by the account's priority, then the route's

The rank in an engine's queue was 1 + 2 x priority, and the account's priority replaced that of the route. Most accounts have the same one, so that all kinds of requests had the same rank.

The ranks 0 to 9 are divided among the account priorities that the configuration uses; within, the route's priority counts, and where ranks are left, light requests come before heavy ones.

--- a/internal/gateway/caller/caller_test.go
+++ b/internal/gateway/caller/caller_test.go
@@ -37,7 +37,7 @@
 	RequestID: "Request-Id", Deadline: "Deadline", PromptPrefix: "Prompt", LastEventID: "Last-Event-Id", Signature: "Signature",
 	Account: "Account", ExpectedUpstream: "Expected", Load: "Load", RateLimit: "Limit", Brittle: "Brittle", Leaving: "Leaving", NotExecuted: "Refused", Model: "Model",
 	Urgency: "Urgency", TokenUsage: "Usage", Confidence: "Confidence", Session: "Session", Authorization: "Authorization",
-	AuthScheme: "Token", GatewayOnly: []string{"Hold"}, AutoModel: "*", UrgencyPerPriority: 2,
+	AuthScheme: "Token", GatewayOnly: []string{"Hold"}, AutoModel: "*", UrgencyRanks: 10,
 }
 
 // fixture is a handler in front of fake upstreams.
@@ -72,7 +72,7 @@
 func testLayout() *layout.Layout {
 	return &layout.Layout{
 		Version: 1, Limits: layout.Limits{MaxBodyBytes: 1 << 20},
-		Pools:   []*layout.Pool{{Name: "desk"}, {Name: "pool"}},
+		Pools:   []*layout.Pool{{Name: "desk"}, {Name: "pool", Engine: &layout.Engine{Slots: 16, Costs: map[layout.Model]float64{"small": 1, "large": 15}}}},
 		Clients: []*layout.Client{{Name: "hill", Keys: []string{"k1"}, Priority: -1}},
 		Routes: []*layout.Route{
 			{Name: "book", Host: "h", Prefix: "/book/", Kind: layout.NonIdempotent, Timeout: testTimeout, MaxAttempts: 3, Shares: []layout.Share{{Service: "desk", Weight: 1}}},
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -286,7 +286,7 @@
 		h.Set(e.Protocol.Account, string(e.client.Name))
 	}
 	if e.route.SessionAffinity {
-		h.Set(e.Protocol.Urgency, strconv.Itoa(min(1+e.Protocol.UrgencyPerPriority*e.priority, 9)))
+		h.Set(e.Protocol.Urgency, strconv.Itoa(e.urgency()))
 	}
 	if e.responseStarted && e.lastEventID >= 0 {
 		h.Set(e.Protocol.LastEventID, strconv.FormatInt(e.lastEventID, 10))
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -134,6 +134,8 @@
 	Options
 	metrics *metrics
 	sizes   *sizeclass.Classifier
+	// urgencies is the scale of the last layout.
+	urgencies atomic.Pointer[urgencyScale]
 
 	mu      sync.Mutex   // guards Random
 	running atomic.Int64 // requests in progress
--- a/internal/gateway/caller/placement_test.go
+++ b/internal/gateway/caller/placement_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
 )
 
 // Guards against slowdowns that are made up where the upstream states none, or an impossible one.
@@ -62,3 +64,25 @@
 		})
 	}
 }
+
+// Guards against requests to engines without their rank in the queue, and against a reported slowdown or a request
+// that has ended and is left out of, or kept in, the expected time.
+func TestEngineRequest(t *testing.T) {
+	is := is.New(t)
+	var urgency atomic.Value
+	u := startUpstream(t, func(e *upstreamtest.Exchange) bool {
+		urgency.Store(e.Request.Header.Get("Urgency"))
+		writeEvents(e, "Confidence: 99\r\nLoad: 4,0,16,300\r\n", "id: 1\ndata: a\n\n")
+		e.Write(lastChunk)
+		return true
+	})
+	f := newFixture(t, nil, []*upstreamtest.Server{u})
+	r := f.do("POST", "/draft/1", "body", "Model", "*", "Usage", "900,40", "Urgency", "7")
+	is.NoErr(r.err)
+	is.Equal(urgency.Load(), "0")
+	_, p, ok := f.handler.Balancer.PickFor([]balancer.Candidate{{ID: "pool0", Slots: 16}}, balancer.Request{Reading: 1}, nil)
+	is.True(ok)
+	// 3 or 4 requests run, since the one that has ended was one of them. Each adds as much as the delay of one
+	// more, times the smoothed slowdown of 1.5.
+	is.True(p.Expected > 5*balancer.RunningDelay && p.Expected < 8*balancer.RunningDelay)
+}
--- a/internal/gateway/upstream/protocol.go
+++ b/internal/gateway/upstream/protocol.go
@@ -36,7 +36,7 @@
 	NotExecuted string
 	// Model is the model that the request asks for.
 	Model string
-	// Urgency is the rank of the request in the upstream's queue, 0 to 9.
+	// Urgency is the rank of the request in the upstream's queue; 0 is served first.
 	Urgency string
 	// TokenUsage is the size of a request: tokens in and maximum tokens out.
 	TokenUsage string
@@ -51,8 +51,8 @@
 	GatewayOnly []string
 	// AutoModel is the value of Model that leaves the choice to the gateway.
 	AutoModel string
-	// UrgencyPerPriority is the number of ranks by which one priority exceeds the next lower one.
-	UrgencyPerPriority int
+	// UrgencyRanks is the number of values of Urgency.
+	UrgencyRanks int
 }
 
 // hopByHop lists the headers that apply to a single connection only.
