gateway/balancer: requests to engines leave a zone by expected times

The constants for leaving a zone were the same for 800 bytes and 12,000 tokens, and compared two random upstreams.

A request to an engine leaves if the expected time here exceeds that in the other zones by more than leaving costs: round trip, bytes both ways, a margin against chance. The part that leaves grows with the difference. A prompt prefix has its place among all zones if reading it again costs more. Services without engines are placed as before.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -204,7 +204,11 @@
 func (b *Balancer) ReportRelayedLoad(id string, running, waiting int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now, s := b.timer.Now(), b.state(id)
+	b.state(id).setRelayedLoad(running, waiting, b.timer.Now())
+}
+
+// setRelayedLoad stores a load that was reported to another instance, unless there is a recent own report.
+func (s *upstreamState) setRelayedLoad(running, waiting int, now timer.Instant) {
 	if s.reportedAt != 0 && now.Sub(s.reportedAt) < ownReportPriority {
 		return
 	}
@@ -296,6 +300,9 @@
 
 // pickWithin selects one of the upstreams of the request's part.
 func (b *Balancer) pickWithin(usable []Candidate, r Request) Candidate {
+	if r.usesEngine() {
+		return b.pickEngine(usable, r)
+	}
 	local := b.preferLocal(usable)
 	if r.Prefix.Key != 0 {
 		near := local
--- a/internal/gateway/balancer/engine_replay_test.go
+++ b/internal/gateway/balancer/engine_replay_test.go
@@ -82,11 +82,15 @@
 	light, heavy []time.Duration // times to the first event
 	unserved     int
 	parted       int // placements with separate parts
+	left, placed int // placements in other zones, and all
+	bytes        float64
+	prefix       Prefix         // of requests with the work prefixWork
+	perUpstream  map[string]int // placements
 }
 
 func newEngineReplay(deciders, upstreams int, utilization float64, separate bool, seed uint64) *engineReplay {
 	r := &engineReplay{
-		clock: timer.NewManual(), random: rand.New(rand.NewPCG(seed, 5)), engines: make([]engine, upstreams), separate: separate,
+		clock: timer.NewManual(), random: rand.New(rand.NewPCG(seed, 5)), perUpstream: map[string]int{}, engines: make([]engine, upstreams), separate: separate,
 	}
 	r.clock.Advance(time.Minute)
 	for n := range deciders {
@@ -162,7 +166,10 @@
 	if q.reading == 0 {
 		q.reading = MeanReading * c.Record("s", sizeclass.Work(q.work))
 	}
-	out := Request{Reading: q.reading}
+	out := Request{Reading: q.reading, Bytes: r.bytes}
+	if r.prefix.Key != 0 && q.work < 826*1.5 {
+		out.Prefix, out.PrefixReading = r.prefix, q.reading/2
+	}
 	plan, isDue := c.Plan("s")
 	if isDue {
 		var upstreams []sizeclass.Upstream
@@ -187,9 +194,7 @@
 		r.unserved++
 		return
 	}
-	if p.Parted && r.now >= r.from {
-		r.parted++
-	}
+	r.count(c, p, b.Zone)
 	b.RequestSent(c.ID)
 	b.BeginReading(c.ID, q.reading)
 	q.upstream = slices.IndexFunc(r.candidates, func(o Candidate) bool { return o.ID == c.ID })
@@ -204,6 +209,20 @@
 	r.readNext(e)
 }
 
+func (r *engineReplay) count(c Candidate, p Placement, zone string) {
+	if r.now < r.from {
+		return
+	}
+	r.placed++
+	r.perUpstream[c.ID]++
+	if c.Zone != zone {
+		r.left++
+	}
+	if p.Parted {
+		r.parted++
+	}
+}
+
 func (r *engineReplay) readNext(e *engine) {
 	if e.reading != nil || len(e.queue) == 0 || len(e.running) >= engineSlots || e.down {
 		return
--- a/internal/gateway/balancer/expected.go
+++ b/internal/gateway/balancer/expected.go
@@ -52,6 +52,8 @@
 	// PrefixReading the part of it that is saved where the prefix is cached. Reading is 0 if the upstreams
 	// are no engines.
 	Reading, PrefixReading float64
+	// Bytes is the size of the request and its response.
+	Bytes float64
 	// Parts is nil if all upstreams are for all requests. Heavy tells whether the request takes long to read.
 	Parts Parts
 	Heavy bool
@@ -124,8 +126,15 @@
 	return usable[:n], usable[n:]
 }
 
-// overflow returns an upstream of the heavy part for a light request whose part is clearly more loaded.
+// overflow returns an upstream of the heavy part in the zone for a light request whose part is clearly more loaded
+// there.
 func (b *Balancer) overflow(own, others []Candidate, now timer.Instant) (c Candidate, ok bool) {
+	if local, _ := b.splitByZone(others); len(local) > 0 {
+		others = local
+	}
+	if local, _ := b.splitByZone(own); len(local) > 0 {
+		own = local
+	}
 	if meanScore(own) <= overflowFactor*meanScore(others)+overflowMargin {
 		return c, false
 	}
@@ -167,8 +176,11 @@
 
 // ReportRelayed records a load that an upstream reported to another instance, and how long work takes there.
 func (b *Balancer) ReportRelayed(id string, running, waiting, slowdown int) {
-	b.ReportRelayedLoad(id, running, waiting)
-	b.ReportSlowdown(id, slowdown)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, s := b.timer.Now(), b.state(id)
+	s.setRelayedLoad(running, waiting, now)
+	s.setSlowdown(slowdown, now)
 }
 
 // ReportSlowdown records how long work takes at an upstream, 100 as usual. Other values than plausible ones
@@ -176,10 +188,14 @@
 func (b *Balancer) ReportSlowdown(id string, slowdown int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.state(id).setSlowdown(slowdown, b.timer.Now())
+}
+
+// setSlowdown stores a reported slowdown.
+func (s *upstreamState) setSlowdown(slowdown int, now timer.Instant) {
 	if slowdown < minSlowdown || slowdown > maxSlowdown {
 		slowdown = usualSlowdown
 	}
-	s, now := b.state(id), b.timer.Now()
 	excess := s.currentSlowdown(now) - 1
 	s.slowdownExcess = excess + slowdownSmoothing*(float64(slowdown)/usualSlowdown-1-excess)
 	s.slowdownAt = now
--- a/internal/gateway/caller/placement.go
+++ b/internal/gateway/caller/placement.go
@@ -26,6 +26,8 @@
 	// commonPrefixTokens is the length below which the shared part of a prompt is expected in the cache of
 	// every upstream.
 	commonPrefixTokens = 2000
+	// eventBytes is the size of an event with one token.
+	eventBytes = 200
 )
 
 // placement is the state of a request whose upstreams are inference engines.
@@ -35,6 +37,7 @@
 	// prefixReading is the part of it that is saved where the prompt's shared prefix is cached.
 	prefixReading float64
 	plan          *sizeclass.Plan
+	responseBytes float64      // at most
 	placedModel   layout.Model // for which the work was computed
 	placed        balancer.Placement
 }
@@ -58,6 +61,9 @@
 
 // measureWork computes the reading work of the request with a model.
 func (q *request) measureWork(e *layout.Engine, model layout.Model) {
+	if out, ok := parseTokens(q.httpRequest.Header.Get(q.Protocol.TokenUsage), 1); ok {
+		q.responseBytes = eventBytes * out
+	}
 	total, shared, ok := q.promptTokens()
 	q.reading = balancer.MeanReading
 	if !ok {
@@ -75,19 +81,31 @@
 // promptTokens returns the tokens of the prompt that are not expected in the cache of every upstream, and
 // those of its longest shared prefix that only some upstreams have cached.
 func (q *request) promptTokens() (total, shared float64, ok bool) {
-	text, _, _ := strings.Cut(q.httpRequest.Header.Get(q.Protocol.TokenUsage), ",")
-	total, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	// The negated comparison is false for NaN as well.
-	if err != nil || !(total >= 0) {
+	total, ok = parseTokens(q.httpRequest.Header.Get(q.Protocol.TokenUsage), 0)
+	if !ok {
 		return 0, 0, false
 	}
-	total, shared = min(total, maxPromptTokens), float64(q.prefix.Tokens)
+	shared = float64(q.prefix.Tokens)
 	if shared < commonPrefixTokens {
 		return max(total-shared, 0), 0, true
 	}
 	return total, shared, true
 }
 
+// parseTokens returns one of the numbers of the size of a request, tokens in and maximum tokens out.
+func parseTokens(usage string, field int) (tokens float64, ok bool) {
+	fields := strings.Split(usage, ",")
+	if len(fields) <= field {
+		return 0, false
+	}
+	tokens, err := strconv.ParseFloat(strings.TrimSpace(fields[field]), 64)
+	// The negated comparison is false for NaN as well.
+	if err != nil || !(tokens >= 0) {
+		return 0, false
+	}
+	return min(tokens, maxPromptTokens), true
+}
+
 // selectedModel returns the model that the request is sent to.
 func (q *request) selectedModel() layout.Model {
 	if q.gatewaySelectsModel() {
@@ -138,7 +156,7 @@
 
 // balancerRequest returns what the choice of the upstream depends on.
 func (q *request) balancerRequest() balancer.Request {
-	r := balancer.Request{Prefix: q.prefix, Reading: q.reading, PrefixReading: q.prefixReading}
+	r := balancer.Request{Prefix: q.prefix, Reading: q.reading, PrefixReading: q.prefixReading, Bytes: float64(len(q.body)) + q.responseBytes}
 	if q.plan != nil {
 		r.Parts, r.Heavy = q.plan, q.plan.IsHeavy(q.work)
 	}
