--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -140,6 +140,8 @@
 	metrics *metrics
 	models  *modelselect.Selector
 	sizes   *sizeclass.Classifier
+	// urgencies is the scale of the last layout.
+	urgencies atomic.Pointer[urgencyScale]
 
 	mu      sync.Mutex   // guards Random
 	running atomic.Int64 // requests in progress
