--- a/internal/gateway/caller/caller_test.go
+++ b/internal/gateway/caller/caller_test.go
@@ -128,7 +128,7 @@
 	f.view.ApplySync(r, f.clock.Now())
 	f.NoErr(f.view.ApplyLayout(1, nil))
 	f.handler = New(Options{
-		Protocol: testProtocol, View: f.view, Upstream: upstream.New(upstream.Options{Protocol: testProtocol, Detour: fixtureDetour{f}, Scope: f.connectionScope, Timer: system, Log: zap.NewNop()}),
+		SeparateHeavy: true, Protocol: testProtocol, View: f.view, Upstream: upstream.New(upstream.Options{Protocol: testProtocol, Detour: fixtureDetour{f}, Scope: f.connectionScope, Timer: system, Log: zap.NewNop()}),
 		Balancer: loadBalancer,
 		Budget:   retrybudget.New(retrybudget.Limits{RetryRatio: 10, ExtraRetries: 100, Window: time.Second}, system),
 		Sessions: sessions, Timer: system, Random: rand.New(rand.NewPCG(1, 2)), Log: zap.NewNop(),
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -132,6 +132,9 @@
 	// ReadingTime returns the reading time per token of a model relative to the smallest one of its service. If it
 	// is nil or returns false, that follows from the prices of the models.
 	ReadingTime func(s layout.Service, m layout.Model) (relative float64, ok bool)
+	// SeparateHeavy gives requests that engines take long to read upstreams of their own where that is
+	// expected to pay.
+	SeparateHeavy bool
 }
 
 // Handler is the HTTP handler for callers.
--- a/internal/gateway/caller/placement.go
+++ b/internal/gateway/caller/placement.go
@@ -52,6 +52,9 @@
 		q.placedModel = model
 		q.measureWork(p.Engine, model)
 	}
+	if !q.SeparateHeavy {
+		return
+	}
 	plan, isDue := q.sizes.Plan(q.service)
 	if isDue {
 		plan = q.updatePlan(candidates)
