fleet/peer: a test waits for the line that it reads

It waits until the reply of the new leader is applied, and the line "leader found" is written right after that; under load the test reads the log in between. Change: it waits for the second line for as long as a lease lasts; the number of lines and their texts are checked as before.

--- a/internal/fleet/peer/search_test.go
+++ b/internal/fleet/peer/search_test.go
@@ -345,6 +345,10 @@
 	is.True(errors.Is(err, ErrUnavailable))
 	n.change(func() { n.leader = "b" })
 	n.awaitPoll(t, leaseDuration)
+	// The line is written after the reply has been applied, which awaitPoll waits for.
+	for deadline := time.Now().Add(leaseDuration); logs.Len() < 2 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
 	lines := logs.All()
 	is.Equal(len(lines), 2)
 	is.Equal(lines[0].Message, "no leader answers")
