Review case 6: a planned replacement and one lost disk lose the acknowledged configuration

What was done: stand-ins for the platform, workers, clients and the operator that start the gateways as processes on loopback, and a script. A machine of the core is replaced as planned (the successor runs for 16 s, the old one ends by itself after SIGTERM); a configuration is acknowledged 2 s later, and one of the remaining machines loses its disk.

--- /dev/null
+++ b/review/standins-2/case_planned.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"errors"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+func init() { cases["6"] = plannedReplacement }
+
+// plannedReplacement: a machine of the core is replaced as planned. The new one has been there for long when the
+// old one gets SIGTERM, and the old one ends by itself. Then a configuration is acknowledged, and the machine that has
+// acknowledged it loses its disk.
+func plannedReplacement(p *play) (result, error) {
+	const (
+		successorUp = 16 * time.Second // before the SIGTERM; catch_up_s is 4
+		wipeDown    = time.Second      // of the machine that loses its disk; the site allows 3 s
+		recovery    = 12 * time.Second // recovery_s
+		contact     = 3 * time.Second  // contact_ms, the least time for which the operator reads
+	)
+	replaced, diskLost := p.trouble && p.only != "disk", p.trouble && p.only != "replaced"
+	o := &operator{play: p}
+	if err := p.startAll(5, o, smallConfiguration(3)); err != nil {
+		return failed, err
+	}
+	a, c := p.cluster.machines[0], p.cluster.machines[2]
+	for _, w := range p.newWorkers(&journal{}, 3, 1, "v1") {
+		if err := w.start(); err != nil {
+			return failed, err
+		}
+	}
+	p.cluster.addMachines(6)
+	all := p.cluster.machines
+	d := all[len(all)-1]
+	p.cluster.machines = all[:5]
+	d.name, d.zone = "frontend-lakes-c-2", "lakes-c"
+	d.disk = filepath.Join(p.cluster.folder, "disk-"+d.name)
+	if replaced {
+		if err := d.start(false); err != nil {
+			return failed, err
+		}
+		p.cluster.machines = append(p.cluster.machines, d)
+		time.Sleep(successorUp)
+		c.terminate()
+		p.log("platform: %s has ended after its SIGTERM; its successor %s has run for %s before that", c.name, d.name, successorUp)
+		p.cluster.machines = []*machine{a, p.cluster.machines[1], p.cluster.machines[3], p.cluster.machines[4], d}
+	}
+	time.Sleep(500 * time.Millisecond)
+	o.first = a
+	next := smallConfiguration(8)
+	if !o.replace(next, 20*time.Second) {
+		return failed, errors.New("the configuration isn't acknowledged")
+	}
+	if diskLost {
+		a.kill()
+		p.log("platform: %s loses its disk right after configuration 8 was acknowledged", a.name)
+		if err := a.wipe(); err != nil {
+			return failed, err
+		}
+		time.Sleep(wipeDown)
+		if err := a.start(false); err != nil {
+			return failed, err
+		}
+	}
+	time.Sleep(recovery)
+	newest := o.readNewest(max(contact, 8*time.Second))
+	if newest < next.Version {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// terminate sends SIGTERM to the process of a machine and waits for its end.
+func (m *machine) terminate() {
+	m.mu.Lock()
+	p, exited := m.process, m.exited
+	m.ending = true
+	m.mu.Unlock()
+	m.cluster.log("platform: %s gets SIGTERM", m.name)
+	_ = p.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(8 * time.Second): // grace_s
+		m.kill()
+	}
+}
