--- a/review/standins-2/case_planned.go
+++ b/review/standins-2/case_planned.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"path/filepath"
 	"syscall"
 	"time"
@@ -65,7 +66,14 @@
 	}
 	time.Sleep(recovery)
 	newest := o.readNewest(max(contact, 8*time.Second))
+	cl := newClient(p)
+	for _, m := range p.cluster.machines {
+		at := cl.send(m, http.MethodGet, readPath+"1", keyOfFirst, "look-up", "")
+		p.log("client: a look-up at %s is answered with %d", m.name, at.status)
+	}
+	again := o.replace(smallConfiguration(12), 10*time.Second)
 	if newest < next.Version {
+		p.log("check: configuration 8 was acknowledged and is lost; %s after all machines were back no machine reads it back, and a new one is accepted: %t", recovery, again)
 		return broken, nil
 	}
 	return held, nil
