--- a/review/standins-2/case_refused.go
+++ b/review/standins-2/case_refused.go
@@ -33,7 +33,7 @@
 	var mu sync.Mutex
 	failures := map[string]bool{}
 	if p.trouble {
-		workers[0].conduct = func(w *worker, q *http.Request) int {
+		workers[0].conduct = func(_ *worker, q *http.Request) int {
 			since := time.Since(begin)
 			if since < troubleAt || since > troubleAt+troubleFor || rand.Float64() >= share {
 				return http.StatusOK
