--- a/review/standins-2/case_first_start.go
+++ b/review/standins-2/case_first_start.go
@@ -26,7 +26,7 @@
 			return failed, err
 		}
 		if i == 0 {
-			time.Sleep(150 * time.Millisecond) // all start within 0.3 s
+			time.Sleep(headStart)
 		}
 	}
 	back := make(chan error, 1)
--- a/review/standins-2/case_planned.go
+++ b/review/standins-2/case_planned.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"net/http"
+	"os"
 	"path/filepath"
 	"syscall"
 	"time"
@@ -25,7 +27,12 @@
 	if err := p.startAll(5, o, smallConfiguration(3)); err != nil {
 		return failed, err
 	}
+	// The log is read to choose a machine that doesn't lead as the one to replace, not for the verdict.
 	a, c := p.cluster.machines[0], p.cluster.machines[2]
+	if c.hasLed() {
+		a, c = c, a
+	}
+	p.log("platform: %s is to be replaced", c.name)
 	for _, w := range p.newWorkers(&journal{}, 3, 1, "v1") {
 		if err := w.start(); err != nil {
 			return failed, err
@@ -35,7 +42,8 @@
 	all := p.cluster.machines
 	d := all[len(all)-1]
 	p.cluster.machines = all[:5]
-	d.name, d.zone = "frontend-lakes-c-2", "lakes-c"
+	d.zone = c.zone
+	d.name = "frontend-" + c.zone + "-9"
 	d.disk = filepath.Join(p.cluster.folder, "disk-"+d.name)
 	if replaced {
 		if err := d.start(false); err != nil {
@@ -45,10 +53,10 @@
 		time.Sleep(successorUp)
 		c.terminate()
 		p.log("platform: %s has ended after its SIGTERM; its successor %s has run for %s before that", c.name, d.name, successorUp)
-		p.cluster.machines = []*machine{a, p.cluster.machines[1], p.cluster.machines[3], p.cluster.machines[4], d}
+		p.cluster.machines = []*machine{a, all[1], all[3], all[4], d}
 	}
 	time.Sleep(500 * time.Millisecond)
-	o.first = a
+	o.first, o.next = a, 0
 	next := smallConfiguration(8)
 	if !o.replace(next, 20*time.Second) {
 		return failed, errors.New("the configuration isn't acknowledged")
@@ -79,6 +87,12 @@
 	return held, nil
 }
 
+// hasLed reports whether the log of a machine says that it has led the others.
+func (m *machine) hasLed() bool {
+	text, err := os.ReadFile(filepath.Join(m.cluster.folder, m.name+".log"))
+	return err == nil && bytes.Contains(text, []byte("became leader of the deployment"))
+}
+
 // terminate sends SIGTERM to the process of a machine and waits for its end.
 func (m *machine) terminate() {
 	m.mu.Lock()
--- a/review/standins-2/cluster.go
+++ b/review/standins-2/cluster.go
@@ -252,14 +252,20 @@
 	return nil
 }
 
+// headStart is how much earlier than the others the first machine starts, so that it leads. All start within 0.3 s.
+const headStart = 150 * time.Millisecond
+
 // startAll starts all machines for the first time and waits until the first configuration is acknowledged and
 // all are ready.
 func (p *play) startAll(machines int, o *operator, first *configuration) error {
 	p.cluster.addMachines(machines)
-	for _, m := range p.cluster.machines {
+	for i, m := range p.cluster.machines {
 		if err := m.start(true); err != nil {
 			return err
 		}
+		if i == 0 {
+			time.Sleep(headStart)
+		}
 	}
 	time.Sleep(time.Second)
 	if !o.replace(first, 20*time.Second) {
