--- a/internal/bench/soak/partition.go
+++ b/internal/bench/soak/partition.go
@@ -191,16 +191,16 @@
 	p.partition = part
 	close(p.changed)
 	p.changed = make(chan struct{})
-	err := dropFrom(p.listener.(*net.TCPListener), sources)
+	err := DropFrom(p.listener.(*net.TCPListener), sources)
 	for c := range p.conns {
 		switch {
 		case part == nil:
-			err = errors.CombineErrors(err, dropFrom(c.instanceConn.(*net.TCPConn), nil))
+			err = errors.CombineErrors(err, DropFrom(c.instanceConn.(*net.TCPConn), nil))
 		case !c.isPartitioned(part) || part.kind == partitionKeepsOpen:
 		case part.kind == partitionResets:
 			c.reset()
 		default:
-			err = errors.CombineErrors(err, dropFrom(c.instanceConn.(*net.TCPConn), sources))
+			err = errors.CombineErrors(err, DropFrom(c.instanceConn.(*net.TCPConn), sources))
 		}
 	}
 	return err
@@ -219,9 +219,9 @@
 	return pc.isPartitioned(p) && p.kind == partitionHangs
 }
 
-// dropFrom attaches a filter to a socket that drops all packets from the sources, as a partition
+// DropFrom attaches a filter to a socket that drops all packets from the sources, as a partition
 // does. A listener drops requests for connections too. Without sources the filter passes everything.
-func dropFrom(c syscall.Conn, sources []net.IP) (err error) {
+func DropFrom(c syscall.Conn, sources []net.IP) (err error) {
 	const (
 		sourceOffset = 0xfff00000 + 12 // of the source address, after SKF_NET_OFF
 		passAll      = 0xffffffff
