httpserver: account for the lines of headers, not only for their bytes

What callers saw: a few hundred clients with headers of legal size, made of short lines, took more memory than the process may have; on a machine it is killed and all its requests are lost.

Cause: up to 8 KB of each header did not count, and of longer ones twice their bytes. A parsed line takes a key, a list of values and a place in a map, and another place in the header for the upstream: about 83 to 150 bytes for a line of five. The map is allocated as soon as net/http has the lines in its buffer. A header behind the request before, in the same read, did not count at all.

Change: the listener finds the end of each header and counts its lines, at 256 bytes each; 8 KB of the sum stay free, which the bound on connections bounds. What arrives behind a request counts when net/http reads on (it sets the deadline for reads once before it waits for a request, and once after) or has parsed the header. A request whose connection was closed for memory before it began is refused. Trailers are dropped with the end of the body.

--- a/internal/gateway/caller/body.go
+++ b/internal/gateway/caller/body.go
@@ -44,6 +44,7 @@
 	body, err := q.memory.ReadBody(memory.Body, q.httpRequest.Body, q.httpRequest.ContentLength, limit)
 	if err == nil {
 		q.body = body
+		q.httpRequest.Trailer = nil // is not forwarded, and not accounted for
 		return true
 	}
 	// net/http reads some of the rest after the response, without a time limit.
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -275,6 +275,9 @@
 
 // admit makes all checks that need no upstream. If it returns false, it has answered the caller.
 func (q *request) admit() bool {
+	if q.memory.Evicted() {
+		return q.rejectMemory()
+	}
 	if q.rejecting.Load() {
 		return q.reject(http.StatusServiceUnavailable, "instance is stopping", retryOtherInstance)
 	}
--- a/internal/gateway/httpserver/half_read.go
+++ b/internal/gateway/httpserver/half_read.go
@@ -7,22 +7,11 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
-
-	"github.com/cockroachdb/errors"
+	"time"
 
 	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 )
 
-const (
-	// freeHeaderBytes of a header do not count: most are shorter, and the bound on connections bounds them.
-	freeHeaderBytes = 8 << 10
-	// headerCopies is how often net/http holds the bytes of a long header line while it reads them.
-	headerCopies = 2
-)
-
-// errHeaderTooLong means that a header exceeds the limit.
-var errHeaderTooLong = errors.New("header is too long")
-
 // halfReadListener counts the connections on which a part of the header of a request has arrived.
 // For net/http they are new or idle, and its Shutdown closes them without an answer. It accounts for
 // connections and headers.
@@ -68,14 +57,20 @@
 	held      *memory.Connection // for the client; nil if it is not accounted for
 	maxHeader func() int
 
+	deadlines atomic.Int32 // calls of SetReadDeadline since the connection became idle
+
 	mu              sync.Mutex
 	betweenRequests bool // the header of the next request is not complete
 	begun           bool // some of that header has arrived
-	headerBytes     int  // read since the last request, at most what is in its header
+	header          headerReader
+	reserved        memory.Bytes // for the header
 }
 
 // Read reads from the connection.
 func (c *halfReadConn) Read(p []byte) (n int, err error) {
+	if err := c.countBuffered(len(p)); err != nil {
+		return 0, err
+	}
 	n, err = c.Conn.Read(p)
 	if n > 0 {
 		c.mu.Lock()
@@ -84,8 +79,9 @@
 			c.begun = true
 			c.halfRead.Add(1)
 		}
-		if c.betweenRequests && c.held != nil {
-			if headerErr := c.countHeader(n); headerErr != nil {
+		if c.held != nil {
+			c.header.read(p[:n])
+			if headerErr := c.countHeader(); headerErr != nil {
 				return 0, headerErr
 			}
 		}
@@ -93,16 +89,49 @@
 	return n, err
 }
 
-// countHeader accounts for bytes of a header that have arrived. c.mu must be held.
-func (c *halfReadConn) countHeader(n int) error {
-	c.headerBytes += n
-	if c.headerBytes <= freeHeaderBytes {
+// countBuffered accounts for the header of the next request as far as it has arrived with the request before. free is
+// the room in the buffer of net/http.
+func (c *halfReadConn) countBuffered(free int) error {
+	if c.held == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.betweenRequests || c.begun {
+		return nil
+	}
+	if free >= readBufferBytes && c.deadlines.Load() <= 1 {
+		c.header.emptyBuffer()
 		return nil
 	}
-	if c.maxHeader != nil && c.headerBytes > c.maxHeader() {
+	return c.countHeader()
+}
+
+// SetReadDeadline sets the deadline for reads. net/http does so when the connection becomes idle, and again when it
+// begins to parse the next request. If its buffer is empty in between, nothing of that request has arrived; later it may be
+// empty because its lines were parsed.
+func (c *halfReadConn) SetReadDeadline(t time.Time) error {
+	c.deadlines.Add(1)
+	return c.Conn.SetReadDeadline(t)
+}
+
+// countHeader accounts for what has arrived of a header. c.mu must be held.
+func (c *halfReadConn) countHeader() error {
+	if !c.betweenRequests {
+		return nil
+	}
+	if c.maxHeader != nil && c.header.size.bytes > max(c.maxHeader(), freeHeaderBytes) {
 		return errHeaderTooLong
 	}
-	return c.held.Reserve(memory.Header, memory.Bytes(headerCopies*n))
+	n := c.header.size.memory() - freeHeaderBytes - c.reserved
+	if n <= 0 {
+		return nil
+	}
+	if err := c.held.Reserve(memory.Header, n); err != nil {
+		return err
+	}
+	c.reserved += n
+	return nil
 }
 
 // Close closes the connection.
@@ -124,10 +153,16 @@
 func (c *halfReadConn) setState(s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s == http.StateActive && c.held != nil && c.countHeader() != nil {
+		// The header was in the buffer behind the request before, and is parsed already.
+		c.held.Abort()
+	}
 	c.betweenRequests = s == http.StateNew || s == http.StateIdle
-	c.headerBytes = 0
 	if s == http.StateIdle {
 		c.held.ReleaseAll(memory.Header)
+		c.header.next()
+		c.reserved = 0
+		c.deadlines.Store(0)
 	}
 	if c.begun && s != http.StateNew {
 		c.begun = false
--- a/internal/gateway/memory/connections.go
+++ b/internal/gateway/memory/connections.go
@@ -56,6 +56,18 @@
 	}
 }
 
+// Abort closes the connection. A request that begins on it all the same is refused.
+func (c *Connection) Abort() {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	c.evicted = true
+	c.budget.mu.Unlock()
+	c.close()
+	c.Close()
+}
+
 // mostConnected returns a connection of the client with the most of them: one without a request, or else one
 // whose body is read, that has been without progress longest. It returns nil if there is none. b.mu
 // must be held.
@@ -77,6 +89,16 @@
 	return out
 }
 
+// Held returns how much the connection holds of a kind.
+func (c *Connection) Held(k Kind) Bytes {
+	if c == nil {
+		return 0
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.byKind[k]
+}
+
 // connectionKey is the key of the connection in the context of its requests.
 type connectionKey struct{}
 
