caller: account for the lists of prompt parts

What callers saw: a header field of legal size with thousands of prompt parts, sent by some hundred clients, took 161 MB of 96; the process is killed on its machine.

Cause: a part of two bytes becomes a text of 16 bytes in the list that is split, and another one in the list that is kept for reports of crashes, which grows by doubling. None of it was in the account.

Change: 64 bytes for each part are reserved before the list is split; up to 63 parts do not count. If they don't fit, the client that holds most goes, and else the request is refused with 503, "not run".

Ruled out: the list of the Connection field, split for a moment only: 72 to 75 MB.

--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -41,6 +41,10 @@
 	crashProbeTimeout = 300 * time.Millisecond
 	// maxReportedBytes is the length of a caller's text above which its hash is reported.
 	maxReportedBytes = 64
+	// partBytes is what a part of a prompt takes in the lists of parts, with room for their growth. freeParts
+	// parts do not count: most prompts have fewer, and the bound on connections bounds them.
+	partBytes = 64
+	freeParts = 64
 )
 
 // FleetView is the instance's view of the deployment. Requests read it, and their results
@@ -313,6 +317,9 @@
 	if !q.readBody() {
 		return false
 	}
+	if !q.reserveParts() {
+		return q.rejectMemory()
+	}
 	q.service = q.route.PickService(q.randomFloat())
 	q.readRoutingHeaders()
 	q.fingerprint = q.computeFingerprint()
@@ -378,6 +385,12 @@
 	return true
 }
 
+// reserveParts accounts for the list of the parts of the prompt once it is split.
+func (q *request) reserveParts() bool {
+	n := strings.Count(q.httpRequest.Header.Get(q.Protocol.PromptPrefix), ",")
+	return n < freeParts || q.memory.Reserve(memory.Header, memory.Bytes(n*partBytes)) == nil
+}
+
 // readRoutingHeaders reads the headers that the choice of the upstream depends on.
 func (q *request) readRoutingHeaders() {
 	header := q.httpRequest.Header
