caller: remember parts of prompts without the header that they came in

What callers saw: nothing at first; a client with a key that sends small requests in series makes the process grow until it is killed.

Cause: the identifiers of prompt parts are remembered for 8,192 to 16,384 parts, to weigh crashes. Each was a substring of its header field, and kept all of that, up to the limit of a header, in memory: one short part and one long last part in a request suffice.

Change: the identifier is copied.

--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -433,8 +433,11 @@
 	return balancer.Prefix{Key: xxhash.Sum64String(id), Tokens: tokens}
 }
 
-// promptPart returns the identifier of a prompt part by which crashes are attributed.
-func promptPart(part string) suspect.Part { return suspect.Part(reportedText(promptPartID(part))) }
+// promptPart returns the identifier of a prompt part by which crashes are attributed. It is a copy, since it is
+// remembered longer than the header that it is a part of.
+func promptPart(part string) suspect.Part {
+	return suspect.Part(strings.Clone(reportedText(promptPartID(part))))
+}
 
 // reportedText returns a text of a caller as it is sent to other instances. A long one, or one that is not
 // UTF-8 and could not be encoded there, is replaced by its hash.
