memory: spare the other callers of an account that holds most

What callers saw: a caller with a body of some size was refused for want of memory that others held with a key of the same account, although each of their connections held less.

Cause: the weight of an account adds up, and of the heaviest client the heaviest connection went, whatever address it came from. Many connections that hold little each weigh less one by one than a single large body that is arriving.

Change: of the heaviest client the heaviest address goes first, and of that the heaviest connection.

Measured: the new row of TestEvictionOrder fails before (the single body of the other address is taken) and passes after; the other rows are unchanged.

--- a/internal/gateway/memory/memory_test.go
+++ b/internal/gateway/memory/memory_test.go
@@ -46,6 +46,7 @@
 		{"without progress", []held{{address: "10.0.0.1", bytes: 6 * block}, {address: "10.0.0.2", bytes: 4 * block, stalled: time.Second}}, 1},
 		{"one address", []held{{address: "10.0.0.1", bytes: 5 * block}, {address: "10.0.0.2", bytes: 3 * block}, {address: "10.0.0.2", bytes: 4 * block}}, 2},
 		{"one account", []held{{address: "10.0.0.1", bytes: 5 * block}, {address: "10.0.0.2", account: "a", bytes: 3 * block}, {address: "10.0.0.3", account: "a", bytes: 4 * block}}, 2},
+		{"another address of the account", []held{{address: "10.0.0.1", account: "a", bytes: 5 * block}, {address: "10.0.0.2", account: "a", bytes: 3 * block}, {address: "10.0.0.2", account: "a", bytes: 4 * block}}, 2},
 		{"run by an upstream", []held{{address: "10.0.0.1", phase: Running, bytes: 8 * block}, {address: "10.0.0.2", phase: Reading, bytes: 4 * block}}, 1},
 		{"finished requests", []held{{address: "10.0.0.1", finished: 3, bytes: 7 * block}, {address: "10.0.0.2", bytes: 5 * block}}, 1},
 		{"body of a long stream", []held{{address: "10.0.0.1", bytes: 8 * block}, {address: "10.0.0.2", bytes: block / 4, stalled: time.Minute}}, 0},
--- a/internal/gateway/memory/weight.go
+++ b/internal/gateway/memory/weight.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -53,8 +54,17 @@
 	return weight(1 + c.finished)
 }
 
-// heaviest returns the heaviest connection of the heaviest client, or nil if there is none. asking needs n
-// bytes, which count as if it held them. b.mu must be held.
+// rank orders connections: the weight of the client, which is the account or the address that weighs more, that of
+// the address, and that of the connection. Several callers may share an account.
+type rank struct{ client, address, connection weight }
+
+// exceeds reports whether a connection of this rank goes before one of another.
+func (r rank) exceeds(o rank) bool {
+	return cmp.Or(cmp.Compare(r.client, o.client), cmp.Compare(r.address, o.address), cmp.Compare(r.connection, o.connection)) > 0
+}
+
+// heaviest returns the heaviest connection of the heaviest address of the heaviest client, or nil if there is none.
+// asking needs n bytes, which count as if it held them. b.mu must be held.
 func (b *Budget) heaviest(asking *Connection, n Bytes) *Connection {
 	now := b.options.Timer.Now()
 	byAddress, byAccount := map[netip.Addr]weight{}, map[string]weight{}
@@ -77,11 +87,11 @@
 		}
 	})
 	var out *Connection
-	var heaviestClient, heaviest weight
+	var heaviest rank
 	each(func(c *Connection, w weight) {
-		ofClient := max(byAddress[c.address], byAccount[c.account])
-		if ofClient > heaviestClient || (ofClient == heaviestClient && w > heaviest) {
-			out, heaviestClient, heaviest = c, ofClient, w
+		r := rank{max(byAddress[c.address], byAccount[c.account]), byAddress[c.address], w}
+		if r.exceeds(heaviest) {
+			out, heaviest = c, r
 		}
 	})
 	return out
