caller: refuse a request whose body ends early instead of answering 200

What callers of serve saw: status 200 with an empty body, for a request that never ran, if the body ended early and the caller only closed its sending side.

Cause: a read of the body that fails ends the context of the request in net/http. The code that writes the refusal took an ended context for a caller that has left, and wrote nothing; net/http then sends its default status.

Change: the refusal is always written; to a caller that has left the write fails, which changes nothing.

Found while bodies were refused for want of memory. Measured: TestTruncatedBody gets 200 before and 400, "not run", after; the other tests of the package pass.

--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -192,11 +192,10 @@
 	q.handler.log.Debug("request refused", zap.String("request", q.id),
 		zap.String("account", string(q.account)), zap.String("code", r.code),
 		zap.String("outcome", string(r.outcome)), zap.Error(err))
-	switch {
-	case q.httpRequest.Context().Err() != nil:
-	case q.streaming:
-		q.writeEvent(r.body())
-	default:
+	// The context of the request also ends when its body cannot be read, and net/http would then send status 200.
+	if q.streaming {
+		_ = q.writeEvent(r.body())
+	} else {
 		q.sendRefusal(r)
 	}
 }
