serve: account for the memory and the connections of clients

What callers saw: 60 clients with a key that hold a body of 8 MiB open, 200 without one that send headers of short lines, or 20 bodies of many fields take 276 to 1711 MB from an instance with the first settings of the README; on a machine with less the process is killed.

Cause: nothing accounted for connections, headers, bodies or responses in serve; bodies were read with io.ReadAll, which grows by doubling, and there was no setting for memory.

Change: serve uses the listener of gateway/httpserver and the account of gateway/memory. limits.memory (256 MiB, or 32 bodies if that is more) and limits.clients (8 per MiB, a third of the descriptors at most) are checked settings; a quarter of the memory is held for clients. Bodies of callers, operators and upstreams are reserved as they arrive, chat requests with what their fields take decoded and encoded, documents and announcements with an estimate of what decoding takes, responses as they are read. A request that does not fit is refused with 503, code memory, "not run"; one that was sent ends with 502, "unknown", and is not sent again.

Ruled out: a lower GOGC alone, since what is live already exceeds the bound.

--- a/internal/command/terminal/serve.go
+++ b/internal/command/terminal/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -21,6 +22,8 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/config/secret"
 	"wisteriakeel.example/wisteriakeel/internal/config/settings"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/httpserver"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/group"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/plugin"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/role"
@@ -35,6 +38,10 @@
 	// drainPropagationDelay is the longest time until all entries know that an instance
 	// is draining.
 	drainPropagationDelay = 3 * time.Second
+	// softMemoryLimitRatio is the share of the memory from which the garbage collector runs more often.
+	softMemoryLimitRatio = 0.6
+	// heldShare is the part of the memory, 1 in heldShare, that is held for clients.
+	heldShare = 4
 )
 
 func init() {
@@ -67,6 +74,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	debug.SetMemoryLimit(int64(softMemoryLimitRatio * float64(s.Limits.Memory())))
 	// After the first signal, restore the default action, so that a second one ends the process.
 	context.AfterFunc(ctx, stop)
 	return serve(ctx, s, credentials, c.log)
@@ -134,7 +142,8 @@
 	if err = p.setUpRoles(); err != nil {
 		return errors.CombineErrors(err, errors.CombineErrors(listener.Close(), p.group.Stop()))
 	}
-	h := &httpServer{process: p, listener: listener, server: p.newHTTPServer()}
+	server := p.newHTTPServer()
+	h := &httpServer{process: p, listener: httpserver.Accounted(server, listener, p.newBudget()), server: server}
 	p.group.Go("accept", h.accept)
 	p.group.Go("http", h.awaitShutdown)
 	p.log.Info("serving", zap.String("http", p.settings.Listen.HTTP))
@@ -182,6 +191,17 @@
 	}
 }
 
+// newBudget returns the account of the memory and the connections of clients.
+func (p *process) newBudget() *memory.Budget {
+	limits := &p.settings.Limits
+	b := memory.New(memory.Options{
+		Limit: memory.Bytes(limits.Memory() / heldShare), Connections: limits.Clients(memory.AvailableDescriptors()),
+		Timer: timer.NewBootClock(), Log: p.log.Named("memory"),
+	})
+	b.Publish()
+	return b
+}
+
 // requireOperator passes only requests with an operator's credential to h.
 func (p *process) requireOperator(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/config/settings/check.go
+++ b/internal/config/settings/check.go
@@ -21,6 +21,12 @@
 // every commit.
 const maxControlInstances = 9
 
+// The range of limits.memory, in bytes. The process itself takes about 40 MB.
+const (
+	minMemoryBytes = 128 << 20
+	maxMemoryBytes = 1 << 40
+)
+
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
 
 // checker checks decoded settings and adds their problems to the list.
@@ -140,6 +146,12 @@
 	c.checkRange("limits.queue", uint64(l.MaxQueuedPerAccount), 1, 65536)
 	c.checkRange("limits.total", uint64(l.MaxQueuedTotal), 1, 1<<20)
 	c.checkRange("limits.connections", uint64(l.MaxOpenRequests), 1, 65536)
+	if l.MemoryBytes > 0 {
+		c.checkRange("limits.memory", l.MemoryBytes, max(minMemoryBytes, bodiesInMemory*uint64(l.MaxBodyBytes)), maxMemoryBytes)
+	}
+	if l.MaxClients > 0 {
+		c.checkRange("limits.clients", uint64(l.MaxClients), minClients, 1<<20)
+	}
 }
 
 // checkTimeouts checks the timeouts, in milliseconds.
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -109,6 +109,45 @@
 	// MaxOpenRequests limits the open requests of each account, and so the connections
 	// that it uses at once.
 	MaxOpenRequests uint32 `json:"connections"`
+	// MemoryBytes is what the process may take, and MaxClients the number of connections of clients. 0 derives
+	// them; see Memory and Clients.
+	MemoryBytes uint64 `json:"memory"`
+	MaxClients  uint32 `json:"clients"`
+}
+
+const (
+	// defaultMemoryBytes is what an instance takes at most unless bodies may be larger than by default.
+	defaultMemoryBytes = 256 << 20
+	// bodiesInMemory is how many bodies of the largest size fit into the memory of an instance. A chat request
+	// takes five times its body, and requests a quarter of the memory.
+	bodiesInMemory = 32
+	// clientsPerMB bounds connections by memory: one with a short request takes about 25 KB. descriptorShare is the
+	// part of the descriptors, 1 in descriptorShare, for them: each may need another one to an upstream.
+	clientsPerMB    = 8
+	descriptorShare = 3
+	// minClients leaves some for operators.
+	minClients = 16
+)
+
+// Memory returns what the process may take, in bytes.
+func (l *Limits) Memory() uint64 {
+	if l.MemoryBytes > 0 {
+		return l.MemoryBytes
+	}
+	return max(defaultMemoryBytes, bodiesInMemory*uint64(l.MaxBodyBytes))
+}
+
+// Clients returns the number of connections of clients at most, for a process that may open a number of descriptors; 0
+// if that is not known.
+func (l *Limits) Clients(descriptors uint64) int {
+	if l.MaxClients > 0 {
+		return int(l.MaxClients)
+	}
+	n := l.Memory() >> 20 * clientsPerMB
+	if descriptors > 0 {
+		n = min(n, descriptors/descriptorShare)
+	}
+	return int(max(n, minClients))
 }
 
 // Timeouts limits how long the instance waits.
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -42,6 +42,8 @@
 		{`{"instance":1,"zone":"z","region":"r","roles":["entry"],"listen":{"http":"localhost:80","port":1},"control":["127.0.0.1:1"],"secrets":"s"}`, []string{"instance", "listen.port", "listen.http"}},
 		{`{"instance":"i","instance":"j","zone":"z","region":"r","roles":["entry","entry","cook"],"folder":"f","listen":{"http":"0.0.0.0:80"},"control":["127.0.0.1:1","127.0.0.1:1"],"secrets":"s"}`, []string{"instance", "roles[1]", "roles[2]", "folder", "listen.http", "control[1]"}},
 		{`{"instance":"i","zone":"z","region":"r","roles":["control"],"listen":{"http":"127.0.0.1:80","peer":"127.0.0.1:81"},"control":["127.0.0.1:82"],"secrets":"s","groups":0,"log":{"level":"loud"},"trace":{"exporter":"otlp"},"rating":"http://rating:1","limits":{"body":-1,"queue":0},"timeouts":{"idle":99}}`, []string{"limits.body", "folder", "listen.peer", "groups", "log.level", "trace.target", "rating", "limits.queue", "timeouts.idle"}},
+		{`{"instance":"i","zone":"z","region":"r","roles":["entry"],"listen":{"http":"127.0.0.1:80"},"control":["127.0.0.1:82"],"secrets":"s","limits":{"memory":134217727,"body":1048576,"clients":15}}`, []string{"limits.memory", "limits.clients"}},
+		{`{"instance":"i","zone":"z","region":"r","roles":["entry"],"listen":{"http":"127.0.0.1:80"},"control":["127.0.0.1:82"],"secrets":"s","limits":{"memory":268435455}}`, []string{"limits.memory"}},
 	}
 	for _, c := range cases {
 		t.Run(c.text, func(t *testing.T) {
@@ -95,3 +97,27 @@
 		checkRoundTrip(r, text)
 	})
 }
+
+// Guards against a memory that has no room for the bodies that the settings allow, and against more connections
+// than it, or the process, has room for.
+func TestMemory(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		limits              Limits
+		descriptors, memory uint64
+		clients             int
+	}{
+		{"default", defaults().Limits, 0, 256 << 20, 2048},
+		{"few descriptors", defaults().Limits, 1024, 256 << 20, 341},
+		{"very few descriptors", defaults().Limits, 10, 256 << 20, 16},
+		{"small bodies", Limits{MaxBodyBytes: 1 << 10}, 0, 256 << 20, 2048},
+		{"large bodies", Limits{MaxBodyBytes: 64 << 20}, 0, 2 << 30, 16384},
+		{"given", Limits{MaxBodyBytes: 1 << 20, MemoryBytes: 128 << 20, MaxClients: 100}, 30, 128 << 20, 100},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.limits.Memory(), c.memory)
+			is.Equal(c.limits.Clients(c.descriptors), c.clients)
+		})
+	}
+}
--- a/internal/entry/caller/attempt.go
+++ b/internal/entry/caller/attempt.go
@@ -13,6 +13,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/entry/route"
 	"wisteriakeel.example/wisteriakeel/internal/entry/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
@@ -107,7 +108,7 @@
 // and takes the retry out of the budget.
 func (q *request) allowRetry(ctx context.Context, err error) bool {
 	var f *upstream.Failure
-	if ctx.Err() != nil || !errors.As(err, &f) || f.PreSendCheckFailed {
+	if ctx.Err() != nil || !errors.As(err, &f) || f.PreSendCheckFailed || errors.Is(err, memory.ErrShort) {
 		return false
 	}
 	if f.Outcome == upstream.Failed && f.Status >= 400 && f.Status < 500 {
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -13,6 +13,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/entry/route"
 	"wisteriakeel.example/wisteriakeel/internal/entry/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
@@ -39,6 +40,46 @@
 	maxTokens uint64
 }
 
+const (
+	// chatCopies is how often a body is held besides itself: as the values of its fields, and encoded for the engine
+	// and for the rating service, which takes room to grow.
+	chatCopies = 4
+	// fieldBytes is what a field of the body takes in the maps of fields, and while they are encoded.
+	fieldBytes = 512
+)
+
+// reserveDecoded accounts for what the body takes once it is decoded, and encoded for engines.
+func (q *request) reserveDecoded() error {
+	n := memory.Bytes(chatCopies*len(q.body) + fieldBytes*countFields(q.body))
+	if !q.held.Fits(n + memory.Bytes(len(q.body))) {
+		r := invalidRequest("body", "the body has too many fields")
+		r.status = http.StatusRequestEntityTooLarge
+		return r
+	}
+	return q.held.Reserve(memory.Body, n)
+}
+
+// countFields returns the number of fields of a JSON object, or an upper bound if it is not valid.
+func countFields(body []byte) (n int) {
+	depth, quoted := 0, false
+	for i := 0; i < len(body); i++ {
+		switch c := body[i]; {
+		case c == '"':
+			quoted = !quoted
+		case quoted && c == '\\':
+			i++
+		case quoted:
+		case c == '{' || c == '[':
+			depth++
+		case c == '}' || c == ']':
+			depth--
+		case c == ':' && depth <= 1:
+			n++
+		}
+	}
+	return n
+}
+
 // parseCompletion decodes the body and checks the fields that the entry uses.
 func parseCompletion(body []byte) (c *completionRequest, err error) {
 	c = &completionRequest{}
@@ -129,6 +170,9 @@
 	if err := q.readBody(); err != nil {
 		return err
 	}
+	if err := q.reserveDecoded(); err != nil {
+		return err
+	}
 	c, err := parseCompletion(q.body)
 	if err != nil {
 		return err
--- a/internal/entry/caller/output.go
+++ b/internal/entry/caller/output.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 )
 
 // streamRelay passes the events of one streamed answer to the caller, and holds back
@@ -84,6 +85,9 @@
 	if int64(o.heldBytes) > o.job.handler.options.MaxBodyBytes {
 		return errors.New("the held part of the answer exceeds the size limit")
 	}
+	if err := o.job.held.Reserve(memory.Response, memory.Bytes(len(data))); err != nil {
+		return err
+	}
 	o.held = append(o.held, data)
 	return nil
 }
@@ -153,6 +157,7 @@
 func (q *request) writeEvent(data []byte) error {
 	if !q.streaming {
 		q.streaming = true
+		q.held.SetPhase(memory.Writing)
 		q.writer.Header().Set("Content-Type", "text/event-stream")
 		q.writer.Header().Set("Cache-Control", "no-store")
 		q.writer.WriteHeader(http.StatusOK)
--- a/internal/entry/caller/refusal.go
+++ b/internal/entry/caller/refusal.go
@@ -15,6 +15,9 @@
 	"wisteriakeel.example/wisteriakeel/internal/entry/queue"
 	"wisteriakeel.example/wisteriakeel/internal/entry/route"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/httpserver"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
+	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
 )
 
 // Headers between callers and entries.
@@ -56,6 +59,9 @@
 // this request only, since the entry cannot find out what happened to earlier ones.
 const codeLease = "lease"
 
+// codeMemory is the code of a refusal for want of memory.
+const codeMemory = "memory"
+
 // invalidRequest returns the refusal of a malformed request.
 func invalidRequest(code, format string, args ...any) *refusal {
 	return &refusal{
@@ -113,6 +119,8 @@
 		return h.toRefusal(failure.Err)
 	case errors.As(err, &failure):
 		return h.failureRefusal(failure)
+	case errors.Is(err, memory.ErrShort):
+		return h.unavailable(kindCapacity, codeMemory, "memory is short")
 	case errors.Is(err, context.DeadlineExceeded):
 		return &refusal{
 			status: http.StatusGatewayTimeout, kind: kindCapacity, code: "deadline",
@@ -201,7 +209,13 @@
 // sendRefusal sends the refusal. If this entry drains or has no lease, it lists the
 // other entries in a header.
 func (q *request) sendRefusal(r *refusal) {
-	if r.code == codeLease || r.code == "draining" {
+	if r.code == codeMemory {
+		metric.Int("caller.memory").Add(1)
+		// net/http would read on to use the connection again.
+		q.writer.Header().Set("Connection", "close")
+		defer httpserver.StopReading(q.writer)
+	}
+	if r.code == codeLease || r.code == "draining" || r.code == codeMemory {
 		q.writer.Header().Set(headerEntries, q.handler.otherEntries())
 	}
 	r.send(q.writer)
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -4,10 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
@@ -23,6 +23,8 @@
 	"wisteriakeel.example/wisteriakeel/internal/entry/queue"
 	"wisteriakeel.example/wisteriakeel/internal/entry/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/httpserver"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
@@ -75,6 +77,20 @@
 	attemptStart timer.Instant
 	// afterResponse holds functions to run once the caller has its answer.
 	afterResponse []func()
+	// held accounts for what the request holds; nil if nothing does.
+	held *memory.Connection
+	// cancel ends the request with a cause.
+	cancel      context.CancelCauseFunc
+	readingBody atomic.Bool
+}
+
+// GiveBackMemory ends the request, since others need its memory.
+func (q *request) GiveBackMemory() {
+	q.cancel(memory.ErrShort)
+	// To net/http a read that fails means that the caller has left, which a call that is sent must not be taken for.
+	if q.readingBody.Load() {
+		httpserver.StopReading(q.writer)
+	}
 }
 
 // serve returns an HTTP handler that does the work common to all requests around f:
@@ -82,8 +98,11 @@
 func (h *Handler) serve(f func(ctx context.Context, q *request) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		metric.Int("caller.requests").Add(1)
-		q := &request{handler: h, writer: w, httpRequest: r}
+		q := &request{handler: h, writer: w, httpRequest: r, held: memory.FromContext(r.Context())}
 		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, q.cancel = context.WithCancelCause(ctx)
+		defer q.cancel(nil)
+		q.held.Begin(q)
 		ctx, span := h.options.Tracer.Start(ctx, r.Pattern, trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
 		if !h.drainState.beginRequest() {
@@ -96,6 +115,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		err := q.prepare()
+		q.held.SetAccount(string(q.account))
 		if err == nil && !h.openRequests.acquire(q.account) {
 			err = h.tooManyOpenRequests()
 		} else if err == nil {
@@ -106,6 +126,9 @@
 			defer q.enforceDeadline()()
 			span.SetAttributes(attribute.String("request", q.id), attribute.String("account", string(q.account)))
 			err = f(ctx, q)
+			if err != nil && errors.Is(context.Cause(ctx), memory.ErrShort) && q.combinedRefusal(err).outcome == upstream.NotRun {
+				err = memory.ErrShort
+			}
 		}
 		q.complete(span, err)
 		for _, f := range q.afterResponse {
@@ -228,16 +251,23 @@
 
 // readBody reads the body, up to the size limit, and computes its digest.
 func (q *request) readBody() error {
-	b, err := io.ReadAll(http.MaxBytesReader(q.writer, q.httpRequest.Body, q.handler.options.MaxBodyBytes))
+	q.readingBody.Store(true)
+	defer q.readingBody.Store(false)
+	limit := q.handler.options.MaxBodyBytes
+	b, err := q.held.ReadWhole(memory.Body, http.MaxBytesReader(q.writer, q.httpRequest.Body, limit), q.httpRequest.ContentLength, limit)
+	if errors.Is(err, memory.ErrShort) {
+		return err
+	}
 	if err != nil {
 		r := invalidRequest("body", "the body could not be read")
 		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
+		if errors.As(err, &tooLarge) || errors.Is(err, memory.ErrTooLong) {
 			r.status, r.message = http.StatusRequestEntityTooLarge, "the body is too large"
 		}
 		return r
 	}
 	q.body = b
+	q.httpRequest.Trailer = nil // is not passed on, and not accounted for
 	sum := sha256.Sum256(b)
 	q.bodyDigest = hex.EncodeToString(sum[:])
 	return nil
--- a/internal/entry/caller/suspect.go
+++ b/internal/entry/caller/suspect.go
@@ -13,6 +13,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
 	"wisteriakeel.example/wisteriakeel/internal/entry/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/entry/upstream"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
@@ -181,6 +182,7 @@
 		err := check()
 		if err == nil {
 			r.MarkSent()
+			q.held.SetPhase(memory.Running)
 		}
 		return err
 	}
--- a/internal/entry/operator/document.go
+++ b/internal/entry/operator/document.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -15,6 +14,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/config/document"
 	"wisteriakeel.example/wisteriakeel/internal/config/problem"
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
@@ -73,14 +73,21 @@
 	if err != nil {
 		return nil, err
 	}
-	text, err := io.ReadAll(http.MaxBytesReader(w, q.Body, problem.MaxFileBytes))
+	held := memory.FromContext(q.Context())
+	text, err := held.ReadWhole(memory.Call, http.MaxBytesReader(w, q.Body, problem.MaxFileBytes), q.ContentLength, problem.MaxFileBytes)
 	if err != nil {
 		var large *http.MaxBytesError
-		if errors.As(err, &large) {
+		if errors.Is(err, memory.ErrShort) {
+			return nil, err
+		}
+		if errors.As(err, &large) || errors.Is(err, memory.ErrTooLong) {
 			return nil, notRunError(http.StatusRequestEntityTooLarge, "large", "a document may have at most "+strconv.Itoa(problem.MaxFileBytes)+" bytes")
 		}
 		return nil, notRunError(http.StatusBadRequest, "body", "the document was not received completely")
 	}
+	if err := reserveDecoded(held, text); err != nil {
+		return nil, err
+	}
 	if err = validateDocument(service, text); err != nil {
 		return nil, err
 	}
@@ -90,6 +97,16 @@
 	}, nil
 }
 
+// reserveDecoded accounts for what a document takes once it is decoded.
+func reserveDecoded(held *memory.Connection, text []byte) error {
+	n := memory.DecodedBytes(text)
+	if !held.Fits(n + memory.Bytes(len(text))) {
+		return notRunError(http.StatusRequestEntityTooLarge, "large", "the document takes about "+strconv.FormatInt(int64(n), 10)+
+			" bytes once it is decoded, more than the instance holds for clients")
+	}
+	return held.Reserve(memory.Call, n)
+}
+
 // validateDocument rejects a document that has problems or belongs to another service.
 func validateDocument(service document.Service, text []byte) error {
 	err := document.Validate(string(service), text)
--- a/internal/entry/operator/error.go
+++ b/internal/entry/operator/error.go
@@ -9,6 +9,7 @@
 
 	"wisteriakeel.example/wisteriakeel/internal/config/problem"
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 )
 
 // The outcomes of a request that got an error response.
@@ -75,6 +76,8 @@
 		f.status, f.Code = http.StatusNotFound, "missing"
 	case errors.Is(err, control.ErrStorageFull):
 		f.status, f.Code, f.Type = http.StatusInsufficientStorage, "full", typeUnavailable
+	case errors.Is(err, memory.ErrShort):
+		f.status, f.Code, f.Type = http.StatusServiceUnavailable, "memory", typeUnavailable
 	case errors.Is(err, control.ErrUnavailable), errors.Is(err, control.ErrNoLease):
 		f.status, f.Code, f.Type = http.StatusServiceUnavailable, "unavailable", typeUnavailable
 	case errors.Is(err, control.ErrOutcomeUnknown), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
--- a/internal/entry/upstream/announce.go
+++ b/internal/entry/upstream/announce.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -17,6 +18,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"wisteriakeel.example/wisteriakeel/internal/entry/control"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/observe/metric"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
 )
@@ -338,7 +340,20 @@
 		refuse(w, http.StatusUnauthorized, "credential", "no valid upstream credential")
 		return false
 	}
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	held := memory.FromContext(r.Context())
+	text, err := held.ReadWhole(memory.Call, http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, maxBodyBytes)
+	if err == nil {
+		err = held.Reserve(memory.Call, memory.DecodedBytes(text))
+	}
+	switch {
+	case errors.Is(err, memory.ErrShort):
+		refuse(w, http.StatusServiceUnavailable, "memory", "memory is short")
+		return false
+	case err != nil:
+		refuse(w, http.StatusBadRequest, "invalid", "body: "+err.Error())
+		return false
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
 		refuse(w, http.StatusBadRequest, "invalid", "body: "+err.Error())
--- a/internal/entry/upstream/client.go
+++ b/internal/entry/upstream/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/propagation"
 
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/retryafter"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/control"
@@ -359,14 +360,16 @@
 
 // readBody reads the whole response body. A body longer than limit is an error.
 func (c *call) readBody(ctx context.Context, resp *http.Response, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
+	b, err := memory.FromContext(ctx).ReadWhole(memory.Response, resp.Body, resp.ContentLength, limit)
+	switch {
+	case errors.Is(err, memory.ErrTooLong):
+		return nil, &Failure{Outcome: Unknown, Reason: "answer exceeds the size limit", Status: resp.StatusCode, UpstreamFault: true}
+	case errors.Is(err, memory.ErrShort):
+		return nil, &Failure{Outcome: Unknown, Reason: "memory is short", Status: resp.StatusCode, Err: err}
+	case err != nil:
 		f := c.transportFailure(ctx, err)
 		f.Status = resp.StatusCode
 		return nil, f
 	}
-	if int64(len(b)) > limit {
-		return nil, &Failure{Outcome: Unknown, Reason: "answer exceeds the size limit", Status: resp.StatusCode, UpstreamFault: true}
-	}
 	return b, nil
 }
--- a/internal/gateway/memory/body.go
+++ b/internal/gateway/memory/body.go
@@ -86,9 +86,30 @@
 	return n, err
 }
 
+// ReadWhole reads a body of up to limit bytes into one piece. It fails with ErrShort also if the request was told
+// to give back its memory meanwhile. announced and the errors are those of ReadBody. Of a body that is announced to
+// be too long, limit bytes are discarded: a client that is still sending would see a closed connection instead of the response.
+func (c *Connection) ReadWhole(k Kind, r io.Reader, announced, limit int64) (body []byte, err error) {
+	if announced > limit {
+		_, err := io.CopyN(io.Discard, r, limit)
+		return nil, errors.CombineErrors(ErrTooLong, err)
+	}
+	blocks, err := c.ReadBody(k, r, announced, limit)
+	if err == nil {
+		body, err = c.Join(k, blocks)
+	}
+	if err != nil && c.Evicted() {
+		err = errors.CombineErrors(ErrShort, err)
+	}
+	return body, err
+}
+
 // Join returns a body in one piece and gives back its blocks. Both are held for a moment.
 func (c *Connection) Join(k Kind, b Blocks) ([]byte, error) {
-	if len(b) == 1 {
+	switch len(b) {
+	case 0:
+		return nil, nil
+	case 1:
 		return b[0], nil
 	}
 	size := b.Size()
