httpserver: don't wait for the rest of a body with a refusal

What callers saw: a client that is refused before its body was read (unknown key, unknown path, no configuration) got no answer until the rest of the body had arrived. What operators saw: clients that stop short of the end of a small body keep serve from ending for the whole time of its shutdown (310 s with the default settings), and its exit status is 1 then.

Cause: net/http reads up to 256 KB of a body that the handler has not read before it writes the response, without a limit of time once the header is complete. Bodies of announcements had no limit of time either.

Change: the rest of a body has 1 s if a request is refused before its body was read, in gateway and in serve. A body of an announcement has 5 s.

Evidence: a dump of the goroutines of the stopping process shows 20 of 20 refusals in the write of their response.

--- a/internal/entry/caller/refusal.go
+++ b/internal/entry/caller/refusal.go
@@ -209,6 +209,9 @@
 // sendRefusal sends the refusal. If this entry drains or has no lease, it lists the
 // other entries in a header.
 func (q *request) sendRefusal(r *refusal) {
+	if q.httpRequest.ContentLength != 0 {
+		httpserver.LimitRest(q.writer) // net/http reads the rest of a body before it writes the response
+	}
 	if r.code == codeMemory {
 		metric.Int("caller.memory").Add(1)
 		// net/http would read on to use the connection again.
--- a/internal/entry/upstream/announce.go
+++ b/internal/entry/upstream/announce.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel"
@@ -26,6 +27,8 @@
 // Limits and defaults of announcements.
 const (
 	maxBodyBytes = 64 << 10
+	// bodyTimeout limits the time for a body to arrive. Upstreams ask another entry after a second.
+	bodyTimeout = 5 * time.Second
 	// maxTextBytes limits each text field.
 	maxTextBytes       = 256
 	maxFeatures        = 32
@@ -340,6 +343,8 @@
 		refuse(w, http.StatusUnauthorized, "credential", "no valid upstream credential")
 		return false
 	}
+	// A writer without deadlines is that of a test.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	held := memory.FromContext(r.Context())
 	text, err := held.ReadWhole(memory.Call, http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, maxBodyBytes)
 	if err == nil {
--- a/internal/gateway/caller/body.go
+++ b/internal/gateway/caller/body.go
@@ -34,6 +34,7 @@
 	if q.httpRequest.ContentLength == 0 {
 		return true
 	}
+	q.bodyRead = true
 	q.readingBody.Store(true)
 	defer q.readingBody.Store(false)
 	stop := q.Timer.AfterFunc(q.remaining(), func() { q.end(errTimeout) })
--- a/internal/gateway/caller/handler.go
+++ b/internal/gateway/caller/handler.go
@@ -23,6 +23,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/fleet/suspect"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/view"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/balancer"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/httpserver"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/modelselect"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/retrybudget"
@@ -193,6 +194,9 @@
 	q.memory.Begin(q)
 	defer q.memory.End()
 	if !q.admit() {
+		if r.ContentLength != 0 && !q.bodyRead {
+			httpserver.LimitRest(w)
+		}
 		return
 	}
 	stop := h.Timer.AfterFunc(q.remaining(), func() { q.cancel(errTimeout) })
@@ -218,6 +222,7 @@
 	client         *layout.Client
 	key            string             // of the client account
 	memory         *memory.Connection // accounts for what the request holds
+	bodyRead       bool               // as far as it has arrived
 	body           memory.Blocks
 	fingerprint    uint64
 	timeout        time.Duration // from the arrival
--- a/internal/gateway/caller/slow_body_test.go
+++ b/internal/gateway/caller/slow_body_test.go
@@ -41,3 +41,18 @@
 		})
 	}
 }
+
+// Guards against a refusal that is held until the rest of a body has arrived, although the body is not needed.
+func TestRefusalBeforeBody(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, nil, nil)
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /book/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nAuthorization: Token none\r\nContent-Length: 9\r\n\r\nshort")
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(10 * testTimeout)))
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(r.StatusCode, http.StatusUnauthorized)
+}
--- a/internal/gateway/httpserver/account.go
+++ b/internal/gateway/httpserver/account.go
@@ -24,9 +24,23 @@
 		held.Begin(bodyReading{w})
 		defer held.End()
 		h.ServeHTTP(w, r)
+		if r.ContentLength != 0 && !held.Evicted() {
+			LimitRest(w)
+		}
 	})
 }
 
+// restTimeout is how long the rest of a body may take to arrive after the response.
+const restTimeout = time.Second
+
+// LimitRest limits the time in which net/http reads the rest of a body after the response, to use the connection
+// again. It reads up to 256 KB without a limit of its own, so that a client could keep the connection, and the process from
+// ending, as long as it likes.
+func LimitRest(w http.ResponseWriter) {
+	// An error means that the connection is closed.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
+}
+
 // bodyReading is a request whose body is read.
 type bodyReading struct{ writer http.ResponseWriter }
 
