memory: weigh holders without maps

What callers saw: nothing by itself; each eviction costs the process time that it lacks for callers while it is under load.

Cause: all holders are weighed for each eviction, in two maps that are made anew.

Change: the sums of an address and of an account are kept with them and begin anew with each pass.

TestEvictionOrder is unchanged.

--- a/internal/gateway/memory/memory.go
+++ b/internal/gateway/memory/memory.go
@@ -79,14 +79,24 @@
 	holders   map[*Connection]struct{} // those that hold memory
 	open      map[*Connection]struct{}
 	clients   map[netip.Addr]*client
+	// accounts are those that connections named, whether or not these are open: they are those of the configuration.
+	accounts map[string]*account
+	pass     int64 // the number of times that all holders were weighed
 
 	evictions, refusals int64
 	logAfter            timer.Instant
 	unlogged            int64
 }
 
+// account is a client account.
+type account struct {
+	name string
+	sum  sum
+}
+
 // client is a remote address with open connections.
 type client struct {
+	sum         sum
 	connections int
 	finished    int // requests in a row, none longer than creditTime after the one before
 	finishedAt  timer.Instant
@@ -94,7 +104,7 @@
 
 // New returns a budget.
 func New(o Options) *Budget {
-	b := &Budget{options: o, holders: map[*Connection]struct{}{}, open: map[*Connection]struct{}{}, clients: map[netip.Addr]*client{}}
+	b := &Budget{options: o, holders: map[*Connection]struct{}{}, open: map[*Connection]struct{}{}, clients: map[netip.Addr]*client{}, accounts: map[string]*account{}}
 	b.released.L = &b.mu
 	return b
 }
@@ -109,7 +119,8 @@
 
 	// The budget's mutex guards the rest.
 	client  *client
-	account string // empty if it is not known
+	account *account // nil if it is not known
+	weighed weight   // when all holders were weighed
 	held    Bytes
 	byKind  [kinds]Bytes
 	// progressAt is when the connection last filled a block or wrote one.
@@ -193,7 +204,23 @@
 	}
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	c.account = name
+	if c.account != nil && c.account.name == name {
+		return
+	}
+	a := c.budget.accounts[name]
+	if a == nil && name != "" {
+		a = &account{name: name}
+		c.budget.accounts[name] = a
+	}
+	c.account = a
+}
+
+// accountName returns the name of the client account; empty if it is not known. The budget's mutex must be held.
+func (c *Connection) accountName() string {
+	if c.account == nil {
+		return ""
+	}
+	return c.account.name
 }
 
 // Progress records that the client has taken a part of a response.
@@ -265,7 +292,7 @@
 	for b.used+n > b.limitFor(c, n) {
 		if b.used-b.returning+n > b.limitFor(c, n) {
 			victim := b.heaviest(c, n)
-			if victim == nil || victim == c {
+			if victim == c {
 				b.refusals++
 				b.report("memory is short, request refused", c)
 				return ErrShort
@@ -358,7 +385,7 @@
 		b.unlogged++
 		return
 	}
-	b.options.Log.Warn(message, zap.Stringer("address", c.address), zap.String("account", c.account), zap.Int64("holds", int64(c.held)),
+	b.options.Log.Warn(message, zap.Stringer("address", c.address), zap.String("account", c.accountName()), zap.Int64("holds", int64(c.held)),
 		zap.Duration("without_progress", now.Sub(c.progressAt)), zap.Int64("used", int64(b.used)), zap.Int("connections", len(b.open)), zap.Int64("more", b.unlogged))
 	b.logAfter, b.unlogged = now.Add(logInterval), 0
 }
--- a/internal/gateway/memory/weight.go
+++ b/internal/gateway/memory/weight.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"time"
 
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -63,36 +62,58 @@
 	return cmp.Or(cmp.Compare(r.client, o.client), cmp.Compare(r.address, o.address), cmp.Compare(r.connection, o.connection)) > 0
 }
 
-// heaviest returns the heaviest connection of the heaviest address of the heaviest client, or nil if there is none.
-// asking needs n bytes, which count as if it held them. b.mu must be held.
+// heaviest returns the heaviest connection of the heaviest address of the heaviest client, which may be the
+// one that asks. asking needs n bytes, which count as if it held them. b.mu must be held.
 func (b *Budget) heaviest(asking *Connection, n Bytes) *Connection {
 	now := b.options.Timer.Now()
-	byAddress, byAccount := map[netip.Addr]weight{}, map[string]weight{}
+	b.pass++
 	// A new connection has no progress yet; it begins now.
 	if asking.held == 0 {
 		asking.progressAt = now
 	}
-	each := func(visit func(c *Connection, w weight)) {
-		for c := range b.holders {
-			if !c.evicted && c != asking {
-				visit(c, c.weight(now, 0)/c.client.divisor(now))
-			}
+	for c := range b.holders {
+		if !c.evicted && c != asking {
+			c.addWeight(b.pass, c.weight(now, 0)/c.client.divisor(now))
 		}
-		visit(asking, asking.weight(now, n)/asking.client.divisor(now))
 	}
-	each(func(c *Connection, w weight) {
-		byAddress[c.address] += w
-		if c.account != "" {
-			byAccount[c.account] += w
+	asking.addWeight(b.pass, asking.weight(now, n)/asking.client.divisor(now))
+	out, heaviest := asking, asking.rank()
+	for c := range b.holders {
+		if !c.evicted && c != asking && c.rank().exceeds(heaviest) {
+			out, heaviest = c, c.rank()
 		}
-	})
-	var out *Connection
-	var heaviest rank
-	each(func(c *Connection, w weight) {
-		r := rank{max(byAddress[c.address], byAccount[c.account]), byAddress[c.address], w}
-		if r.exceeds(heaviest) {
-			out, heaviest = c, r
-		}
-	})
+	}
 	return out
 }
+
+// sum is the weight of several connections.
+type sum struct {
+	weight weight
+	pass   int64 // in which it was added up
+}
+
+// add adds the weight of a connection.
+func (s *sum) add(pass int64, w weight) {
+	if s.pass != pass {
+		s.weight, s.pass = 0, pass
+	}
+	s.weight += w
+}
+
+// addWeight records the weight of the connection, and adds it to those of its address and account.
+func (c *Connection) addWeight(pass int64, w weight) {
+	c.weighed = w
+	c.client.sum.add(pass, w)
+	if c.account != nil {
+		c.account.sum.add(pass, w)
+	}
+}
+
+// rank returns the rank of a connection whose weight, and those of all others, were added.
+func (c *Connection) rank() rank {
+	r := rank{c.client.sum.weight, c.client.sum.weight, c.weighed}
+	if c.account != nil {
+		r.client = max(r.client, c.account.sum.weight)
+	}
+	return r
+}
