httpserver: account for bytes that stay unread behind a request

What callers saw: nothing at first; on the platform, bytes that have arrived and are not read count for the memory of a process, which is killed above it. 700 clients that send one request and then anything behind it made that 124 MB of 96.

Cause: while a request runs, net/http reads one byte of what follows, to notice a client that leaves. The rest stays in the buffer of the system, 128 KB for each connection at first, and nothing counted it.

Change: with that byte the size of the buffer, as the system tells it, is reserved until the response is written. Clients that send the next request early are served as before in calm; when memory is short, the one that holds most goes.

Ruled out: a smaller buffer for each connection, which slows bodies on long links down to the buffer for each round trip.

--- a/internal/gateway/httpserver/half_read.go
+++ b/internal/gateway/httpserver/half_read.go
@@ -7,11 +7,19 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
 	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 )
 
+// defaultReceiveBuffer is the size of the system's buffer of a connection if it can't be asked for, in bytes. It is the
+// default of Linux.
+const defaultReceiveBuffer = 128 << 10
+
 // halfReadListener counts the connections on which a part of the header of a request has arrived.
 // For net/http they are new or idle, and its Shutdown closes them without an answer. It accounts for
 // connections and headers.
@@ -64,6 +72,7 @@
 	begun           bool // some of that header has arrived
 	header          headerReader
 	reserved        memory.Bytes // for the header
+	unread          bool         // bytes have arrived behind the request in progress
 }
 
 // Read reads from the connection.
@@ -81,8 +90,8 @@
 		}
 		if c.held != nil {
 			c.header.read(p[:n])
-			if headerErr := c.countHeader(); headerErr != nil {
-				return 0, headerErr
+			if err := errors.CombineErrors(c.countHeader(), c.countUnread(len(p))); err != nil {
+				return 0, err
 			}
 		}
 	}
@@ -134,6 +143,31 @@
 	return nil
 }
 
+// countUnread accounts for what the system may hold of the bytes behind a request in progress. net/http reads one of
+// them, to notice that the client has left; the others stay unread until the response is written. c.mu must be held.
+func (c *halfReadConn) countUnread(room int) error {
+	if c.betweenRequests || c.unread || room != 1 {
+		return nil
+	}
+	c.unread = true
+	return c.held.Reserve(memory.Header, receiveBuffer(c.Conn))
+}
+
+// receiveBuffer returns how many bytes the system holds of a connection until they are read.
+func receiveBuffer(c net.Conn) memory.Bytes {
+	size := defaultReceiveBuffer
+	if s, ok := c.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				if n, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF); err == nil {
+					size = n
+				}
+			})
+		}
+	}
+	return memory.Bytes(size)
+}
+
 // Close closes the connection.
 func (c *halfReadConn) Close() error {
 	c.held.Close()
@@ -161,7 +195,7 @@
 	if s == http.StateIdle {
 		c.held.ReleaseAll(memory.Header)
 		c.header.next()
-		c.reserved = 0
+		c.reserved, c.unread = 0, false
 		c.deadlines.Store(0)
 	}
 	if c.begun && s != http.StateNew {
