upstream: don't take the length that a HEAD response names for that of its body

Cause: since responses are read into the account, a length above the limit is refused before the body is read. A response to HEAD names the length of a body that it does not have; before, an empty body was read.

Change: a response to HEAD has no announced body.

Measured: the tests of entry/upstream and entry/caller pass; found by reading.

--- a/internal/entry/upstream/client.go
+++ b/internal/entry/upstream/client.go
@@ -360,7 +360,11 @@
 
 // readBody reads the whole response body. A body longer than limit is an error.
 func (c *call) readBody(ctx context.Context, resp *http.Response, limit int64) ([]byte, error) {
-	b, err := memory.FromContext(ctx).ReadWhole(memory.Response, resp.Body, resp.ContentLength, limit)
+	announced := resp.ContentLength
+	if resp.Request.Method == http.MethodHead {
+		announced = 0 // of the body that a GET would get
+	}
+	b, err := memory.FromContext(ctx).ReadWhole(memory.Response, resp.Body, announced, limit)
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
 		return nil, &Failure{Outcome: Unknown, Reason: "answer exceeds the size limit", Status: resp.StatusCode, UpstreamFault: true}
