memory: use the blocks of refused bodies again

What callers saw: clients whose bodies are refused and that come again at once make the process grow above its memory; on its machine it is killed.

Cause: memory that is given back counts as free at once, but is garbage until the collector has run. 40 clients leave blocks faster than that; the collector limits its own share of the processor.

Change: the blocks of a body that was refused before it was complete are kept for other bodies, up to a quarter of the limit. Nobody else has seen them. Those of complete bodies are not: a write to an upstream may go on for a moment after the request.

--- a/internal/gateway/memory/body.go
+++ b/internal/gateway/memory/body.go
@@ -34,6 +34,7 @@
 	var size, reserved int64
 	defer func() {
 		if err != nil {
+			c.recycle(body)
 			c.Release(k, Bytes(reserved))
 			body = nil
 		}
@@ -44,24 +45,55 @@
 			return body, err
 		}
 		reserved += n
-		block := make([]byte, n)
+		block := c.block(n)
 		read, err := readFull(r, block)
 		size += int64(read)
-		if size > limit {
+		body = append(body, block[:read])
+		switch {
+		case size > limit:
 			return body, ErrTooLong
-		}
-		if read > 0 {
-			body = append(body, block[:read])
-		}
-		if errors.Is(err, io.EOF) {
+		case errors.Is(err, io.EOF) && read == 0:
+			c.recycle(body[len(body)-1:])
+			return body[:len(body)-1], nil
+		case errors.Is(err, io.EOF):
 			return body, nil
-		}
-		if err != nil {
+		case err != nil:
 			return body, err
 		}
 	}
 }
 
+// block returns a block of n bytes, whose content is not defined.
+func (c *Connection) block(n int64) []byte {
+	if c != nil && n == blockBytes {
+		b := c.budget
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if last := len(b.free) - 1; last >= 0 {
+			out := b.free[last]
+			b.free = b.free[:last]
+			return out
+		}
+	}
+	return make([]byte, n)
+}
+
+// recycle keeps the blocks of a body that nobody else has seen for other bodies. Clients whose bodies are refused may
+// come again faster than the collector frees what they have left.
+func (c *Connection) recycle(body Blocks) {
+	if c == nil {
+		return
+	}
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, block := range body {
+		if cap(block) == blockBytes && Bytes(len(b.free)+1)*blockBytes <= b.options.Limit/freeShare {
+			b.free = append(b.free, block[:blockBytes])
+		}
+	}
+}
+
 // nextBlock returns the size of the next block of a body of which size bytes are read. A body that is
 // announced has room for one byte more, so that its end is read without a further block.
 func nextBlock(size, announced int64) int64 {
--- a/internal/gateway/memory/memory.go
+++ b/internal/gateway/memory/memory.go
@@ -48,6 +48,8 @@
 	smallBytes Bytes = 64 << 10
 	// smallShare is the part, 1 in smallShare, that is kept for small requests.
 	smallShare = 8
+	// freeShare is the part of the limit, 1 in freeShare, that blocks take at most which are kept for other bodies.
+	freeShare = 4
 	// maxWait limits the wait for memory that another connection must give back. It takes a write to a
 	// closed connection, or the end of an exchange with an upstream.
 	maxWait = time.Second
@@ -77,6 +79,7 @@
 	// returning is the part of used that connections hold which were told to give it back.
 	returning Bytes
 	holders   map[*Connection]struct{} // those that hold memory
+	free      [][]byte                 // blocks that can be used again
 	open      map[*Connection]struct{}
 	clients   map[netip.Addr]*client
 	// accounts are those that connections named, whether or not these are open: they are those of the configuration.
--- a/internal/gateway/memory/memory_test.go
+++ b/internal/gateway/memory/memory_test.go
@@ -159,3 +159,27 @@
 	_, ok = b.Open(netip.MustParseAddr("10.0.0.4"), func() {})
 	is.True(!ok)
 }
+
+// Guards against blocks of refused bodies that are left to the collector, and against blocks of a complete body, which
+// may still be in use after its request, that another body is read into.
+func TestRecycledBlocks(t *testing.T) {
+	is := is.New(t)
+	b := New(Options{Limit: 16 << 20, Timer: timer.NewSystem(), Log: zap.NewNop()})
+	connection, _ := b.Open(netip.Addr{}, func() {})
+	connection.Begin(&held{connection: connection})
+	_, err := connection.ReadBody(Body, strings.NewReader(strings.Repeat("x", 10<<20)), -1, 8<<20)
+	is.True(errors.Is(err, ErrTooLong))
+	is.Equal(len(b.free), 64) // a quarter of the limit
+	text := strings.Repeat("body", 50_000)
+	body, err := connection.ReadBody(Body, strings.NewReader(text), -1, 8<<20)
+	is.NoErr(err)
+	is.Equal(len(b.free), 61)
+	connection.End()
+	is.Equal(len(b.free), 61)
+	other, err := connection.ReadBody(Body, strings.NewReader(strings.Repeat("y", len(text))), -1, 8<<20)
+	is.NoErr(err)
+	is.Equal(other.Size(), len(text))
+	joined, err := connection.Join(Body, body)
+	is.NoErr(err)
+	is.Equal(string(joined), text)
+}
