memory: one default for the number of connections

Cause: serve derived the bound on connections from memory and descriptors with constants of its own, which repeated those of the adapter.

Change: memory.DefaultConnections holds the rule and its constants, and both call it with what their settings say.

Before and after: the same bounds. TestMemory of settings and the tests of platform are unchanged and pass. Conclusion: one place to change.

--- a/internal/config/settings/check.go
+++ b/internal/config/settings/check.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"wisteriakeel.example/wisteriakeel/internal/config/problem"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 )
 
 // Descriptions of the expected value in problems.
@@ -150,7 +151,7 @@
 		c.checkRange("limits.memory", l.MemoryBytes, max(minMemoryBytes, bodiesInMemory*uint64(l.MaxBodyBytes)), maxMemoryBytes)
 	}
 	if l.MaxClients > 0 {
-		c.checkRange("limits.clients", uint64(l.MaxClients), minClients, 1<<20)
+		c.checkRange("limits.clients", uint64(l.MaxClients), memory.MinConnections, 1<<20)
 	}
 }
 
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriakeel.example/wisteriakeel/internal/config/problem"
+	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 )
 
 // Problem is a problem of the settings file.
@@ -121,12 +122,6 @@
 	// bodiesInMemory is how many bodies of the largest size fit into the memory of an instance. A chat request
 	// takes five times its body, and requests a quarter of the memory.
 	bodiesInMemory = 32
-	// clientsPerMB bounds connections by memory: one with a short request takes about 25 KB. descriptorShare is the
-	// part of the descriptors, 1 in descriptorShare, for them: each may need another one to an upstream.
-	clientsPerMB    = 8
-	descriptorShare = 3
-	// minClients leaves some for operators.
-	minClients = 16
 )
 
 // Memory returns what the process may take, in bytes.
@@ -143,11 +138,7 @@
 	if l.MaxClients > 0 {
 		return int(l.MaxClients)
 	}
-	n := l.Memory() >> 20 * clientsPerMB
-	if descriptors > 0 {
-		n = min(n, descriptors/descriptorShare)
-	}
-	return int(max(n, minClients))
+	return memory.DefaultConnections(float64(l.Memory()>>20), float64(descriptors))
 }
 
 // Timeouts limits how long the instance waits.
