memory: one reservation for what a body becomes, one way to end the reading of a body

Cause: chat requests, documents and configurations each checked that a body and what it takes decoded can fit at all, and then reserved it. The handler for callers had a function that does what httpserver.StopReading does.

Change: Connection.ReserveDecoded does both steps and fails with ErrNeverFits; the three callers only choose their answer, and Fits is gone. The handler calls httpserver.StopReading. The comments of halfReadConn and of what follows a header say what these do now.

Before and after: the same answers. One debug line is gone, which told that the deadline of a connection that is closed can't be set. Tests of gateway/caller, gateway/memory, gateway/httpserver, entry, command and platform pass unchanged.

--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -51,12 +51,13 @@
 // reserveDecoded accounts for what the body takes once it is decoded, and encoded for engines.
 func (q *request) reserveDecoded() error {
 	n := memory.Bytes(chatCopies*len(q.body) + fieldBytes*countFields(q.body))
-	if !q.held.Fits(n + memory.Bytes(len(q.body))) {
+	err := q.held.ReserveDecoded(memory.Body, q.body, n)
+	if errors.Is(err, memory.ErrNeverFits) {
 		r := invalidRequest("body", "the body has too many fields")
 		r.status = http.StatusRequestEntityTooLarge
 		return r
 	}
-	return q.held.Reserve(memory.Body, n)
+	return err
 }
 
 // countFields returns the number of fields of a JSON object, or an upper bound if it is not valid.
--- a/internal/entry/operator/document.go
+++ b/internal/entry/operator/document.go
@@ -100,11 +100,12 @@
 // reserveDecoded accounts for what a document takes once it is decoded.
 func reserveDecoded(held *memory.Connection, text []byte) error {
 	n := memory.DecodedBytes(text)
-	if !held.Fits(n + memory.Bytes(len(text))) {
+	err := held.ReserveDecoded(memory.Call, text, n)
+	if errors.Is(err, memory.ErrNeverFits) {
 		return notRunError(http.StatusRequestEntityTooLarge, "large", "the document takes about "+strconv.FormatInt(int64(n), 10)+
 			" bytes once it is decoded, more than the instance holds for clients")
 	}
-	return held.Reserve(memory.Call, n)
+	return err
 }
 
 // validateDocument rejects a document that has problems or belongs to another service.
--- a/internal/gateway/caller/body.go
+++ b/internal/gateway/caller/body.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"wisteriakeel.example/wisteriakeel/internal/gateway/httpserver"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/memory"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstream"
 	"wisteriakeel.example/wisteriakeel/internal/observe/journal"
@@ -48,8 +49,7 @@
 		q.httpRequest.Trailer = nil // is not forwarded, and not accounted for
 		return true
 	}
-	// net/http reads some of the rest after the response, without a time limit.
-	defer q.stopReading()
+	defer httpserver.StopReading(q.writer)
 	cause := context.Cause(q.ctx)
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
@@ -66,13 +66,6 @@
 	return q.reject(http.StatusBadRequest, "body cannot be read", 0)
 }
 
-// stopReading makes all further reads of the body fail.
-func (q *request) stopReading() {
-	if err := http.NewResponseController(q.writer).SetReadDeadline(time.Unix(1, 0)); err != nil {
-		q.Log.Debug("cannot end the reading of a body", journal.Error(err))
-	}
-}
-
 // discardOversized reads some of an oversized body. A caller that is still sending would see a closed connection
 // instead of the response.
 func (q *request) discardOversized(limit int64) {
--- a/internal/gateway/caller/shutdown.go
+++ b/internal/gateway/caller/shutdown.go
@@ -1,6 +1,10 @@
 package caller
 
-import "github.com/cockroachdb/errors"
+import (
+	"github.com/cockroachdb/errors"
+
+	"wisteriakeel.example/wisteriakeel/internal/gateway/httpserver"
+)
 
 // errStopping is the cancellation cause of a request that ends because the instance stops.
 var errStopping = errors.New("instance is stopping")
@@ -51,6 +55,6 @@
 func (q *request) end(cause error) {
 	q.cancel(cause)
 	if q.readingBody.Load() {
-		q.stopReading()
+		httpserver.StopReading(q.writer)
 	}
 }
--- a/internal/gateway/httpserver/half_read.go
+++ b/internal/gateway/httpserver/half_read.go
@@ -58,7 +58,8 @@
 }
 
 // halfReadConn notices when the header of its next request has begun to arrive. Bytes that arrive together
-// with the end of the request before are not noticed.
+// with the end of the request before are not noticed. It accounts for the header of each request as it arrives, and for
+// what the system holds unread behind a request in progress.
 type halfReadConn struct {
 	net.Conn
 	halfRead  *atomic.Int64
--- a/internal/gateway/httpserver/header.go
+++ b/internal/gateway/httpserver/header.go
@@ -44,8 +44,8 @@
 	complete bool // the empty line was read
 	lineUsed bool // the current line has bytes other than a carriage return
 	anyLine  bool // a line with such bytes was read
-	// following is what has arrived after the header and may still be in the buffer of net/http: a part of the body,
-	// or of the next request. It is at least what the buffer holds.
+	// following is an upper bound of what has arrived after the header and is still in the buffer of net/http: a part of
+	// the body, or of the next request.
 	following headerSize
 }
 
--- a/internal/gateway/memory/memory.go
+++ b/internal/gateway/memory/memory.go
@@ -17,6 +17,8 @@
 var (
 	// ErrShort means that memory is short and that the connection that asks is the one that must go without.
 	ErrShort = errors.New("memory is short")
+	// ErrNeverFits means that a body and what it becomes do not fit even if nothing else is held.
+	ErrNeverFits = errors.New("body takes more memory than is held for clients")
 	// ErrTooLong means that a body exceeds its limit.
 	ErrTooLong = errors.New("body is too long")
 )
@@ -264,15 +266,6 @@
 	return nil
 }
 
-// Fits reports whether n bytes fit if nothing else is held.
-func (c *Connection) Fits(n Bytes) bool {
-	if c == nil || c.budget.options.Limit <= 0 {
-		return true
-	}
-	limit := c.budget.options.Limit
-	return n <= limit-limit/smallShare
-}
-
 // limitFor returns how much may be used with n more bytes of a connection. b.mu must be held.
 func (b *Budget) limitFor(c *Connection, n Bytes) Bytes {
 	if c.held+n <= smallBytes {
