platform: an empty list of tenants accepts no key

Keys that were taken away went on to run requests, and so did keys that no configuration ever held.

Cause: whether requests need a key was derived from the number of accounts of a layout, and decoding made no difference between a list that is missing (then none is needed) and an empty one. null was open too.

Change: a layout says by itself that it is anonymous, and its zero value is the closed one.

--- a/internal/fleet/layout/layout.go
+++ b/internal/fleet/layout/layout.go
@@ -126,6 +126,9 @@
 	Pools   []*Pool
 	Limits  Limits
 	Clients []*Client
+	// Anonymous is set if requests need no API key. Otherwise, without any client account, only
+	// public routes serve requests.
+	Anonymous bool
 
 	// Lookup tables, built by Prepare. The routes of a host, in its canonical spelling, are sorted
 	// by length of prefix, longest first.
@@ -290,7 +293,7 @@
 func (l *Layout) Pool(s Service) *Pool { return l.pools[s] }
 
 // RequiresKey reports whether requests need an API key, unless their route is public.
-func (l *Layout) RequiresKey() bool { return len(l.Clients) > 0 }
+func (l *Layout) RequiresKey() bool { return !l.Anonymous }
 
 // Client returns the client account of an API key, or nil.
 func (l *Layout) Client(key string) *Client { return l.keys[key] }
--- a/internal/fleet/view/current.go
+++ b/internal/fleet/view/current.go
@@ -113,6 +113,6 @@
 	v.pending.layout = version
 	v.signalUrgent()
 	v.options.Log.Info("layout in force", zap.Uint64("version", uint64(version)),
-		zap.Int("routes", len(l.Routes)), zap.Int("accounts", len(l.Clients)))
+		zap.Int("routes", len(l.Routes)), zap.Int("accounts", len(l.Clients)), zap.Bool("anonymous", l.Anonymous))
 	return nil
 }
--- a/internal/gateway/caller/caller_test.go
+++ b/internal/gateway/caller/caller_test.go
@@ -105,6 +105,10 @@
 			if v == revokingVersion {
 				l.Clients[0].Keys = []string{"new"}
 			}
+			if v == closedVersion {
+				l.Clients = nil
+			}
+			l.Anonymous = v == anonymousVersion
 			if v == limitingVersion {
 				l.Pools[0].MaxConnections = testConnectionLimit
 			}
--- a/internal/gateway/caller/permission_test.go
+++ b/internal/gateway/caller/permission_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/gateway/upstreamtest"
 	wire "wisteriakeel.example/wisteriakeel/internal/wire/fleet"
 )
@@ -12,6 +13,12 @@
 // revokingVersion is a version of the test layout without the key of the account hill.
 const revokingVersion = 2
 
+// Versions of the test layout without client accounts: no key is accepted, or none is needed.
+const (
+	closedVersion    = 30
+	anonymousVersion = 31
+)
+
 // warmupVersion is a version of the test layout in which cold upstreams of the service desk are limited.
 const warmupVersion = 9
 
@@ -92,3 +99,25 @@
 		f.True(r.header.Get("Retry-After") != "")
 	}
 }
+
+// Guards against a layout without client accounts that opens the routes which need a key.
+func TestLayoutWithoutAccounts(t *testing.T) {
+	u := startUpstream(t, func(e *upstreamtest.Exchange) bool { return respondSigned(e, "ok") })
+	f := newFixture(t, []*upstreamtest.Server{u}, nil)
+	for _, c := range []struct {
+		version   layout.Version
+		path, key string
+		status    int
+	}{
+		{closedVersion, "/look/1", "Token k1", 401},
+		{closedVersion, "/look/1", "Token never", 401},
+		{closedVersion, "/look/1", "Token ", 401},
+		{closedVersion, "/look/1", "", 401},
+		{closedVersion, "/open/1", "", 200},
+		{anonymousVersion, "/look/1", "Token k1", 200},
+		{anonymousVersion, "/look/1", "", 200},
+	} {
+		f.NoErr(f.view.ApplyLayout(c.version, nil))
+		f.Equal(f.do("GET", c.path, "", "Authorization", c.key).status, c.status)
+	}
+}
