caller: check before each dispatch that a request still needs no key

What callers saw: nothing that was reported.

Cause: the check right before a request is sent looks its key up in the current layout, and let every request without an account through.

Change: such a request must be for a public route, or the current layout must need no key.

Before: TestKeysBecomeNecessary gets 200 instead of 503. After: it passes.

Conclusion: both kinds of requests are now asked about the same layout.

--- a/internal/gateway/caller/before_send.go
+++ b/internal/gateway/caller/before_send.go
@@ -106,15 +106,15 @@
 	return nil
 }
 
-// layoutAndKeyValid reports whether the current layout is confirmed and the key of the request, if it has
-// one, is still valid in it.
+// layoutAndKeyValid reports whether the current layout is confirmed and the key of the request is still valid
+// in it, or the request still needs none.
 func (q *request) layoutAndKeyValid() bool {
 	current := q.View.Layout()
 	if !q.View.LayoutConfirmed(current) {
 		return false
 	}
 	if q.client == nil {
-		return true
+		return q.route.Public || !current.RequiresKey()
 	}
 	holder := current.Client(q.key)
 	return holder != nil && holder.Name == q.client.Name
--- a/internal/gateway/caller/permission_test.go
+++ b/internal/gateway/caller/permission_test.go
@@ -121,3 +121,23 @@
 		f.Equal(f.do("GET", c.path, "", "Authorization", c.key).status, c.status)
 	}
 }
+
+// Guards against a request without a key that is sent after keys have become necessary.
+func TestKeysBecomeNecessary(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		status int
+	}{{"/look/1", 503}, {"/open/1", 200}} {
+		var f *fixture
+		handle := func(e *upstreamtest.Exchange) bool {
+			if f.view.Layout().RequiresKey() {
+				return respondSigned(e, "ok")
+			}
+			f.NoErr(f.view.ApplyLayout(anonymousVersion+1, nil))
+			return respond(e, 503, "", "Refused: 1")
+		}
+		f = newFixture(t, []*upstreamtest.Server{startUpstream(t, handle), startUpstream(t, handle)}, nil)
+		f.NoErr(f.view.ApplyLayout(anonymousVersion, nil))
+		f.Equal(f.do("GET", c.path, "", "Authorization", "").status, c.status)
+	}
+}
