consensus: a voter that stops as planned hands its vote over first

A configuration that is acknowledged half a second after the end is never read back once another machine loses its disk, and the group has ended for good.

Cause: with four disks the group keeps three voters. A process that got SIGTERM kept its vote until its loss was noticed, 1.6 s without a poll and 1.5 s more. Until then both of the other votes were needed.

Change: an instance says in its polls that it stops (a new field, which older builds skip). The leader promotes a learner and then takes the vote of the one that stops, which stays as a learner and ends once that is committed, or shortly before its grace period is over. A leader does so last and steps down. Without a learner nothing changes.

An end without SIGTERM is noticed as late as before.

--- a/internal/control/replica/leader.go
+++ b/internal/control/replica/leader.go
@@ -173,11 +173,11 @@
 	}
 }
 
-// stepDownIfRemoved makes the leader step down once its own removal is committed.
-func (n *Node) stepDownIfRemoved() {
+// stepDownWithoutVote makes the leader step down once its own removal or demotion is committed.
+func (n *Node) stepDownWithoutVote() {
 	latest := n.raftLog.latestMembership()
 	if n.role == leader && n.commitIndex >= latest.index && !isVoter(latest.members, n.self.Identity) {
-		n.log.Info("removed from the group, stepping down")
+		n.log.Info("no vote in the group any more, stepping down")
 		n.enqueueCommitted() // callers that wait for committed entries still get their results
 		n.becomeFollower(n.term, Member{})
 	}
@@ -296,7 +296,7 @@
 		last := previous + Index(len(m.request.GetEntries()))
 		p.matchIndex, p.nextIndex, p.stalled = max(p.matchIndex, min(match, last)), last+1, false
 		n.advanceCommit()
-		n.stepDownIfRemoved()
+		n.stepDownWithoutVote()
 		return
 	}
 	// A follower whose log differs asks to retry from an earlier index. One that doesn't
--- a/internal/control/replica/member.go
+++ b/internal/control/replica/member.go
@@ -57,6 +57,22 @@
 	return errors.Wrapf(err, "remove %s", i)
 }
 
+// DemoteMember takes the vote of a member, which stays as a learner, and returns once the change is
+// committed. A leader without a vote steps down then. The last vote can't be taken.
+func (n *Node) DemoteMember(ctx context.Context, i Identity) (err error) {
+	_, err = n.changeMembership(ctx, func(members []Member) ([]Member, error) {
+		if !isVoter(members, i) {
+			return nil, nil
+		}
+		members[slices.IndexFunc(members, func(m Member) bool { return m.Identity == i })].Voter = false
+		if !slices.ContainsFunc(members, func(m Member) bool { return m.Voter }) {
+			return nil, errors.Wrap(ErrInvalidChange, "the last voter stays")
+		}
+		return members, nil
+	})
+	return errors.Wrapf(err, "demote %s", i)
+}
+
 // ReplaceMember removes a member and adds another one without a vote in one change, and returns
 // once that is committed. The majorities before and after it overlap, since only one vote changes.
 func (n *Node) ReplaceMember(ctx context.Context, lost Identity, m Member) (err error) {
--- a/internal/control/replica/member_test.go
+++ b/internal/control/replica/member_test.go
@@ -151,6 +151,33 @@
 	})
 }
 
+// Guards against a leader that keeps leading after it took its own vote, and against a group that loses
+// entries or its last vote that way.
+func TestDemoteLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 12, 3).bootstrap()
+		for votes := 3; votes > 1; votes-- {
+			l := c.leader()
+			c.propose(fmt.Sprint(votes))
+			c.sleep(time.Second)
+			is.NoErr(l.node.DemoteMember(t.Context(), l.self.Identity))
+			c.sleep(3 * time.Second)
+			_, ok := l.node.HoldsLease()
+			is.True(!ok)
+			is.True(c.leader() != l)
+			is.NoErr(c.leader().node.DemoteMember(t.Context(), l.self.Identity)) // nothing to do
+		}
+		l := c.leader()
+		is.True(errors.Is(l.node.DemoteMember(t.Context(), l.self.Identity), replica.ErrInvalidChange))
+		for _, i := range c.others(l) {
+			c.must(l.node.PromoteLearner(t.Context(), i.self.Identity))
+		}
+		c.propose("with all votes")
+		c.converge()
+	})
+}
+
 // Guards against a group that stays without a leader because the only replica that stores
 // the latest membership is not part of it.
 func TestRemovalNotReplicated(t *testing.T) {
@@ -293,6 +320,11 @@
 			c.must(l.node.AddLearner(c.t.Context(), removed.self))
 			return removed
 		}},
+		{"voter whose vote was taken", func(c *cluster, l *instance) *instance {
+			demoted := c.others(l)[0]
+			c.must(l.node.DemoteMember(c.t.Context(), demoted.self.Identity))
+			return demoted
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -267,7 +267,7 @@
 		n.logFailedElection()
 		n.callElection()
 	}
-	n.stepDownIfRemoved()
+	n.stepDownWithoutVote()
 }
 
 // failPending fails the pending calls when the node stops.
@@ -299,7 +299,7 @@
 		Group: n.group, Self: n.self, Term: n.term, Leader: n.leader,
 		CommitIndex: n.commitIndex, FirstIndex: n.raftLog.baseIndex + 1, LastIndex: n.raftLog.lastIndex(),
 		SnapshotIndex: n.snapshotIndex,
-		Members:       n.raftLog.latestMembership().members,
+		Members:       n.raftLog.latestMembership().members, MembershipIndex: n.raftLog.latestMembership().index,
 	}
 }
 
--- a/internal/control/replica/types.go
+++ b/internal/control/replica/types.go
@@ -221,7 +221,10 @@
 	FirstIndex    Index // first entry that the log still holds
 	LastIndex     Index
 	SnapshotIndex Index // last entry that the latest snapshot covers
-	Members       []Member
+	// Members is the latest membership, which takes effect before it is committed, and MembershipIndex that
+	// of its entry.
+	Members         []Member
+	MembershipIndex Index
 }
 
 func memberToWire(m Member) *wire.Member {
--- a/internal/fleet/consensus/group_test.go
+++ b/internal/fleet/consensus/group_test.go
@@ -58,6 +58,8 @@
 	process *process // nil while the machine is down
 	starts  int      // number of starts and kills
 	mute    bool     // its instance doesn't poll
+	// stopping is true from the begin of a planned end.
+	stopping bool
 }
 
 // process is one run of an instance.
@@ -76,6 +78,7 @@
 type poll struct {
 	identity replica.Identity
 	at       time.Time
+	stopping bool
 }
 
 func newCore(t *testing.T, seed uint64, size int) *core {
@@ -123,7 +126,7 @@
 		}
 		for _, m := range c.machines {
 			if m.process != nil && !m.mute && !c.isCut(m.index, l.machine.index) {
-				l.polls[m.index] = poll{m.process.replica.identity, time.Now()}
+				l.polls[m.index] = poll{m.process.replica.identity, time.Now(), m.stopping}
 			}
 		}
 		c.mu.Unlock()
@@ -163,6 +166,20 @@
 	return out
 }
 
+// stopping returns the replicas that have said in a poll that their process stops.
+func (p *process) stopping() map[replica.Identity]bool {
+	c := p.machine.core
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[replica.Identity]bool{}
+	for _, poll := range p.polls {
+		if poll.stopping {
+			out[poll.identity] = true
+		}
+	}
+	return out
+}
+
 // start starts the process and waits until its replica answers.
 func (m *machine) start(found bool) { <-m.boot(found) }
 
@@ -215,7 +232,7 @@
 	p.replica, err = New(Options{
 		DataDirectory: "data", Address: peerAddress(m.index), PeerToken: "t", State: p.state, Timer: timer.NewSystem(),
 		Random: rand.New(rand.NewPCG(seed, 3)), Log: c.log.Named(peerAddress(m.index)), Files: files,
-		Dial: p.dial, AllowBootstrap: found, LiveReplicas: p.live,
+		Dial: p.dial, AllowBootstrap: found, LiveReplicas: p.live, StoppingReplicas: p.stopping,
 		RequestBootstrap: func(context.Context, string) bool {
 			time.Sleep(time.Millisecond) // a round trip, within which the replica starts to run
 			return m.index == 0
--- a/internal/fleet/consensus/lost_disk_test.go
+++ b/internal/fleet/consensus/lost_disk_test.go
@@ -11,7 +11,7 @@
 	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 )
 
-// disks simulates the membership of a group while disks are lost. Machine 0 leads. Commits,
+// disks simulates the membership of a group while disks are lost. Machine 0 leads at first. Commits,
 // contact and the transfer of the log take no time.
 type disks struct {
 	t           *testing.T
@@ -20,6 +20,8 @@
 	live        map[replica.Identity]replica.Address
 	unreachable map[replica.Identity]time.Duration
 	silent      map[replica.Identity]time.Duration
+	stopping    map[replica.Identity]bool
+	leader      int
 	losses      int
 }
 
@@ -37,6 +39,14 @@
 	return d
 }
 
+// add adds a machine with an empty disk.
+func (d *disks) add() (machine int) {
+	machine = len(d.identity)
+	d.identity = append(d.identity, replica.Identity(fmt.Sprintf("%c0", 'a'+machine)))
+	d.live[d.identity[machine]] = address(machine)
+	return machine
+}
+
 // step makes the next change and returns what it was.
 func (d *disks) step() Action {
 	contact, caughtUp := map[replica.Identity]time.Duration{}, map[replica.Identity]bool{}
@@ -44,7 +54,7 @@
 		contact[i], caughtUp[i] = time.Minute, true
 	}
 	c := NextChange(Observation{
-		Self: d.identity[0], Members: slices.Clone(d.members), Live: d.live, Contact: contact, Unreachable: d.unreachable, Silent: d.silent, CaughtUp: caughtUp,
+		Self: d.identity[d.leader], Members: slices.Clone(d.members), Live: d.live, Contact: contact, Unreachable: d.unreachable, Silent: d.silent, CaughtUp: caughtUp, Stopping: d.stopping,
 	})
 	at := slices.IndexFunc(d.members, func(m replica.Member) bool { return m.Identity == c.Member.Identity })
 	lost := slices.IndexFunc(d.members, func(m replica.Member) bool { return m.Identity == c.Lost })
@@ -53,6 +63,8 @@
 		d.members = append(d.members, c.Member)
 	case Promote:
 		d.members[at].Voter = true
+	case Demote:
+		d.members[at].Voter = false
 	case Remove:
 		d.members = slices.Delete(d.members, at, at+1)
 	case Replace:
--- a/internal/fleet/consensus/membership.go
+++ b/internal/fleet/consensus/membership.go
@@ -35,13 +35,17 @@
 	Add
 	Promote
 	Remove
+	// Demote takes the vote of a voter, which stays as a learner.
+	Demote
 	// Replace removes a member that has lost its disk and adds the new identity of its instance,
 	// in one change.
 	Replace
 )
 
 // String returns the name of the action for the log.
-func (a Action) String() string { return [...]string{"keep", "add", "promote", "remove", "replace"}[a] }
+func (a Action) String() string {
+	return [...]string{"keep", "add", "promote", "remove", "demote", "replace"}[a]
+}
 
 // Change is a membership change and its reason.
 type Change struct {
@@ -61,6 +65,8 @@
 	// how long they have been in contact.
 	Live    map[replica.Identity]replica.Address
 	Contact map[replica.Identity]time.Duration
+	// Stopping holds the instances whose process has begun to stop.
+	Stopping map[replica.Identity]bool
 	// Unreachable holds for how long other members have neither polled nor acknowledged
 	// messages.
 	Unreachable map[replica.Identity]time.Duration
@@ -75,6 +81,10 @@
 // instance with a disk becomes a member, the number of voters is odd and as large as
 // possible, and a live learner replaces a voter that is out of contact.
 //
+// A live learner also replaces a voter whose process stops. The voter hands its vote over while it
+// still has one: once it is gone, the next loss could take the majority away until the leader
+// has noticed the first one.
+//
 // A voter whose address belongs to another identity has lost its disk and never returns. It
 // is removed before anything else: its vote counts for the size of a majority and can't be
 // given, and the instance may lose its disk again at any later step. A voter that is only
@@ -103,14 +113,15 @@
 	failed, hasFailed := o.failedVoter(voters)
 	// A voter that is out of contact keeps its vote until it is replaced, so the target is
 	// never below the current number of voters.
-	target := max(largestOdd(min(maxVoters, len(o.Live))), largestOdd(len(voters)))
+	target := max(largestOdd(min(maxVoters, o.staying())), largestOdd(len(voters)))
 	// While the loss of a voter may not have been noticed, an additional instance may be its successor:
 	// as a further voter it could not replace it any more.
 	grows := len(voters) < target && !slices.ContainsFunc(voters, func(m replica.Member) bool {
 		silence, silent := o.Silent[m.Identity]
 		return silent && silence < noticeTime
 	})
-	if grows || (hasFailed && len(voters) <= target) {
+	stopping, hasStopping := o.stoppingVoter(voters)
+	if grows || ((hasFailed || hasStopping) && len(voters) <= target) {
 		if learner, ok := o.nextVoter(voters, learners); ok {
 			return Change{Action: Promote, Member: learner, Reason: "live learner can become a voter"}
 		}
@@ -118,9 +129,33 @@
 	if hasFailed && len(voters) > target {
 		return Change{Action: Remove, Member: failed, Reason: "voter was replaced"}
 	}
+	if hasStopping && len(voters) > target {
+		return Change{Action: Demote, Member: stopping, Reason: "voter stops and was replaced"}
+	}
 	return Change{}
 }
 
+// staying returns the number of live instances with a disk whose process does not stop.
+func (o *Observation) staying() (n int) {
+	for identity := range o.Live {
+		if !o.Stopping[identity] {
+			n++
+		}
+	}
+	return n
+}
+
+// stoppingVoter returns a voter whose process stops. The leader is the last one, since the group is
+// without a leader for a moment then.
+func (o *Observation) stoppingVoter(voters []replica.Member) (stopping replica.Member, ok bool) {
+	for _, m := range voters {
+		if o.Stopping[m.Identity] && (!ok || m.Identity != o.Self) {
+			stopping, ok = m, true
+		}
+	}
+	return stopping, ok
+}
+
 // removeLost returns the change that removes a lost member. If its instance is in contact with a new
 // identity that is no member, the same change adds that: on a slow disk each change takes long, and
 // the group bears no further loss before the new identity has a vote.
@@ -185,7 +220,7 @@
 	raisesMajority := len(voters)%2 == 1 && len(voters) > 1
 	for _, m := range learners {
 		_, live := o.Live[m.Identity]
-		if !live || !o.CaughtUp[m.Identity] || (raisesMajority && o.Contact[m.Identity] < minContact) {
+		if !live || o.Stopping[m.Identity] || !o.CaughtUp[m.Identity] || (raisesMajority && o.Contact[m.Identity] < minContact) {
 			continue
 		}
 		if !ok || m.Identity < next.Identity {
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,8 @@
 	RequestBootstrap func(ctx context.Context, identity string) bool
 	// LiveReplicas returns the addresses of the instances in contact that have a disk.
 	LiveReplicas func() map[replica.Identity]replica.Address
+	// StoppingReplicas returns those of them whose process has begun to stop.
+	StoppingReplicas func() map[replica.Identity]bool
 }
 
 // Replica is the replica of the control group on one instance.
@@ -258,6 +261,8 @@
 		err = r.node.PromoteLearner(ctx, change.Member.Identity)
 	case Remove:
 		err = r.node.RemoveMember(ctx, change.Member.Identity)
+	case Demote:
+		err = r.node.DemoteMember(ctx, change.Member.Identity)
 	case Replace:
 		err = r.node.ReplaceMember(ctx, change.Lost, change.Member)
 	}
@@ -297,7 +302,7 @@
 		outages[i] = max(d, unanswered[i])
 	}
 	return Observation{
-		Self: r.identity, Members: members, Live: live, CaughtUp: caughtUp,
+		Self: r.identity, Members: members, Live: live, CaughtUp: caughtUp, Stopping: r.options.StoppingReplicas(),
 		Contact: updateSince(r.liveSince, live, now), Unreachable: outages,
 		Silent: updateSince(r.silentSince, silent, now),
 	}
@@ -346,6 +351,26 @@
 	return len(r.liveReplicas()) >= minVoters || r.options.Timer.Now().Before(timer.Instant(r.formingUntil.Load()))
 }
 
+// WaitHandedOver waits while this replica has a vote that another one could take over. It returns at once if
+// there is no learner. The leader must know that this instance stops.
+func (r *Replica) WaitHandedOver(ctx context.Context) error {
+	for r.hasVoteToHandOver() {
+		if err := timer.Sleep(ctx, r.options.Timer, membershipInterval/4); err != nil {
+			return errors.Wrap(err, "the vote is not handed over")
+		}
+	}
+	return nil
+}
+
+// hasVoteToHandOver reports whether this replica has a vote, or may still have one, and the group has a learner
+// or has just promoted one: the number of voters is even then.
+func (r *Replica) hasVoteToHandOver() bool {
+	s := r.node.Status()
+	votes := slices.ContainsFunc(s.Members, func(m replica.Member) bool { return m.Identity == r.identity && m.Voter })
+	voters := countVoters(s.Members)
+	return votes && (voters < len(s.Members) || voters%2 == 0) || s.CommitIndex < s.MembershipIndex
+}
+
 func countVoters(members []replica.Member) (voters int) {
 	for _, m := range members {
 		if m.Voter {
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -218,6 +218,19 @@
 	return out
 }
 
+// StoppingReplicas returns the replicas of the instances that have begun to stop.
+func (c *Coordinator) StoppingReplicas() map[replica.Identity]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[replica.Identity]bool{}
+	for _, i := range c.instances {
+		if i.record.GetStopping() {
+			out[replica.Identity(i.record.GetIdentity())] = true
+		}
+	}
+	return out
+}
+
 // InContact reports whether an instance with this peer address is in contact.
 func (c *Coordinator) InContact(peer string) bool {
 	c.mu.Lock()
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -160,7 +160,7 @@
 		RequestBootstrap: func(ctx context.Context, identity string) bool {
 			return i.Client.RequestBootstrap(ctx, o.Seeds[0], identity)
 		},
-		LiveReplicas: i.coordinator.LiveReplicas,
+		LiveReplicas: i.coordinator.LiveReplicas, StoppingReplicas: i.stoppingReplicas,
 	})
 	s.Replica, s.Coordinator, s.State = i.replica, i.coordinator, st
 	return err
@@ -185,6 +185,15 @@
 	return l.replica.Propose(ctx, command)
 }
 
+// stoppingReplicas returns the replicas of the instances that have begun to stop, this one included.
+func (i *Instance) stoppingReplicas() map[replica.Identity]bool {
+	out := i.coordinator.StoppingReplicas()
+	if i.draining.Load() {
+		out[replica.Identity(i.replica.Identity())] = true
+	}
+	return out
+}
+
 // knownLeader returns the addresses of the leader and of all members of the control group as
 // known to the replica.
 func (i *Instance) knownLeader() (leader string, members []string) {
@@ -226,7 +235,7 @@
 	o := i.options
 	w := &wire.Instance{
 		Name: o.Name, Zone: o.Zone, Region: o.Region, Peer: string(o.PeerAddress), Caller: o.CallerAddress,
-		Epoch: i.epoch, Ready: i.Ready(), Partitioned: o.Partitioned(), LeasesSlots: true,
+		Epoch: i.epoch, Ready: i.Ready(), Partitioned: o.Partitioned(), LeasesSlots: true, Stopping: i.draining.Load(),
 	}
 	if i.replica != nil {
 		w.Identity = i.replica.Identity()
@@ -240,9 +249,18 @@
 // Draining reports whether Drain was called.
 func (i *Instance) Draining() bool { return i.draining.Load() }
 
-// Drain makes Ready return false, so that callers are no longer sent to this instance.
+// Drain makes Ready return false, so that callers are no longer sent to this instance, and lets another replica
+// take over the vote of this one.
 func (i *Instance) Drain() { i.draining.Store(true) }
 
+// WaitHandedOver waits until another replica has taken over the vote of this one, if one can.
+func (i *Instance) WaitHandedOver(ctx context.Context) error {
+	if i.replica == nil {
+		return nil
+	}
+	return i.replica.WaitHandedOver(ctx)
+}
+
 // Run runs all components until the context is done.
 func (i *Instance) Run(ctx context.Context) error {
 	g := group.New(ctx)
--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"wisteriakeel.example/wisteriakeel/internal/control/replica"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/layout"
 	"wisteriakeel.example/wisteriakeel/internal/fleet/peer"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
@@ -190,6 +192,37 @@
 	return len(d.running[i].instance.View.Table().Services["s"]) > 0
 }
 
+// Guards against an instance that stops as planned with a vote that another one could have taken over.
+func TestVoteIsHandedOver(t *testing.T) {
+	d := newDeployment(t, 4, 5)
+	d.proposeLayout(4, 1)
+	votes := func(i int) bool {
+		r := d.running[i].instance.replica
+		return slices.ContainsFunc(r.Members(), func(m replica.Member) bool { return string(m.Identity) == r.Identity() && m.Voter })
+	}
+	for round := range uint64(4) {
+		var stopping int
+		d.eventually("three votes of four members", func() bool {
+			stopping = d.leader()
+			return d.voterCount() == 3 && len(d.running[stopping].instance.replica.Members()) == 4
+		})
+		for i := 0; i < 4 && round%2 == 1; i++ {
+			if i != d.leader() && votes(i) {
+				stopping = i
+			}
+		}
+		d.running[stopping].instance.Drain()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		d.NoErr(d.running[stopping].instance.WaitHandedOver(ctx))
+		cancel()
+		d.True(!votes(stopping))
+		d.stop(stopping)
+		d.eventually("three votes of the others", func() bool { return d.voterCount() == 3 && d.leader() != stopping })
+		d.proposeLayout(4, 2+round)
+		d.start(stopping)
+	}
+}
+
 // Guards against instances that do not find the leader through seeds without a disk, and
 // against the loss of an acknowledged layout when all instances restart at once.
 func TestRestartOfAll(t *testing.T) {
