caller: a failure never states that a request has not run

Cause: failures of upstreams were relayed with their status, at once or, as the best of several, later. Between gateway and worker only the header or 421 states that nothing ran; towards callers 408, 421, 429 and 503 do.

Change: one function names these statuses. One method relays failures for both ways and answers 502 in place of such a status; the method that writes the gateway's own errors does the same once a request may have run. Requests that may run again go elsewhere after 408 and 429 too. Upstreams of the soak fail with 408, 429 and 503 as well.

Conclusion: what a status promises depends on who reads it, so a status of an upstream is not an answer to a caller.

--- a/internal/bench/soak/upstream.go
+++ b/internal/bench/soak/upstream.go
@@ -93,6 +93,12 @@
 	return nil
 }
 
+// failureStatuses are those with which an upstream fails after it has run a request. To callers the last three
+// would state that it has not run.
+var failureStatuses = []int{
+	http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout,
+}
+
 // crash stops the upstream without deregistering it.
 func (u *simulatedUpstream) crash() {
 	u.soak.mu.Lock()
@@ -209,7 +215,7 @@
 	}
 	w.Header().Set(names.Signature, "s-"+id)
 	if fails && draw%3 == 1 {
-		w.WriteHeader(http.StatusInternalServerError)
+		w.WriteHeader(failureStatuses[draw/3%len(failureStatuses)])
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, StreamPath) {
--- a/internal/gateway/caller/dispatch.go
+++ b/internal/gateway/caller/dispatch.go
@@ -183,7 +183,7 @@
 		panic(http.ErrAbortHandler)
 	case failed != nil && failed.failureBody.Claim():
 		q.log("failure of the upstream passed on", zap.Int("status", failed.failureStatus), zap.String("upstream", failed.target.ID))
-		q.writeResponse(failed.failureStatus, failed.failureHeader, failed.failureBody)
+		failed.relayFailure()
 	case errors.Is(context.Cause(q.ctx), memory.ErrShort) && q.executions > 0:
 		q.failRequest(http.StatusBadGateway, "memory is short")
 	case errors.Is(context.Cause(q.ctx), memory.ErrShort):
--- a/internal/gateway/caller/error_response.go
+++ b/internal/gateway/caller/error_response.go
@@ -35,6 +35,17 @@
 	retryAfterQuarantine = time.Minute
 )
 
+// statesNotRun reports whether a status states that the request has not run and never will. By it callers decide
+// whether to repeat a request that may run once. Upstreams state the same by a header of its own only, see
+// upstream.Protocol.
+func statesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // reject answers a request that was not executed and will not be. A positive retryAfter
 // is sent with up to 100% jitter, so that rejected callers do not all return at once.
 // It always returns false, for use as a return value of the admission checks.
@@ -85,9 +96,17 @@
 	q.writeError(status, reason, "unknown")
 }
 
-// writeError writes an error response of the gateway itself.
+// writeError writes an error response of the gateway itself. Once the request may have run, none states that
+// it has not.
 func (q *request) writeError(status int, reason, outcome string) {
 	h := q.writer.Header()
+	if q.executions > 0 {
+		outcome = "unknown"
+		if statesNotRun(status) {
+			status = http.StatusBadGateway
+			h.Del("Retry-After")
+		}
+	}
 	h.Set("Content-Type", "application/json")
 	if q.id != "" {
 		h.Set(q.Protocol.RequestID, q.id)
--- a/internal/gateway/caller/relay.go
+++ b/internal/gateway/caller/relay.go
@@ -25,15 +25,26 @@
 	}
 	e.failureStatus, e.failureHeader, e.failureBody = e.response.Status, e.response.Header, body
 	e.log("upstream failed", zap.String("upstream", e.target.ID), zap.Int("status", e.failureStatus))
-	if e.responseStarted || (e.failureStatus >= 500 && e.route.Retryable()) {
+	transient := e.failureStatus >= 500 || statesNotRun(e.failureStatus)
+	if e.responseStarted || (transient && e.route.Retryable()) {
 		body.AllowEviction()
 		return actionRetryExecuted
 	}
 	defer body.Close()
-	e.writeResponse(e.failureStatus, e.failureHeader, body)
+	e.relayFailure()
 	return actionDone
 }
 
+// relayFailure relays the kept error response to the caller. The upstream has run the request, or may have: a
+// status that states the opposite is replaced.
+func (e *exchange) relayFailure() {
+	if statesNotRun(e.failureStatus) {
+		e.failRequest(http.StatusBadGateway, "the upstream failed with status "+strconv.Itoa(e.failureStatus))
+		return
+	}
+	e.writeResponse(e.failureStatus, e.failureHeader, e.failureBody)
+}
+
 // relayBuffered reads the whole response before it relays it.
 func (e *exchange) relayBuffered() action {
 	body, err := e.response.ReadAll()
