consensus: a new group commits nothing before it bears the stated losses

The first configuration is acknowledged after 2 s, by one disk. That disk is lost, the configuration with it, and nothing is ever acknowledged or served again.

Cause: a new group waited for three voters only while three instances with disks were in contact, or for 1.5 s. Who belongs to the deployment follows from fault_tolerance of the settings, which was not read. The wait also came after the commit, for orders of operators only, and ended with a restart.

Change: a new group commits nothing before it has 2 n + 1 voters. A state that is not empty shows that it has been complete, so the rule outlives restarts and needs no record.

Conclusion: contact does not tell how many there are, the settings do.

--- a/internal/bench/soak/instance.go
+++ b/internal/bench/soak/instance.go
@@ -59,7 +59,7 @@
 	}
 	d := i.soak.options.Dialect
 	text := d.SettingsFile(Settings{
-		Name: i.name, IP: i.ip, Zone: i.zone, SeedAddresses: i.soak.seedAddresses, InitialStart: initial, DataDirectory: i.dataDirectory, GracePeriod: GracePeriod, RevocationDelay: RevocationDelay,
+		Name: i.name, IP: i.ip, Zone: i.zone, SeedAddresses: i.soak.seedAddresses, InitialStart: initial, Losses: 1, DataDirectory: i.dataDirectory, GracePeriod: GracePeriod, RevocationDelay: RevocationDelay,
 	})
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -80,6 +80,8 @@
 	SeedAddresses []string
 	// InitialStart is set only when the whole deployment starts for the first time.
 	InitialStart bool
+	// Losses is how many control instances may be lost at the same time, or 0 if the settings don't say.
+	Losses int
 	// DataDirectory is empty unless the instance is a control instance.
 	DataDirectory string
 	// GracePeriod limits the graceful shutdown, RevocationDelay how long a revoked API key works.
--- a/internal/fleet/consensus/group_test.go
+++ b/internal/fleet/consensus/group_test.go
@@ -45,6 +45,7 @@
 	machines []*machine
 	stop     context.CancelFunc
 	ended    sync.WaitGroup
+	voters   int // Options.Voters of the replicas
 
 	mu  sync.Mutex
 	cut map[[2]int]bool // what the first machine sends to the second is lost
@@ -232,7 +233,7 @@
 	p.replica, err = New(Options{
 		DataDirectory: "data", Address: peerAddress(m.index), PeerToken: "t", State: p.state, Timer: timer.NewSystem(),
 		Random: rand.New(rand.NewPCG(seed, 3)), Log: c.log.Named(peerAddress(m.index)), Files: files,
-		Dial: p.dial, AllowBootstrap: found, LiveReplicas: p.live, StoppingReplicas: p.stopping,
+		Dial: p.dial, AllowBootstrap: found, Voters: c.voters, LiveReplicas: p.live, StoppingReplicas: p.stopping,
 		RequestBootstrap: func(context.Context, string) bool {
 			time.Sleep(time.Millisecond) // a round trip, within which the replica starts to run
 			return m.index == 0
--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -33,7 +33,7 @@
 	bootstrapInterval = 150 * time.Millisecond
 	// membershipInterval is the pause between two checks of the membership.
 	membershipInterval = 200 * time.Millisecond
-	// minVoters is the number of voters of a new group before which it acknowledges nothing, if
+	// minVoters is the number of voters of a new group before which it commits nothing, if
 	// so many instances with disks are in contact. With fewer the loss of one disk ends the group.
 	minVoters = 3
 	// formingTime is how long after its creation a new group may have voters to come although too
@@ -77,6 +77,9 @@
 	Dial func(ctx context.Context, to string) (net.Conn, error)
 	// AllowBootstrap is true if the control group may not exist yet.
 	AllowBootstrap bool
+	// Voters is how many voters a new group must have before it commits anything, or 0 if that is not
+	// known: the group then awaits minVoters if so many instances may be in contact soon.
+	Voters int
 	// RequestBootstrap asks a seed whether this instance may bootstrap the group.
 	RequestBootstrap func(ctx context.Context, identity string) bool
 	// LiveReplicas returns the addresses of the instances in contact that have a disk.
@@ -93,7 +96,7 @@
 	transport *replica.DRPCTransport
 	server    *replica.Server
 	identity  replica.Identity
-	// formed is true once the group has had minVoters voters.
+	// formed is true once the group has had as many voters as it needs to commit.
 	formed atomic.Bool
 	// formingUntil is the instant until which a group that this replica has created is forming.
 	formingUntil atomic.Int64
@@ -327,28 +330,38 @@
 	return out
 }
 
-// WaitFormed waits while the group is new and has fewer voters than it is about to get. What is
+// errForming is the error of a command for a group that is not complete.
+var errForming = errors.New("the control group is not complete")
+
+// WaitFormed waits while the group is new and has fewer voters than it needs, or is about to get. What is
 // committed until then could be lost with one disk.
 func (r *Replica) WaitFormed(ctx context.Context) error {
 	for r.isForming() {
 		if err := timer.Sleep(ctx, r.options.Timer, membershipInterval/4); err != nil {
-			return errors.Wrap(err, "the control group is not complete")
+			r.options.Log.Warn("control group is not complete", zap.Int("voters", countVoters(r.Members())), zap.Int("needed", max(r.options.Voters, minVoters)))
+			return errors.CombineErrors(errForming, err)
 		}
 	}
 	return nil
 }
 
-// isForming reports whether the group is new, and instances that are in contact, or may come into
-// contact soon, are to become voters.
+// isForming reports whether the group is new and has fewer voters than it needs, or instances that are in
+// contact, or may come into contact soon, are to become voters. Nothing is committed until then, so a
+// group that has committed something has been complete, also if the process has restarted since.
 func (r *Replica) isForming() bool {
-	if !r.options.AllowBootstrap || r.formed.Load() {
+	if r.formed.Load() {
 		return false
 	}
-	if countVoters(r.Members()) >= minVoters {
+	voters := countVoters(r.Members())
+	if voters >= max(r.options.Voters, minVoters) || !r.options.State.Empty() {
 		r.formed.Store(true)
 		return false
 	}
-	return len(r.liveReplicas()) >= minVoters || r.options.Timer.Now().Before(timer.Instant(r.formingUntil.Load()))
+	if voters < r.options.Voters {
+		return true
+	}
+	return r.options.AllowBootstrap &&
+		(len(r.liveReplicas()) >= minVoters || r.options.Timer.Now().Before(timer.Instant(r.formingUntil.Load())))
 }
 
 // WaitHandedOver waits while this replica has a vote that another one could take over. It returns at once if
@@ -415,8 +428,11 @@
 }
 
 // Propose commits a command. conflict says why the command was not carried out, or is
-// empty.
+// empty. It fails while the group is not complete; see WaitFormed.
 func (r *Replica) Propose(ctx context.Context, command *wire.Command) (conflict string, err error) {
+	if _, leads := r.node.HoldsLease(); leads && r.isForming() {
+		return "", errForming
+	}
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return "", errors.Wrap(err, "encode command")
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -47,6 +47,9 @@
 	DataDirectory string
 	// AllowBootstrap is true if the control group may not exist yet.
 	AllowBootstrap bool
+	// Voters is how many voters a new control group must have before it commits anything, or 0 if that is
+	// not known; see consensus.Options.
+	Voters int
 	// PeerToken authenticates the instances of the deployment to each other.
 	PeerToken string
 	// HeartbeatInterval is the interval at which upstreams send heartbeats.
@@ -156,7 +159,7 @@
 	i.state = st
 	i.replica, err = consensus.New(consensus.Options{
 		DataDirectory: o.DataDirectory, Files: o.Files, Retention: o.Retention, Dial: o.DialPeer, Address: string(o.PeerAddress), PeerToken: o.PeerToken, State: st, Timer: o.Timer,
-		Random: random.New(), Log: o.Log.Named("core"), AllowBootstrap: o.AllowBootstrap,
+		Random: random.New(), Log: o.Log.Named("core"), AllowBootstrap: o.AllowBootstrap, Voters: o.Voters,
 		RequestBootstrap: func(ctx context.Context, identity string) bool {
 			return i.Client.RequestBootstrap(ctx, o.Seeds[0], identity)
 		},
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -116,6 +116,9 @@
 			return &wire.ProposeReply{Guide: &wire.Guide{Served: true}, Conflict: state.ConflictUnknownZone}, nil
 		}
 	}
+	if err := s.Replica.WaitFormed(ctx); err != nil {
+		return nil, err
+	}
 	conflict, err := s.Replica.Propose(ctx, q.GetCommand())
 	if errors.Is(err, replica.ErrNotLeader) {
 		return &wire.ProposeReply{Guide: s.leaderInfo()}, nil
@@ -123,9 +126,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.Replica.WaitFormed(ctx); err != nil {
-		return nil, err
-	}
 	if l := q.GetCommand().GetLayout(); l != nil && conflict == "" && !s.Coordinator.WaitLayoutApplied(ctx, l.GetVersion()) {
 		return s.unacknowledged(ctx, "layout is not in force everywhere")
 	}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -69,6 +69,13 @@
 
 var _ replica.StateMachine = (*State)(nil)
 
+// Empty reports whether no command has ever had an effect.
+func (s *State) Empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.layout == nil && len(s.rollouts)+len(s.quarantined)+len(s.parts)+len(s.leaves)+len(s.evacuations.zones) == 0
+}
+
 // Apply carries out one command. The result is empty, or says why the command was not
 // carried out.
 func (s *State) Apply(index replica.Index, command []byte) []byte {
