instance: close what New has opened if the stop comes before the start

What was seen: TestEvacuation fails now and then with "address already in use" at a restart. Clients see nothing, since the process ends.

Cause: New opens the listener and the files, members of the group of Run close them. Where the context is done before the members start, none does.

Change: Run closes both after its group, New closes the files if it can't listen.

Conclusion: who opens something closes it; a member that may never start can't be the only one to do so.

--- a/internal/fleet/consensus/replica.go
+++ b/internal/fleet/consensus/replica.go
@@ -184,8 +184,13 @@
 	g := group.New(ctx)
 	g.Go("replica", r.node.Run)
 	g.Go("membership", r.loop)
-	err := errors.CombineErrors(g.Wait(), r.transport.Close())
-	return errors.CombineErrors(err, r.store.Close())
+	return errors.CombineErrors(g.Wait(), r.Close())
+}
+
+// Close closes the connections and the files. It is needed where Run may not be called, and does nothing
+// after it.
+func (r *Replica) Close() error {
+	return errors.CombineErrors(r.transport.Close(), r.store.Close())
 }
 
 // loop bootstraps the group if that is allowed, and adjusts its membership while this
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -141,8 +141,17 @@
 			return nil, err
 		}
 	}
-	i.listener, err = s.Listen(o.PeerAddress)
-	return i, err
+	if i.listener, err = s.Listen(o.PeerAddress); err != nil {
+		return nil, errors.CombineErrors(err, i.closeReplica())
+	}
+	return i, nil
+}
+
+func (i *Instance) closeReplica() error {
+	if i.replica == nil {
+		return nil
+	}
+	return i.replica.Close()
 }
 
 // openReplica sets up the replica and the coordinator of an instance with a disk.
@@ -264,7 +273,8 @@
 	return i.replica.WaitHandedOver(ctx)
 }
 
-// Run runs all components until the context is done.
+// Run runs all components until the context is done. It closes what New has opened, also if the context is
+// done before a component has started.
 func (i *Instance) Run(ctx context.Context) error {
 	g := group.New(ctx)
 	if i.replica != nil {
@@ -274,5 +284,6 @@
 	}
 	g.Go("peers", i.listener.Run)
 	g.Go("client", i.Client.Run)
-	return g.Wait()
+	err := errors.CombineErrors(g.Wait(), i.listener.Close())
+	return errors.CombineErrors(err, i.closeReplica())
 }
--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -192,6 +192,26 @@
 	return len(d.running[i].instance.View.Table().Services["s"]) > 0
 }
 
+// Guards against a listener and files that stay open where the stop comes before Run has started anything: the
+// next start finds the address in use.
+func TestStopBeforeRun(t *testing.T) {
+	d := newDeployment(t, 1, 3)
+	d.proposeLayout(2, 1)
+	const stops = 300
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
+	for i := range d.options {
+		d.stop(i)
+		for range stops {
+			n, err := New(d.options[i])
+			d.NoErr(err)
+			d.NoErr(n.Run(stopped))
+		}
+		d.start(i)
+	}
+	d.proposeLayout(2, 2)
+}
+
 // Guards against an instance that stops as planned with a vote that another one could have taken over.
 func TestVoteIsHandedOver(t *testing.T) {
 	d := newDeployment(t, 4, 5)
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -199,6 +199,7 @@
 
 // Listener accepts calls at a peer address.
 type Listener struct {
+	tcp     net.Listener
 	mux     *drpcmigrate.ListenMux
 	calls   net.Listener
 	server  *drpcserver.Server
@@ -226,7 +227,7 @@
 		return nil, err
 	}
 	m := drpcmigrate.NewListenMux(&retryingListener{n, s.Client.options.Timer, s.Log}, len(tunnel.Prefix))
-	return &Listener{mux: m, calls: m.Default(), tunnels: s.Tunnels, server: drpcserver.NewWithOptions(mux, drpcserver.Options{
+	return &Listener{tcp: n, mux: m, calls: m.Default(), tunnels: s.Tunnels, server: drpcserver.NewWithOptions(mux, drpcserver.Options{
 		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}},
 		Log:     s.logConnectionError,
 	})}, nil
@@ -248,6 +249,14 @@
 	return g.Wait()
 }
 
+// Close closes the listener. It is needed where Run may not be called, and does nothing after it.
+func (l *Listener) Close() error {
+	if err := l.tcp.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
 func (l *Listener) loop(ctx context.Context) error { return l.server.Serve(ctx, l.calls) }
 
 // tunnelListener serves the connections of a listener as tunnels.
