caller: no requests to a version that no order names during or after a roll-out

Cause: all versions but the target and those rolled back before counted as the former one.

Change: the former version is that of the upstream that started first among these, the rule that holds without a roll-out.

Conclusion: one version is the former one, whatever else is announced.

--- a/internal/gateway/caller/candidates.go
+++ b/internal/gateway/caller/candidates.go
@@ -57,10 +57,14 @@
 	}
 	target := r.GetTarget()
 	isTarget := func(v string) bool { return v == target }
-	// The upstreams of a version that was rolled back before may still drain.
-	isFormer := func(v string) bool { return v != target && !slices.Contains(r.GetRejected(), v) }
+	// The upstreams of a version that was rolled back before may still drain, and those of the next one may be
+	// there before its order.
+	others := slices.DeleteFunc(slices.Clone(all), func(u *wire.Upstream) bool {
+		return isTarget(u.GetVersion()) || slices.Contains(r.GetRejected(), u.GetVersion())
+	})
 	hasTarget := slices.ContainsFunc(all, func(u *wire.Upstream) bool { return isTarget(u.GetVersion()) })
-	hasFormer := slices.ContainsFunc(all, func(u *wire.Upstream) bool { return isFormer(u.GetVersion()) })
+	hasFormer, former := len(others) > 0, currentVersion(others)
+	isFormer := func(v string) bool { return hasFormer && v == former }
 	switch {
 	case r.GetPhase() == wire.Phase_PHASE_BACK:
 		return isFormer
