peer: a majority of the seeds permits the founding of the group

No group is ever created, no order acknowledged, with all machines up.

Cause: the first seed alone permits the founding, and only in the life in which it may know that it permitted none before.

Change: a majority of the seeds permits it. Each permits one process at a time, in its first life only; permissions of failed rounds are given back, by round, so that late messages do no harm. The others are asked without the first seed once it may permit nothing or is silent for 2 s. Processes of earlier builds ask the first seed as before; new ones stop where such a seed refuses.

Conclusion: two majorities of single permissions overlap, so none of the seeds is needed by itself.

--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -40,8 +40,8 @@
 	// PeerAddress accepts calls from other instances, CallerAddress requests of callers.
 	PeerAddress   peer.Address
 	CallerAddress string
-	// Seeds are the peer addresses through which the instance finds the others. The first
-	// decides which instance bootstraps the control group.
+	// Seeds are the peer addresses through which the instance finds the others. A majority of them
+	// decides which instance bootstraps the control group, or the first of fewer than three.
 	Seeds []peer.Address
 	// DataDirectory is the data directory. It is empty on an instance without a disk.
 	DataDirectory string
@@ -169,10 +169,8 @@
 	i.replica, err = consensus.New(consensus.Options{
 		DataDirectory: o.DataDirectory, Files: o.Files, Retention: o.Retention, Dial: o.DialPeer, Address: string(o.PeerAddress), PeerToken: o.PeerToken, State: st, Timer: o.Timer,
 		Random: random.New(), Log: o.Log.Named("core"), AllowBootstrap: o.AllowBootstrap, Voters: o.Voters,
-		RequestBootstrap: func(ctx context.Context, identity string) bool {
-			return i.Client.RequestBootstrap(ctx, o.Seeds[0], identity)
-		},
-		LiveReplicas: i.coordinator.LiveReplicas, StoppingReplicas: i.stoppingReplicas,
+		RequestBootstrap: i.Client.NewFounding(o.Seeds).Request,
+		LiveReplicas:     i.coordinator.LiveReplicas, StoppingReplicas: i.stoppingReplicas,
 	})
 	s.Replica, s.Coordinator, s.State = i.replica, i.coordinator, st
 	return err
--- a/internal/fleet/instance/instance_test.go
+++ b/internal/fleet/instance/instance_test.go
@@ -192,6 +192,15 @@
 	return len(d.running[i].instance.View.Table().Services["s"]) > 0
 }
 
+// Guards against a group that is never founded because the first seed has lost its first life, in which alone it
+// may permit that.
+func TestFoundingWithoutFirstSeed(t *testing.T) {
+	d := newDeployment(t, 3, 5, func(o *Options) { o.AllowBootstrap = o.PeerAddress != o.Seeds[0] })
+	d.proposeLayout(4, 1)
+	d.eventually("three voters", func() bool { return d.voterCount() == 3 })
+	d.eventually("layout everywhere", d.layoutConfirmed(1))
+}
+
 // Guards against a listener and files that stay open where the stop comes before Run has started anything: the
 // next start finds the address in use.
 func TestStopBeforeRun(t *testing.T) {
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -272,17 +272,6 @@
 	})
 }
 
-// RequestBootstrap asks a seed whether this instance may bootstrap the control group.
-func (c *Client) RequestBootstrap(ctx context.Context, seed Address, identity string) bool {
-	r, err := call(ctx, c.connections, seed, classRequest, requestTimeout, func(ctx context.Context, l wire.DRPCFleetClient) (*wire.FoundReply, error) {
-		return l.Found(ctx, &wire.FoundRequest{Identity: identity})
-	})
-	if err != nil {
-		c.options.Log.Debug("could not request bootstrap from seed", journal.Error(err))
-	}
-	return r.GetGranted()
-}
-
 // callLeader calls the leader, retrying until an instance serves the call as leader or the
 // context is done. The timeout bounds each attempt once it has a connection.
 func callLeader[R interface {
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -44,8 +44,8 @@
 	// AllowBootstrap is true if the control group may not exist yet.
 	AllowBootstrap bool
 
-	mu                sync.Mutex
-	bootstrapIdentity string // the identity that was granted permission to bootstrap
+	mu         sync.Mutex
+	permission permission // to bootstrap the control group
 }
 
 var _ wire.DRPCFleetServer = (*Server)(nil)
@@ -179,22 +179,26 @@
 	return &wire.BorrowReply{Guide: s.leaderInfo()}, nil
 }
 
-// Found grants permission to bootstrap the control group to the first instance that asks,
-// provided that the group may not exist yet and this instance knows no members of it.
+// Found grants permission to bootstrap the control group to one instance at a time, provided that the group may
+// not exist yet and this instance knows no members of it.
 func (s *Server) Found(ctx context.Context, q *wire.FoundRequest) (*wire.FoundReply, error) {
 	if err := replica.CheckPeerToken(ctx, s.PeerToken); err != nil {
 		return nil, err
 	}
-	if !s.AllowBootstrap || len(s.leaderInfo().GetVoters()) > 0 {
-		return &wire.FoundReply{}, nil
+	if len(s.leaderInfo().GetVoters()) > 0 {
+		return &wire.FoundReply{Taken: true, Counted: true}, nil
+	}
+	if !s.AllowBootstrap {
+		return &wire.FoundReply{Counted: true}, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.bootstrapIdentity == "" {
-		s.bootstrapIdentity = q.GetIdentity()
-		s.Log.Info("granted permission to bootstrap the control group", zap.String("identity", s.bootstrapIdentity))
+	former := s.permission.identity
+	r := s.permission.decide(q)
+	if holder := s.permission.identity; holder != former {
+		s.Log.Info("permission to bootstrap the control group", zap.String("identity", holder), zap.String("former", former))
 	}
-	return &wire.FoundReply{Granted: s.bootstrapIdentity == q.GetIdentity()}, nil
+	return r, nil
 }
 
 // Listener accepts calls at a peer address.
