bench: an outage that ends an instance as planned and then loses a disk

The outage planned-end plays it: the successor runs for 8 to 12 s, SIGTERM, and another disk is lost as soon as a change is acknowledged after the end. Settings state the losses that the size of the run allows.

--- a/internal/bench/outage/losses.go
+++ b/internal/bench/outage/losses.go
@@ -4,15 +4,17 @@
 	"context"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"wisteriakeel.example/wisteriakeel/internal/bench/soak"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
 // withoutNetwork lists the outages that a program without the network of this package can play.
-var withoutNetwork = []string{"freeze", "lost-hosts", "repair-lost", "replace", "restart-all", "silent-leader", "wipe-again", "wipe-in-turn", "wipe-once", "wipe-repair"}
+var withoutNetwork = []string{"freeze", "lost-hosts", "planned-end", "repair-lost", "replace", "restart-all", "silent-leader", "wipe-again", "wipe-in-turn", "wipe-once", "wipe-repair"}
 
 // catchUp is how long after its start or return an instance still counts as lost.
 const catchUp = 4 * time.Second
@@ -188,3 +190,43 @@
 	// The replacement may not have a vote yet, so that its disk would be no loss.
 	return r.restartNow(ctx, list[2*r.random.IntN(2)])
 }
+
+// plannedEnd ends an instance as planned once its successor has been there for long. As soon as a change is
+// acknowledged after the end, another one loses its disk.
+func plannedEnd(ctx context.Context, r *run) error {
+	list := r.drawCore(len(r.core))
+	r.mu.Lock()
+	next := r.add(true)
+	r.mu.Unlock()
+	r.printf("%s is to replace %s", next.name, list[0].name)
+	if err := r.startReplacement(list[0], next); err != nil {
+		return err
+	}
+	if err := r.sleep(ctx, 2*catchUp, 3*catchUp); err != nil {
+		return err
+	}
+	r.printf("terminate %s", list[0].name)
+	list[0].process.Signal(syscall.SIGTERM)
+	if err := r.awaitEnd(ctx, list[0]); err != nil {
+		return err
+	}
+	if err := r.awaitAcknowledgement(ctx); err != nil {
+		return err
+	}
+	return r.killFor(ctx, time.Second, true, list[1])
+}
+
+// awaitEnd waits until the process of an instance has ended after SIGTERM.
+func (r *run) awaitEnd(ctx context.Context, n *instance) error {
+	for limit := r.Timer.Now().Add(soak.GracePeriod + time.Second); n.process.Alive(); {
+		if r.Timer.Now() > limit {
+			r.violation("end", "%s has not ended %s after SIGTERM", n.name, soak.GracePeriod+time.Second)
+			n.process.Kill()
+			<-n.process.Done()
+		}
+		if err := timer.Sleep(ctx, r.Timer, 5*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/bench/outage/outage.go
+++ b/internal/bench/outage/outage.go
@@ -218,7 +218,7 @@
 // writeSettings writes the settings file of an instance.
 func (r *run) writeSettings(n *instance, initial bool) error {
 	return os.WriteFile(r.settingsPath(n), r.Dialect.SettingsFile(soak.Settings{
-		Name: n.name, IP: n.ip, Zone: n.zone, SeedAddresses: r.seeds, InitialStart: initial, Losses: 1, DataDirectory: n.disk,
+		Name: n.name, IP: n.ip, Zone: n.zone, SeedAddresses: r.seeds, InitialStart: initial, Losses: r.Size.Losses, DataDirectory: n.disk,
 		GracePeriod: soak.GracePeriod, RevocationDelay: soak.RevocationDelay,
 	}), 0o600)
 }
--- a/internal/bench/outage/patterns.go
+++ b/internal/bench/outage/patterns.go
@@ -12,7 +12,7 @@
 	"clock-step": clockStep, "half-closed": halfClosed, "lossy": lossy, "slow-links": slowLinks,
 	"isolate": isolate, "behind": behind, "relieve": relieve, "both": both, "halves": halves, "dark": dark, "long-cut": longCut,
 	"silent-leader": silentLeader, "lost-hosts": lostHosts, "orphan": orphan, "stale": stale, "freeze": freeze, "replace": replace, "series": series, "stale-lost": staleLost,
-	"wipe-once": wipeOnce, "wipe-in-turn": wipeInTurn, "wipe-again": wipeAgain, "wipe-repair": wipeRepair, "repair-lost": repairLost, "restart-all": restartAll,
+	"wipe-once": wipeOnce, "wipe-in-turn": wipeInTurn, "wipe-again": wipeAgain, "wipe-repair": wipeRepair, "repair-lost": repairLost, "restart-all": restartAll, "planned-end": plannedEnd,
 	"rolling": rolling, "whole-day": wholeDay, "failed-disks": failedDisks,
 	"power-leader": powerLeader, "power-all": powerAll, "power-twice": powerTwice, "power-setup": powerSetup, "power-series": powerSeries,
 	"power-repair": repairLost,
