outage: one start of a successor, one end of an overdue instance

Change: startSuccessor and killOverdue serve both. replaceNow marks the disturbance as before, planned-end marks none, as before. planned-end logs "replaces" in place of "is to replace".

Conclusion: the checks and times of both are unchanged.

--- a/internal/bench/outage/actions.go
+++ b/internal/bench/outage/actions.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"wisteriakeel.example/wisteriakeel/internal/bench/soak"
 	"wisteriakeel.example/wisteriakeel/internal/kernel/timer"
 )
 
@@ -194,13 +195,25 @@
 
 // replaceNow starts an instance with an empty disk and a new address in place of one that is gone.
 func (r *run) replaceNow(old *instance) error {
+	err := r.startSuccessor(old)
+	r.touch()
+	return err
+}
+
+// startSuccessor starts an instance with an empty disk and a new address in place of one that may still run.
+func (r *run) startSuccessor(old *instance) error {
 	r.mu.Lock()
 	next := r.add(true)
 	r.mu.Unlock()
 	r.printf("%s replaces %s", next.name, old.name)
-	err := r.startReplacement(old, next)
-	r.touch()
-	return err
+	return r.startReplacement(old, next)
+}
+
+// killOverdue kills an instance that should have ended by itself.
+func (r *run) killOverdue(n *instance) {
+	r.violation("end", "%s has not ended %s after SIGTERM", n.name, soak.GracePeriod+time.Second)
+	n.process.Kill()
+	<-n.process.Done()
 }
 
 // awaitAcknowledgement waits for the next acknowledged change.
--- a/internal/bench/outage/days.go
+++ b/internal/bench/outage/days.go
@@ -116,9 +116,7 @@
 			if now.Before(limit) || d.frozen[n] {
 				continue
 			}
-			d.violation("end", "%s has not ended %s after SIGTERM", n.name, soak.GracePeriod+time.Second)
-			n.process.Kill()
-			<-n.process.Done()
+			d.killOverdue(n)
 		}
 		delete(d.ending, n)
 		if err := d.restore(false, n); err != nil {
--- a/internal/bench/outage/losses.go
+++ b/internal/bench/outage/losses.go
@@ -195,11 +195,7 @@
 // acknowledged after the end, another one loses its disk.
 func plannedEnd(ctx context.Context, r *run) error {
 	list := r.drawCore(len(r.core))
-	r.mu.Lock()
-	next := r.add(true)
-	r.mu.Unlock()
-	r.printf("%s is to replace %s", next.name, list[0].name)
-	if err := r.startReplacement(list[0], next); err != nil {
+	if err := r.startSuccessor(list[0]); err != nil {
 		return err
 	}
 	if err := r.sleep(ctx, 2*catchUp, 3*catchUp); err != nil {
@@ -220,9 +216,7 @@
 func (r *run) awaitEnd(ctx context.Context, n *instance) error {
 	for limit := r.Timer.Now().Add(soak.GracePeriod + time.Second); n.process.Alive(); {
 		if r.Timer.Now() > limit {
-			r.violation("end", "%s has not ended %s after SIGTERM", n.name, soak.GracePeriod+time.Second)
-			n.process.Kill()
-			<-n.process.Done()
+			r.killOverdue(n)
 		}
 		if err := timer.Sleep(ctx, r.Timer, 5*time.Millisecond); err != nil {
 			return err
